--- /dev/null
+++ b/cmd/fescuelatch-load/main.go
@@ -0,0 +1,4 @@
+// Command fescuelatch-load is not written yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fescuelatch/main.go
@@ -0,0 +1,4 @@
+// Command fescuelatch is not written yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fescuelatchd/main.go
@@ -0,0 +1,4 @@
+// Command fescuelatchd is not written yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is not written yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/identity.go
@@ -0,0 +1,49 @@
+package fescuelatch
+
+// This file defines the identifiers of the domain and the generation number
+// of a configuration.
+
+// DomainID names a failure domain, for example "kgl-a".
+type DomainID string
+
+// VMID names an entry VM, which runs one daemon.
+type VMID string
+
+// Incarnation distinguishes the successive processes of one VM. It is a
+// random identifier drawn when the process starts.
+type Incarnation string
+
+// EndpointID names one endpoint: a model engine or a plain service process.
+type EndpointID string
+
+// PoolID names a group of endpoints that serve the same versions.
+type PoolID string
+
+// ModelID names a model, for example "triage-small".
+type ModelID string
+
+// VersionID names one version of a model, written "model@version".
+type VersionID string
+
+// ServiceID names a plain service.
+type ServiceID string
+
+// OperationID names an operation of a plain service.
+type OperationID string
+
+// AccountID names a client account.
+type AccountID string
+
+// RequestID names one request of a caller for its whole life.
+type RequestID string
+
+// AttemptID names one attempt to run a request at an endpoint. An answer
+// belongs to an attempt, never to a connection.
+type AttemptID string
+
+// ChangeID names one configuration change; its author draws it at random.
+type ChangeID string
+
+// Generation counts accepted configurations. Zero means that no
+// configuration is known.
+type Generation uint64
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,108 @@
+package fescuelatch
+
+import (
+	"context"
+	"time"
+)
+
+// This file defines the interfaces of what the platform gives.
+
+// KeyValue is one key at the platform's key-value service.
+type KeyValue struct {
+	Key   string
+	Value []byte
+	// Revision is that of the last change of the key; zero means absent.
+	Revision int64
+}
+
+// KVOp is one step of a transaction: a put, a delete, a range read, or a
+// nested transaction. Exactly one field is set.
+type KVOp struct {
+	Put    *KVPut
+	Delete string
+	Get    string
+	Txn    *KVTxn
+}
+
+// KVPut writes a value, bound to a lease when Lease is not zero.
+type KVPut struct {
+	Key   string
+	Value []byte
+	Lease int64
+}
+
+// KVCompare holds when the revision of the last change of Key is Revision;
+// zero asks that the key be absent.
+type KVCompare struct {
+	Key      string
+	Revision int64
+}
+
+// KVTxn runs Then when all comparisons hold and Else otherwise, as one step.
+type KVTxn struct {
+	If   []KVCompare
+	Then []KVOp
+	Else []KVOp
+}
+
+// KVTxnResult is the result of a KVTxn. Results has one element for each
+// step of the branch that ran.
+type KVTxnResult struct {
+	Succeeded bool
+	Revision  int64
+	Results   []KVResult
+}
+
+// KVResult is the result of one step.
+type KVResult struct {
+	Values []KeyValue
+	Txn    *KVTxnResult
+}
+
+// KV is the platform's key-value service. Every method is one call there and
+// is safe for concurrent use. When an error's kind says that the outcome is
+// unknown, a write may have taken effect.
+type KV interface {
+	// Get returns the key, linearizably. Revision is zero when it is absent.
+	Get(ctx context.Context, key string) (KeyValue, error)
+	// List returns the keys in [from, to), at most limit, in order.
+	List(ctx context.Context, from, to string, limit int) ([]KeyValue, error)
+	// Txn runs a transaction.
+	Txn(ctx context.Context, t KVTxn) (KVTxnResult, error)
+	// Grant creates a lease that ends after ttl unless it is kept alive.
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	// KeepAlive renews a lease and returns the time left.
+	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
+	// Watch sends each change of the keys in [from, to) after revision
+	// until ctx ends or the connection breaks, then closes the channel.
+	// It may miss changes across a break: the caller reads again.
+	Watch(ctx context.Context, from, to string, revision int64) (<-chan KeyValue, error)
+}
+
+// ListedVM is a line of the platform's lagging list of VMs.
+type ListedVM struct {
+	ID      string        `json:"id"`
+	State   ListedVMState `json:"state"`
+	Started time.Time     `json:"started"`
+}
+
+// ListedVMState is the state of a listed VM.
+type ListedVMState string
+
+// States of a listed VM. A VM that is gone is absent from the list.
+const (
+	ListedLive    ListedVMState = "live"
+	ListedLeaving ListedVMState = "leaving"
+)
+
+// VMList is the platform's lagging list of live and leaving VMs. Entry VMs
+// are listed by VMID, endpoint VMs by EndpointID.
+type VMList interface {
+	VMs(ctx context.Context) ([]ListedVM, error)
+}
+
+// Rater is the service that rates answers, late and noisily.
+type Rater interface {
+	// Rate returns the score of an answer, from 0 to 1.
+	Rate(ctx context.Context, v VersionID, prompt, answer string) (float64, error)
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,138 @@
+package fescuelatch
+
+import "time"
+
+// This file defines requests, their outcomes and what an attempt reports.
+
+// Priority orders requests that wait for the same endpoint.
+type Priority int
+
+// Priorities of a request. The zero value is the default.
+const (
+	PriorityNormal Priority = 0
+	PriorityLow    Priority = -1
+	PriorityHigh   Priority = 1
+)
+
+// Outcome is what a caller is told of its request.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	// OutcomeAnswered means that the caller has the whole answer.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeNotRun means that no endpoint has executed or will execute the
+	// request. It is only claimed when that is certain.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Request is the part of a caller's request that decisions depend on. It is
+// frozen once it has been handed to the decision core.
+type Request struct {
+	ID      RequestID `json:"id"`
+	Account AccountID `json:"account"`
+	// Model and Version select model engines; Version pins one version.
+	Model   ModelID   `json:"model,omitempty"`
+	Version VersionID `json:"version,omitempty"`
+	// Service and Operation select a plain service.
+	Service   ServiceID   `json:"service,omitempty"`
+	Operation OperationID `json:"operation,omitempty"`
+	// Quality is the least expected share of good answers, from 0 to 1.
+	Quality  float64   `json:"quality,omitempty"`
+	Priority Priority  `json:"priority,omitempty"`
+	Arrived  time.Time `json:"arrived"`
+	Deadline time.Time `json:"deadline"`
+	// Session is the version that the session is bound to, if any.
+	Session VersionID `json:"session-version,omitempty"`
+	// Idempotent reports that the request may be repeated.
+	Idempotent bool `json:"idempotent"`
+	Streamed   bool `json:"streamed,omitempty"`
+	// PromptTokens and OutputTokens are estimates.
+	PromptTokens int `json:"prompt-tokens,omitempty"`
+	OutputTokens int `json:"output-tokens,omitempty"`
+	// Prefix is a hash of the prompt's leading part, for cache affinity.
+	Prefix uint64 `json:"prefix,omitempty"`
+	// Forwarded reports that another daemon accepted the request and asks
+	// for an attempt at an endpoint that this daemon owns.
+	Forwarded bool `json:"forwarded,omitempty"`
+}
+
+// IsService reports whether r addresses a plain service.
+func (r *Request) IsService() bool { return r.Service != "" }
+
+// AttemptStatus is how an attempt ended.
+type AttemptStatus string
+
+// Statuses of an attempt.
+const (
+	// AttemptAnswered means that the whole answer arrived.
+	AttemptAnswered AttemptStatus = "answered"
+	// AttemptNotStarted means that no byte of the request reached the
+	// endpoint, or the endpoint said that it did not run it.
+	AttemptNotStarted AttemptStatus = "not-started"
+	// AttemptBroken means that the request may have run, wholly or in part.
+	AttemptBroken AttemptStatus = "broken"
+	// AttemptCancelled means that the caller left.
+	AttemptCancelled AttemptStatus = "cancelled"
+)
+
+// AttemptResult describes an ended attempt.
+type AttemptResult struct {
+	Attempt      AttemptID     `json:"attempt"`
+	Endpoint     EndpointID    `json:"endpoint"`
+	Version      VersionID     `json:"version,omitempty"`
+	Status       AttemptStatus `json:"status"`
+	PromptTokens int           `json:"prompt-tokens"`
+	OutputTokens int           `json:"output-tokens"`
+	// FirstToken is the time from dispatch to the first token, and Total
+	// that to the end.
+	FirstToken time.Duration `json:"first-token"`
+	Total      time.Duration `json:"total"`
+	// RetryAfter is the endpoint's or owner's advice when it did not start.
+	RetryAfter time.Duration `json:"retry-after,omitempty"`
+	// Overloaded reports that the endpoint, or its owner's gate, refused the
+	// attempt for want of capacity.
+	Overloaded bool `json:"overloaded,omitempty"`
+}
+
+// LoadReport is what an endpoint says of itself. It arrives with a lag.
+type LoadReport struct {
+	Endpoint    EndpointID    `json:"endpoint"`
+	Incarnation Incarnation   `json:"incarnation"`
+	State       EndpointState `json:"state"`
+	Running     int           `json:"running"`
+	Waiting     int           `json:"waiting"`
+	Slots       int           `json:"slots"`
+	Versions    []VersionID   `json:"versions,omitempty"`
+	Generated   time.Time     `json:"generated"`
+}
+
+// EndpointState is the state that an endpoint reports.
+type EndpointState string
+
+// States that endpoints report.
+const (
+	EndpointCold    EndpointState = "cold"
+	EndpointWarm    EndpointState = "warm"
+	EndpointLeaving EndpointState = "leaving"
+)
+
+// Bill is the record of one answered request.
+type Bill struct {
+	Request      RequestID   `json:"request"`
+	Account      AccountID   `json:"account"`
+	Version      VersionID   `json:"version,omitempty"`
+	Service      ServiceID   `json:"service,omitempty"`
+	Operation    OperationID `json:"operation,omitempty"`
+	PromptTokens int         `json:"prompt-tokens"`
+	OutputTokens int         `json:"output-tokens"`
+	// Cost is in millionths of the billing currency, over all attempts.
+	Cost     int64     `json:"cost"`
+	Attempts int       `json:"attempts"`
+	Ended    time.Time `json:"ended"`
+	// Key is set when the caller gave an idempotency key: all repeats of the
+	// request share one bill.
+	Key string `json:"key,omitempty"`
+}
