--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,205 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+)
+
+// This file defines the client of the operators' front.
+
+const (
+	defaultAttemptTimeout = defaultTimeout + 5*time.Second
+	maxAnswerBytes        = 64 << 20
+	firstPause            = 100 * time.Millisecond
+	longestPause          = 2 * time.Second
+)
+
+// Client talks to the daemons of a fleet. It tries Addresses in turn until
+// one answers or the context ends, and is safe for concurrent use.
+// AttemptTimeout bounds one exchange with one daemon; zero means 20 seconds.
+// HTTP may be nil.
+type Client struct {
+	Addresses      []netip.AddrPort
+	Key            string
+	AttemptTimeout time.Duration
+	HTTP           *http.Client
+}
+
+// NewHTTPClient returns an HTTP client for operators. It uses no proxy.
+func NewHTTPClient(dialTimeout time.Duration) *http.Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}
+}
+
+// Configuration returns the configuration in force at the first daemon that
+// answers.
+func (c *Client) Configuration(ctx context.Context) (*fescuelatch.Configuration, error) {
+	conf := new(fescuelatch.Configuration)
+	return conf, c.getAny(ctx, "get configuration", "/v1/configuration", conf)
+}
+
+// History returns at most limit changes, the newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]fescuelatch.Change, error) {
+	var body historyBody
+	err := c.getAny(ctx, "list changes", "/v1/changes?limit="+strconv.Itoa(limit), &body)
+	return body.Changes, err
+}
+
+// Status returns the status of the first daemon that answers.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := c.getAny(ctx, "get status", "/v1/status", &s)
+	return s, err
+}
+
+// Dump returns the state dump of the first daemon that answers.
+func (c *Client) Dump(ctx context.Context) (json.RawMessage, error) {
+	var b json.RawMessage
+	err := c.getAny(ctx, "dump state", "/v1/state", &b)
+	return b, err
+}
+
+// getAny asks each address once and returns the first answer. Without one it
+// returns the last error.
+func (c *Client) getAny(ctx context.Context, op, path string, out any) error {
+	last := &Error{Op: op, Kind: KindInvalid, Err: errors.New("no operator address given")}
+	for _, a := range c.Addresses {
+		err := c.call(ctx, call{op: op, method: http.MethodGet, address: a, path: path}, out)
+		if err == nil {
+			return nil
+		}
+		last = err
+		if err.Kind == KindUnauthorized || err.Kind == KindInvalid {
+			break
+		}
+	}
+	return last
+}
+
+// call is one exchange with one daemon.
+type call struct {
+	op      string
+	method  string
+	address netip.AddrPort
+	path    string
+	body    []byte
+}
+
+// call makes an exchange. Its error has KindUnavailable only when the daemon
+// has done nothing.
+func (c *Client) call(ctx context.Context, l call, out any) *Error {
+	timeout := c.AttemptTimeout
+	if timeout <= 0 {
+		timeout = defaultAttemptTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s%s", l.address, l.path)
+	req, err := http.NewRequestWithContext(ctx, l.method, url, bytes.NewReader(l.body))
+	if err != nil {
+		return &Error{Op: l.op, Kind: KindInvalid, Err: errors.WithStack(err)}
+	}
+	req.Header.Set("Authorization", authorizationStart+c.Key)
+	if l.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http().Do(req)
+	if err != nil {
+		return &Error{Op: l.op, Kind: kindOfTransport(err), Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &Error{Op: l.op, Kind: KindUnknown, Err: errors.Wrapf(err, "answer of %s", l.address)}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return failure(l, resp, b)
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return &Error{Op: l.op, Kind: KindUnknown, Err: errors.Wrapf(err, "answer of %s", l.address)}
+	}
+	return nil
+}
+
+func (c *Client) http() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+// kindOfTransport tells a request that was never sent from one that may have
+// arrived.
+func kindOfTransport(err error) ErrorKind {
+	var o *net.OpError
+	if errors.As(err, &o) && o.Op == "dial" {
+		return KindUnavailable
+	}
+	return KindUnknown
+}
+
+// failure returns the error that an answer other than 200 stands for.
+func failure(l call, resp *http.Response, body []byte) *Error {
+	e := &Error{Op: l.op, Kind: kindOfStatus(resp.StatusCode)}
+	if e.Kind == KindConflict {
+		var winner fescuelatch.Change
+		if err := json.Unmarshal(body, &winner); err == nil && winner.ID != "" {
+			e.Winner = &winner
+			return e
+		}
+	}
+	var f failureBody
+	if err := json.Unmarshal(body, &f); err != nil || f.Message == "" {
+		e.Err = errors.Errorf("%s answered %s", l.address, resp.Status)
+	} else {
+		e.Err = errors.Errorf("%s answered %s", l.address, f.Message)
+	}
+	e.Faults = f.Faults
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && s > 0 {
+		e.RetryAfter = time.Duration(s) * time.Second
+	}
+	return e
+}
+
+func kindOfStatus(status int) ErrorKind {
+	switch status {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge:
+		return KindInvalid
+	case http.StatusUnauthorized, http.StatusForbidden:
+		return KindUnauthorized
+	case http.StatusConflict:
+		return KindConflict
+	case http.StatusUnprocessableEntity:
+		return KindFaults
+	case http.StatusServiceUnavailable:
+		return KindUnavailable
+	default:
+		return KindUnknown
+	}
+}
+
+// pause waits before round n, doubling from round to round. It reports false
+// when ctx has ended.
+func pause(ctx context.Context, n int) bool {
+	d := min(firstPause<<min(n, 10), longestPause)
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -101,8 +101,12 @@
 }
 
 func (m *DaemonStatus) confirms(g fescuelatch.Generation) bool {
-	heard := m.State == DaemonAlive || m.State == DaemonLeaving
-	return heard && m.Generation >= g
+	return m.heard() && m.Generation >= g
+}
+
+// heard reports whether the daemon is heard from at present.
+func (m *DaemonStatus) heard() bool {
+	return m.State == DaemonAlive || m.State == DaemonLeaving
 }
 
 // Unconfirmed returns the daemons that do not confirm generation g.
