--- /dev/null
+++ b/cmd/fescuelatch/args.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"net/netip"
+	"time"
+)
+
+// This file defines the command line.
+
+type arguments struct {
+	Inventory *inventoryGroup `arg:"subcommand:inventory" help:"check, apply and show the inventory and its rules"`
+	Rules     *rulesGroup     `arg:"subcommand:rules" help:"check, apply and show the rules alone"`
+	Version   *versionGroup   `arg:"subcommand:version" help:"withdraw and restore versions"`
+	Domain    *domainGroup    `arg:"subcommand:domain" help:"take failure domains out and in"`
+	VM        *vmGroup        `arg:"subcommand:vm" help:"take entry VMs out and in"`
+	Endpoint  *endpointGroup  `arg:"subcommand:endpoint" help:"take endpoints out and in"`
+	Rollout   *rolloutGroup   `arg:"subcommand:rollout" help:"set the weights of versions"`
+	Status    *statusCommand  `arg:"subcommand:status" help:"show the fleet as one daemon sees it"`
+	State     *stateGroup     `arg:"subcommand:state" help:"show the state of one daemon"`
+	Key       *keyGroup       `arg:"subcommand:key" help:"work with bearer keys"`
+
+	Addresses []netip.AddrPort `arg:"--address,separate,env:FESCUELATCH_OPERATOR_ADDRESSES" placeholder:"IP:PORT" help:"operator address of a daemon; repeat it to have others tried in turn"`
+	KeyFile   string           `arg:"--key-file" placeholder:"FILE" help:"file with the operator key"`
+	OperKey   string           `arg:"--,env:FESCUELATCH_OPERATOR_KEY" help:"operator key"`
+	JSON      bool             `arg:"--json" help:"write JSON"`
+	Timeout   time.Duration    `arg:"--timeout" default:"30s" help:"limit of each exchange with the fleet"`
+}
+
+// Description is shown at the start of the help.
+func (arguments) Description() string { return "fescuelatch is the operators' command line." }
+
+// Epilogue is shown at the end of the help.
+func (arguments) Epilogue() string { return exitHelp }
+
+// changeFlags are the flags of all commands that change the configuration.
+type changeFlags struct {
+	Yes    bool          `arg:"-y,--yes" help:"do not ask for confirmation"`
+	Base   *uint64       `arg:"--base" placeholder:"GENERATION" help:"insist on the generation to start from"`
+	Wait   time.Duration `arg:"--wait" default:"30s" help:"how long to wait until the change is in force everywhere"`
+	Author string        `arg:"--author,env:FESCUELATCH_AUTHOR" help:"who makes the change [default: the user]"`
+	Note   string        `arg:"--note" help:"why the change is made"`
+}
+
+type inventoryGroup struct {
+	Check   *inventoryCheck   `arg:"subcommand:check" help:"report all faults of the files"`
+	Apply   *inventoryApply   `arg:"subcommand:apply" help:"bring the files into force"`
+	Get     *inventoryGet     `arg:"subcommand:get" help:"write the inventory in force"`
+	History *inventoryHistory `arg:"subcommand:history" help:"list changes, the newest first"`
+}
+
+type pathArguments struct {
+	Paths []string `arg:"positional,required" placeholder:"PATH" help:"files or directories"`
+}
+
+type inventoryCheck struct{ pathArguments }
+
+type inventoryApply struct {
+	pathArguments
+	changeFlags
+}
+
+type inventoryGet struct{}
+
+type inventoryHistory struct {
+	Limit int `arg:"--limit" default:"20" help:"how many changes to list"`
+}
+
+type rulesGroup struct {
+	Check *rulesCheck `arg:"subcommand:check" help:"report all faults of the rules"`
+	Apply *rulesApply `arg:"subcommand:apply" help:"bring the rules into force and leave the inventory"`
+	Get   *rulesGet   `arg:"subcommand:get" help:"write the rules in force"`
+}
+
+type rulesCheck struct{ pathArguments }
+
+type rulesApply struct {
+	pathArguments
+	changeFlags
+}
+
+type rulesGet struct{}
+
+// overrideArguments are those of all commands that take something out or in.
+type overrideArguments struct {
+	IDs []string `arg:"positional,required" placeholder:"ID" help:"identifiers"`
+	changeFlags
+}
+
+type versionGroup struct {
+	Withdraw *versionWithdraw `arg:"subcommand:withdraw" help:"give versions no new work"`
+	Restore  *versionRestore  `arg:"subcommand:restore" help:"give withdrawn versions work again"`
+}
+
+type (
+	versionWithdraw struct{ overrideArguments }
+	versionRestore  struct{ overrideArguments }
+)
+
+type domainGroup struct {
+	Out *domainOut `arg:"subcommand:out" help:"give failure domains no new work"`
+	In  *domainIn  `arg:"subcommand:in" help:"give failure domains work again"`
+}
+
+type (
+	domainOut struct{ overrideArguments }
+	domainIn  struct{ overrideArguments }
+)
+
+type vmGroup struct {
+	Out *vmOut `arg:"subcommand:out" help:"have entry VMs take no new work"`
+	In  *vmIn  `arg:"subcommand:in" help:"have entry VMs take work again"`
+}
+
+type (
+	vmOut struct{ overrideArguments }
+	vmIn  struct{ overrideArguments }
+)
+
+type endpointGroup struct {
+	Out *endpointOut `arg:"subcommand:out" help:"give endpoints no new work"`
+	In  *endpointIn  `arg:"subcommand:in" help:"give endpoints work again"`
+}
+
+type (
+	endpointOut struct{ overrideArguments }
+	endpointIn  struct{ overrideArguments }
+)
+
+type rolloutGroup struct {
+	Set *rolloutSet `arg:"subcommand:set" help:"set the weights of versions for new sessions"`
+}
+
+type rolloutSet struct {
+	Weights []versionWeight `arg:"positional,required" placeholder:"VERSION=WEIGHT" help:"weights, from 0 upwards"`
+	changeFlags
+}
+
+type statusCommand struct {
+	Endpoints bool `arg:"--endpoints" help:"list each endpoint"`
+}
+
+type stateGroup struct {
+	Dump *stateDump `arg:"subcommand:dump" help:"write the state of the first daemon that answers"`
+}
+
+type stateDump struct{}
+
+type keyGroup struct {
+	Hash *keyHash `arg:"subcommand:hash" help:"read a bearer key from the standard input and write its hash"`
+}
+
+type keyHash struct{}
+
+// Compile-time assertions: every leaf of the command line can be run.
+var (
+	_ command = (*inventoryCheck)(nil)
+	_ command = (*inventoryApply)(nil)
+	_ command = (*inventoryGet)(nil)
+	_ command = (*inventoryHistory)(nil)
+	_ command = (*rulesCheck)(nil)
+	_ command = (*rulesApply)(nil)
+	_ command = (*rulesGet)(nil)
+	_ command = (*versionWithdraw)(nil)
+	_ command = (*versionRestore)(nil)
+	_ command = (*domainOut)(nil)
+	_ command = (*domainIn)(nil)
+	_ command = (*vmOut)(nil)
+	_ command = (*vmIn)(nil)
+	_ command = (*endpointOut)(nil)
+	_ command = (*endpointIn)(nil)
+	_ command = (*rolloutSet)(nil)
+	_ command = (*statusCommand)(nil)
+	_ command = (*stateDump)(nil)
+	_ command = (*keyHash)(nil)
+)
--- /dev/null
+++ b/cmd/fescuelatch/session.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"encoding/json"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch/operator"
+)
+
+// This file defines a session: one run of one command.
+
+const (
+	dialTimeout       = 2 * time.Second
+	maxAttemptTimeout = 10 * time.Second
+	// attemptsInTimeout is the number of daemons that may hang before the
+	// timeout of the command has passed.
+	attemptsInTimeout = 3
+)
+
+type session struct {
+	streams
+	args *arguments
+}
+
+// client returns the client of the fleet that the flags name.
+func (s *session) client() (*operator.Client, error) {
+	const op = "connect"
+	if len(s.args.Addresses) == 0 {
+		return nil, usageError(op, errors.New("--address is missing"))
+	}
+	key := s.args.OperKey
+	if s.args.KeyFile != "" {
+		b, err := readFile(s.args.KeyFile)
+		if err != nil {
+			return nil, usageError(op, err)
+		}
+		key = strings.TrimSpace(string(b))
+	}
+	if key == "" {
+		return nil, usageError(op, errors.New("--key-file or FESCUELATCH_OPERATOR_KEY is missing"))
+	}
+	return &operator.Client{
+		Addresses:      s.args.Addresses,
+		Key:            key,
+		AttemptTimeout: min(s.args.Timeout/attemptsInTimeout, maxAttemptTimeout),
+		HTTP:           operator.NewHTTPClient(dialTimeout),
+	}, nil
+}
+
+func readFile(name string) ([]byte, error) {
+	b, err := fs.ReadFile(os.DirFS(filepath.Dir(name)), filepath.Base(name))
+	return b, errors.WithStack(err)
+}
+
+func (s *session) writeJSON(v any) error {
+	enc := json.NewEncoder(s.out)
+	enc.SetIndent("", "  ")
+	return errors.WithStack(enc.Encode(v))
+}
+
+// table returns a writer of aligned columns; the caller flushes it.
+func (s *session) table() *tabwriter.Writer {
+	const padding = 2
+	return tabwriter.NewWriter(s.out, 0, 0, padding, ' ', 0)
+}
--- a/inventory/merge.go
+++ b/inventory/merge.go
@@ -8,6 +8,16 @@
 // HoldsRules reports whether the files have a list of accounts.
 func (f *Files) HoldsRules() bool { return f.held["accounts"] }
 
+// HoldsInventory reports whether the files have a list other than accounts.
+func (f *Files) HoldsInventory() bool {
+	for name := range f.held {
+		if name != "accounts" {
+			return true
+		}
+	}
+	return false
+}
+
 // Onto returns base with the inventory of the files and, when the files hold
 // rules, with their rules. Overrides stay in force, but for those of entries
 // that are gone.
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -12,8 +12,9 @@
 // Backend is a daemon as operators see it. All methods are safe for
 // concurrent use.
 type Backend interface {
-	// Configuration returns the configuration in force at this daemon, or
-	// nil when it has none yet.
+	// Configuration returns the configuration in force at this daemon. It is
+	// nil while the daemon has not learned it, and has the generation zero
+	// when the platform says that there has never been one.
 	Configuration() *fescuelatch.Configuration
 	// Propose makes change the next generation. It may be called again with
 	// the same change: when the change has been accepted before, it returns
--- a/operator/client.go
+++ b/operator/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,11 +44,20 @@
 	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}
 }
 
-// Configuration returns the configuration in force at the first daemon that
-// answers.
+// Configuration returns the newest configuration that is in force at any of
+// the addresses: a daemon that is cut off lags behind the others.
 func (c *Client) Configuration(ctx context.Context) (*fescuelatch.Configuration, error) {
-	conf := new(fescuelatch.Configuration)
-	return conf, c.getAny(ctx, "get configuration", "/v1/configuration", conf)
+	found, err := askAll[fescuelatch.Configuration](ctx, c, "get configuration", "/v1/configuration")
+	if err != nil {
+		return nil, err
+	}
+	newest := &found[0]
+	for n := range found {
+		if found[n].Generation > newest.Generation {
+			newest = &found[n]
+		}
+	}
+	return newest, nil
 }
 
 // History returns at most limit changes, the newest first.
@@ -85,7 +95,44 @@
 			break
 		}
 	}
-	return last
+	return readFailure(last)
+}
+
+// askAll asks all addresses at once and returns the answers, in the order of
+// the addresses. The error is nil when there is at least one.
+func askAll[T any](ctx context.Context, c *Client, op, path string) ([]T, error) {
+	answers := make([]T, len(c.Addresses))
+	errs := make([]*Error, len(c.Addresses))
+	var wg sync.WaitGroup
+	for n, a := range c.Addresses {
+		wg.Go(func() {
+			l := call{op: op, method: http.MethodGet, address: a, path: path}
+			errs[n] = c.call(ctx, l, &answers[n])
+		})
+	}
+	wg.Wait()
+	last := &Error{Op: op, Kind: KindInvalid, Err: errors.New("no operator address given")}
+	var out []T
+	for n, e := range errs {
+		if e == nil {
+			out = append(out, answers[n])
+			continue
+		}
+		last = e
+	}
+	if len(out) == 0 {
+		return nil, readFailure(last)
+	}
+	return out, nil
+}
+
+// readFailure returns the error of a read, which has no effect that could be
+// unknown.
+func readFailure(e *Error) *Error {
+	if e.Kind == KindUnknown {
+		e.Kind = KindUnavailable
+	}
+	return e
 }
 
 // call is one exchange with one daemon.
