--- /dev/null
+++ b/caller/headers.go
@@ -0,0 +1,118 @@
+// Package caller is the front of a daemon towards callers: chat completions
+// and models in the OpenAI wire format, and plain services. It authenticates
+// client accounts, checks what they send, and writes answers. What to do
+// with a request is decided by a Backend.
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+)
+
+// This file defines the headers of requests and answers.
+
+// Headers of requests and answers.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderSession        = "Fescuelatch-Session"
+	HeaderQuality        = "Fescuelatch-Quality"
+	HeaderTimeout        = "Fescuelatch-Timeout"
+	HeaderPriority       = "Fescuelatch-Priority"
+	HeaderRequestID      = "Fescuelatch-Request-Id"
+	HeaderOutcome        = "Fescuelatch-Outcome"
+	HeaderVersion        = "Fescuelatch-Version"
+	HeaderRetryAfter     = "Retry-After"
+)
+
+const (
+	// DefaultTimeout is the deadline of a request that names none.
+	DefaultTimeout = 30 * time.Second
+	// MaxTimeout is the longest deadline that a request may name.
+	MaxTimeout       = 10 * time.Minute
+	maxKeyBytes      = 255
+	maxSessionBytes  = 2048
+	bearerPrefix     = "Bearer "
+	priorityLowName  = "low"
+	priorityHighName = "high"
+)
+
+// options are the checked request headers.
+type options struct {
+	key      string
+	session  string
+	quality  float64 // negative when absent
+	timeout  time.Duration
+	priority fescuelatch.Priority
+}
+
+func parseOptions(h http.Header) (options, error) {
+	o := options{quality: -1, timeout: DefaultTimeout}
+	o.key = h.Get(HeaderIdempotencyKey)
+	if len(o.key) > maxKeyBytes {
+		return o, &Error{"parse headers", KindInvalid, errors.Errorf("%s is longer than %d bytes", HeaderIdempotencyKey, maxKeyBytes)}
+	}
+	o.session = h.Get(HeaderSession)
+	if len(o.session) > maxSessionBytes {
+		return o, &Error{"parse headers", KindInvalid, errors.Errorf("%s is longer than %d bytes", HeaderSession, maxSessionBytes)}
+	}
+	if err := parseQuality(h.Get(HeaderQuality), &o.quality); err != nil {
+		return o, err
+	}
+	if err := parseTimeout(h.Get(HeaderTimeout), &o.timeout); err != nil {
+		return o, err
+	}
+	return o, parsePriority(h.Get(HeaderPriority), &o.priority)
+}
+
+func parseQuality(s string, quality *float64) error {
+	if s == "" {
+		return nil
+	}
+	q, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(q >= 0 && q <= 1) {
+		return &Error{"parse headers", KindInvalid, errors.Errorf("%s %q is not a number from 0 to 1", HeaderQuality, s)}
+	}
+	*quality = q
+	return nil
+}
+
+func parseTimeout(s string, timeout *time.Duration) error {
+	if s == "" {
+		return nil
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d <= 0 || d > MaxTimeout {
+		return &Error{"parse headers", KindInvalid, errors.Errorf("%s %q is not a duration up to %v", HeaderTimeout, s, MaxTimeout)}
+	}
+	*timeout = d
+	return nil
+}
+
+func parsePriority(s string, p *fescuelatch.Priority) error {
+	switch s {
+	case "", "normal":
+		*p = fescuelatch.PriorityNormal
+	case priorityLowName:
+		*p = fescuelatch.PriorityLow
+	case priorityHighName:
+		*p = fescuelatch.PriorityHigh
+	default:
+		return &Error{"parse headers", KindInvalid, errors.Errorf("%s %q is not low, normal or high", HeaderPriority, s)}
+	}
+	return nil
+}
+
+// bearer returns the bearer key of a request, or the empty string.
+func bearer(h http.Header) string {
+	key, ok := strings.CutPrefix(h.Get("Authorization"), bearerPrefix)
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
--- /dev/null
+++ b/decision/core.go
@@ -0,0 +1,192 @@
+// Package decision is the pure decision core of a daemon. It takes events
+// with explicit times and returns actions; it does no input or output,
+// starts no goroutine and reads no clock, so that a bench, a model checker
+// or a replay can drive the code that runs in production.
+//
+// A request lives in the core of the daemon that accepted it from a caller.
+// That core plans its versions, places its attempts, and decides on
+// retries, escalation and the final outcome. An attempt at an endpoint is
+// admitted by the gate of the daemon that owns the endpoint; when that is
+// another daemon, the request is forwarded and lives there as well, as a
+// forwarded request with one attempt.
+package decision
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the core and the dispatch of events.
+
+// Options configure a Core. All fields are required unless stated.
+type Options struct {
+	VM     fescuelatch.VMID
+	Domain fescuelatch.DomainID
+	// Random is the source of all random choices.
+	Random    *rand.Rand
+	Quality   fescuelatch.QualityModel
+	Versions  fescuelatch.VersionPolicy
+	Placement fescuelatch.PlacementPolicy
+	Gate      fescuelatch.Gate
+	// SampleShare is the share of accepted answers, from 0 to 1, that are
+	// rated for learning.
+	SampleShare float64
+}
+
+// Core decides on the requests of one daemon. It is not safe for concurrent
+// use.
+type Core struct {
+	options  Options
+	view     *fescuelatch.View
+	owners   map[fescuelatch.EndpointID]fescuelatch.VMID
+	owned    map[fescuelatch.EndpointID]bool
+	serves   map[service]int
+	requests map[fescuelatch.RequestID]*request
+	attempts map[fescuelatch.AttemptID]*request
+	peers    map[fescuelatch.VMID]*peer
+	budget   retryBudget
+	stopping bool
+	out      []Action
+}
+
+// service is what endpoints are chosen by: a version or a plain service.
+type service struct {
+	version fescuelatch.VersionID
+	plain   fescuelatch.ServiceID
+}
+
+// New returns a core without a configuration: it refuses all requests until
+// Configured.
+func New(o Options) *Core {
+	return &Core{
+		options:  o,
+		owners:   make(map[fescuelatch.EndpointID]fescuelatch.VMID),
+		owned:    make(map[fescuelatch.EndpointID]bool),
+		serves:   make(map[service]int),
+		requests: make(map[fescuelatch.RequestID]*request),
+		attempts: make(map[fescuelatch.AttemptID]*request),
+		peers:    make(map[fescuelatch.VMID]*peer),
+		budget:   retryBudget{tokens: retryBurst},
+	}
+}
+
+// Handle takes one event and returns the actions that follow from it, in
+// order. Times must not decrease. The result is valid until the next call.
+func (c *Core) Handle(now time.Time, e Event) []Action {
+	c.out = c.out[:0]
+	switch v := e.(type) {
+	case Configured:
+		c.configured(now, v)
+	case Owned:
+		c.own(now, v)
+	case Arrived:
+		c.arrived(now, v)
+	case FirstToken:
+		c.firstToken(now, v)
+	case Ended:
+		c.ended(now, v)
+	case Rated:
+		c.rated(now, v)
+	case Cancelled:
+		c.cancelled(now, v)
+	case Reported:
+		c.admit(now, c.options.Gate.Report(now, v.Report))
+	case Summarised:
+		c.summarised(now, v)
+	case Lost:
+		delete(c.peers, v.VM)
+	case Stopping:
+		c.stopping = true
+	case Tick:
+		c.admit(now, c.options.Gate.Poll(now))
+	}
+	return c.out
+}
+
+// View returns the configuration that decisions are made with, or nil.
+func (c *Core) View() *fescuelatch.View { return c.view }
+
+// Open returns the number of requests that have not ended.
+func (c *Core) Open() int { return len(c.requests) }
+
+// Summary returns what this daemon tells others of its owned endpoints.
+func (c *Core) Summary(now time.Time) ([]fescuelatch.Spare, []fescuelatch.Evidence) {
+	return c.options.Gate.Spare(now), c.options.Quality.Evidence(now)
+}
+
+// VersionState is what the core knows of a version.
+type VersionState struct {
+	Version   fescuelatch.VersionID `json:"version"`
+	Estimate  fescuelatch.Estimate  `json:"estimate"`
+	Health    fescuelatch.Health    `json:"health"`
+	Withdrawn bool                  `json:"withdrawn"`
+}
+
+// Versions returns what the core knows of each version of the configuration.
+func (c *Core) Versions(now time.Time) []VersionState {
+	if c.view == nil {
+		return nil
+	}
+	var vs []VersionState
+	for _, v := range c.view.VersionsOf("") {
+		vs = append(vs, VersionState{
+			Version:   v.ID,
+			Estimate:  c.options.Quality.Estimate(now, v.ID),
+			Health:    c.options.Quality.Health(now, v.ID),
+			Withdrawn: c.view.Withdrawn(v.ID),
+		})
+	}
+	return vs
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) configured(now time.Time, e Configured) {
+	c.view = e.View
+	c.options.Quality.Configure(now, e.View.VersionsOf(""))
+	c.replanWithdrawn(now)
+}
+
+func (c *Core) own(now time.Time, e Owned) {
+	c.owners = e.Owners
+	c.owned = make(map[fescuelatch.EndpointID]bool, len(e.Endpoints))
+	c.serves = make(map[service]int)
+	for _, o := range e.Endpoints {
+		c.owned[o.Endpoint.ID] = true
+		if o.Out {
+			continue
+		}
+		for _, v := range o.Pool.Versions {
+			c.serves[service{version: v}]++
+		}
+		if o.Pool.Service != "" {
+			c.serves[service{plain: o.Pool.Service}]++
+		}
+	}
+	c.options.Gate.Own(now, e.Endpoints)
+	c.admit(now, c.options.Gate.Poll(now))
+}
+
+func (c *Core) summarised(now time.Time, e Summarised) {
+	c.options.Quality.Merge(now, e.Evidence)
+	p := &peer{domain: e.Domain, at: e.At, spares: make(map[service]*spare, len(e.Spares))}
+	for _, s := range e.Spares {
+		p.spares[service{version: s.Version, plain: s.Service}] = &spare{Spare: s}
+	}
+	c.peers[e.VM] = p
+}
+
+// peer is what another daemon last said of the endpoints that it owns.
+type peer struct {
+	domain fescuelatch.DomainID
+	at     time.Time
+	spares map[service]*spare
+}
+
+// spare is a peer's free capacity and what was sent there since.
+type spare struct {
+	fescuelatch.Spare
+	sent int
+}
--- /dev/null
+++ b/decision/place.go
@@ -0,0 +1,147 @@
+package decision
+
+import (
+	"sort"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the placement of attempts.
+
+// spareOf returns the number of attempts on s that would start at once.
+func (c *Core) spareOf(now time.Time, s service) int {
+	n := c.ownSpare(now, s).Free
+	for _, p := range c.peers {
+		if w, ok := p.spares[s]; ok && !c.view.DomainOut(p.domain) {
+			n += max(0, w.Free-w.sent)
+		}
+	}
+	return n
+}
+
+func (c *Core) ownSpare(now time.Time, s service) fescuelatch.Spare {
+	if c.serves[s] == 0 {
+		return fescuelatch.Spare{}
+	}
+	for _, w := range c.options.Gate.Spare(now) {
+		if w.Version == s.version && w.Service == s.plain {
+			return w
+		}
+	}
+	return fescuelatch.Spare{}
+}
+
+// place makes the next attempt of q at the best spot, or ends the request.
+// Versions that no spot serves are passed over.
+func (c *Core) place(now time.Time, q *request) {
+	if !now.Before(q.Deadline) {
+		c.exhausted(q, ReasonDeadline, defaultRetryAfter)
+		return
+	}
+	for {
+		spots := c.spots(now, q)
+		i := -1
+		if len(spots) > 0 {
+			i = c.options.Placement.Choose(now, q.Request, spots, c.options.Random.Float64())
+		}
+		if i >= 0 {
+			c.attempt(now, q, spots[i])
+			return
+		}
+		if q.step+1 >= len(q.plan) {
+			c.exhausted(q, c.noSpot(q), defaultRetryAfter)
+			return
+		}
+		q.step++
+		clear(q.tried)
+	}
+}
+
+func (c *Core) noSpot(q *request) Reason {
+	if len(q.tried) > 0 {
+		return ReasonNoCapacity
+	}
+	return ReasonNoEndpoint
+}
+
+// spots returns where an attempt on the current version can be made, in a
+// fixed order: own endpoints, then other daemons by identifier. Places that
+// were tried for this version are left out.
+func (c *Core) spots(now time.Time, q *request) []fescuelatch.Spot {
+	s := q.service()
+	var spots []fescuelatch.Spot
+	if c.serves[s] > 0 && !q.tried[c.options.VM] {
+		w := c.ownSpare(now, s)
+		spots = append(spots, fescuelatch.Spot{
+			VM: c.options.VM, Domain: c.options.Domain, Local: true, Spare: w.Free - w.Queued, Seen: now,
+		})
+	}
+	if q.Forwarded {
+		return spots
+	}
+	own := len(spots)
+	for id, p := range c.peers {
+		w, ok := p.spares[s]
+		if !ok || q.tried[id] || c.view.DomainOut(p.domain) {
+			continue
+		}
+		spots = append(spots, fescuelatch.Spot{
+			VM: id, Domain: p.domain, Local: p.domain == c.options.Domain,
+			Spare: w.Free - w.Queued, Seen: p.at, Sent: w.sent,
+		})
+	}
+	others := spots[own:]
+	sort.Slice(others, func(i, j int) bool { return others[i].VM < others[j].VM })
+	return spots
+}
+
+func (c *Core) attempt(now time.Time, q *request, s fescuelatch.Spot) {
+	c.newAttempt(q, s.VM)
+	if s.VM != c.options.VM {
+		if w, ok := c.peers[s.VM].spares[q.service()]; ok {
+			w.sent++
+		}
+		c.emit(Forward{Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version})
+		return
+	}
+	w := fescuelatch.Work{
+		Attempt: q.current.id, Request: q.Request, Version: q.current.version,
+		Endpoint: s.Endpoint, Share: q.share,
+	}
+	c.admit(now, []fescuelatch.Admission{c.options.Gate.Offer(now, w)})
+}
+
+// admit carries out the gate's decisions.
+func (c *Core) admit(now time.Time, as []fescuelatch.Admission) {
+	for _, a := range as {
+		q, ok := c.attempts[a.Attempt]
+		if !ok || q.current.id != a.Attempt {
+			c.returnSlot(now, a)
+			continue
+		}
+		switch a.Verdict {
+		case fescuelatch.AdmissionQueue:
+			q.current.queued = true
+		case fescuelatch.AdmissionStart:
+			q.current.queued = false
+			c.emit(Start{Request: q.ID, Attempt: a.Attempt, Endpoint: a.Endpoint, Version: q.current.version})
+		case fescuelatch.AdmissionRefuse:
+			q.current.queued = false
+			q.retryAfter = max(q.retryAfter, a.RetryAfter)
+			c.notStarted(now, q, fescuelatch.AttemptResult{
+				Attempt: a.Attempt, Status: fescuelatch.AttemptNotStarted, RetryAfter: a.RetryAfter, Overloaded: true,
+			})
+		}
+	}
+}
+
+// returnSlot gives a slot back that was admitted to an attempt whose request
+// has ended.
+func (c *Core) returnSlot(now time.Time, a fescuelatch.Admission) {
+	if a.Verdict != fescuelatch.AdmissionStart {
+		return
+	}
+	r := fescuelatch.AttemptResult{Attempt: a.Attempt, Endpoint: a.Endpoint, Status: fescuelatch.AttemptCancelled}
+	c.admit(now, c.options.Gate.End(now, r))
+}
--- /dev/null
+++ b/decision/request.go
@@ -0,0 +1,334 @@
+package decision
+
+import (
+	"strconv"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the life of one request in the core.
+
+const (
+	// goodScore is the least score at which a rating counts as good.
+	goodScore = 0.5
+	// ratingTimeout bounds a rating that an answer waits for.
+	ratingTimeout = 500 * time.Millisecond
+	// maxAttempts bounds the attempts of one request over all versions.
+	maxAttempts = 6
+	// defaultRetryAfter is told to callers when nothing better is known.
+	defaultRetryAfter = time.Second
+)
+
+// request is the state of one request. Exactly one of three holds: an
+// attempt is current, a rating is awaited, or the request has ended and is
+// no longer in the core.
+type request struct {
+	*fescuelatch.Request
+	share    float64
+	given    fescuelatch.AttemptID // forwarding daemon's attempt
+	plan     []fescuelatch.VersionID
+	step     int
+	attempts int
+	tried    map[fescuelatch.VMID]bool
+	current  attempt
+	// best is the answered attempt with the highest score so far.
+	best      attempt
+	bestScore float64
+	// retryAfter is the longest advice that a refused attempt brought.
+	retryAfter time.Duration
+	// mayHaveRun reports that an attempt was broken, so that the request
+	// cannot be refused as not run.
+	mayHaveRun bool
+}
+
+// attempt is one attempt of a request.
+type attempt struct {
+	id      fescuelatch.AttemptID
+	version fescuelatch.VersionID
+	vm      fescuelatch.VMID
+	queued  bool
+	first   bool
+}
+
+func (q *request) service() service {
+	if q.IsService() {
+		return service{plain: q.Service}
+	}
+	return service{version: q.plan[q.step]}
+}
+
+func (c *Core) arrived(now time.Time, e Arrived) {
+	q := &request{Request: e.Request, share: e.Share, given: e.Attempt, tried: make(map[fescuelatch.VMID]bool)}
+	c.requests[q.ID] = q
+	c.budget.earn()
+	switch {
+	case c.view == nil:
+		c.refuse(q, ReasonNoConfig, defaultRetryAfter)
+	case c.stopping && !q.Forwarded, c.view.VMOut(c.options.VM) && !q.Forwarded:
+		c.refuse(q, ReasonStopping, defaultRetryAfter)
+	case !now.Before(q.Deadline):
+		c.refuse(q, ReasonDeadline, defaultRetryAfter)
+	case q.IsService():
+		q.plan = []fescuelatch.VersionID{""}
+		c.place(now, q)
+	default:
+		c.planAndPlace(now, q)
+	}
+}
+
+func (c *Core) planAndPlace(now time.Time, q *request) {
+	plan, reason := c.planVersions(now, q)
+	if len(plan) == 0 {
+		c.refuse(q, reason, defaultRetryAfter)
+		return
+	}
+	q.plan = plan
+	q.step = 0
+	c.place(now, q)
+}
+
+// planVersions returns the versions to try, or the reason for none.
+func (c *Core) planVersions(now time.Time, q *request) ([]fescuelatch.VersionID, Reason) {
+	candidates := c.candidates(now, q)
+	if q.Forwarded || q.Version != "" {
+		if len(candidates) == 0 {
+			return nil, c.noCandidate(q)
+		}
+		return []fescuelatch.VersionID{q.Version}, ""
+	}
+	if len(candidates) == 0 {
+		return nil, c.noCandidate(q)
+	}
+	plan := c.options.Versions.Plan(now, q.Request, candidates, c.options.Random.Float64())
+	if len(plan) == 0 {
+		return nil, ReasonQuality
+	}
+	return plan, ""
+}
+
+func (c *Core) noCandidate(q *request) Reason {
+	if q.Session != "" && c.view.Withdrawn(q.Session) {
+		return ReasonWithdrawn
+	}
+	return ReasonNoVersion
+}
+
+// candidates returns the versions that the request may run on. A session or
+// a pinned version leaves at most that one. A quarantined version remains
+// for its own sessions and for requests that pin it.
+func (c *Core) candidates(now time.Time, q *request) []fescuelatch.Candidate {
+	account, ok := c.view.Account(q.Account)
+	if !ok {
+		return nil
+	}
+	pinned := q.Version
+	if pinned == "" {
+		pinned = q.Session
+	}
+	var cs []fescuelatch.Candidate
+	for _, v := range c.view.VersionsOf(q.Model) {
+		if pinned != "" && v.ID != pinned {
+			continue
+		}
+		if !c.view.Allowed(account, v) || c.view.Withdrawn(v.ID) {
+			continue
+		}
+		health := c.options.Quality.Health(now, v.ID)
+		if health == fescuelatch.HealthQuarantined && pinned == "" {
+			continue
+		}
+		cs = append(cs, fescuelatch.Candidate{
+			Version:  v,
+			Estimate: c.options.Quality.Estimate(now, v.ID),
+			Health:   health,
+			Spare:    c.spareOf(now, service{version: v.ID}),
+			Latency:  c.options.Gate.Latency(v.ID),
+		})
+	}
+	return cs
+}
+
+func (c *Core) refuse(q *request, why Reason, after time.Duration) {
+	c.end(q)
+	c.emit(Refuse{Request: q.ID, Reason: why, RetryAfter: max(after, q.retryAfter)})
+}
+
+func (c *Core) giveUp(q *request, why Reason) {
+	c.end(q)
+	c.emit(GiveUp{Request: q.ID, Reason: why})
+}
+
+func (c *Core) accept(q *request, a attempt, sample bool) {
+	c.end(q)
+	c.emit(Accept{Request: q.ID, Attempt: a.id, Version: a.version, Attempts: q.attempts, Sample: sample})
+}
+
+func (c *Core) end(q *request) {
+	delete(c.requests, q.ID)
+	delete(c.attempts, q.current.id)
+}
+
+// newAttempt makes the next attempt of q current.
+func (c *Core) newAttempt(q *request, vm fescuelatch.VMID) {
+	delete(c.attempts, q.current.id)
+	q.attempts++
+	id := q.given
+	if id == "" {
+		id = fescuelatch.AttemptID(string(q.ID) + "." + strconv.Itoa(q.attempts))
+	}
+	q.current = attempt{id: id, version: q.plan[q.step], vm: vm}
+	c.attempts[id] = q
+}
+
+func (c *Core) firstToken(now time.Time, e FirstToken) {
+	q, ok := c.requests[e.Request]
+	if !ok || q.current.id != e.Attempt {
+		return
+	}
+	q.current.first = true
+	if q.current.vm == c.options.VM {
+		c.options.Gate.First(now, e.Attempt)
+	}
+}
+
+func (c *Core) ended(now time.Time, e Ended) {
+	r := e.Result
+	c.options.Quality.ObserveAttempt(now, r)
+	q, ok := c.requests[e.Request]
+	current := ok && q.current.id == r.Attempt
+	if r.Endpoint != "" {
+		// The slot is free; others may start.
+		defer func(as []fescuelatch.Admission) { c.admit(now, as) }(c.options.Gate.End(now, r))
+	}
+	if !current {
+		return
+	}
+	switch r.Status {
+	case fescuelatch.AttemptAnswered:
+		c.answered(now, q)
+	case fescuelatch.AttemptNotStarted:
+		q.retryAfter = max(q.retryAfter, r.RetryAfter)
+		c.notStarted(now, q, r)
+	case fescuelatch.AttemptCancelled:
+		c.end(q)
+		c.emit(Drop{Request: q.ID})
+	default:
+		c.broken(now, q)
+	}
+}
+
+// answered accepts an answer, or asks for a rating when a later version of
+// the plan could do better.
+func (c *Core) answered(now time.Time, q *request) {
+	left := q.Deadline.Sub(now)
+	if q.Streamed || q.step+1 >= len(q.plan) || left < 2*ratingTimeout {
+		sample := !q.IsService() && !q.Forwarded && c.options.Random.Float64() < c.options.SampleShare
+		c.accept(q, q.current, sample)
+		return
+	}
+	c.emit(Rate{Request: q.ID, Attempt: q.current.id, Version: q.current.version, Within: ratingTimeout})
+}
+
+func (c *Core) rated(now time.Time, e Rated) {
+	if e.Rated {
+		c.options.Quality.ObserveRating(now, e.Version, e.Score)
+	}
+	q, ok := c.requests[e.Request]
+	if !ok || q.current.id != e.Attempt {
+		return
+	}
+	if !e.Rated || e.Score >= goodScore || q.step+1 >= len(q.plan) {
+		c.accept(q, q.current, false)
+		return
+	}
+	if q.best.id == "" || e.Score > q.bestScore {
+		q.best = q.current
+		q.bestScore = e.Score
+	}
+	q.step++
+	clear(q.tried)
+	c.place(now, q)
+}
+
+// notStarted tries the request elsewhere, or refuses it.
+func (c *Core) notStarted(now time.Time, q *request, r fescuelatch.AttemptResult) {
+	if q.Forwarded {
+		c.refuse(q, refusalReason(r), r.RetryAfter)
+		return
+	}
+	q.tried[q.current.vm] = true
+	if q.attempts >= maxAttempts || !c.budget.take() {
+		c.exhausted(q, refusalReason(r), defaultRetryAfter)
+		return
+	}
+	c.place(now, q)
+}
+
+func refusalReason(r fescuelatch.AttemptResult) Reason {
+	if r.Overloaded {
+		return ReasonNoCapacity
+	}
+	return ReasonNotStarted
+}
+
+// broken repeats an idempotent request unless part of its answer has been
+// streamed to the caller.
+func (c *Core) broken(now time.Time, q *request) {
+	streamed := q.Streamed && q.current.first
+	if !q.Idempotent || streamed || q.Forwarded || q.attempts >= maxAttempts || !c.budget.take() {
+		if q.best.id != "" {
+			c.accept(q, q.best, false)
+			return
+		}
+		c.giveUp(q, ReasonBroken)
+		return
+	}
+	q.mayHaveRun = true
+	q.tried[q.current.vm] = true
+	c.place(now, q)
+}
+
+// exhausted ends a request that can be placed nowhere: with the best answer
+// so far, as not run, or as unknown when an earlier attempt was broken.
+func (c *Core) exhausted(q *request, why Reason, after time.Duration) {
+	if q.best.id != "" {
+		c.accept(q, q.best, false)
+		return
+	}
+	if q.mayHaveRun {
+		c.giveUp(q, ReasonBroken)
+		return
+	}
+	c.refuse(q, why, after)
+}
+
+func (c *Core) cancelled(now time.Time, e Cancelled) {
+	q, ok := c.requests[e.Request]
+	if !ok {
+		return
+	}
+	if q.current.queued {
+		c.withdraw(now, q)
+	}
+	c.end(q)
+	c.emit(Drop{Request: q.ID})
+}
+
+// withdraw takes a queued attempt out of the gate.
+func (c *Core) withdraw(now time.Time, q *request) {
+	r := fescuelatch.AttemptResult{Attempt: q.current.id, Version: q.current.version, Status: fescuelatch.AttemptCancelled}
+	q.current.queued = false
+	c.admit(now, c.options.Gate.End(now, r))
+}
+
+// replanWithdrawn takes queued attempts on withdrawn versions back.
+func (c *Core) replanWithdrawn(now time.Time) {
+	for _, q := range c.requests {
+		if !q.current.queued || q.IsService() || !c.view.Withdrawn(q.current.version) {
+			continue
+		}
+		c.withdraw(now, q)
+		c.planAndPlace(now, q)
+	}
+}
