--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,187 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// This file defines the client side of the calls.
+
+const dialTimeout = time.Second
+
+// Dialer opens connections from a VM's own address.
+type Dialer struct {
+	// From is the address that connections come from; the zero value leaves
+	// the choice to the system.
+	From netip.Addr
+	// TLS makes connections mutual TLS when it is set.
+	TLS *tls.Config
+}
+
+// DialContext opens a connection.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	n := &net.Dialer{Timeout: dialTimeout}
+	if d.From.IsValid() {
+		n.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.From, 0))
+	}
+	return n.DialContext(ctx, network, address)
+}
+
+// dialPeer opens a connection to a daemon, with TLS when that is set.
+func (d *Dialer) dialPeer(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	conn, err := d.DialContext(ctx, "tcp", to.String())
+	if err != nil || d.TLS == nil {
+		return conn, err
+	}
+	t := tls.Client(conn, d.TLS)
+	if err := t.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+// Client calls other daemons. It keeps one connection to each and is safe
+// for concurrent use. Connections that break are opened again by the next
+// call.
+type Client struct {
+	Key    FleetKey
+	Dialer *Dialer
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*rpc.Client
+}
+
+// Heartbeat sends a heartbeat.
+func (c *Client) Heartbeat(ctx context.Context, to netip.AddrPort, h *Heartbeat) (*HeartbeatReply, error) {
+	return call(ctx, c, to, "Heartbeat", h, new(HeartbeatReply))
+}
+
+// Changes asks for configuration changes.
+func (c *Client) Changes(ctx context.Context, to netip.AddrPort, r *ChangesRequest) (*ChangesReply, error) {
+	return call(ctx, c, to, "Changes", r, new(ChangesReply))
+}
+
+// Hold asks a daemon to keep a copy of a batch of bills.
+func (c *Client) Hold(ctx context.Context, to netip.AddrPort, b *BillBatch) error {
+	_, err := call(ctx, c, to, "Hold", b, new(Ack))
+	return err
+}
+
+// Drop tells a daemon that a batch is at the platform.
+func (c *Client) Drop(ctx context.Context, to netip.AddrPort, k *BillKey) error {
+	_, err := call(ctx, c, to, "Drop", k, new(Ack))
+	return err
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.conns {
+		_ = r.Close()
+	}
+	c.conns = nil
+}
+
+// call makes one call. A call that times out closes its connection, so that
+// a connection that has silently broken is not used again.
+func call[Q, R any](ctx context.Context, c *Client, to netip.AddrPort, method string, q *Q, r *R) (*R, error) {
+	conn, err := c.conn(ctx, to)
+	if err != nil {
+		return nil, &Error{method, KindUnreachable, err}
+	}
+	pending := conn.Go(serviceName+"."+method, q, r, make(chan *rpc.Call, 1))
+	select {
+	case done := <-pending.Done:
+		if done.Error == nil {
+			return r, nil
+		}
+		var remote rpc.ServerError
+		if errors.As(done.Error, &remote) {
+			return nil, &Error{method, KindRefused, done.Error}
+		}
+		c.forget(to, conn)
+		return nil, &Error{method, KindUnreachable, done.Error}
+	case <-ctx.Done():
+		c.forget(to, conn)
+		return nil, &Error{method, KindTimeout, ctx.Err()}
+	}
+}
+
+func (c *Client) conn(ctx context.Context, to netip.AddrPort) (*rpc.Client, error) {
+	c.mu.Lock()
+	have, ok := c.conns[to]
+	c.mu.Unlock()
+	if ok {
+		return have, nil
+	}
+	fresh, err := c.dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if have, ok := c.conns[to]; ok {
+		_ = fresh.Close()
+		return have, nil
+	}
+	if c.conns == nil {
+		c.conns = make(map[netip.AddrPort]*rpc.Client)
+	}
+	c.conns[to] = fresh
+	return fresh, nil
+}
+
+func (c *Client) dial(ctx context.Context, to netip.AddrPort) (*rpc.Client, error) {
+	conn, err := c.Dialer.dialPeer(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	if err := connect(conn, c.Key); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return rpc.NewClient(conn), nil
+}
+
+// connect switches a fresh connection to net/rpc.
+func connect(conn net.Conn, key FleetKey) error {
+	_, err := io.WriteString(conn, "CONNECT "+rpcPath+" HTTP/1.1\r\nHost: peer\r\nAuthorization: "+bearerPrefix+string(key)+"\r\n\r\n")
+	if err != nil {
+		return err
+	}
+	// The server says nothing more until it is called, so that no byte of a
+	// reply is lost in the reader's buffer.
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func (c *Client) forget(to netip.AddrPort, conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conns[to] == conn {
+		delete(c.conns, to)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
--- /dev/null
+++ b/peer/forward.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/caller"
+	"fescuelatch/engine"
+	"fescuelatch/openai"
+)
+
+// This file defines forwarded requests. A daemon that forwards treats the
+// owner of an endpoint like an endpoint: the same paths below ForwardPath,
+// with the attempt in the same header, and the frozen request beside it.
+
+// ForwardPath is the path prefix of forwarded requests.
+const ForwardPath = "/v1/forward"
+
+const (
+	headerForward = "Fescuelatch-Forward"
+	maxBodyBytes  = 4 << 20
+)
+
+// forwarded is the wire form of a request that another daemon accepted.
+// Remaining stands for the deadline: the clocks of two VMs differ.
+type forwarded struct {
+	Request   fescuelatch.Request `json:"request"`
+	Share     float64             `json:"share"`
+	Remaining time.Duration       `json:"remaining"`
+}
+
+// ForwardHeader returns the headers that carry a request to another daemon.
+func ForwardHeader(key FleetKey, r *fescuelatch.Request, share float64, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
+	q := *r
+	q.Forwarded = true
+	q.Version = v
+	b, err := json.Marshal(forwarded{Request: q, Share: share, Remaining: r.Deadline.Sub(now)})
+	if err != nil {
+		return nil, &Error{"encode request", KindInvalid, err}
+	}
+	h := make(http.Header)
+	h.Set("Authorization", bearerPrefix+string(key))
+	h.Set(headerForward, string(b))
+	return h, nil
+}
+
+// NewForwardHandler returns the handler of forwarded requests.
+func NewForwardHandler(b caller.Backend, now func() time.Time) http.Handler {
+	f := &forwardFront{backend: b, now: now}
+	m := mux.NewRouter()
+	m.Methods(http.MethodPost).Path("/v1/chat/completions").HandlerFunc(f.chat)
+	m.Methods(http.MethodPost).Path("/v1/services/{service}/{operation}").HandlerFunc(f.service)
+	return m
+}
+
+type forwardFront struct {
+	backend caller.Backend
+	now     func() time.Time
+}
+
+func (f *forwardFront) chat(w http.ResponseWriter, r *http.Request) {
+	c, err := f.read(w, r)
+	if err == nil {
+		c.Chat = new(openai.ChatRequest)
+		err = json.Unmarshal(c.Body, c.Chat)
+	}
+	f.serve(w, r, c, err)
+}
+
+func (f *forwardFront) service(w http.ResponseWriter, r *http.Request) {
+	c, err := f.read(w, r)
+	f.serve(w, r, c, err)
+}
+
+func (f *forwardFront) serve(w http.ResponseWriter, r *http.Request, c *caller.Call, err error) {
+	reply := caller.NewReply(w, "")
+	if err != nil {
+		_ = reply.Fail(caller.Meta{}, caller.Failure{
+			Status: http.StatusBadRequest, Code: string(KindInvalid), Message: err.Error(), Outcome: fescuelatch.OutcomeNotRun,
+		})
+		return
+	}
+	f.backend.Serve(r.Context(), c, reply)
+}
+
+func (f *forwardFront) read(w http.ResponseWriter, r *http.Request) (*caller.Call, error) {
+	const op = "read forwarded request"
+	var v forwarded
+	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &v); err != nil {
+		return nil, &Error{op, KindInvalid, err}
+	}
+	attempt := r.Header.Get(engine.HeaderAttempt)
+	if v.Request.ID == "" || v.Request.Account == "" || attempt == "" {
+		return nil, &Error{op, KindInvalid, errors.New("request, account or attempt is missing")}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, &Error{op, KindInvalid, err}
+	}
+	now := f.now()
+	// A request may be forwarded here twice, for two attempts; each lives
+	// under its own identifier.
+	v.Request.ID = fescuelatch.RequestID(attempt)
+	v.Request.Forwarded = true
+	v.Request.Arrived = now
+	v.Request.Deadline = now.Add(v.Remaining)
+	return &caller.Call{
+		Request: &v.Request, Share: v.Share, Attempt: fescuelatch.AttemptID(attempt),
+		Body: body, Key: r.Header.Get(engine.HeaderIdempotencyKey),
+	}, nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"crypto/subtle"
+	"io"
+	"net/http"
+	"net/rpc"
+
+	"github.com/gorilla/mux"
+)
+
+// This file defines the listener's handlers.
+
+const (
+	rpcPath      = "/rpc"
+	rpcConnected = "HTTP/1.0 200 connected\r\n\r\n"
+	serviceName  = "Peer"
+	bearerPrefix = "Bearer "
+)
+
+// Handler takes the calls of other daemons. Its methods are safe for
+// concurrent use.
+type Handler interface {
+	Heartbeat(h *Heartbeat, reply *HeartbeatReply) error
+	Changes(r *ChangesRequest, reply *ChangesReply) error
+	Hold(b *BillBatch, reply *Ack) error
+	Drop(k *BillKey, reply *Ack) error
+}
+
+// FleetKey proves that a connection comes from a daemon of the fleet.
+type FleetKey string
+
+// Matches reports whether the header proves the key, in constant time.
+func (k FleetKey) Matches(h http.Header) bool {
+	got := h.Get("Authorization")
+	want := bearerPrefix + string(k)
+	return k != "" && subtle.ConstantTimeCompare([]byte(got), []byte(want)) == 1
+}
+
+// NewHandler returns the peers' front: net/rpc calls go to h, forwarded
+// requests below /v1/forward to forward with that prefix taken off.
+func NewHandler(key FleetKey, h Handler, forward http.Handler) (http.Handler, error) {
+	s := rpc.NewServer()
+	if err := s.RegisterName(serviceName, h); err != nil {
+		return nil, &Error{"register", KindInvalid, err}
+	}
+	m := mux.NewRouter()
+	m.Methods(http.MethodConnect).Path(rpcPath).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		serveConn(s, w)
+	})
+	m.PathPrefix(ForwardPath).Handler(http.StripPrefix(ForwardPath, forward))
+	m.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !key.Matches(r.Header) {
+				http.Error(w, "fleet key required", http.StatusUnauthorized)
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
+	return m, nil
+}
+
+// serveConn runs the calls of one connection until it breaks.
+func serveConn(s *rpc.Server, w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if _, err := io.WriteString(conn, rpcConnected); err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.ServeConn(conn)
+}
