--- /dev/null
+++ b/chart/names.go
@@ -0,0 +1,106 @@
+package chart
+
+// This file defines the names of the states and events in the files. Events of
+// the same name in several charts share a constant.
+
+// States of the request chart.
+const (
+	RequestReceived        State = "received"
+	RequestClaiming        State = "claiming"
+	RequestPlanning        State = "planning"
+	RequestWaiting         State = "waiting"
+	RequestForwarded       State = "forwarded"
+	RequestDispatched      State = "dispatched"
+	RequestPlanningAgain   State = "planning-again"
+	RequestWaitingAgain    State = "waiting-again"
+	RequestForwardedAgain  State = "forwarded-again"
+	RequestDispatchedAgain State = "dispatched-again"
+	RequestAnswered        State = "answered"
+	RequestNotRun          State = "not-run"
+	RequestUnknown         State = "unknown"
+	RequestCancelled       State = "cancelled"
+)
+
+// States of the endpoint chart.
+const (
+	EndpointUnknown State = "unknown"
+	EndpointCold    State = "cold"
+	EndpointRamping State = "ramping"
+	EndpointWarm    State = "warm"
+	EndpointSuspect State = "suspect"
+	EndpointOut     State = "out"
+	EndpointLeaving State = "leaving"
+	EndpointGone    State = "gone"
+)
+
+// States of the model version chart.
+const (
+	ModelVersionLoading     State = "loading"
+	ModelVersionActive      State = "active"
+	ModelVersionSuspect     State = "suspect"
+	ModelVersionQuarantined State = "quarantined"
+	ModelVersionWithdrawn   State = "withdrawn"
+	ModelVersionRemoved     State = "removed"
+)
+
+// States of the daemon chart.
+const (
+	DaemonStarting              State = "starting"
+	DaemonLearningConfiguration State = "learning-configuration"
+	DaemonReady                 State = "ready"
+	DaemonCutOff                State = "cut-off"
+	DaemonDraining              State = "draining"
+	DaemonStopped               State = "stopped"
+)
+
+// States of the failure domain chart.
+const (
+	FailureDomainIn        State = "in"
+	FailureDomainLeaving   State = "leaving"
+	FailureDomainOut       State = "out"
+	FailureDomainReturning State = "returning"
+	FailureDomainRemoved   State = "removed"
+)
+
+// Events of all charts.
+const (
+	EventClaim      Event = "claim"
+	EventClaimed    Event = "claimed"
+	EventRecorded   Event = "recorded"
+	EventInProgress Event = "in-progress"
+	EventPlan       Event = "plan"
+	EventQueue      Event = "queue"
+	EventDispatch   Event = "dispatch"
+	EventForward    Event = "forward"
+	EventNotStarted Event = "not-started"
+	EventRetry      Event = "retry"
+	EventEscalate   Event = "escalate"
+	EventAnswer     Event = "answer"
+	EventRefuse     Event = "refuse"
+	EventFail       Event = "fail"
+	EventCancel     Event = "cancel"
+	EventReportCold Event = "report-cold"
+	EventReportWarm Event = "report-warm"
+	EventWarmed     Event = "warmed"
+	EventDoubt      Event = "doubt"
+	EventSilent     Event = "silent"
+	EventRestart    Event = "restart"
+	EventTakeOut    Event = "take-out"
+	EventBringBack  Event = "bring-back"
+	EventLeave      Event = "leave"
+	EventRemove     Event = "remove"
+	EventLoaded     Event = "loaded"
+	EventUnloaded   Event = "unloaded"
+	EventClear      Event = "clear"
+	EventQuarantine Event = "quarantine"
+	EventRelease    Event = "release"
+	EventWithdraw   Event = "withdraw"
+	EventReinstate  Event = "reinstate"
+	EventStarted    Event = "started"
+	EventLearned    Event = "learned"
+	EventCut        Event = "cut"
+	EventRejoin     Event = "rejoin"
+	EventDrain      Event = "drain"
+	EventDrained    Event = "drained"
+	EventRestored   Event = "restored"
+)
--- /dev/null
+++ b/internal/secret/secret.go
@@ -0,0 +1,58 @@
+// Package secret holds a value that must not be printed.
+package secret
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"log/slog"
+)
+
+// This file defines Secret, which every common way of printing redacts.
+
+// redacted stands for a secret wherever one is printed.
+const redacted = "[redacted]"
+
+// Secret is a byte string that is printed as "[redacted]" by fmt, by
+// encoding/json and by log/slog. The zero value is the empty secret, which
+// equals nothing.
+type Secret struct{ value string }
+
+// Formatting in all its ways is redacted.
+var (
+	_ fmt.Stringer   = Secret{}
+	_ fmt.GoStringer = Secret{}
+	_ fmt.Formatter  = Secret{}
+	_ slog.LogValuer = Secret{}
+)
+
+// New returns the secret s.
+func New(s string) Secret { return Secret{value: s} }
+
+// Expose returns the secret itself, for use with an algorithm or protocol.
+func (s Secret) Expose() string { return s.value }
+
+// Len returns the number of bytes.
+func (s Secret) Len() int { return len(s.value) }
+
+// Equal compares s with other in a time that depends on neither's content.
+// The empty secret equals nothing, itself included.
+func (s Secret) Equal(other string) bool {
+	a, b := sha256.Sum256([]byte(s.value)), sha256.Sum256([]byte(other))
+	return subtle.ConstantTimeCompare(a[:], b[:]) == 1 && s.value != ""
+}
+
+// String returns a redaction.
+func (s Secret) String() string { return redacted }
+
+// GoString returns a redaction.
+func (s Secret) GoString() string { return redacted }
+
+// Format writes a redaction for every verb.
+func (s Secret) Format(f fmt.State, _ rune) { _, _ = f.Write([]byte(redacted)) }
+
+// MarshalText returns a redaction.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(redacted), nil }
+
+// LogValue returns a redaction.
+func (s Secret) LogValue() slog.Value { return slog.StringValue(redacted) }
