--- /dev/null
+++ b/cmd/standin/kv/faults.go
@@ -0,0 +1,130 @@
+package kv
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"fescuelatch/cmd/standin/server"
+)
+
+// This file defines the faults of the key-value service and its call counts.
+
+// Outage is a way of not answering.
+type Outage string
+
+// Outages. The zero value is none.
+const (
+	OutageNone   Outage = ""
+	OutageRefuse Outage = "refuse"
+	OutageHang   Outage = "hang"
+)
+
+// Faults are the faults of the key-value service.
+type Faults struct {
+	// Outage breaks or hangs all calls and watches.
+	Outage Outage `json:"outage"`
+	// Slowness delays each call and each delivery of a watch.
+	Slowness time.Duration `json:"slowness"`
+	// LostAnswer loses the answer of writes that have taken effect: the
+	// connection is cut, or hangs when LostAnswerHangs is set.
+	LostAnswer      server.Chance `json:"lost-answer"`
+	LostAnswerHangs bool          `json:"lost-answer-hangs"`
+	// WriteRate and ReadRate limit the calls a second; 0 is no limit.
+	WriteRate float64 `json:"write-rate"`
+	ReadRate  float64 `json:"read-rate"`
+	// WatchGap drops events from watches.
+	WatchGap server.Chance `json:"watch-gap"`
+}
+
+// delay applies an outage and slowness.
+func (p *Platform) delay(ctx context.Context) {
+	for {
+		changed := p.faults.Changed()
+		f := p.faults.Get()
+		switch f.Outage {
+		case OutageRefuse:
+			server.Abort()
+		case OutageHang:
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				server.Abort()
+			}
+		}
+		if !server.Sleep(ctx, f.Slowness) {
+			server.Abort()
+		}
+		return
+	}
+}
+
+// limit takes a call from the rate of writes or reads.
+func (p *Platform) limit(write bool) error {
+	f := p.faults.Get()
+	l, perSecond := p.reads, f.ReadRate
+	if write {
+		l, perSecond = p.writes, f.WriteRate
+	}
+	if perSecond <= 0 {
+		return nil
+	}
+	if l.Limit() != rate.Limit(perSecond) {
+		l.SetLimit(rate.Limit(perSecond))
+		l.SetBurst(max(1, int(perSecond/4)))
+	}
+	if !l.Allow() {
+		return &Error{Op: "limit", Kind: KindRateLimited, Message: "too many requests"}
+	}
+	return nil
+}
+
+// loses reports whether the answer of a write is lost.
+func (p *Platform) loses(ctx context.Context) bool {
+	if !p.faults.Take(func(f *Faults) *server.Chance { return &f.LostAnswer }) {
+		return false
+	}
+	if p.faults.Get().LostAnswerHangs {
+		<-ctx.Done()
+	}
+	return true
+}
+
+// gaps returns the events that a watch delivers.
+func (p *Platform) gaps(es []event) []event {
+	var kept []event
+	for _, e := range es {
+		if !p.faults.Take(func(f *Faults) *server.Chance { return &f.WatchGap }) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// counts counts calls by kind. The zero value is empty.
+type counts struct {
+	mu     sync.Mutex
+	byKind map[string]int64
+}
+
+func (c *counts) add(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byKind == nil {
+		c.byKind = make(map[string]int64)
+	}
+	c.byKind[kind]++
+}
+
+// ServeHTTP answers with the counts.
+func (c *counts) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	server.WriteJSON(w, http.StatusOK, struct {
+		Calls map[string]int64 `json:"calls"`
+	}{c.byKind})
+}
--- /dev/null
+++ b/cmd/standin/kv/store.go
@@ -0,0 +1,189 @@
+package kv
+
+import (
+	"bytes"
+	"sort"
+	"sync"
+)
+
+// This file defines the store: keys, revisions and the history of changes.
+
+const (
+	maxValueSize  = 1 << 20 // bytes
+	maxTxnOps     = 128
+	historyLength = 100_000 // events
+)
+
+// store holds all keys. It is safe for concurrent use.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	keys     []string // sorted
+	values   map[string]keyValue
+	leases   map[int64]*lease
+	nextID   int64
+	// history holds the latest events in order of revision. Events before
+	// revision compacted are gone.
+	history   []event
+	compacted int64
+	changed   chan struct{}
+	// dirty reports changes since the last commit.
+	dirty bool
+}
+
+func newStore() *store {
+	return &store{
+		revision: 1,
+		values:   make(map[string]keyValue),
+		leases:   make(map[int64]*lease),
+		nextID:   1,
+		changed:  make(chan struct{}),
+	}
+}
+
+// span is a range of keys as the gateway gives it: an empty end means the
+// one key, and an end of one zero byte means all keys from key on.
+type span struct {
+	key, end []byte
+}
+
+func (s span) contains(key string) bool {
+	k := []byte(key)
+	if len(s.end) == 0 {
+		return bytes.Equal(k, s.key)
+	}
+	return bytes.Compare(k, s.key) >= 0 && (s.open() || bytes.Compare(k, s.end) < 0)
+}
+
+func (s span) open() bool { return len(s.end) == 1 && s.end[0] == 0 }
+
+// inSpan returns the keys within p, in order.
+func (s *store) inSpan(p span) []string {
+	from := sort.SearchStrings(s.keys, string(p.key))
+	to := from
+	for to < len(s.keys) && p.contains(s.keys[to]) {
+		to++
+	}
+	return s.keys[from:to:to]
+}
+
+func (s *store) rangeKeys(r *rangeRequest) *rangeResponse {
+	keys := s.inSpan(span{r.Key, r.RangeEnd})
+	resp := &rangeResponse{Count: number(len(keys))}
+	if r.CountOnly {
+		return resp
+	}
+	if r.SortOrder == "DESCEND" {
+		keys = reversed(keys)
+	}
+	if r.Limit > 0 && len(keys) > int(r.Limit) {
+		keys, resp.More = keys[:r.Limit], true
+	}
+	for _, k := range keys {
+		v := s.values[k]
+		if r.KeysOnly {
+			v.Value = nil
+		}
+		resp.KVs = append(resp.KVs, v)
+	}
+	return resp
+}
+
+func reversed(keys []string) []string {
+	r := make([]string, 0, len(keys))
+	for i := len(keys) - 1; i >= 0; i-- {
+		r = append(r, keys[i])
+	}
+	return r
+}
+
+// put sets a key at the given revision.
+func (s *store) put(r *putRequest, revision int64) {
+	k := string(r.Key)
+	v, ok := s.values[k]
+	if !ok {
+		s.insertKey(k)
+		v = keyValue{Key: r.Key, CreateRevision: number(revision)}
+	}
+	s.detach(k, v.Lease)
+	v.Value = r.Value
+	v.Lease = r.Lease
+	v.ModRevision = number(revision)
+	v.Version++
+	s.values[k] = v
+	if l := s.leases[int64(r.Lease)]; l != nil {
+		l.keys[k] = true
+	}
+	s.record(event{KV: v})
+}
+
+func (s *store) insertKey(k string) {
+	i := sort.SearchStrings(s.keys, k)
+	s.keys = append(s.keys, "")
+	copy(s.keys[i+1:], s.keys[i:])
+	s.keys[i] = k
+}
+
+// deleteSpan deletes the keys within p at the given revision and returns
+// their number.
+func (s *store) deleteSpan(p span, revision int64) int {
+	keys := append([]string(nil), s.inSpan(p)...)
+	for _, k := range keys {
+		i := sort.SearchStrings(s.keys, k)
+		s.keys = append(s.keys[:i], s.keys[i+1:]...)
+		s.detach(k, s.values[k].Lease)
+		delete(s.values, k)
+		s.record(event{Type: "DELETE", KV: keyValue{Key: []byte(k), ModRevision: number(revision)}})
+	}
+	return len(keys)
+}
+
+// commit ends a step: it advances the revision and wakes all watches when
+// the step changed a key.
+func (s *store) commit() {
+	if !s.dirty {
+		return
+	}
+	s.dirty = false
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// record appends an event to the history.
+func (s *store) record(e event) {
+	s.history = append(s.history, e)
+	if len(s.history) > historyLength {
+		s.compacted = int64(s.history[0].KV.ModRevision) + 1
+		s.history = s.history[1:]
+	}
+	s.dirty = true
+}
+
+// eventsFrom returns the events within p at or after a revision, the
+// revision that follows them, and a channel that is closed at the next
+// change. It reports false when part of that history is gone.
+func (s *store) eventsFrom(p span, revision int64) (es []event, next int64, changed <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision < s.compacted {
+		return nil, s.compacted, s.changed, false
+	}
+	i := sort.Search(len(s.history), func(i int) bool { return int64(s.history[i].KV.ModRevision) >= revision })
+	for _, e := range s.history[i:] {
+		if p.contains(string(e.KV.Key)) {
+			es = append(es, e)
+		}
+	}
+	return es, max(revision, s.revision+1), s.changed, true
+}
+
+// header returns the header of an answer.
+func (s *store) header() *header { return &header{Revision: number(s.revision)} }
+
+// currentRevision returns the revision of the last change.
+func (s *store) currentRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,48 @@
-// Command standin is not written yet.
+// Command standin stands for the systems that the router meets, for tests,
+// the demo and experiments. Each subcommand is one system.
 package main
 
-func main() {}
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"fescuelatch/cmd/standin/kv"
+)
+
+type commands struct {
+	Platform *kv.Settings `arg:"subcommand:platform" help:"key-value service"`
+}
+
+// runner is a stand-in that runs until its context ends.
+type runner interface {
+	Run(ctx context.Context, log *slog.Logger) error
+}
+
+func main() {
+	var c commands
+	p, err := arg.NewParser(arg.Config{Program: "standin", EnvPrefix: "FESCUELATCH_"}, &c)
+	if err != nil {
+		panic(err)
+	}
+	p.MustParse(os.Args[1:])
+	r, ok := p.Subcommand().(runner)
+	if !ok {
+		p.Fail("a subcommand is required")
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("standin", p.SubcommandNames()[0])
+	if err := run(r, log); err != nil {
+		log.Error("failed", "error", err.Error())
+		os.Exit(1)
+	}
+}
+
+func run(r runner, log *slog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return r.Run(ctx, log)
+}
--- /dev/null
+++ b/cmd/standin/server/lag.go
@@ -0,0 +1,63 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// This file defines values that are seen with a lag.
+
+// samplePeriod is the time between samples of a lagging value.
+const samplePeriod = 20 * time.Millisecond
+
+// Lag keeps samples of a value and gives the one of some time ago. The zero
+// value has no samples. It is safe for concurrent use.
+type Lag[T any] struct {
+	mu      sync.Mutex
+	samples []sample[T]
+}
+
+type sample[T any] struct {
+	at    time.Time
+	value T
+}
+
+// Add records that the value was v at the given time.
+func (l *Lag[T]) Add(at time.Time, v T) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.samples = append(l.samples, sample[T]{at, v})
+}
+
+// At returns the last sample at or before the given time, or the oldest
+// sample, or the zero T. It forgets all samples before the one returned.
+func (l *Lag[T]) At(at time.Time) T {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.samples) > 1 && !l.samples[1].at.After(at) {
+		l.samples = l.samples[1:]
+	}
+	if len(l.samples) == 0 {
+		var zero T
+		return zero
+	}
+	return l.samples[0].value
+}
+
+// Sample adds samples of the value that get returns until ctx ends. It
+// forgets those older than the lag.
+func (l *Lag[T]) Sample(ctx context.Context, lag func() time.Duration, get func() T) {
+	t := time.NewTicker(samplePeriod)
+	defer t.Stop()
+	for {
+		now := time.Now()
+		l.Add(now, get())
+		l.At(now.Add(-lag()))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
