--- /dev/null
+++ b/fleet/address.go
@@ -0,0 +1,106 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+
+	"fescuelatch"
+
+	"github.com/pkg/errors"
+)
+
+// This file defines the choice of ports.
+
+// Ports are drawn below the kernel's ephemeral range, so that an outgoing
+// connection cannot take the port of a process that is to be restarted.
+const (
+	firstPort    = 10_000
+	portCount    = 20_000
+	portAttempts = 100
+)
+
+// ports hands out free ports of loopback addresses. No address is handed
+// out twice.
+type ports struct {
+	taken map[netip.AddrPort]bool
+}
+
+func newPorts() *ports { return &ports{taken: make(map[netip.AddrPort]bool)} }
+
+// take marks an address as used by the configuration.
+func (p *ports) take(a netip.AddrPort) { p.taken[a] = true }
+
+// free returns a free address with the IP number ip.
+func (p *ports) free(ip netip.Addr) (netip.AddrPort, error) {
+	for range portAttempts {
+		a := netip.AddrPortFrom(ip, uint16(firstPort+rand.IntN(portCount)))
+		if p.taken[a] || !listens(a) {
+			continue
+		}
+		p.take(a)
+		return a, nil
+	}
+	return netip.AddrPort{}, &Error{"choose port", KindConfiguration, errors.Errorf("no free port at %s", ip)}
+}
+
+func listens(a netip.AddrPort) bool {
+	var c net.ListenConfig
+	l, err := c.Listen(context.Background(), "tcp", a.String())
+	if err != nil {
+		return false
+	}
+	return l.Close() == nil
+}
+
+// relocate returns a copy of c in which every port has been replaced by a
+// free one.
+func (p *ports) relocate(c *fescuelatch.Configuration) (*fescuelatch.Configuration, error) {
+	d := *c
+	d.Inventory.VMs = append([]fescuelatch.VM(nil), c.Inventory.VMs...)
+	d.Inventory.Endpoints = append([]fescuelatch.Endpoint(nil), c.Inventory.Endpoints...)
+	var as []*netip.AddrPort
+	for n := range d.Inventory.VMs {
+		m := &d.Inventory.VMs[n]
+		as = append(as, &m.Peer, &m.Caller, &m.Operator)
+	}
+	for n := range d.Inventory.Endpoints {
+		as = append(as, &d.Inventory.Endpoints[n].Address)
+	}
+	for _, a := range as {
+		b, err := p.free(a.Addr())
+		if err != nil {
+			return nil, err
+		}
+		*a = b
+	}
+	return &d, nil
+}
+
+// reserve marks the addresses of c and checks that each is on loopback.
+func (p *ports) reserve(c *fescuelatch.Configuration) error {
+	var as []netip.AddrPort
+	for _, m := range c.Inventory.VMs {
+		as = append(as, m.Peer, m.Caller, m.Operator)
+	}
+	for _, e := range c.Inventory.Endpoints {
+		as = append(as, e.Address)
+	}
+	for _, a := range as {
+		if !a.Addr().IsLoopback() {
+			return &Error{"reserve addresses", KindConfiguration, errors.Errorf("%s is not on loopback", a)}
+		}
+		p.take(a)
+	}
+	return nil
+}
+
+// platformIP returns the IP number of the platform of a fleet whose first
+// VM has the peer address a: 127.F.250.1 beside the failure domains
+// 127.F.1.0/24 and up.
+func platformIP(a netip.Addr) netip.Addr {
+	const platformNet = 250
+	b := a.As4()
+	return netip.AddrFrom4([4]byte{b[0], b[1], platformNet, 1})
+}
--- /dev/null
+++ b/fleet/control.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"context"
+	"path/filepath"
+	"syscall"
+
+	"fescuelatch"
+
+	"github.com/pkg/errors"
+)
+
+// This file defines what may be done to single processes of a fleet.
+
+func daemonName(m fescuelatch.VMID) string { return "daemon-" + string(m) }
+
+func isDaemon(c command) bool { return filepath.Base(c.path) == daemonProgram }
+
+// Kill ends the daemon of m at once.
+func (f *Fleet) Kill(m fescuelatch.VMID) error {
+	p, err := f.process(daemonName(m))
+	if err != nil {
+		return err
+	}
+	p.end(syscall.SIGKILL, standinGrace)
+	return nil
+}
+
+// Pause keeps the daemon of m from running until Resume.
+func (f *Fleet) Pause(m fescuelatch.VMID) error { return f.signal(daemonName(m), syscall.SIGSTOP) }
+
+// Resume lets a paused daemon run again.
+func (f *Fleet) Resume(m fescuelatch.VMID) error { return f.signal(daemonName(m), syscall.SIGCONT) }
+
+func (f *Fleet) signal(name string, s syscall.Signal) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	return p.signal(s)
+}
+
+// Stop asks the daemon of m for a graceful shutdown and waits for its end.
+// It reports an error when the daemon had to be killed or did not end with
+// exit status 0.
+func (f *Fleet) Stop(m fescuelatch.VMID) error {
+	p, err := f.process(daemonName(m))
+	if err != nil {
+		return err
+	}
+	if !p.end(syscall.SIGTERM, stopGrace) {
+		f.noteDirty(p.command.name)
+		return &Error{"stop " + string(m), KindProcess, errors.New("no clean exit")}
+	}
+	return nil
+}
+
+// Restart starts the daemon of m again after Kill or Stop. It does not wait
+// until the daemon is ready.
+func (f *Fleet) Restart(m fescuelatch.VMID) error { return f.restart(daemonName(m)) }
+
+// KillEndpoint ends the stand-in of an endpoint at once.
+func (f *Fleet) KillEndpoint(e fescuelatch.EndpointID) error {
+	name, err := f.endpointName(e)
+	if err != nil {
+		return err
+	}
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	p.end(syscall.SIGKILL, standinGrace)
+	return nil
+}
+
+// RestartEndpoint starts the stand-in of an endpoint again after
+// KillEndpoint. It is cold at first.
+func (f *Fleet) RestartEndpoint(e fescuelatch.EndpointID) error {
+	name, err := f.endpointName(e)
+	if err != nil {
+		return err
+	}
+	return f.restart(name)
+}
+
+func (f *Fleet) endpointName(e fescuelatch.EndpointID) (string, error) {
+	for _, kind := range []string{"engine-", "service-"} {
+		if _, err := f.process(kind + string(e)); err == nil {
+			return kind + string(e), nil
+		}
+	}
+	return "", &Error{"find endpoint", KindUnknown, errors.New(string(e))}
+}
+
+func (f *Fleet) restart(name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	if p.running() {
+		return &Error{"restart", KindProcess, errors.Errorf("%s is running", name)}
+	}
+	return f.launch(p.command)
+}
+
+// Running reports whether the daemon of m runs, paused or not.
+func (f *Fleet) Running(m fescuelatch.VMID) bool {
+	p, err := f.process(daemonName(m))
+	return err == nil && p.running()
+}
+
+// WaitReady waits until the daemon of m answers that it is ready.
+func (f *Fleet) WaitReady(ctx context.Context, m fescuelatch.VMID) error {
+	v, err := f.vm(m)
+	if err != nil {
+		return err
+	}
+	return f.poll(ctx, "wait for "+string(m), func() error {
+		return f.call(ctx, "GET", "http://"+v.Operator.String()+"/ready", nil, nil)
+	})
+}
+
+func (f *Fleet) vm(m fescuelatch.VMID) (fescuelatch.VM, error) {
+	for _, v := range f.Configuration.Inventory.VMs {
+		if v.ID == m {
+			return v, nil
+		}
+	}
+	return fescuelatch.VM{}, &Error{"find VM", KindUnknown, errors.New(string(m))}
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,341 @@
+// Package fleet runs a fleet of the router on one machine: the stand-ins of
+// the platform, the engines and the services, the daemons, and the links
+// that separate failure domains. Every one is a process of its own that
+// listens on loopback. Tests, the demo and the experiments use it; the
+// daemon starts no process.
+//
+// A fleet starts goroutines that wait for its processes. It ends them all,
+// by process identifier, in Close.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"fescuelatch"
+
+	"github.com/pkg/errors"
+)
+
+// This file defines fleets and their life cycle.
+
+const (
+	maxProcesses  = 60
+	readyTimeout  = 30 * time.Second
+	stopGrace     = 15 * time.Second
+	standinGrace  = 2 * time.Second
+	callTimeout   = 5 * time.Second
+	pollInterval  = 50 * time.Millisecond
+	secretBytes   = 16
+	sessionKeyLen = 32
+)
+
+// Options say what to start.
+type Options struct {
+	// Configuration holds the inventory and rules. Its account keys are
+	// replaced: see Fleet.Keys.
+	Configuration *fescuelatch.Configuration
+	// Bin is the directory of the programs.
+	Bin string
+	// Dir receives a log file of each process.
+	Dir string
+	// Fixed keeps the inventory's own ports in place of free ones.
+	Fixed bool
+	// Daemon holds further arguments of every daemon.
+	Daemon []string
+	// Engine returns further arguments of the stand-in of an endpoint.
+	Engine func(fescuelatch.Endpoint) []string
+	// Platform and Rating hold further arguments of these stand-ins.
+	Platform []string
+	Rating   []string
+}
+
+// places are the addresses of what the inventory does not list.
+type places struct {
+	platform, platformLink, platformControl netip.AddrPort
+	vms, rating, weights                    netip.AddrPort
+	peers, controls                         map[fescuelatch.VMID]netip.AddrPort
+}
+
+// Fleet is a running fleet. Its methods are safe for concurrent use, but
+// those that change the same VM must not overlap.
+type Fleet struct {
+	// Configuration is what the fleet was started with: the addresses in
+	// use, and account keys known to this process.
+	Configuration *fescuelatch.Configuration
+	// OperatorKey authorises calls to the operator addresses.
+	OperatorKey string
+	// Keys holds a bearer key of each client account.
+	Keys map[fescuelatch.AccountID]string
+
+	options    Options
+	places     places
+	fleetKey   string
+	sessionKey string
+	client     *http.Client
+
+	mu        sync.Mutex
+	processes map[string]*process
+	cuts      cuts
+	order     []string // names in the order of starting
+	dirtyStop []string // daemons whose planned stop was not a clean one
+	closed    bool
+}
+
+// Start starts a fleet, seeds its configuration and waits until every
+// process is ready. When it fails, nothing is left running.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{
+		options:     o,
+		OperatorKey: secret(secretBytes),
+		fleetKey:    secret(secretBytes),
+		sessionKey:  secret(sessionKeyLen),
+		Keys:        make(map[fescuelatch.AccountID]string),
+		client:      &http.Client{Timeout: callTimeout},
+		processes:   make(map[string]*process),
+		cuts:        make(cuts),
+	}
+	if err := os.MkdirAll(o.Dir, 0o750); err != nil {
+		return nil, &Error{"start fleet", KindProcess, errors.WithStack(err)}
+	}
+	if err := f.place(); err != nil {
+		return nil, err
+	}
+	f.issueKeys()
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.startAll(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// secret returns n random bytes in hexadecimal.
+func secret(n int) string {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails
+	return hex.EncodeToString(b)
+}
+
+// place decides all addresses.
+func (f *Fleet) place() error {
+	c := f.options.Configuration
+	if len(c.Inventory.VMs) == 0 {
+		return &Error{"place fleet", KindConfiguration, errors.New("the inventory has no VM")}
+	}
+	ps := newPorts()
+	if err := ps.reserve(c); err != nil {
+		return err
+	}
+	if !f.options.Fixed {
+		d, err := ps.relocate(c)
+		if err != nil {
+			return err
+		}
+		c = d
+	}
+	f.Configuration = c
+	return f.placeRest(ps)
+}
+
+// placeRest decides the addresses that the inventory does not list.
+func (f *Fleet) placeRest(ps *ports) error {
+	p := &f.places
+	ip := platformIP(f.Configuration.Inventory.VMs[0].Peer.Addr())
+	for _, a := range []*netip.AddrPort{&p.platform, &p.platformLink, &p.platformControl, &p.vms, &p.rating, &p.weights} {
+		b, err := ps.free(ip)
+		if err != nil {
+			return err
+		}
+		*a = b
+	}
+	p.peers = make(map[fescuelatch.VMID]netip.AddrPort)
+	p.controls = make(map[fescuelatch.VMID]netip.AddrPort)
+	for _, m := range f.Configuration.Inventory.VMs {
+		for _, to := range []map[fescuelatch.VMID]netip.AddrPort{p.peers, p.controls} {
+			a, err := ps.free(m.Peer.Addr())
+			if err != nil {
+				return err
+			}
+			to[m.ID] = a
+		}
+	}
+	return nil
+}
+
+// issueKeys gives each client account a new key in place of its own.
+func (f *Fleet) issueKeys() {
+	c := *f.Configuration
+	c.Rules.Accounts = append([]fescuelatch.Account(nil), c.Rules.Accounts...)
+	for n := range c.Rules.Accounts {
+		a := &c.Rules.Accounts[n]
+		k := "key-" + string(a.ID) + "-" + secret(secretBytes)
+		f.Keys[a.ID] = k
+		a.KeyHashes = []string{fescuelatch.HashKey(k)}
+	}
+	f.Configuration = &c
+}
+
+// startAll starts the stand-ins, then the daemons, and seeds the
+// configuration.
+func (f *Fleet) startAll(ctx context.Context) error {
+	cs := f.standins()
+	for _, m := range f.Configuration.Inventory.VMs {
+		cs = append(cs, f.daemon(m, f.places.peers[m.ID]))
+	}
+	if len(cs) > maxProcesses {
+		return &Error{"start fleet", KindConfiguration, errors.Errorf("%d processes, at most %d", len(cs), maxProcesses)}
+	}
+	for _, c := range cs {
+		if err := f.launch(c); err != nil {
+			return err
+		}
+	}
+	if err := f.waitListening(ctx); err != nil {
+		return err
+	}
+	if err := f.seed(ctx); err != nil {
+		return err
+	}
+	for _, m := range f.Configuration.Inventory.VMs {
+		if err := f.WaitReady(ctx, m.ID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// standins returns the commands of everything that is not a daemon.
+func (f *Fleet) standins() []command {
+	p := &f.places
+	platform := f.standin("platform", "platform", p.platform, f.options.Platform...)
+	rating := f.standin("rating", "rating", p.rating, f.options.Rating...)
+	cs := []command{
+		platform,
+		rating,
+		f.standin("vms", "vms", p.vms),
+		f.standin("weights", "weights", p.weights),
+		f.link("link-platform", p.platformLink, p.platform, p.platformControl),
+	}
+	pools := make(map[fescuelatch.PoolID]fescuelatch.Pool)
+	for _, l := range f.Configuration.Inventory.Pools {
+		pools[l.ID] = l
+	}
+	for _, e := range f.Configuration.Inventory.Endpoints {
+		cs = append(cs, f.endpoint(e, pools[e.Pool]))
+	}
+	for _, m := range f.Configuration.Inventory.VMs {
+		cs = append(cs, f.link("link-"+string(m.ID), m.Peer, p.peers[m.ID], p.controls[m.ID]))
+	}
+	return cs
+}
+
+// endpoint returns the command of the stand-in of e.
+func (f *Fleet) endpoint(e fescuelatch.Endpoint, l fescuelatch.Pool) command {
+	c := f.engine(e, l)
+	if l.Service != "" {
+		c = f.service(e, l)
+	}
+	if f.options.Engine != nil {
+		c.args = append(c.args, f.options.Engine(e)...)
+	}
+	return c
+}
+
+// launch starts c and keeps it under its name.
+func (f *Fleet) launch(c command) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return &Error{"start process", KindProcess, errors.New("the fleet is closed")}
+	}
+	p, err := start(c, f.options.Dir)
+	if err != nil {
+		return err
+	}
+	if _, ok := f.processes[c.name]; !ok {
+		f.order = append(f.order, c.name)
+	}
+	f.processes[c.name] = p
+	return nil
+}
+
+// process returns the process with a name.
+func (f *Fleet) process(name string) (*process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.processes[name]
+	if !ok {
+		return nil, &Error{"find process", KindUnknown, errors.New(name)}
+	}
+	return p, nil
+}
+
+// Crashed returns the names of processes that ended without being asked to.
+func (f *Fleet) Crashed() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ns []string
+	for _, n := range f.order {
+		if f.processes[n].crashed() {
+			ns = append(ns, n)
+		}
+	}
+	return ns
+}
+
+// DirtyStops returns the names of daemons whose planned stop did not end in
+// time with exit status 0.
+func (f *Fleet) DirtyStops() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.dirtyStop...)
+}
+
+// Close ends all processes: the daemons first, in order, then the rest. It
+// may be called more than once.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.closed = true
+	ps := make([]*process, 0, len(f.order))
+	for _, n := range f.order {
+		ps = append(ps, f.processes[n])
+	}
+	f.mu.Unlock()
+	f.endAll(ps, true, stopGrace)
+	f.endAll(ps, false, standinGrace)
+	f.client.CloseIdleConnections()
+}
+
+// endAll ends the daemons, or the others, at the same time.
+func (f *Fleet) endAll(ps []*process, daemons bool, grace time.Duration) {
+	var wg sync.WaitGroup
+	for _, p := range ps {
+		if isDaemon(p.command) != daemons || !p.running() {
+			continue
+		}
+		wg.Go(func() {
+			// A paused process could not see the signal to end.
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			clean := p.end(syscall.SIGTERM, grace)
+			if daemons && !clean {
+				f.noteDirty(p.command.name)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (f *Fleet) noteDirty(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dirtyStop = append(f.dirtyStop, name)
+}
--- /dev/null
+++ b/fleet/partition.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"fescuelatch"
+)
+
+// This file defines network partitions, which the links make by the IP
+// number of the dialer.
+
+// dropRequest asks a link to drop the connections of dialers in Prefixes
+// and to refuse new ones.
+type dropRequest struct {
+	Prefixes []netip.Prefix `json:"prefixes"`
+}
+
+// domainPrefixBits is the length of the network prefix of a failure domain.
+const domainPrefixBits = 24
+
+// cuts are the prefixes that each link drops, by the link's control address.
+type cuts map[netip.AddrPort]map[netip.Prefix]bool
+
+func (c cuts) add(link netip.AddrPort, p netip.Prefix) {
+	if c[link] == nil {
+		c[link] = make(map[netip.Prefix]bool)
+	}
+	c[link][p] = true
+}
+
+// Cut separates two failure domains from each other.
+func (f *Fleet) Cut(ctx context.Context, a, b fescuelatch.DomainID) error {
+	for _, m := range f.Configuration.Inventory.VMs {
+		other := b
+		switch m.Domain {
+		case a:
+		case b:
+			other = a
+		default:
+			continue
+		}
+		if err := f.drop(ctx, f.places.controls[m.ID], other); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// CutPlatform separates a failure domain from the platform's key-value
+// service.
+func (f *Fleet) CutPlatform(ctx context.Context, d fescuelatch.DomainID) error {
+	return f.drop(ctx, f.places.platformControl, d)
+}
+
+// Isolate separates a failure domain from all others and from the platform.
+func (f *Fleet) Isolate(ctx context.Context, d fescuelatch.DomainID) error {
+	for _, o := range f.Configuration.Inventory.Domains {
+		if o.ID == d {
+			continue
+		}
+		if err := f.Cut(ctx, d, o.ID); err != nil {
+			return err
+		}
+	}
+	return f.CutPlatform(ctx, d)
+}
+
+// Heal ends all partitions.
+func (f *Fleet) Heal(ctx context.Context) error {
+	f.mu.Lock()
+	cs := f.cuts
+	f.cuts = make(cuts)
+	f.mu.Unlock()
+	for link := range cs {
+		if err := f.setDrops(ctx, link, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drop adds the prefixes of the VMs of d to those that a link drops.
+func (f *Fleet) drop(ctx context.Context, link netip.AddrPort, d fescuelatch.DomainID) error {
+	f.mu.Lock()
+	for _, m := range f.Configuration.Inventory.VMs {
+		if m.Domain == d {
+			f.cuts.add(link, netip.PrefixFrom(m.Peer.Addr(), domainPrefixBits).Masked())
+		}
+	}
+	var ps []netip.Prefix
+	for p := range f.cuts[link] {
+		ps = append(ps, p)
+	}
+	f.mu.Unlock()
+	return f.setDrops(ctx, link, ps)
+}
+
+func (f *Fleet) setDrops(ctx context.Context, link netip.AddrPort, ps []netip.Prefix) error {
+	return f.call(ctx, http.MethodPut, "http://"+link.String()+"/drop", dropRequest{Prefixes: ps}, nil)
+}
--- /dev/null
+++ b/fleet/programs.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"net/netip"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"fescuelatch"
+)
+
+// This file defines the command lines of the fleet's programs.
+
+// Names of the programs in the directory of binaries.
+const (
+	daemonProgram  = "fescuelatchd"
+	standinProgram = "standin"
+)
+
+// standin returns the command of a stand-in that listens on a.
+func (f *Fleet) standin(name, kind string, a netip.AddrPort, args ...string) command {
+	return command{
+		name: name,
+		path: filepath.Join(f.options.Bin, standinProgram),
+		args: append([]string{kind, "--listen", a.String()}, args...),
+	}
+}
+
+// engine returns the command of the stand-in of a model engine.
+func (f *Fleet) engine(e fescuelatch.Endpoint, p fescuelatch.Pool) command {
+	args := []string{
+		"--id", string(e.ID),
+		"--slots", strconv.Itoa(p.Slots),
+		"--cold-slots", strconv.Itoa(p.ColdSlots),
+	}
+	for _, v := range p.Versions {
+		args = append(args, "--version", string(v))
+	}
+	return f.standin("engine-"+string(e.ID), "engine", e.Address, args...)
+}
+
+// service returns the command of the stand-in of a plain service.
+func (f *Fleet) service(e fescuelatch.Endpoint, p fescuelatch.Pool) command {
+	return f.standin("service-"+string(e.ID), "service", e.Address,
+		"--id", string(e.ID),
+		"--service", string(p.Service),
+		"--slots", strconv.Itoa(p.Slots),
+		"--cold-slots", strconv.Itoa(p.ColdSlots))
+}
+
+// link returns the command of a relay from a to target.
+func (f *Fleet) link(name string, a, target netip.AddrPort, control netip.AddrPort) command {
+	return f.standin(name, "link", a, "--target", target.String(), "--control", control.String())
+}
+
+// daemon returns the command of the daemon of m, which listens for its peers
+// on peer.
+func (f *Fleet) daemon(m fescuelatch.VM, peer netip.AddrPort) command {
+	args := []string{
+		"--vm", string(m.ID),
+		"--domain", string(m.Domain),
+		"--peer-listen", peer.String(),
+		"--caller-listen", m.Caller.String(),
+		"--operator-listen", m.Operator.String(),
+		"--dial-from", m.Peer.Addr().String(),
+		"--platform", "http://" + f.places.platformLink.String(),
+		"--vms", "http://" + f.places.vms.String(),
+		"--rating", "http://" + f.places.rating.String(),
+		"--seeds", strings.Join(f.seeds(m), ","),
+	}
+	return command{
+		name: "daemon-" + string(m.ID),
+		path: filepath.Join(f.options.Bin, daemonProgram),
+		args: append(args, f.options.Daemon...),
+		env: []string{
+			"FESCUELATCH_FLEET_KEY=" + f.fleetKey,
+			"FESCUELATCH_OPERATOR_KEY=" + f.OperatorKey,
+			"FESCUELATCH_SESSION_KEYS=k1:" + f.sessionKey,
+		},
+	}
+}
+
+// seeds returns the peer addresses of the other VMs of m's failure domain
+// and of the first VM of each other one.
+func (f *Fleet) seeds(m fescuelatch.VM) []string {
+	var as []string
+	seen := make(map[fescuelatch.DomainID]bool)
+	for _, o := range f.Configuration.Inventory.VMs {
+		if o.ID != m.ID && (o.Domain == m.Domain || !seen[o.Domain]) {
+			as = append(as, o.Peer.String())
+			seen[o.Domain] = true
+		}
+	}
+	return as
+}
