Fixed gate, and ownership of endpoints by leases between daemons

The baseline gate has plain slots and one queue in order of arrival.

Ownership is a pure table for each daemon: rendezvous order, heartbeats whose acknowledgements are promises not to claim, and a part of a cold endpoint's slots that halves with each rank while a member is neither heard nor known to be gone.

--- /dev/null
+++ b/gate/latency.go
@@ -0,0 +1,56 @@
+package gate
+
+import (
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines moving averages of latency.
+
+// latencyWeight is the weight of a new sample in a moving average.
+const latencyWeight = 0.1
+
+// average is an exponentially weighted moving average of durations. The zero
+// value has no samples.
+type average struct {
+	mean time.Duration
+}
+
+func (a *average) observe(d time.Duration) {
+	if a.mean == 0 {
+		a.mean = d
+		return
+	}
+	a.mean += time.Duration(latencyWeight * float64(d-a.mean))
+}
+
+// latencies holds the average time from start to end for each version. The
+// zero value is empty.
+type latencies struct {
+	totals map[fescuelatch.VersionID]*average
+}
+
+// observe records an answered attempt; others say nothing of the latency.
+func (l *latencies) observe(r fescuelatch.AttemptResult) {
+	if r.Status != fescuelatch.AttemptAnswered || r.Total <= 0 {
+		return
+	}
+	if l.totals == nil {
+		l.totals = make(map[fescuelatch.VersionID]*average)
+	}
+	a := l.totals[r.Version]
+	if a == nil {
+		a = new(average)
+		l.totals[r.Version] = a
+	}
+	a.observe(r.Total)
+}
+
+// total returns the average for v, or 0 without samples.
+func (l *latencies) total(v fescuelatch.VersionID) time.Duration {
+	if a := l.totals[v]; a != nil {
+		return a.mean
+	}
+	return 0
+}
--- /dev/null
+++ b/gate/work.go
@@ -0,0 +1,42 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines what all gates ask of work: what it can run on, whether
+// its deadline has passed, and its refusal.
+
+const (
+	// defaultQueueLimit bounds the attempts that wait at one gate.
+	defaultQueueLimit = 512
+	// minRetryAfter is the shortest time to come back that a refusal names.
+	minRetryAfter = 250 * time.Millisecond
+)
+
+// fits reports whether w may run on o.
+func fits(o *fescuelatch.OwnedEndpoint, w fescuelatch.Work) bool {
+	if o.Out || (w.Endpoint != "" && w.Endpoint != o.Endpoint.ID) {
+		return false
+	}
+	if w.Request.IsService() {
+		return o.Pool.Service == w.Request.Service
+	}
+	return slices.Contains(o.Pool.Versions, w.Version)
+}
+
+// expired reports whether the deadline of w has passed.
+func expired(now time.Time, w fescuelatch.Work) bool {
+	return !w.Request.Deadline.IsZero() && !now.Before(w.Request.Deadline)
+}
+
+func refuse(a fescuelatch.AttemptID, after time.Duration) fescuelatch.Admission {
+	return fescuelatch.Admission{
+		Attempt:    a,
+		Verdict:    fescuelatch.AdmissionRefuse,
+		RetryAfter: max(after, minRetryAfter),
+	}
+}
--- /dev/null
+++ b/ownership/view.go
@@ -0,0 +1,86 @@
+package ownership
+
+import (
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the outputs of a Table.
+
+// Owned returns the endpoints that this daemon claims at now, ordered by
+// endpoint.
+func (t *Table) Owned(now time.Time) []fescuelatch.OwnedEndpoint {
+	t.update(now)
+	os := make([]fescuelatch.OwnedEndpoint, 0, len(t.claims))
+	for _, c := range t.claims {
+		if c.held {
+			os = append(os, c.owned)
+		}
+	}
+	return os
+}
+
+// OwnerOf returns the daemon that work for endpoint e goes to, as far as
+// this daemon knows. It reports false when e is unknown or has no owner now.
+func (t *Table) OwnerOf(now time.Time, e fescuelatch.EndpointID) (fescuelatch.VMID, bool) {
+	t.update(now)
+	c := t.byID[e]
+	if c == nil || c.owner == nil {
+		return "", false
+	}
+	return c.owner.vm, true
+}
+
+// Members returns the other members, ordered by VM.
+func (t *Table) Members(now time.Time) []Member {
+	t.update(now)
+	ms := make([]Member, len(t.sorted))
+	for i, m := range t.sorted {
+		ms[i] = Member{
+			VM:          m.vm,
+			Incarnation: m.incarnation,
+			State:       m.state,
+			Since:       m.since,
+			Heard:       m.heard,
+			Joined:      m.joined,
+			Lease:       m.lease,
+		}
+	}
+	return ms
+}
+
+// Joined reports whether this daemon may use cold slots.
+func (t *Table) Joined(now time.Time) bool {
+	t.update(now)
+	return t.joined
+}
+
+// Next returns the earliest time after now at which Owned may change without
+// further input. The caller hands Owned to its gate again before it decides
+// anything at or after that time.
+func (t *Table) Next(now time.Time) time.Time {
+	t.update(now)
+	return t.until
+}
+
+func (t *Table) next(now time.Time) time.Time {
+	next := now.Add(t.settings.TakeoverAfter)
+	consider := func(at time.Time) {
+		if at.After(now) && at.Before(next) {
+			next = at
+		}
+	}
+	consider(t.readyAt)
+	consider(t.started.Add(t.settings.TakeoverAfter))
+	for _, m := range t.sorted {
+		consider(m.lease)
+		consider(m.silentAt(t.settings))
+	}
+	for _, c := range t.claims {
+		if c.held && c.target > c.owned.Share {
+			consider(c.raise)
+		}
+	}
+	return next
+}
