--- a/peer/message.go
+++ b/peer/message.go
@@ -1,9 +1,8 @@
 package peer
 
 import (
-	"time"
-
 	"fescuelatch"
+	"fescuelatch/ownership"
 )
 
 // This file defines the messages between daemons.
@@ -15,28 +14,25 @@
 	Incarnation fescuelatch.Incarnation
 	Generation  fescuelatch.Generation
 	Digest      string
-	// Leaving reports that the daemon is stopping: it claims no endpoints.
+	// Leaving reports that the daemon is stopping.
 	Leaving bool
+	// Spares is what the daemon's owned endpoints can take at once.
+	Spares []fescuelatch.Spare
+	// Evidence is what the daemon has seen of versions.
+	Evidence []fescuelatch.Evidence
 }
 
 // Heartbeat is sent to the daemons of the own failure domain often, and to
-// those of others now and then. SentAt is a time of the sender's clock that
-// the reply returns.
+// those of others now and then. Ownership is set within a failure domain.
 type Heartbeat struct {
 	Hello
-	SentAt   time.Time
-	Spares   []fescuelatch.Spare
-	Evidence []fescuelatch.Evidence
+	Ownership *ownership.Heartbeat
 }
 
-// HeartbeatReply answers a heartbeat. Granted reports that the answering
-// daemon will not claim the sender's endpoints for the agreed time.
+// HeartbeatReply answers a heartbeat.
 type HeartbeatReply struct {
 	Hello
-	SentAt   time.Time
-	Granted  bool
-	Spares   []fescuelatch.Spare
-	Evidence []fescuelatch.Evidence
+	Ownership *ownership.Ack
 }
 
 // ChangesRequest asks for what leads from a generation to the newest.
@@ -68,10 +64,10 @@
 // Ack is an empty reply.
 type Ack struct{}
 
-// Validate reports KindInvalid when a heartbeat does not say who sent it.
-func (h *Heartbeat) Validate() error {
+// Validate reports KindInvalid when a daemon does not say who it is.
+func (h *Hello) Validate() error {
 	if h.VM == "" || h.Domain == "" || h.Incarnation == "" {
-		return &Error{Op: "check heartbeat", Kind: KindInvalid}
+		return &Error{Op: "check hello", Kind: KindInvalid}
 	}
 	return nil
 }
