--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,261 @@
+// Package daemon joins the decision core to the world: it runs the fronts
+// towards callers, operators and other daemons, carries out the core's
+// actions, and feeds the core with what happens.
+//
+// Run owns all goroutines; it returns when they have ended.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"fescuelatch"
+	"fescuelatch/caller"
+	"fescuelatch/configstore"
+	"fescuelatch/decision"
+	"fescuelatch/engine"
+	"fescuelatch/ownership"
+	"fescuelatch/peer"
+	"fescuelatch/token"
+)
+
+// This file defines the daemon and the serialised access to its decisions.
+
+// Options configure a daemon.
+type Options struct {
+	VM     fescuelatch.VMID
+	Domain fescuelatch.DomainID
+	// DialFrom is the address that connections come from.
+	DialFrom netip.Addr
+	// Seeds are peer addresses to learn a configuration from when the
+	// platform is away.
+	Seeds    []netip.AddrPort
+	FleetKey peer.FleetKey
+	Sessions token.Ring
+	Dialer   *peer.Dialer
+	KV       fescuelatch.KV
+	VMs      fescuelatch.VMList
+	Rater    fescuelatch.Rater
+	Core     decision.Options
+	Log      *slog.Logger
+	Metrics  tally.Scope
+	Scrape   http.Handler
+	// StopTimeout bounds a graceful stop.
+	StopTimeout time.Duration
+}
+
+// Daemon is the daemon of one entry VM.
+type Daemon struct {
+	options     Options
+	incarnation fescuelatch.Incarnation
+	started     time.Time
+	log         *slog.Logger
+	holder      *configstore.Holder
+	store       *configstore.Store
+	peers       *peer.Client
+	engines     *engine.Client
+	services    *engine.Client
+	metrics     *metrics
+
+	leaving  atomic.Bool
+	learned  atomic.Bool
+	platform reachability
+
+	// mu guards the fields below it, which make up the decisions.
+	mu       sync.Mutex
+	core     *decision.Core
+	table    *ownership.Table
+	nextOwn  time.Time
+	vmsOut   map[string]bool // endpoints listed as leaving
+	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
+	sessions map[fescuelatch.RequestID]*serving
+	hellos   map[fescuelatch.VMID]heard
+
+	// work counts requests that are being served.
+	work sync.WaitGroup
+}
+
+// heard is the last hello of another daemon.
+type heard struct {
+	hello peer.Hello
+	at    time.Time
+	first time.Time
+}
+
+// New returns a daemon that has not been started.
+func New(o Options) (*Daemon, error) {
+	i := fescuelatch.Incarnation(uuid.NewString())
+	now := time.Now()
+	t, err := ownership.New(o.VM, i, ownership.Settings{}, now)
+	if err != nil {
+		return nil, errors.Wrap(err, "new daemon")
+	}
+	d := &Daemon{
+		options:     o,
+		incarnation: i,
+		started:     now,
+		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
+		holder:      new(configstore.Holder),
+		store:       &configstore.Store{KV: o.KV},
+		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer},
+		metrics:     newMetrics(o.Metrics),
+		core:        decision.New(o.Core),
+		table:       t,
+		vmsOut:      make(map[string]bool),
+		reports:     make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
+		sessions:    make(map[fescuelatch.RequestID]*serving),
+		hellos:      make(map[fescuelatch.VMID]heard),
+	}
+	d.engines = &engine.Client{HTTP: d.httpClient(false), Now: time.Now}
+	d.services = &engine.Client{HTTP: d.httpClient(true), Now: time.Now}
+	return d, nil
+}
+
+const idlePerHost = 256
+
+// httpClient returns a client for endpoints and for daemons that requests
+// are forwarded to. With fresh set, each request has a connection of its
+// own, so that a connection that has silently broken cannot make the outcome
+// of a request unknown.
+func (d *Daemon) httpClient(fresh bool) *http.Client {
+	t := &http.Transport{
+		DialContext:         d.options.Dialer.DialContext,
+		TLSClientConfig:     d.options.Dialer.TLS,
+		MaxIdleConnsPerHost: idlePerHost,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+	}
+	return &http.Client{Transport: t}
+}
+
+// decide hands an event to the core and passes the actions on to the
+// requests that they belong to.
+func (d *Daemon) decide(e decision.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decideLocked(e)
+}
+
+func (d *Daemon) decideLocked(e decision.Event) {
+	now := time.Now()
+	// What this daemon owns may have lapsed while the process was paused, so
+	// it is settled before anything else is decided.
+	if !now.Before(d.nextOwn) {
+		d.refreshOwned(now)
+	}
+	d.deliver(now, d.core.Handle(now, e))
+}
+
+func (d *Daemon) deliver(now time.Time, actions []decision.Action) {
+	for _, a := range actions {
+		s, ok := d.sessions[a.Of()]
+		if !ok {
+			d.log.Error("action for an unknown request", "request", a.Of())
+			continue
+		}
+		s.actions <- timedAction{Action: a, at: now}
+	}
+}
+
+// refreshOwned recomputes ownership and tells the core.
+func (d *Daemon) refreshOwned(now time.Time) {
+	owned := d.table.Owned(now)
+	d.nextOwn = d.table.Next(now)
+	v := d.holder.View()
+	if v == nil {
+		return
+	}
+	for i := range owned {
+		if d.vmsOut[string(owned[i].Endpoint.ID)] {
+			owned[i].Out = true
+		}
+	}
+	owners := make(map[fescuelatch.EndpointID]fescuelatch.VMID)
+	for _, e := range v.EndpointsIn(d.options.Domain) {
+		if vm, ok := d.table.OwnerOf(now, e.ID); ok {
+			owners[e.ID] = vm
+		}
+	}
+	d.deliver(now, d.core.Handle(now, decision.Owned{Endpoints: owned, Owners: owners}))
+}
+
+// View implements caller.Backend.
+func (d *Daemon) View() *fescuelatch.View { return d.holder.View() }
+
+var _ caller.Backend = (*Daemon)(nil)
+
+// Run runs the daemon until ctx ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context, fronts Fronts) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, running := errgroup.WithContext(running)
+	if err := d.serveFronts(running, g, fronts); err != nil {
+		cancel()
+		_ = g.Wait()
+		return err
+	}
+	d.loops(running, g)
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.stop()
+		case <-running.Done():
+		}
+		cancel()
+		return nil
+	})
+	err := g.Wait()
+	d.peers.Close()
+	return err
+}
+
+// stop hands on what this daemon holds and waits for the requests that it
+// serves, at most for StopTimeout.
+func (d *Daemon) stop() {
+	d.log.Info("stopping", "open", d.open())
+	d.leaving.Store(true)
+	d.mu.Lock()
+	d.table.Leave(time.Now())
+	d.decideLocked(decision.Stopping{})
+	d.refreshOwned(time.Now())
+	d.mu.Unlock()
+	d.announce()
+	done := make(chan struct{})
+	go func() {
+		d.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(d.options.StopTimeout):
+		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
+	}
+	d.log.Info("stopped")
+}
+
+func (d *Daemon) open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Open()
+}
+
+// NewCore returns the options of a core with its random source seeded.
+func NewCore(vm fescuelatch.VMID, domain fescuelatch.DomainID, q fescuelatch.QualityModel, v fescuelatch.VersionPolicy,
+	p fescuelatch.PlacementPolicy, g fescuelatch.Gate, sample float64,
+) decision.Options {
+	return decision.Options{
+		VM: vm, Domain: domain, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Quality: q, Versions: v, Placement: p, Gate: g, SampleShare: sample,
+	}
+}
--- /dev/null
+++ b/daemon/dispatch.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/decision"
+	"fescuelatch/engine"
+	"fescuelatch/openai"
+	"fescuelatch/peer"
+)
+
+// This file defines how attempts are made.
+
+// start makes an attempt at an endpoint that this daemon owns.
+func (s *serving) start(ctx context.Context, a decision.Start, decided time.Time) {
+	r := fescuelatch.AttemptResult{Attempt: a.Attempt, Endpoint: a.Endpoint, Version: a.Version}
+	v := s.daemon.holder.View()
+	e, ok := v.Endpoint(a.Endpoint)
+	if !ok {
+		s.notStarted(r, errors.New("the endpoint has left the configuration"))
+		return
+	}
+	t := engine.Target{URL: "http://" + e.Address.String(), Resumable: true}
+	if s.call.Request.Idempotent {
+		s.attempt(ctx, t, r, decided)
+		return
+	}
+	s.attemptClaimed(ctx, t, r, decided)
+}
+
+// forward makes an attempt through the daemon that owns the endpoints.
+func (s *serving) forward(ctx context.Context, a decision.Forward) {
+	r := fescuelatch.AttemptResult{Attempt: a.Attempt, Version: a.Version}
+	vm, ok := s.daemon.holder.View().VM(a.VM)
+	if !ok {
+		s.notStarted(r, errors.New("the VM has left the configuration"))
+		return
+	}
+	now := time.Now()
+	h, err := peer.ForwardHeader(s.daemon.options.FleetKey, s.call.Request, s.call.Share, a.Version, now)
+	if err != nil {
+		s.notStarted(r, err)
+		return
+	}
+	scheme := "http://"
+	if s.daemon.options.Dialer.TLS != nil {
+		scheme = "https://"
+	}
+	s.daemon.metrics.forwards.Inc(1)
+	s.attempt(ctx, engine.Target{URL: scheme + vm.Peer.String() + peer.ForwardPath, Header: h}, r, now)
+}
+
+// attempt sends the request to t and tells the core how it ended.
+func (s *serving) attempt(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
+	sent := time.Now()
+	if sent.Sub(decided) > startWithin {
+		s.notStarted(r, errors.New("too late after the decision to start"))
+		return
+	}
+	v := &answer{}
+	var err error
+	if s.call.Chat != nil {
+		err = s.chat(ctx, t, &r, v, sent)
+	} else {
+		err = s.service(ctx, t, &r, v)
+	}
+	r.Total = time.Since(sent)
+	s.settle(&r, err)
+	v.result = r
+	s.answers[r.Attempt] = v
+	s.daemon.decide(decision.Ended{Request: s.call.Request.ID, Result: r})
+}
+
+func (s *serving) chat(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult, v *answer, sent time.Time) error {
+	q := *s.call.Chat
+	q.Model = string(r.Version)
+	q.Priority = int(s.call.Request.Priority)
+	if q.Stream {
+		q.StreamOptions = &openai.StreamOptions{IncludeUsage: true}
+		s.sink = s.newSink(r.Version)
+	}
+	k := s.sink
+	first := func() {
+		r.FirstToken = time.Since(sent)
+		s.daemon.decide(decision.FirstToken{Request: s.call.Request.ID, Attempt: r.Attempt})
+	}
+	chunk := func(c *openai.Chunk) error { return k.chunk(c) }
+	chat, err := s.daemon.engines.Chat(ctx, t, r.Attempt, &q, first, chunk)
+	if err != nil {
+		if k != nil && !s.reply.Begun() {
+			s.sink = nil
+		}
+		return err
+	}
+	v.chat = chat
+	v.text = chat.Text()
+	if k != nil {
+		v.text = k.text.String()
+	}
+	r.PromptTokens = chat.Usage.PromptTokens
+	r.OutputTokens = chat.Usage.CompletionTokens
+	return nil
+}
+
+func (s *serving) service(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult, v *answer) error {
+	q := s.call.Request
+	a, err := s.daemon.services.Call(ctx, t, r.Attempt, q.Service, q.Operation, s.call.Key, s.call.Body)
+	v.service = a
+	return err
+}
+
+// settle translates the error of an attempt into its status.
+func (s *serving) settle(r *fescuelatch.AttemptResult, err error) {
+	if err == nil {
+		r.Status = fescuelatch.AttemptAnswered
+		return
+	}
+	var e *engine.Error
+	if !errors.As(err, &e) {
+		e = &engine.Error{Op: "attempt", Kind: engine.KindBroken, Err: err}
+	}
+	s.last = e
+	r.RetryAfter = e.RetryAfter
+	switch e.Kind {
+	case engine.KindOverloaded:
+		r.Overloaded = true
+		r.Status = fescuelatch.AttemptNotStarted
+	case engine.KindNotStarted, engine.KindRejected:
+		r.Status = fescuelatch.AttemptNotStarted
+	case engine.KindCancelled:
+		r.Status = fescuelatch.AttemptCancelled
+		s.mayHaveRun = true
+	default:
+		r.Status = fescuelatch.AttemptBroken
+		s.mayHaveRun = true
+	}
+	s.daemon.log.Debug("attempt failed", "request", s.call.Request.ID, "attempt", r.Attempt,
+		"endpoint", r.Endpoint, "version", r.Version, "kind", e.Kind, "error", e.Error())
+}
+
+// notStarted tells the core that nothing was sent.
+func (s *serving) notStarted(r fescuelatch.AttemptResult, err error) {
+	s.settle(&r, &engine.Error{Op: "start", Kind: engine.KindNotStarted, Err: err})
+	s.daemon.decide(decision.Ended{Request: s.call.Request.ID, Result: r})
+}
+
+// sample has an answer rated for learning, in the background.
+func (d *Daemon) sample(v fescuelatch.VersionID, prompt, text string) {
+	d.work.Add(1)
+	go func() {
+		defer d.work.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
+		defer cancel()
+		score, err := d.options.Rater.Rate(ctx, v, prompt, text)
+		if err != nil {
+			d.metrics.ratingErrors.Inc(1)
+			return
+		}
+		d.decide(decision.Rated{Version: v, Score: score, Rated: true})
+	}()
+}
+
+// sampleTimeout bounds a rating that nobody waits for.
+const sampleTimeout = 5 * time.Second
+
+// ended records the end of a request.
+func (d *Daemon) ended(s *serving, o fescuelatch.Outcome, detail string, err error) {
+	d.metrics.outcome(o, time.Since(s.started))
+	q := s.call.Request
+	args := []any{
+		"request", q.ID, "account", q.Account, "outcome", o, "detail", detail,
+		"generation", d.holder.Generation(), "duration", time.Since(s.started).String(), "forwarded", q.Forwarded,
+	}
+	if err != nil {
+		args = append(args, "error", err.Error())
+	}
+	d.log.Info("request ended", args...)
+}
+
--- /dev/null
+++ b/daemon/fronts.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"fescuelatch"
+	"fescuelatch/caller"
+	"fescuelatch/operator"
+	"fescuelatch/peer"
+)
+
+// This file defines the listeners of a daemon.
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+	// closeTimeout bounds the wait for connections that carry no request.
+	closeTimeout = 500 * time.Millisecond
+)
+
+// Fronts are the addresses that a daemon listens on.
+type Fronts struct {
+	Caller      netip.AddrPort
+	Operator    netip.AddrPort
+	Peer        netip.AddrPort
+	OperatorKey string
+	// PeerTLS makes the peers' front mutual TLS when it is set.
+	PeerTLS *tls.Config
+}
+
+func (d *Daemon) serveFronts(ctx context.Context, g *errgroup.Group, f Fronts) error {
+	peers, err := peer.NewHandler(d.options.FleetKey, (*peerHandler)(d), peer.NewForwardHandler(d, time.Now))
+	if err != nil {
+		return err
+	}
+	callers := caller.NewHandler(caller.Options{Backend: d, Now: time.Now, NewID: newRequestID})
+	operators := operator.NewHandler(operator.Options{Key: f.OperatorKey, Backend: (*operatorBackend)(d), Log: d.log})
+	for _, l := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+		tls     *tls.Config
+		read    time.Duration
+	}{
+		// A peer's connection is hijacked for calls that go on for long.
+		{"peer", f.Peer, peers, f.PeerTLS, 0},
+		{"caller", f.Caller, callers, nil, readTimeout},
+		{"operator", f.Operator, operators, nil, readTimeout},
+	} {
+		listener, err := net.Listen("tcp", l.address.String())
+		if err != nil {
+			return errors.Wrapf(err, "listen for %ss", l.name)
+		}
+		if l.tls != nil {
+			listener = tls.NewListener(listener, l.tls)
+		}
+		s := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: l.read,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
+		d.serveFront(ctx, g, s, listener)
+		d.log.Info("listening", "front", l.name, "address", l.address.String())
+	}
+	return nil
+}
+
+func (d *Daemon) serveFront(ctx context.Context, g *errgroup.Group, s *http.Server, l net.Listener) {
+	g.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.WithStack(err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		_ = s.Shutdown(closing)
+		return s.Close()
+	})
+}
+
+func newRequestID() fescuelatch.RequestID { return fescuelatch.RequestID(uuid.NewString()) }
--- /dev/null
+++ b/daemon/loops.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"fescuelatch"
+	"fescuelatch/decision"
+	"fescuelatch/engine"
+	"fescuelatch/ownership"
+	"fescuelatch/peer"
+)
+
+// This file defines what a daemon does at intervals.
+
+const (
+	// tickInterval is the longest time for which a queued attempt waits for
+	// a decision that only time brings.
+	tickInterval = 20 * time.Millisecond
+	// heartbeatInterval is that of heartbeats within the failure domain.
+	heartbeatInterval = 500 * time.Millisecond
+	// heartbeatTimeout bounds one heartbeat. It is below the lease.
+	heartbeatTimeout = time.Second
+	// gossipInterval is that of heartbeats to one daemon of another failure
+	// domain, in turn.
+	gossipInterval = 250 * time.Millisecond
+	// reportInterval is that of load reports of an owned endpoint.
+	reportInterval = 500 * time.Millisecond
+	reportTimeout  = 2 * time.Second
+	listInterval   = 2 * time.Second
+	listTimeout    = 2 * time.Second
+	// lostAfter is the age of the last word from a daemon at which nothing
+	// more is forwarded to it.
+	lostAfter = 3 * time.Second
+)
+
+// loops starts the periodic work of the daemon. All of it ends with ctx.
+func (d *Daemon) loops(ctx context.Context, g *errgroup.Group) {
+	every := func(interval time.Duration, f func(context.Context)) {
+		g.Go(func() error {
+			t := time.NewTicker(interval)
+			defer t.Stop()
+			for {
+				select {
+				case <-t.C:
+					f(ctx)
+				case <-ctx.Done():
+					return nil
+				}
+			}
+		})
+	}
+	every(tickInterval, func(context.Context) { d.decide(decision.Tick{}) })
+	every(heartbeatInterval, d.heartbeatDomain)
+	every(gossipInterval, d.gossip)
+	every(reportInterval, d.readReports)
+	every(listInterval, d.readList)
+	every(lostAfter/4, func(context.Context) { d.forgetLost() })
+	g.Go(func() error { d.follow(ctx); return nil })
+	g.Go(func() error { d.bringIntoForce(ctx); return nil })
+	g.Go(func() error { d.learn(ctx); return nil })
+}
+
+// hello says who this daemon is and what it has in force.
+func (d *Daemon) hello() peer.Hello {
+	d.mu.Lock()
+	spares, evidence := d.core.Summary(time.Now())
+	d.mu.Unlock()
+	return peer.Hello{
+		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation,
+		Generation: d.holder.Generation(), Digest: d.holder.Digest(), Leaving: d.leaving.Load(),
+		Spares: spares, Evidence: evidence,
+	}
+}
+
+// heartbeatDomain sends a heartbeat to each daemon of the own failure domain.
+func (d *Daemon) heartbeatDomain(ctx context.Context) {
+	for _, m := range d.members() {
+		go d.heartbeat(ctx, m)
+	}
+}
+
+// members returns the other entry VMs of the own failure domain.
+func (d *Daemon) members() []fescuelatch.VM {
+	v := d.holder.View()
+	if v == nil {
+		return nil
+	}
+	var ms []fescuelatch.VM
+	for _, m := range v.VMsIn(d.options.Domain) {
+		if m.ID != d.options.VM {
+			ms = append(ms, m)
+		}
+	}
+	return ms
+}
+
+// gossip sends a heartbeat to one daemon of another failure domain, in turn.
+func (d *Daemon) gossip(ctx context.Context) {
+	v := d.holder.View()
+	if v == nil {
+		return
+	}
+	var others []fescuelatch.VM
+	for _, m := range v.Configuration.Inventory.VMs {
+		if m.Domain != d.options.Domain {
+			others = append(others, m)
+		}
+	}
+	if len(others) > 0 {
+		d.heartbeat(ctx, others[rand.IntN(len(others))])
+	}
+}
+
+// heartbeat exchanges what two daemons have to tell each other.
+func (d *Daemon) heartbeat(ctx context.Context, to fescuelatch.VM) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	h := &peer.Heartbeat{Hello: d.hello()}
+	sent := time.Now()
+	if to.Domain == d.options.Domain {
+		d.mu.Lock()
+		o := d.table.Heartbeat(sent)
+		d.mu.Unlock()
+		h.Ownership = &o
+	}
+	d.metrics.heartbeats.Inc(1)
+	reply, err := d.peers.Heartbeat(ctx, to.Peer, h)
+	if err != nil {
+		d.metrics.silent.Inc(1)
+		return
+	}
+	if reply.Ownership != nil {
+		d.acknowledged(sent, *reply.Ownership)
+	}
+	d.heard(ctx, reply.Hello)
+}
+
+func (d *Daemon) acknowledged(sent time.Time, a ownership.Ack) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if err := d.table.Acknowledged(now, sent, a); err != nil {
+		d.log.Warn("heartbeat not acknowledged", "vm-from", a.From, "error", err.Error())
+	}
+	d.refreshOwned(now)
+}
+
+// heard takes in what another daemon says of itself.
+func (d *Daemon) heard(ctx context.Context, h peer.Hello) {
+	if err := h.Validate(); err != nil || h.VM == d.options.VM {
+		return
+	}
+	now := time.Now()
+	d.mu.Lock()
+	was, ok := d.hellos[h.VM]
+	since := now
+	if ok && was.hello.Incarnation == h.Incarnation {
+		since = was.first
+	}
+	d.hellos[h.VM] = heard{hello: h, at: now, first: since}
+	if h.Leaving {
+		d.decideLocked(decision.Lost{VM: h.VM})
+	} else {
+		d.decideLocked(decision.Summarised{VM: h.VM, Domain: h.Domain, Spares: h.Spares, Evidence: h.Evidence, At: now})
+	}
+	d.mu.Unlock()
+	if h.Generation > d.holder.Generation() {
+		d.fetchFrom(ctx, h.VM)
+	}
+}
+
+// forgetLost stops forwarding to daemons that have not been heard of.
+func (d *Daemon) forgetLost() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for vm, h := range d.hellos {
+		if now.Sub(h.at) > lostAfter {
+			d.decideLocked(decision.Lost{VM: vm})
+		}
+	}
+}
+
+// announce tells all daemons of the own failure domain at once.
+func (d *Daemon) announce() {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	g := new(errgroup.Group)
+	for _, m := range d.members() {
+		g.Go(func() error { d.heartbeat(ctx, m); return nil })
+	}
+	_ = g.Wait()
+}
+
+// readReports asks each owned endpoint for its load.
+func (d *Daemon) readReports(ctx context.Context) {
+	d.mu.Lock()
+	owned := d.table.Owned(time.Now())
+	d.mu.Unlock()
+	d.metrics.owned.Update(float64(len(owned)))
+	g := new(errgroup.Group)
+	for _, o := range owned {
+		g.Go(func() error { d.readReport(ctx, o.Endpoint); return nil })
+	}
+	_ = g.Wait()
+}
+
+func (d *Daemon) readReport(ctx context.Context, e fescuelatch.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := d.engines.Load(ctx, engine.Target{URL: "http://" + e.Address.String()})
+	if err != nil {
+		return
+	}
+	r.Endpoint = e.ID
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports[e.ID] = r
+	d.decideLocked(decision.Reported{Report: r})
+}
+
+// readList takes in the platform's list of VMs.
+func (d *Daemon) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	vms, err := d.options.VMs.VMs(ctx)
+	if err != nil || len(vms) == 0 {
+		return
+	}
+	listed := make(map[string]bool, len(vms))
+	leaving := make(map[string]bool)
+	for _, m := range vms {
+		listed[m.ID] = true
+		if m.State == fescuelatch.ListedLeaving {
+			leaving[m.ID] = true
+		}
+	}
+	members := d.members()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, m := range members {
+		if !listed[string(m.ID)] {
+			d.table.Gone(now, m.ID)
+		}
+	}
+	d.vmsOut = leaving
+	d.refreshOwned(now)
+}
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"fescuelatch"
+)
+
+// This file defines the metrics of a daemon.
+
+type metrics struct {
+	scope        tally.Scope
+	forwards     tally.Counter
+	ratingErrors tally.Counter
+	heartbeats   tally.Counter
+	silent       tally.Counter
+	generation   tally.Gauge
+	owned        tally.Gauge
+	requests     map[fescuelatch.Outcome]tally.Counter
+	durations    map[fescuelatch.Outcome]tally.Histogram
+}
+
+// durationBuckets spans 1 ms to about 35 minutes.
+var durationBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 22)
+
+func newMetrics(s tally.Scope) *metrics {
+	m := &metrics{
+		scope:        s,
+		forwards:     s.Counter("forwards"),
+		ratingErrors: s.Counter("rating_errors"),
+		heartbeats:   s.Counter("heartbeats"),
+		silent:       s.Counter("heartbeats_unanswered"),
+		generation:   s.Gauge("generation"),
+		owned:        s.Gauge("owned_endpoints"),
+		requests:     make(map[fescuelatch.Outcome]tally.Counter),
+		durations:    make(map[fescuelatch.Outcome]tally.Histogram),
+	}
+	for _, o := range []fescuelatch.Outcome{fescuelatch.OutcomeAnswered, fescuelatch.OutcomeNotRun, fescuelatch.OutcomeUnknown} {
+		t := s.Tagged(map[string]string{"outcome": string(o)})
+		m.requests[o] = t.Counter("requests")
+		m.durations[o] = t.Histogram("request_duration", durationBuckets)
+	}
+	return m
+}
+
+func (m *metrics) outcome(o fescuelatch.Outcome, d time.Duration) {
+	m.requests[o].Inc(1)
+	m.durations[o].RecordDuration(d)
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,232 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/configstore"
+	"fescuelatch/decision"
+	"fescuelatch/operator"
+	"fescuelatch/ownership"
+)
+
+// This file defines what a daemon answers to operators.
+
+type operatorBackend Daemon
+
+var _ operator.Backend = (*operatorBackend)(nil)
+
+// Configuration implements operator.Backend.
+func (o *operatorBackend) Configuration() *fescuelatch.Configuration {
+	if v := (*Daemon)(o).holder.View(); v != nil {
+		return v.Configuration
+	}
+	return nil
+}
+
+// Propose implements operator.Backend.
+func (o *operatorBackend) Propose(ctx context.Context, c *fescuelatch.Change) (operator.ProposeResult, error) {
+	d := (*Daemon)(o)
+	next, err := d.store.Propose(ctx, c)
+	if err != nil {
+		return operator.ProposeResult{}, proposeError(err)
+	}
+	if _, err := d.holder.Offer(next); err != nil {
+		d.log.Error("accepted configuration does not come into force", "error", err.Error())
+	}
+	d.log.Info("change accepted", "change", c.ID, "author", c.Author, "generation", c.Generation())
+	return operator.ProposeResult{Generation: c.Generation(), Change: c.ID, Accepted: true}, nil
+}
+
+func proposeError(err error) error {
+	var e *configstore.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	kinds := map[configstore.ErrorKind]operator.ErrorKind{
+		configstore.KindConflict:    operator.KindConflict,
+		configstore.KindInvalid:     operator.KindFaults,
+		configstore.KindUnavailable: operator.KindUnavailable,
+	}
+	kind, ok := kinds[e.Kind]
+	if !ok {
+		kind = operator.KindUnknown
+	}
+	if kind == operator.KindFaults && len(e.Faults) == 0 {
+		kind = operator.KindInvalid
+	}
+	return &operator.Error{Op: e.Op, Kind: kind, Winner: e.Winner, Faults: e.Faults, RetryAfter: e.RetryAfter, Err: err}
+}
+
+// History implements operator.Backend.
+func (o *operatorBackend) History(ctx context.Context, limit int) ([]fescuelatch.Change, error) {
+	return (*Daemon)(o).store.History(ctx, limit)
+}
+
+// Ready implements operator.Backend.
+func (o *operatorBackend) Ready() error {
+	d := (*Daemon)(o)
+	v := d.holder.View()
+	switch {
+	case d.leaving.Load():
+		return errors.New("stopping")
+	case !d.learned.Load():
+		return errors.New("learning the configuration")
+	case v == nil:
+		return errors.New("no configuration is in force")
+	case v.VMOut(d.options.VM):
+		return errors.New("this VM is out")
+	case v.DomainOut(d.options.Domain):
+		return errors.New("this failure domain is out")
+	}
+	return nil
+}
+
+// Metrics implements operator.Backend.
+func (o *operatorBackend) Metrics() http.Handler { return (*Daemon)(o).options.Scrape }
+
+// Status implements operator.Backend.
+func (o *operatorBackend) Status(context.Context) (operator.Status, error) {
+	d := (*Daemon)(o)
+	now := time.Now()
+	s := operator.Status{
+		VM: d.options.VM, Domain: d.options.Domain, Generation: d.holder.Generation(), Digest: d.holder.Digest(), At: now,
+	}
+	s.Platform.Reachable, s.Platform.Since = d.platform.get()
+	v := d.holder.View()
+	if v == nil {
+		return s, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range v.Domains() {
+		s.Domains = append(s.Domains, d.domainStatus(now, v, id))
+	}
+	for _, m := range d.core.Versions(now) {
+		s.Versions = append(s.Versions, operator.VersionStatus{
+			ID: m.Version, Estimate: m.Estimate, Health: m.Health, Withdrawn: m.Withdrawn,
+		})
+	}
+	s.Endpoints = d.endpointStatus(now, v)
+	return s, nil
+}
+
+// domainStatus says what is known of the daemons of a failure domain.
+func (d *Daemon) domainStatus(now time.Time, v *fescuelatch.View, id fescuelatch.DomainID) operator.DomainStatus {
+	s := operator.DomainStatus{ID: id, Out: v.DomainOut(id)}
+	cut := true
+	for _, m := range v.VMsIn(id) {
+		q := d.daemonStatus(now, v, m)
+		cut = cut && q.State == operator.DaemonSilent
+		s.Daemons = append(s.Daemons, q)
+	}
+	for i := range s.Daemons {
+		if cut {
+			s.Daemons[i].State = operator.DaemonCutOff
+		}
+	}
+	return s
+}
+
+func (d *Daemon) daemonStatus(now time.Time, v *fescuelatch.View, m fescuelatch.VM) operator.DaemonStatus {
+	q := operator.DaemonStatus{VM: m.ID, State: operator.DaemonSilent, Out: v.VMOut(m.ID), Since: d.started}
+	if m.ID == d.options.VM {
+		q.State = operator.DaemonAlive
+		q.Incarnation = d.incarnation
+		q.Generation = v.Generation()
+		return q
+	}
+	h, ok := d.hellos[m.ID]
+	if !ok {
+		return q
+	}
+	q.Incarnation = h.hello.Incarnation
+	q.Generation = h.hello.Generation
+	switch {
+	case now.Sub(h.at) > silentAfter:
+		q.Since = h.at
+	case h.hello.Leaving:
+		q.State = operator.DaemonLeaving
+		q.Since = h.at
+	default:
+		q.State = operator.DaemonAlive
+		q.Since = h.first
+	}
+	return q
+}
+
+// silentAfter is the age of the last word from a daemon at which it counts
+// as silent.
+const silentAfter = 5 * time.Second
+
+func (d *Daemon) endpointStatus(now time.Time, v *fescuelatch.View) []operator.EndpointStatus {
+	var es []operator.EndpointStatus
+	for _, e := range v.Configuration.Inventory.Endpoints {
+		q := operator.EndpointStatus{ID: e.ID, Domain: e.Domain, Out: v.EndpointOut(e)}
+		if e.Domain == d.options.Domain {
+			q.Owner, _ = d.table.OwnerOf(now, e.ID)
+		}
+		if r, ok := d.reports[e.ID]; ok && q.Owner == d.options.VM {
+			q.State = r.State
+			q.Running = r.Running
+			q.Limit = r.Slots
+		}
+		es = append(es, q)
+	}
+	return es
+}
+
+// dump is the state of a process.
+type dump struct {
+	VM          fescuelatch.VMID            `json:"vm"`
+	Domain      fescuelatch.DomainID        `json:"failure-domain"`
+	Incarnation fescuelatch.Incarnation     `json:"incarnation"`
+	Started     time.Time                   `json:"started"`
+	Generation  fescuelatch.Generation      `json:"generation"`
+	Digest      string                      `json:"digest"`
+	Learned     bool                        `json:"learned"`
+	Leaving     bool                        `json:"leaving"`
+	Open        int                         `json:"open-requests"`
+	Members     []ownership.Member          `json:"members"`
+	Owned       []fescuelatch.OwnedEndpoint `json:"owned"`
+	Spares      []fescuelatch.Spare         `json:"spares"`
+	Versions    []decision.VersionState     `json:"versions"`
+	Evidence    []fescuelatch.Evidence      `json:"evidence"`
+	Reports     []fescuelatch.LoadReport    `json:"reports"`
+	Peers       []peerDump                  `json:"peers"`
+}
+
+type peerDump struct {
+	VM         fescuelatch.VMID       `json:"vm"`
+	Generation fescuelatch.Generation `json:"generation"`
+	Heard      time.Time              `json:"heard"`
+	Spares     []fescuelatch.Spare    `json:"spares"`
+}
+
+// Dump implements operator.Backend.
+func (o *operatorBackend) Dump(context.Context) (any, error) {
+	d := (*Daemon)(o)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	s := dump{
+		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation, Started: d.started,
+		Generation: d.holder.Generation(), Digest: d.holder.Digest(), Learned: d.learned.Load(), Leaving: d.leaving.Load(),
+		Open: d.core.Open(), Members: d.table.Members(now), Owned: d.table.Owned(now), Versions: d.core.Versions(now),
+	}
+	s.Spares, s.Evidence = d.core.Summary(now)
+	for _, r := range d.reports {
+		s.Reports = append(s.Reports, r)
+	}
+	sort.Slice(s.Reports, func(i, j int) bool { return s.Reports[i].Endpoint < s.Reports[j].Endpoint })
+	for vm, h := range d.hellos {
+		s.Peers = append(s.Peers, peerDump{VM: vm, Generation: h.hello.Generation, Heard: h.at, Spares: h.hello.Spares})
+	}
+	sort.Slice(s.Peers, func(i, j int) bool { return s.Peers[i].VM < s.Peers[j].VM })
+	return s, nil
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"fescuelatch/peer"
+)
+
+// This file defines what a daemon answers to other daemons.
+
+type peerHandler Daemon
+
+var _ peer.Handler = (*peerHandler)(nil)
+
+// Heartbeat implements peer.Handler.
+func (p *peerHandler) Heartbeat(h *peer.Heartbeat, reply *peer.HeartbeatReply) error {
+	d := (*Daemon)(p)
+	if err := h.Validate(); err != nil {
+		return err
+	}
+	if h.Ownership != nil {
+		d.mu.Lock()
+		now := time.Now()
+		ack, err := d.table.Received(now, *h.Ownership)
+		d.refreshOwned(now)
+		d.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		reply.Ownership = &ack
+	}
+	// What the sender says is taken in after the reply, which must not wait
+	// for the configuration that the sender may have.
+	go d.heard(context.Background(), h.Hello)
+	reply.Hello = d.hello()
+	return nil
+}
+
+// Changes implements peer.Handler.
+func (p *peerHandler) Changes(r *peer.ChangesRequest, reply *peer.ChangesReply) error {
+	b, err := json.Marshal((*Daemon)(p).holder.Since(r.After))
+	reply.Update = b
+	return err
+}
--- /dev/null
+++ b/daemon/sink.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"strings"
+
+	"fescuelatch"
+	"fescuelatch/caller"
+	"fescuelatch/openai"
+)
+
+// This file defines the writing of a streamed answer.
+
+// maxSampleBytes bounds the text of a streamed answer that is kept for a
+// rating.
+const maxSampleBytes = 16 << 10
+
+// sink writes the chunks of one attempt to the caller. Chunks before the
+// first text are held back, so that an attempt that breaks before it can be
+// made elsewhere; the chunks that end the answer are held back until the
+// answer has been accepted.
+type sink struct {
+	reply *caller.Reply
+	meta  caller.Meta
+	// usage reports that the caller asked for the usage chunk.
+	usage   bool
+	pending []*openai.Chunk
+	ending  bool
+	text    strings.Builder
+}
+
+func (s *serving) newSink(v fescuelatch.VersionID) *sink {
+	o := s.call.Chat.StreamOptions
+	return &sink{
+		reply: s.reply, meta: s.meta(v),
+		usage: s.call.Request.Forwarded || (o != nil && o.IncludeUsage),
+	}
+}
+
+func (k *sink) chunk(c *openai.Chunk) error {
+	if len(c.Choices) == 0 && c.Usage != nil && !k.usage {
+		return nil
+	}
+	k.ending = k.ending || c.Finished()
+	text := c.Text()
+	if k.text.Len() < maxSampleBytes {
+		k.text.WriteString(text)
+	}
+	if k.ending || (!k.reply.Begun() && text == "") {
+		k.pending = append(k.pending, c)
+		return nil
+	}
+	if err := k.flush(); err != nil {
+		return err
+	}
+	return k.reply.Chunk(c)
+}
+
+// flush writes what was held back.
+func (k *sink) flush() error {
+	k.reply.Begin(k.meta)
+	for _, c := range k.pending {
+		if err := k.reply.Chunk(c); err != nil {
+			return err
+		}
+	}
+	k.pending = nil
+	return nil
+}
+
+// finish ends a whole answer.
+func (k *sink) finish() error {
+	if err := k.flush(); err != nil {
+		return err
+	}
+	return k.reply.Finish()
+}
+
+// cut ends an answer that is not whole.
+func (k *sink) cut(f caller.Failure) error {
+	if !k.reply.Begun() {
+		return k.reply.Fail(k.meta, f)
+	}
+	return k.reply.Cut(f)
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -46,6 +46,8 @@
 type Target struct {
 	URL    string
 	Header http.Header
+	// Resumable reports that a cut stream can be resumed there.
+	Resumable bool
 }
 
 // Answer is the whole answer of a plain service.
@@ -76,7 +78,8 @@
 	}
 	defer drain(resp.Body)
 	if r.Stream {
-		return readStream(ctx, resp.Body, a, first, chunk)
+		st := &stream{client: c, target: t, attempt: a, first: first, chunk: chunk}
+		return st.read(ctx, resp.Body)
 	}
 	answer := new(openai.ChatResponse)
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(answer); err != nil {
@@ -92,40 +95,6 @@
 	return answer, nil
 }
 
-func readStream(ctx context.Context, body io.Reader, a fescuelatch.AttemptID,
-	first func(), chunk func(*openai.Chunk) error,
-) (*openai.ChatResponse, error) {
-	const op = "chat stream"
-	answer := &openai.ChatResponse{ID: string(a)}
-	finished, begun := false, false
-	var sinkErr error
-	err := openai.ReadStream(body, func(k *openai.Chunk) error {
-		if k.ID != string(a) {
-			return errors.Errorf("chunk of attempt %q", k.ID)
-		}
-		answer.Model = k.Model
-		if k.Usage != nil {
-			answer.Usage = *k.Usage
-		}
-		if !begun && k.Text() != "" {
-			begun = true
-			first()
-		}
-		finished = finished || k.Finished()
-		sinkErr = chunk(k)
-		return sinkErr
-	})
-	switch {
-	case sinkErr != nil:
-		return nil, &Error{Op: op, Kind: KindCancelled, Err: sinkErr}
-	case err != nil:
-		return nil, brokenOr(ctx, op, err)
-	case !finished:
-		return nil, &Error{Op: op, Kind: KindBroken, Err: openai.ErrCut}
-	}
-	return answer, nil
-}
-
 // Call runs an operation of a plain service.
 func (c *Client) Call(ctx context.Context, t Target, a fescuelatch.AttemptID, s fescuelatch.ServiceID,
 	o fescuelatch.OperationID, key string, body []byte,
--- a/peer/message.go
+++ b/peer/message.go
@@ -38,14 +38,8 @@
 // ChangesRequest asks for what leads from a generation to the newest.
 type ChangesRequest struct{ After fescuelatch.Generation }
 
-// ChangesReply carries changes in order, or a full configuration when the
-// changes are no longer known. Both are JSON documents. Both are empty when
-// there is nothing newer.
-type ChangesReply struct {
-	Generation fescuelatch.Generation
-	Changes    []byte
-	Full       []byte
-}
+// ChangesReply carries an update of configstore as a JSON document.
+type ChangesReply struct{ Update []byte }
 
 // BillBatch is a copy of a batch of bills, kept until its origin or its
 // holder has written it to the platform. Body is a JSON document.
