Quality model, cascade and placement policies with baselines

The decision core needs the three policies behind the interfaces of the root package. quality joins ratings with a prior, detects a change by CUSUM and moves a version through suspicion, quarantine and probation. cascade searches the plan of the lowest expected cost that meets the need. placement prefers near spots and draws in proportion to the spare capacity left.

--- /dev/null
+++ b/cascade/option.go
@@ -0,0 +1,97 @@
+package cascade
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines options: candidates reduced to the numbers that plans
+// are compared by.
+
+// maxOptions bounds the options that plans are built from.
+const maxOptions = 12
+
+// option is a candidate with its cost for one request.
+type option struct {
+	version fescuelatch.VersionID
+	quality float64
+	// cost is the price of an answer in millionths of the billing currency.
+	cost float64
+	// effective is the cost by which plans are compared.
+	effective float64
+	latency   time.Duration
+}
+
+// newOption returns the option that candidate c is for request r.
+func newOption(r *fescuelatch.Request, c *fescuelatch.Candidate, s *Settings) option {
+	o := option{
+		version: c.Version.ID,
+		quality: c.Estimate.Mean,
+		cost:    price(r, &c.Version),
+		latency: c.Latency,
+	}
+	o.effective = o.cost
+	if c.Spare <= 0 {
+		o.effective *= saturation(r.Priority, s.SaturatedFactor)
+	}
+	return o
+}
+
+// price returns the cost of one answer of v to r.
+func price(r *fescuelatch.Request, v *fescuelatch.Version) float64 {
+	prompt, output := r.PromptTokens, r.OutputTokens
+	if prompt <= 0 {
+		prompt = defaultPromptTokens
+	}
+	if output <= 0 {
+		output = defaultOutputTokens
+	}
+	return (float64(v.PromptCost)*float64(prompt) + float64(v.OutputCost)*float64(output)) / 1000
+}
+
+// saturation returns the factor on the cost of a version without spare
+// capacity.
+func saturation(p fescuelatch.Priority, factor float64) float64 {
+	switch {
+	case p >= fescuelatch.PriorityHigh:
+		return factor * factor
+	case p <= fescuelatch.PriorityLow:
+		return 1
+	default:
+		return factor
+	}
+}
+
+// dominates reports whether a is at least as good as b in every respect.
+func (a *option) dominates(b *option) bool {
+	return a.quality >= b.quality && a.effective <= b.effective && a.latency <= b.latency
+}
+
+// prune orders options by cost, drops those that another dominates, and
+// bounds their number. The cheapest and the best are always kept.
+func prune(list []option) []option {
+	slices.SortFunc(list, func(a, b option) int {
+		return cmp.Or(
+			cmp.Compare(a.effective, b.effective),
+			cmp.Compare(b.quality, a.quality),
+			cmp.Compare(a.latency, b.latency),
+			cmp.Compare(a.version, b.version),
+		)
+	})
+	kept := list[:0]
+	for i := range list {
+		o := list[i]
+		dominated := slices.ContainsFunc(kept, func(k option) bool { return k.dominates(&o) })
+		if !dominated {
+			kept = append(kept, o)
+		}
+	}
+	if len(kept) > maxOptions {
+		best := slices.MaxFunc(kept, func(a, b option) int { return cmp.Compare(a.quality, b.quality) })
+		kept = append(kept[:maxOptions-1], best)
+	}
+	return kept
+}
--- /dev/null
+++ b/cascade/plan.go
@@ -0,0 +1,144 @@
+package cascade
+
+import "time"
+
+// This file defines plans, what is expected of them, and their comparison.
+
+// maxSteps bounds the versions of a plan.
+const maxSteps = 3
+
+// tolerance is the difference of quality that is taken for equality.
+const tolerance = 1e-9
+
+// plan is a sequence of options with what is expected of it.
+type plan struct {
+	steps [maxSteps]int
+	n     int
+	// quality is the expected share of good answers.
+	quality float64
+	// cost is the expected effective cost.
+	cost float64
+	// latency is the time to the end of the last step.
+	latency time.Duration
+	// reach is the probability that the last step is taken, good and bad
+	// split it by whether that step's predecessors would have been good.
+	reach float64
+	// failed is the quality that the steps before the last were unable to
+	// reach; a correlated successor loses that share.
+	failed float64
+	// accepted is the probability that a step before the last one ends the
+	// plan with a good answer.
+	accepted float64
+}
+
+// extend returns p with option i of list as its last step.
+func (p plan) extend(list []option, i int, s *Settings) plan {
+	o := &list[i]
+	if p.n == 0 {
+		return plan{
+			steps:   [maxSteps]int{i},
+			n:       1,
+			quality: o.quality,
+			cost:    o.effective,
+			latency: o.latency,
+			reach:   1,
+		}
+	}
+	last := &list[p.steps[p.n-1]]
+	good := p.conditional(last.quality, s)
+	rejected := good*s.FalseRejection + (1-good)*s.Detection
+	next := p
+	next.steps[p.n] = i
+	next.n++
+	next.accepted += p.reach * good * (1 - s.FalseRejection)
+	next.reach *= rejected
+	next.failed = p.failedAfter(good, last.quality, rejected, s)
+	next.quality = next.accepted + next.reach*next.conditional(o.quality, s)
+	next.cost += next.reach * o.effective
+	next.latency += s.RatingTime + o.latency
+	return next
+}
+
+// failedAfter returns the failed share for the step that follows one whose
+// answers are good with probability good: the part of rejections that are
+// due to bad answers, times the quality that did not suffice for them.
+func (p plan) failedAfter(good, quality, rejected float64, s *Settings) float64 {
+	if rejected <= 0 {
+		return 0
+	}
+	bad := (1 - good) * s.Detection / rejected
+	return max(p.failed, quality) * bad
+}
+
+// conditional returns the quality of a step given that the steps before it
+// were rejected. With full correlation, a version that is good on a share q
+// of all requests is good on (q-f)/(1-f) of those on which a version with
+// quality f failed.
+func (p plan) conditional(q float64, s *Settings) float64 {
+	if p.failed <= 0 {
+		return q
+	}
+	nested := max(0, (q-p.failed)/(1-p.failed))
+	return (1-s.Correlation)*q + s.Correlation*nested
+}
+
+// goal is what a request asks of a plan.
+type goal struct {
+	quality float64
+	budget  time.Duration
+	steps   int
+}
+
+// meets reports whether p reaches the quality that is asked for.
+func (g *goal) meets(p *plan) bool { return p.quality >= g.quality-tolerance }
+
+// better reports whether p is to be preferred to q. A plan that meets the
+// quality goes before one that does not; among those that do the cheaper one
+// is better, and among those that do not the one of higher quality.
+func (g *goal) better(p, q *plan) bool {
+	if q.n == 0 {
+		return true
+	}
+	if pm, qm := g.meets(p), g.meets(q); pm != qm {
+		return pm
+	} else if !pm && p.quality != q.quality {
+		return p.quality > q.quality
+	}
+	if p.cost != q.cost {
+		return p.cost < q.cost
+	}
+	if p.quality != q.quality {
+		return p.quality > q.quality
+	}
+	return p.n < q.n
+}
+
+// search returns the best plan over list. The plan is empty when no option
+// fits the budget.
+func (g *goal) search(list []option, s *Settings) plan {
+	var best plan
+	g.explore(plan{}, list, s, &best)
+	return best
+}
+
+// explore compares all extensions of p. Later steps are never of lower
+// quality than earlier ones, because a rejected answer is a reason to ask a
+// better version.
+func (g *goal) explore(p plan, list []option, s *Settings, best *plan) {
+	for i := range list {
+		if p.n > 0 && list[i].quality <= list[p.steps[p.n-1]].quality {
+			continue
+		}
+		next := p.extend(list, i, s)
+		if g.budget > 0 && next.latency > g.budget {
+			continue
+		}
+		if g.better(&next, best) {
+			*best = next
+		}
+		hopeless := best.n > 0 && g.meets(best) && next.cost >= best.cost
+		if next.n < g.steps && !hopeless {
+			g.explore(next, list, s, best)
+		}
+	}
+}
--- /dev/null
+++ b/placement/policy_test.go
@@ -0,0 +1,70 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+)
+
+var epoch = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+func own(id fescuelatch.EndpointID, spare int) fescuelatch.Spot {
+	return fescuelatch.Spot{Endpoint: id, Local: true, Spare: spare, Seen: epoch}
+}
+
+func local(id fescuelatch.VMID, spare int) fescuelatch.Spot {
+	return fescuelatch.Spot{VM: id, Local: true, Spare: spare, Seen: epoch}
+}
+
+func remote(id fescuelatch.VMID, spare int) fescuelatch.Spot {
+	return fescuelatch.Spot{VM: id, Spare: spare, Seen: epoch}
+}
+
+func TestChoose(t *testing.T) {
+	tests := []struct {
+		name    string
+		request fescuelatch.Request
+		spots   []fescuelatch.Spot
+		want    int
+	}{
+		{"no spot", fescuelatch.Request{}, nil, none},
+		{"own first", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 90), local("b", 50), own("e1", 1)}, 2},
+		{"own domain next", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 90), local("b", 5), own("e1", 0)}, 1},
+		{"elsewhere last", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 90), local("b", 0), own("e1", 0)}, 0},
+		{"nothing spare queues at an own endpoint", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 0), own("e1", 0)}, 1},
+		{"nothing spare elsewhere", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 0)}, none},
+		{"forwarded stays", fescuelatch.Request{Forwarded: true}, []fescuelatch.Spot{remote("c", 90), local("b", 5), own("e1", 0)}, 2},
+		{"forwarded without own endpoint", fescuelatch.Request{Forwarded: true}, []fescuelatch.Spot{remote("c", 90), local("b", 5)}, none},
+		{"sent counts", fescuelatch.Request{}, []fescuelatch.Spot{{VM: "b", Local: true, Spare: 3, Sent: 3, Seen: epoch}, local("c", 1)}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var p Policy
+			for _, u := range []float64{0, 0.3, 0.6, 0.999} {
+				qt.Assert(t, p.Choose(epoch, &test.request, test.spots, u), qt.Equals, test.want)
+			}
+		})
+	}
+}
+
+func TestAffinity(t *testing.T) {
+	c := qt.New(t)
+	var p Policy
+	spots := []fescuelatch.Spot{own("e1", 2), own("e2", 2), own("e3", 2)}
+	used := map[int]int{}
+	for prefix := uint64(1); prefix <= 300; prefix++ {
+		r := fescuelatch.Request{Prefix: prefix}
+		first := p.Choose(epoch, &r, spots, 0.1)
+		c.Assert(p.Choose(epoch.Add(time.Minute), &r, spots, 0.9), qt.Equals, first)
+		used[first]++
+		full := append([]fescuelatch.Spot(nil), spots...)
+		full[first].Spare = 0
+		c.Assert(p.Choose(epoch, &r, full, 0.1), qt.Not(qt.Equals), first)
+	}
+	for i := range spots {
+		c.Assert(used[i] > 60, qt.IsTrue, qt.Commentf("%v", used))
+	}
+}
--- /dev/null
+++ b/quality/evidence.go
@@ -0,0 +1,135 @@
+package quality
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines how evidence is checked, ordered, decayed and pooled.
+
+// valid reports whether e can be pooled at time now.
+func valid(now time.Time, e *fescuelatch.Evidence, s *Settings) bool {
+	for _, x := range []float64{e.Rated, e.Good, e.Attempts, e.Failed, e.Alarm} {
+		if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+			return false
+		}
+	}
+	if e.Good > e.Rated || e.Failed > e.Attempts || e.Updated.Before(e.Since) {
+		return false
+	}
+	return !e.Updated.After(now.Add(s.MaxSkew)) && !expired(now, e, s)
+}
+
+// expired reports whether e is too old to be used.
+func expired(now time.Time, e *fescuelatch.Evidence, s *Settings) bool {
+	return now.Sub(e.Updated) > s.Expiry
+}
+
+// compare orders two pieces of evidence of one origin and version; the
+// greater one is kept. The order is total on what is pooled, so the result
+// does not depend on the order of arrival.
+func compare(a, b *fescuelatch.Evidence) int {
+	return cmp.Or(
+		a.Updated.Compare(b.Updated),
+		a.Since.Compare(b.Since),
+		cmp.Compare(a.Alarm, b.Alarm),
+		cmp.Compare(a.Rated, b.Rated),
+		cmp.Compare(a.Good, b.Good),
+		cmp.Compare(a.Attempts, b.Attempts),
+		cmp.Compare(a.Failed, b.Failed),
+	)
+}
+
+// decay returns the weight that evidence keeps after age.
+func decay(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-age.Seconds() / halfLife.Seconds())
+}
+
+// age multiplies the counts of e by their decay until now.
+func age(e *fescuelatch.Evidence, now time.Time, halfLife time.Duration) {
+	w := decay(now.Sub(e.Updated), halfLife)
+	e.Rated *= w
+	e.Good *= w
+	e.Attempts *= w
+	e.Failed *= w
+	e.Updated = now
+}
+
+// counts are sums over the evidence of several origins.
+type counts struct {
+	rated, good, attempts, failed float64
+	// alarm is the sum of the statistics of origins many origins.
+	alarm   float64
+	origins int
+}
+
+// add adds e as it stands at now. The statistic does not decay.
+func (c *counts) add(now time.Time, e *fescuelatch.Evidence, halfLife time.Duration) {
+	w := decay(now.Sub(e.Updated), halfLife)
+	c.rated += w * e.Rated
+	c.good += w * e.Good
+	c.attempts += w * e.Attempts
+	c.failed += w * e.Failed
+	c.alarm += e.Alarm
+	c.origins++
+}
+
+// peers holds the newest evidence of each other daemon on one version,
+// ordered by origin so that sums do not depend on the order of arrival.
+type peers []fescuelatch.Evidence
+
+// put takes in e and reports whether it was new.
+func (p *peers) put(e fescuelatch.Evidence, limit int) bool {
+	i, found := slices.BinarySearchFunc(*p, e.Origin, func(x fescuelatch.Evidence, o fescuelatch.Incarnation) int {
+		return cmp.Compare(x.Origin, o)
+	})
+	if found {
+		if compare(&e, &(*p)[i]) <= 0 {
+			return false
+		}
+		(*p)[i] = e
+		return true
+	}
+	*p = slices.Insert(*p, i, e)
+	if len(*p) > limit {
+		p.evict()
+	}
+	return true
+}
+
+// evict drops the evidence that was updated first, which is also the one to
+// expire first.
+func (p *peers) evict() {
+	oldest := 0
+	for i := range *p {
+		if (*p)[i].Updated.Before((*p)[oldest].Updated) {
+			oldest = i
+		}
+	}
+	*p = slices.Delete(*p, oldest, oldest+1)
+}
+
+// expire drops evidence that is too old.
+func (p *peers) expire(now time.Time, s *Settings) {
+	*p = slices.DeleteFunc(*p, func(e fescuelatch.Evidence) bool { return expired(now, &e, s) })
+}
+
+// pool sums the evidence that was begun at or after epoch.
+func (p peers) pool(now, epoch time.Time, s *Settings) counts {
+	var c counts
+	for i := range p {
+		e := &p[i]
+		if e.Since.Before(epoch) || expired(now, e, s) {
+			continue
+		}
+		c.add(now, e, s.HalfLife)
+	}
+	return c
+}
--- /dev/null
+++ b/quality/model.go
@@ -0,0 +1,161 @@
+// Package quality learns the quality and health of versions.
+//
+// Ratings of answers are late, sampled and noisy. A Model joins them with the
+// configured quality as a prior, forgets them with a half-life, and gives an
+// estimate with an interval. A change detector watches ratings and broken
+// attempts, and moves a version from good to suspect to quarantined with a
+// bounded rate of false alarms. After a time, a quarantined version is put on
+// probation and either returns or is quarantined for longer.
+//
+// Daemons exchange evidence. Pooled evidence detects a change with fewer
+// ratings at each daemon.
+//
+// Static is the baseline that never learns.
+package quality
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines Model.
+
+var (
+	_ fescuelatch.QualityModel = (*Model)(nil)
+	_ fescuelatch.QualityModel = (*Static)(nil)
+)
+
+// Model learns the quality and health of versions. Create it with New.
+type Model struct {
+	origin   fescuelatch.Incarnation
+	settings Settings
+	alarms   alarms
+	records  map[fescuelatch.VersionID]*record
+	order    []fescuelatch.VersionID
+	// failed is the version of the last failure, and failedAt its time.
+	failed   fescuelatch.VersionID
+	failedAt time.Time
+}
+
+// New returns a model for the daemon origin.
+func New(origin fescuelatch.Incarnation, s Settings) *Model {
+	s = s.withDefaults()
+	return &Model{
+		origin:   origin,
+		settings: s,
+		alarms:   newAlarms(&s),
+		records:  make(map[fescuelatch.VersionID]*record),
+	}
+}
+
+// Configure implements fescuelatch.QualityModel.
+func (m *Model) Configure(now time.Time, versions []fescuelatch.Version) {
+	records := make(map[fescuelatch.VersionID]*record, len(versions))
+	m.order = m.order[:0]
+	for _, v := range versions {
+		r := m.records[v.ID]
+		if r == nil {
+			r = newRecord(now, m.origin, v.ID)
+		}
+		r.configure(v.Quality, &m.settings)
+		records[v.ID] = r
+		m.order = append(m.order, v.ID)
+	}
+	slices.Sort(m.order)
+	m.order = slices.Compact(m.order)
+	m.records = records
+}
+
+// ObserveRating implements fescuelatch.QualityModel. A score outside of 0 to
+// 1 is clamped and one that is not a number is ignored.
+func (m *Model) ObserveRating(now time.Time, v fescuelatch.VersionID, score float64) {
+	r := m.records[v]
+	if r == nil || math.IsNaN(score) {
+		return
+	}
+	r.rate(now, min(max(score, 0), 1), &m.settings)
+	r.step(now, &m.settings, &m.alarms)
+}
+
+// ObserveAttempt implements fescuelatch.QualityModel. A failure that follows
+// one of the same endpoint or of another version within a few seconds is
+// ignored, because the endpoint or the failure domain explains it.
+func (m *Model) ObserveAttempt(now time.Time, a fescuelatch.AttemptResult) {
+	r := m.records[a.Version]
+	if r == nil {
+		return
+	}
+	switch a.Status {
+	case fescuelatch.AttemptAnswered:
+		r.attempt(now, 1, &m.settings)
+	case fescuelatch.AttemptBroken:
+		if r.repeatedFailure(now, a.Endpoint) || m.commonFailure(now, a.Version) {
+			return
+		}
+		r.attempt(now, 0, &m.settings)
+	default:
+		return
+	}
+	r.step(now, &m.settings, &m.alarms)
+}
+
+// commonFailure records a failure of v and reports whether another version
+// failed a moment ago.
+func (m *Model) commonFailure(now time.Time, v fescuelatch.VersionID) bool {
+	common := m.failed != "" && m.failed != v && now.Sub(m.failedAt) < failureInterval
+	m.failed, m.failedAt = v, now
+	return common
+}
+
+// Estimate implements fescuelatch.QualityModel.
+func (m *Model) Estimate(now time.Time, v fescuelatch.VersionID) fescuelatch.Estimate {
+	r := m.records[v]
+	if r == nil {
+		return fescuelatch.Estimate{High: 1}
+	}
+	r.step(now, &m.settings, &m.alarms)
+	return r.estimateAtNow(now, &m.settings)
+}
+
+// Health implements fescuelatch.QualityModel. An unknown version is suspect.
+func (m *Model) Health(now time.Time, v fescuelatch.VersionID) fescuelatch.Health {
+	r := m.records[v]
+	if r == nil {
+		return fescuelatch.HealthSuspect
+	}
+	r.step(now, &m.settings, &m.alarms)
+	return r.verdict.state.health()
+}
+
+// Evidence implements fescuelatch.QualityModel. The evidence of a quarantined
+// version is renewed so that it does not expire before the quarantine ends.
+func (m *Model) Evidence(now time.Time) []fescuelatch.Evidence {
+	list := make([]fescuelatch.Evidence, 0, len(m.order))
+	for _, v := range m.order {
+		r := m.records[v]
+		r.step(now, &m.settings, &m.alarms)
+		if r.verdict.state == stateQuarantined {
+			age(&r.own, now, m.settings.HalfLife)
+		}
+		list = append(list, r.own)
+	}
+	return list
+}
+
+// Merge implements fescuelatch.QualityModel. Evidence of this daemon, of
+// unknown versions, and that which contradicts itself is ignored.
+func (m *Model) Merge(now time.Time, list []fescuelatch.Evidence) {
+	for _, e := range list {
+		r := m.records[e.Version]
+		if r == nil || e.Origin == m.origin || !valid(now, &e, &m.settings) {
+			continue
+		}
+		r.merge(e, &m.settings)
+	}
+	for _, r := range m.records {
+		r.peers.expire(now, &m.settings)
+	}
+}
--- /dev/null
+++ b/quality/model_test.go
@@ -0,0 +1,138 @@
+package quality
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+)
+
+var epoch = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+var versions = []fescuelatch.Version{
+	{ID: "triage@base", Model: "triage", Quality: 0.95},
+	{ID: "triage@small", Model: "triage", Quality: 0.9},
+}
+
+func newModel(origin fescuelatch.Incarnation) *Model {
+	m := New(origin, Settings{})
+	m.Configure(epoch, versions)
+	return m
+}
+
+// draw returns 1 with probability p, otherwise 0.
+func draw(r *rand.Rand, p float64) float64 {
+	if r.Float64() < p {
+		return 1
+	}
+	return 0
+}
+
+func TestEstimate(t *testing.T) {
+	tests := []struct {
+		name      string
+		version   fescuelatch.VersionID
+		good, bad int
+		low, high float64
+	}{
+		{"prior", "triage@small", 0, 0, 0.89, 0.91},
+		{"better than expected", "triage@small", 200, 0, 0.97, 1},
+		{"worse than expected", "triage@small", 100, 100, 0.5, 0.56},
+		{"unknown", "triage@other", 10, 0, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newModel("a")
+			for range test.good {
+				m.ObserveRating(epoch, test.version, 1)
+			}
+			for range test.bad {
+				m.ObserveRating(epoch, test.version, 0)
+			}
+			e := m.Estimate(epoch, test.version)
+			c.Assert(e.Mean >= test.low && e.Mean <= test.high, qt.IsTrue, qt.Commentf("%+v", e))
+			c.Assert(e.Low <= e.Mean && e.Mean <= e.High, qt.IsTrue, qt.Commentf("%+v", e))
+		})
+	}
+}
+
+func TestLifeCycle(t *testing.T) {
+	c := qt.New(t)
+	m, now := newModel("a"), epoch
+	rate := func(n int, score float64) fescuelatch.Health {
+		for range n {
+			now = now.Add(time.Second)
+			m.ObserveRating(now, "triage@small", score)
+		}
+		return m.Health(now, "triage@small")
+	}
+	c.Assert(rate(100, 1), qt.Equals, fescuelatch.HealthGood)
+	c.Assert(rate(8, 0), qt.Equals, fescuelatch.HealthSuspect)
+	c.Assert(rate(8, 0), qt.Equals, fescuelatch.HealthQuarantined)
+	now = now.Add(defaultQuarantine)
+	c.Assert(m.Health(now, "triage@small"), qt.Equals, fescuelatch.HealthSuspect)
+	c.Assert(rate(10, 0), qt.Equals, fescuelatch.HealthQuarantined)
+	now = now.Add(defaultQuarantine)
+	c.Assert(m.Health(now, "triage@small"), qt.Equals, fescuelatch.HealthQuarantined)
+	now = now.Add(defaultQuarantine)
+	c.Assert(m.Health(now, "triage@small"), qt.Equals, fescuelatch.HealthSuspect)
+	c.Assert(rate(50, 1), qt.Equals, fescuelatch.HealthGood)
+	c.Assert(m.Health(now, "triage@base"), qt.Equals, fescuelatch.HealthGood)
+}
+
+func TestAttempts(t *testing.T) {
+	broken := func(v fescuelatch.VersionID, e fescuelatch.EndpointID) fescuelatch.AttemptResult {
+		return fescuelatch.AttemptResult{Version: v, Endpoint: e, Status: fescuelatch.AttemptBroken}
+	}
+	both := []fescuelatch.AttemptResult{broken("triage@base", "e2"), broken("triage@small", "e1")}
+	tests := []struct {
+		name    string
+		results []fescuelatch.AttemptResult
+		pause   time.Duration
+		want    fescuelatch.Health
+	}{
+		{"failures of one version over time", []fescuelatch.AttemptResult{broken("triage@small", "e1")}, failureInterval, fescuelatch.HealthQuarantined},
+		{"burst at one endpoint", []fescuelatch.AttemptResult{broken("triage@small", "e1")}, time.Millisecond, fescuelatch.HealthGood},
+		{"all versions fail", both, failureInterval, fescuelatch.HealthGood},
+		{"not started", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptNotStarted}}, failureInterval, fescuelatch.HealthGood},
+		{"cancelled", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptCancelled}}, failureInterval, fescuelatch.HealthGood},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m, now := newModel("a"), epoch
+			for range 30 {
+				now = now.Add(test.pause)
+				for _, r := range test.results {
+					m.ObserveAttempt(now, r)
+				}
+			}
+			c.Assert(m.Health(now, "triage@small"), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestTurnedBad states the count of ratings within which a version that
+// turns from 0.9 to 0.5 is quarantined by one daemon.
+func TestTurnedBad(t *testing.T) {
+	const limit = 80 // ratings
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		m, now := newModel("a"), epoch
+		for range 500 {
+			now = now.Add(time.Second)
+			m.ObserveRating(now, "triage@small", draw(r, 0.9))
+		}
+		n := 0
+		for m.Health(now, "triage@small") != fescuelatch.HealthQuarantined && n <= limit {
+			now = now.Add(time.Second)
+			m.ObserveRating(now, "triage@small", draw(r, 0.5))
+			n++
+		}
+		qt.Check(t, n <= limit, qt.IsTrue, qt.Commentf("seed %d: %d ratings", seed, n))
+	}
+}
--- /dev/null
+++ b/quality/record.go
@@ -0,0 +1,162 @@
+package quality
+
+import (
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"fescuelatch"
+)
+
+// This file defines what a Model keeps of one version.
+
+// refreshInterval is how long a pooled sum and an estimate are reused while
+// only time passes.
+const refreshInterval = time.Second
+
+// failureInterval is the time in which further failures are taken for one
+// fault: several at one endpoint, or at different versions, are more likely
+// to come from the endpoint or the failure domain than from the version.
+const failureInterval = 5 * time.Second
+
+// maxFailing bounds the endpoints remembered as failing.
+const maxFailing = 16
+
+// failing remembers when an endpoint last failed.
+type failing struct {
+	endpoint fescuelatch.EndpointID
+	at       time.Time
+}
+
+// record is what is kept of one version.
+type record struct {
+	prior    float64
+	ratings  test
+	attempts test
+
+	own        fescuelatch.Evidence
+	ratingSum  cusum
+	failureSum cusum
+	failing    []failing
+
+	peers    peers
+	pooled   counts
+	pooledAt time.Time
+
+	verdict verdict
+
+	estimate   fescuelatch.Estimate
+	estimateAt time.Time
+}
+
+func newRecord(now time.Time, origin fescuelatch.Incarnation, v fescuelatch.VersionID) *record {
+	return &record{own: fescuelatch.Evidence{Origin: origin, Version: v, Since: now, Updated: now}}
+}
+
+// configure sets the expected quality.
+func (r *record) configure(quality float64, s *Settings) {
+	r.prior = min(max(quality, minProbability), maxProbability)
+	r.ratings = newTest(r.prior-s.Tolerance, s.OddsRatio)
+	r.attempts = newTest(1-s.FailureShare, s.OddsRatio)
+	r.changed()
+}
+
+// changed forgets the cached estimate.
+func (r *record) changed() { r.estimateAt = time.Time{} }
+
+// rate records a rating of one answer.
+func (r *record) rate(now time.Time, score float64, s *Settings) {
+	age(&r.own, now, s.HalfLife)
+	r.own.Rated++
+	r.own.Good += score
+	r.ratingSum.add(r.ratings.ratio(score))
+	r.own.Alarm = combine(r.ratingSum, r.failureSum)
+	r.changed()
+}
+
+// attempt records the end of an attempt, 1 for an answer and 0 for a failure.
+func (r *record) attempt(now time.Time, score float64, s *Settings) {
+	age(&r.own, now, s.HalfLife)
+	r.own.Attempts++
+	r.own.Failed += 1 - score
+	r.failureSum.add(r.attempts.ratio(score))
+	r.own.Alarm = combine(r.ratingSum, r.failureSum)
+}
+
+// repeatedFailure reports whether endpoint e failed a moment ago, and
+// remembers this failure otherwise.
+func (r *record) repeatedFailure(now time.Time, e fescuelatch.EndpointID) bool {
+	oldest := 0
+	for i := range r.failing {
+		if r.failing[i].endpoint == e {
+			repeated := now.Sub(r.failing[i].at) < failureInterval
+			if !repeated {
+				r.failing[i].at = now
+			}
+			return repeated
+		}
+		if r.failing[i].at.Before(r.failing[oldest].at) {
+			oldest = i
+		}
+	}
+	if len(r.failing) < maxFailing {
+		r.failing = append(r.failing, failing{e, now})
+	} else {
+		r.failing[oldest] = failing{e, now}
+	}
+	return false
+}
+
+// reset begins new evidence.
+func (r *record) reset(now time.Time) {
+	r.own = fescuelatch.Evidence{Origin: r.own.Origin, Version: r.own.Version, Since: now, Updated: now}
+	r.ratingSum, r.failureSum = 0, 0
+	r.failing = r.failing[:0]
+	r.refresh()
+}
+
+// refresh forgets all cached sums.
+func (r *record) refresh() {
+	r.pooledAt = time.Time{}
+	r.changed()
+}
+
+// merge takes in the evidence of another daemon.
+func (r *record) merge(e fescuelatch.Evidence, s *Settings) {
+	if r.peers.put(e, s.MaxOrigins) {
+		r.refresh()
+	}
+}
+
+// counts returns the evidence of all daemons at now.
+func (r *record) counts(now time.Time, s *Settings) counts {
+	if r.pooledAt.IsZero() || now.Sub(r.pooledAt) >= refreshInterval {
+		r.pooled = r.peers.pool(now, r.verdict.epoch, s)
+		r.pooledAt = now
+		r.changed()
+	}
+	c := r.pooled
+	c.add(now, &r.own, s.HalfLife)
+	return c
+}
+
+// estimateAtNow returns the estimate from the prior and all evidence.
+func (r *record) estimateAtNow(now time.Time, s *Settings) fescuelatch.Estimate {
+	c := r.counts(now, s)
+	if !r.estimateAt.IsZero() && now.Sub(r.estimateAt) < refreshInterval {
+		return r.estimate
+	}
+	b := distuv.Beta{
+		Alpha: r.prior*s.PriorWeight + c.good,
+		Beta:  (1-r.prior)*s.PriorWeight + c.rated - c.good,
+	}
+	tail := (1 - s.Confidence) / 2
+	r.estimate = fescuelatch.Estimate{
+		Mean:    b.Mean(),
+		Low:     b.Quantile(tail),
+		High:    b.Quantile(1 - tail),
+		Samples: c.rated,
+	}
+	r.estimateAt = now
+	return r.estimate
+}
--- /dev/null
+++ b/quality/verdict.go
@@ -0,0 +1,141 @@
+package quality
+
+import (
+	"math"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the verdict on a version and the rules that change it.
+
+// state is the state of a verdict.
+type state int
+
+const (
+	stateGood state = iota
+	stateSuspect
+	stateQuarantined
+	stateProbation
+)
+
+// health returns what callers see of a state.
+func (s state) health() fescuelatch.Health {
+	switch s {
+	case stateQuarantined:
+		return fescuelatch.HealthQuarantined
+	case stateSuspect, stateProbation:
+		return fescuelatch.HealthSuspect
+	default:
+		return fescuelatch.HealthGood
+	}
+}
+
+// verdict is the state of a version with what its rules need.
+type verdict struct {
+	state state
+	// epoch is the start of the last quarantine. Evidence begun before it
+	// describes the time before the fault and no longer counts.
+	epoch time.Time
+	// until is the end of the quarantine.
+	until time.Time
+	// cleared is the end of the last probation.
+	cleared time.Time
+	// length is the length of the last quarantine.
+	length time.Duration
+}
+
+// alarms holds the thresholds of the change detector.
+type alarms struct {
+	suspect, quarantine, probation thresholds
+}
+
+func newAlarms(s *Settings) alarms {
+	return alarms{
+		suspect:    thresholds{rate: s.SuspectRate / 2},
+		quarantine: thresholds{rate: s.QuarantineRate / 2},
+		probation:  thresholds{rate: s.ProbationRate / 2},
+	}
+}
+
+// raised reports whether this daemon's statistic, or the sum over all
+// daemons, exceeds its threshold. Each of the two takes half of the rate of
+// false alarms.
+func (t *thresholds) raised(own float64, c counts) bool {
+	return own >= t.at(1) || c.alarm >= t.at(c.origins)
+}
+
+// step applies the rules that hold at now.
+func (r *record) step(now time.Time, s *Settings, a *alarms) {
+	switch r.verdict.state {
+	case stateGood, stateSuspect:
+		r.watch(now, s, a)
+	case stateQuarantined:
+		r.release(now)
+	case stateProbation:
+		r.probe(now, s, a)
+	}
+}
+
+// watch quarantines or suspects a version in use.
+func (r *record) watch(now time.Time, s *Settings, a *alarms) {
+	c := r.counts(now, s)
+	switch {
+	case a.quarantine.raised(r.own.Alarm, c):
+		r.quarantine(now, s)
+	case a.suspect.raised(r.own.Alarm, c):
+		r.verdict.state = stateSuspect
+	default:
+		r.verdict.state = stateGood
+	}
+}
+
+// quarantine stops all use of the version for a time that doubles at each
+// relapse.
+func (r *record) quarantine(now time.Time, s *Settings) {
+	v := &r.verdict
+	length := s.Quarantine
+	relapse := v.length > 0 && (v.state == stateProbation || now.Sub(v.cleared) < s.MaxQuarantine)
+	if relapse {
+		length = min(2*v.length, s.MaxQuarantine)
+	}
+	*v = verdict{
+		state:   stateQuarantined,
+		epoch:   now,
+		until:   now.Add(length),
+		cleared: v.cleared,
+		length:  length,
+	}
+}
+
+// release begins the probation once the quarantine has passed.
+func (r *record) release(now time.Time) {
+	if now.Before(r.verdict.until) {
+		return
+	}
+	r.verdict.state = stateProbation
+	r.reset(now)
+}
+
+// probe ends the probation by a sequential test on the evidence since the
+// quarantine.
+func (r *record) probe(now time.Time, s *Settings, a *alarms) {
+	c := r.counts(now, s)
+	switch {
+	case a.probation.raised(r.own.Alarm, c):
+		r.quarantine(now, s)
+	case r.passes(c, s):
+		r.verdict.state = stateGood
+		r.verdict.cleared = now
+	}
+}
+
+// passes reports whether the evidence rejects that the version is still bad.
+// Ratings decide; where nothing is rated, attempts do.
+func (r *record) passes(c counts, s *Settings) bool {
+	bound := math.Log(s.MissRate)
+	if c.rated > 0 {
+		return r.ratings.sum(c.good, c.rated-c.good) <= bound
+	}
+	return r.attempts.sum(c.attempts-c.failed, c.failed) <= bound
+}
