--- /dev/null
+++ b/cmd/standin/engine/completions.go
@@ -0,0 +1,286 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"fescuelatch"
+	"fescuelatch/cmd/standin/server"
+)
+
+// This file defines the HTTP front of the engine.
+
+const (
+	requestLimit = 8 << 20 // bytes
+	retryAfter   = "1"     // seconds
+)
+
+func (e *Engine) takes(field func(*Faults) *server.Chance) bool { return e.faults.Take(field) }
+
+// serveCompletion runs a chat completion.
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, requestLimit))
+	var q completionRequest
+	if err == nil {
+		err = json.Unmarshal(b, &q)
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "invalid-request")
+		return
+	}
+	switch {
+	case e.takes(func(f *Faults) *server.Chance { return &f.Unavailable }):
+		writeUnavailable(w)
+		return
+	case e.takes(func(f *Faults) *server.Chance { return &f.ErrorBefore }):
+		writeError(w, http.StatusInternalServerError, "internal")
+		return
+	}
+	n := newRun(attemptOf(r), q)
+	if err := e.admit(n); err != nil {
+		answerError(w, err)
+		return
+	}
+	defer e.leave(r.Context(), n)
+	e.answer(r.Context(), w, n)
+}
+
+func attemptOf(r *http.Request) fescuelatch.AttemptID {
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		return fescuelatch.AttemptID(id)
+	}
+	return fescuelatch.AttemptID(uuid.NewString())
+}
+
+// leave ends a run whose client is gone, but for a stream that runs, which
+// may be resumed.
+func (e *Engine) leave(ctx context.Context, n *run) {
+	if ctx.Err() == nil {
+		return
+	}
+	e.mu.Lock()
+	ends := e.queue.remove(n) || !n.request.Stream
+	e.mu.Unlock()
+	if ends {
+		n.finish(&Error{Op: "run", Kind: KindCancelled})
+	}
+}
+
+// answer sends the answer of a run, with the faults that apply.
+func (e *Engine) answer(ctx context.Context, w http.ResponseWriter, n *run) {
+	if e.takes(func(f *Faults) *server.Chance { return &f.ErrorAfter }) {
+		_, _ = n.whole(ctx)
+		writeError(w, http.StatusInternalServerError, "internal")
+		return
+	}
+	source := n
+	if e.takes(func(f *Faults) *server.Chance { return &f.Crossed }) {
+		_, _ = n.whole(ctx)
+		source = e.other(n)
+	}
+	if e.takes(func(f *Faults) *server.Chance { return &f.Late }) {
+		_, _ = n.whole(ctx)
+		server.Sleep(ctx, e.faults.Get().LateBy)
+	}
+	times := 1
+	if e.takes(func(f *Faults) *server.Chance { return &f.Twice }) {
+		times = 2
+	}
+	cut := e.takes(func(f *Faults) *server.Chance { return &f.Cut })
+	if n.request.Stream {
+		e.stream(ctx, w, source, times, cut)
+	} else {
+		e.whole(ctx, w, source, times, cut)
+	}
+}
+
+// other returns an ended run of another attempt than n, made up when there
+// is none.
+func (e *Engine) other(n *run) *run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, o := range e.last {
+		if o.attempt != n.attempt && o.succeeded() {
+			return o
+		}
+	}
+	o := newRun(fescuelatch.AttemptID(uuid.NewString()), n.request)
+	o.add("other")
+	o.finish(nil)
+	return o
+}
+
+func (e *Engine) whole(ctx context.Context, w http.ResponseWriter, n *run, times int, cut bool) {
+	c, err := n.whole(ctx)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	// Encoding of this type cannot fail.
+	b, _ := json.Marshal(c)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)*times))
+	if cut {
+		_, _ = w.Write(b[:len(b)/2])
+		_ = http.NewResponseController(w).Flush()
+		server.Abort()
+	}
+	for range times {
+		_, _ = w.Write(b)
+	}
+}
+
+// stream sends the chunks of a run as server-sent events.
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, n *run, times int, cut bool) {
+	// The answer to an attempt that is not started is no stream.
+	if b, err := n.chunk(ctx, 0); b == nil {
+		answerError(w, err)
+		return
+	}
+	limit := -1
+	if cut {
+		limit = e.faults.Get().CutAfter
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for range times {
+		sendChunks(ctx, w, n, 0, limit)
+	}
+}
+
+// sendChunks sends the chunks of a run from number i on, and cuts the
+// connection before chunk limit unless that is negative.
+func sendChunks(ctx context.Context, w http.ResponseWriter, n *run, i, limit int) {
+	ctrl := http.NewResponseController(w)
+	for ; ; i++ {
+		if i == limit {
+			server.Abort()
+		}
+		b, err := n.chunk(ctx, i)
+		if err != nil && b == nil {
+			sendStreamError(w, err)
+			return
+		}
+		if b == nil {
+			break
+		}
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+		_ = ctrl.Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	_ = ctrl.Flush()
+}
+
+// sendStreamError ends a stream that has begun.
+func sendStreamError(w http.ResponseWriter, err error) {
+	if kindOf(err) != KindCancelled {
+		server.Abort()
+	}
+	b, _ := json.Marshal(errorBody(string(KindCancelled)))
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+}
+
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+// answerError answers a request that has no answer.
+func answerError(w http.ResponseWriter, err error) {
+	switch kindOf(err) {
+	case KindFull:
+		writeUnavailable(w)
+	case KindNotLoaded:
+		writeError(w, http.StatusNotFound, "version-not-loaded")
+	case KindCancelled:
+		writeError(w, http.StatusInternalServerError, string(KindCancelled))
+	default:
+		server.Abort()
+	}
+}
+
+func writeUnavailable(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", retryAfter)
+	writeError(w, http.StatusServiceUnavailable, "unavailable")
+}
+
+func writeError(w http.ResponseWriter, status int, code string) {
+	server.WriteJSON(w, status, errorBody(code))
+}
+
+func errorBody(code string) apiError {
+	return apiError{apiErrorBody{Message: code, Type: "engine_error", Code: code}}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if !e.cancelRun(fescuelatch.AttemptID(mux.Vars(r)["id"])) {
+		writeError(w, http.StatusNotFound, "unknown-request")
+		return
+	}
+	server.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	n, ok := e.runs.Get(fescuelatch.AttemptID(mux.Vars(r)["id"]))
+	e.mu.Unlock()
+	if !ok {
+		writeError(w, http.StatusNotFound, "unknown-request")
+		return
+	}
+	from, err := strconv.Atoi(r.FormValue("from"))
+	if err != nil || from < 0 {
+		writeError(w, http.StatusBadRequest, "invalid-from")
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	sendChunks(r.Context(), w, n, from, -1)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	lag := e.faults.Get().LoadLag
+	report := e.load.At(time.Now().Add(-lag))
+	if lag == 0 || report.Generated.IsZero() {
+		report = e.report()
+	}
+	server.WriteJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	if err != nil && r.FormValue("after") != "" {
+		writeError(w, http.StatusBadRequest, "invalid-after")
+		return
+	}
+	f := e.faults.Get()
+	server.WriteJSON(w, http.StatusOK, e.cache.after(after, f.CacheLag, f.CacheGap))
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	e.record.withCounts(func(c Counts) { server.WriteJSON(w, http.StatusOK, c) })
+}
+
+// serveStarts answers with the latest starts, those since a time when asked.
+func (e *Engine) serveStarts(w http.ResponseWriter, r *http.Request) {
+	var since time.Time
+	if s := r.FormValue("since"); s != "" {
+		if err := since.UnmarshalText([]byte(s)); err != nil {
+			writeError(w, http.StatusBadRequest, "invalid-since")
+			return
+		}
+	}
+	server.WriteJSON(w, http.StatusOK, struct {
+		Starts []start `json:"starts"`
+	}{e.record.latest(since)})
+}
--- /dev/null
+++ b/cmd/standin/engine/faults.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/cmd/standin/server"
+)
+
+// This file defines the faults of an engine.
+
+// Faults are the faults of an engine.
+type Faults struct {
+	// Quality is the probability that an answer of a version is good; 1 for
+	// versions that it lacks.
+	Quality map[fescuelatch.VersionID]float64 `json:"quality"`
+	// LoadLag and CacheLag delay load reports and cache events. CacheGap is
+	// the probability that a cache event is missing.
+	LoadLag  time.Duration `json:"load-lag"`
+	CacheLag time.Duration `json:"cache-lag"`
+	CacheGap float64       `json:"cache-gap"`
+	// Late delays answers by LateBy.
+	Late   server.Chance `json:"late"`
+	LateBy time.Duration `json:"late-by"`
+	// Twice sends an answer twice, Crossed sends that of another attempt.
+	Twice   server.Chance `json:"twice"`
+	Crossed server.Chance `json:"crossed"`
+	// Cut breaks the connection after CutAfter chunks, or in the middle of
+	// a whole answer.
+	Cut      server.Chance `json:"cut"`
+	CutAfter int           `json:"cut-after"`
+	// ErrorBefore and ErrorAfter answer 500 without and with execution.
+	ErrorBefore server.Chance `json:"error-before"`
+	ErrorAfter  server.Chance `json:"error-after"`
+	// Unavailable answers 503 without execution.
+	Unavailable server.Chance `json:"unavailable"`
+	// Leaving is reported in the load. Down breaks all connections.
+	Leaving bool `json:"leaving"`
+	Down    bool `json:"down"`
+	// IgnoreFencing accepts orders with an old fencing number.
+	IgnoreFencing bool `json:"ignore-fencing"`
+	// Cold turns the engine cold once; it is absent from the faults in force.
+	Cold *Cold `json:"cold,omitempty"`
+}
+
+// Cold turns a warm engine cold.
+type Cold struct {
+	// For is the time that the engine stays cold; 0 means the setting's.
+	For time.Duration `json:"for"`
+	// Unannounced keeps the load report at "warm".
+	Unannounced bool `json:"unannounced"`
+	// NewIncarnation gives the engine a new incarnation.
+	NewIncarnation bool `json:"new-incarnation"`
+	// Break breaks the requests in progress.
+	Break bool `json:"break"`
+}
+
+// apply carries out what was asked of the engine by a change of faults, and
+// returns the faults that stay in force.
+func (e *Engine) apply(f Faults) Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Down {
+		e.breakAll()
+	}
+	if c := f.Cold; c != nil {
+		e.cool(c, time.Now())
+		f.Cold = nil
+	}
+	return f
+}
+
+func (e *Engine) cool(c *Cold, now time.Time) {
+	d := c.For
+	if d == 0 {
+		d = e.settings.ColdStart
+	}
+	if c.Break {
+		e.breakAll()
+	}
+	if c.NewIncarnation {
+		e.incarnation = newIncarnation()
+	}
+	e.turnCold(now.Add(d), !c.Unannounced)
+}
--- /dev/null
+++ b/cmd/standin/engine/record.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines what the engine records of its requests.
+
+const (
+	maxStarts     = 20_000
+	maxExecutions = 200_000
+)
+
+// start is the receipt of one request.
+type start struct {
+	At      time.Time             `json:"at"`
+	Started time.Time             `json:"started,omitzero"`
+	Attempt fescuelatch.AttemptID `json:"attempt"`
+	Version fescuelatch.VersionID `json:"version"`
+	Leaving bool                  `json:"leaving"`
+}
+
+// versionCount counts the requests for one version.
+type versionCount struct {
+	Requests int       `json:"requests"`
+	First    time.Time `json:"first"`
+	Last     time.Time `json:"last"`
+}
+
+// Counts is an answer to GET /counts.
+type Counts struct {
+	Versions map[fescuelatch.VersionID]versionCount `json:"versions"`
+	// Executions counts how often each attempt got a slot.
+	Executions   map[fescuelatch.AttemptID]int `json:"executions"`
+	FallOvers    int                           `json:"fall-overs"`
+	MaxCold      int                           `json:"max-cold-concurrency"`
+	MaxRunning   int                           `json:"max-concurrency"`
+	AfterLeaving int                           `json:"received-while-leaving"`
+}
+
+// record holds counts and the latest starts.
+type record struct {
+	mu     sync.Mutex
+	counts Counts
+	starts []*start
+}
+
+func newRecord() *record {
+	return &record{
+		counts: Counts{
+			Versions:   make(map[fescuelatch.VersionID]versionCount),
+			Executions: make(map[fescuelatch.AttemptID]int),
+		},
+	}
+}
+
+func (c *record) arrived(r *run, now time.Time, leaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &start{At: now, Attempt: r.attempt, Version: r.request.Model, Leaving: leaving}
+	c.starts = append(c.starts, s)
+	c.starts = c.starts[max(0, len(c.starts)-maxStarts):]
+	r.start = s
+	v := c.counts.Versions[r.request.Model]
+	if v.Requests == 0 {
+		v.First = now
+	}
+	v.Requests++
+	v.Last = now
+	c.counts.Versions[r.request.Model] = v
+	if leaving {
+		c.counts.AfterLeaving++
+	}
+}
+
+// started records that a run got a slot, as one of running.
+func (c *record) started(r *run, now time.Time, running int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.start.Started = now
+	c.counts.MaxRunning = max(c.counts.MaxRunning, running)
+	if len(c.counts.Executions) < maxExecutions {
+		c.counts.Executions[r.attempt]++
+	}
+}
+
+func (c *record) cold(concurrency int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.MaxCold = max(c.counts.MaxCold, concurrency)
+}
+
+func (c *record) fellOver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.FallOvers++
+}
+
+// withCounts calls f with the counts while they stay as they are.
+func (c *record) withCounts(f func(Counts)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.counts)
+}
+
+// latest returns the starts at or after the given time.
+func (c *record) latest(since time.Time) []start {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ss := []start{}
+	for _, s := range c.starts {
+		if !s.At.Before(since) {
+			ss = append(ss, *s)
+		}
+	}
+	return ss
+}
--- /dev/null
+++ b/cmd/standin/engine/scheduler.go
@@ -0,0 +1,154 @@
+package engine
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/cmd/standin/server"
+)
+
+// This file defines admission, continuous batching and cold starts.
+
+// admit takes a run into the wait queue.
+func (e *Engine) admit(r *run) error {
+	f := e.faults.Get()
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Down || now.Before(e.downUntil) {
+		return &Error{Op: "admit", Kind: KindDown}
+	}
+	if !e.versions[r.request.Model] {
+		return &Error{Op: "admit", Kind: KindNotLoaded}
+	}
+	if len(e.queue) >= e.settings.Queue {
+		return &Error{Op: "admit", Kind: KindFull}
+	}
+	e.arrivals++
+	r.order = e.arrivals
+	e.record.arrived(r, now, f.Leaving)
+	if !e.bears(now) {
+		e.fallOver(now)
+		return &Error{Op: "admit", Kind: KindDown}
+	}
+	e.runs.Add(r.attempt, r)
+	heap.Push(&e.queue, r)
+	e.dispatch()
+	return nil
+}
+
+// bears reports whether the engine bears one more request.
+func (e *Engine) bears(now time.Time) bool {
+	if e.settings.ColdSlots == 0 || !now.Before(e.coldUntil) {
+		return true
+	}
+	n := len(e.running) + len(e.queue) + 1
+	e.record.cold(n)
+	return n <= e.settings.ColdSlots
+}
+
+// fallOver breaks all requests and stops answering for a time, after which a
+// new process starts cold.
+func (e *Engine) fallOver(now time.Time) {
+	e.record.fellOver()
+	e.breakAll()
+	e.downUntil = now.Add(e.settings.FallOver)
+	e.turnCold(e.downUntil.Add(e.settings.ColdStart), true)
+	e.incarnation = newIncarnation()
+}
+
+// turnCold makes the engine cold until the given time.
+func (e *Engine) turnCold(until time.Time, announced bool) {
+	e.coldUntil = until
+	e.announced = announced
+	e.cache.clear()
+}
+
+// breakAll breaks all requests, waiting or running.
+func (e *Engine) breakAll() {
+	down := &Error{Op: "run", Kind: KindDown}
+	for _, r := range e.queue {
+		r.index = -1
+		r.finish(down)
+	}
+	for r := range e.running {
+		r.finish(down)
+	}
+	e.queue = nil
+	clear(e.running)
+}
+
+// dispatch starts waiting runs while there are free slots.
+func (e *Engine) dispatch() {
+	for len(e.running) < e.settings.Slots && len(e.queue) > 0 {
+		r := heap.Pop(&e.queue).(*run)
+		e.running[r] = true
+		e.record.started(r, time.Now(), len(e.running))
+		go e.execute(r)
+	}
+}
+
+// end takes an ended run out of its slot.
+func (e *Engine) end(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running[r] {
+		delete(e.running, r)
+		e.last = append(e.last, r)
+		e.last = e.last[max(0, len(e.last)-keptForCrossing):]
+	}
+	e.dispatch()
+}
+
+// execute produces the answer of a run, one token a step.
+func (e *Engine) execute(r *run) {
+	defer e.end(r)
+	good := rand.Float64() < e.quality(r.request.Model)
+	pace := e.settings.FirstToken
+	if e.cache.use(r.request.Model, r.request.prefix()) {
+		pace = time.Duration(float64(pace) * cachedShare)
+	}
+	for _, t := range text(&r.request, good) {
+		if !server.Sleep(r.ctx, e.stretch(pace)) {
+			return
+		}
+		r.add(t)
+		pace = e.settings.BetweenTokens
+	}
+	r.finish(nil)
+}
+
+// stretch returns the time of a step under the present concurrency.
+func (e *Engine) stretch(d time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	factor := 1 + e.settings.Growth*float64(len(e.running)-1)/float64(e.settings.Slots)
+	if time.Now().Before(e.coldUntil) {
+		factor *= coldSlowdown
+	}
+	return time.Duration(float64(d) * factor)
+}
+
+// cancelRun ends an attempt and reports whether it is known.
+func (e *Engine) cancelRun(id fescuelatch.AttemptID) bool {
+	e.mu.Lock()
+	r, ok := e.runs.Get(id)
+	if ok {
+		e.queue.remove(r)
+	}
+	e.mu.Unlock()
+	if ok {
+		r.finish(&Error{Op: "run", Kind: KindCancelled})
+	}
+	return ok
+}
+
+// quality returns the probability that an answer of a version is good.
+func (e *Engine) quality(v fescuelatch.VersionID) float64 {
+	if q, ok := e.faults.Get().Quality[v]; ok {
+		return q
+	}
+	return 1
+}
--- a/cmd/standin/kv/wire.go
+++ b/cmd/standin/kv/wire.go
@@ -160,7 +160,6 @@
 	Result any `json:"result"`
 }
 
-
 type errorBody struct {
 	Error   string `json:"error"`
 	Message string `json:"message"`
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,11 +11,15 @@
 
 	"github.com/alexflint/go-arg"
 
+	"fescuelatch/cmd/standin/engine"
 	"fescuelatch/cmd/standin/kv"
+	"fescuelatch/cmd/standin/service"
 )
 
 type commands struct {
-	Platform *kv.Settings `arg:"subcommand:platform" help:"key-value service"`
+	Platform *kv.Settings      `arg:"subcommand:platform" help:"key-value service"`
+	Engine   *engine.Settings  `arg:"subcommand:engine" help:"model engine"`
+	Service  *service.Settings `arg:"subcommand:service" help:"plain service"`
 }
 
 // runner is a stand-in that runs until its context ends.
--- a/cmd/standin/server/faults.go
+++ b/cmd/standin/server/faults.go
@@ -33,6 +33,7 @@
 	mu      sync.Mutex
 	value   T
 	changed chan struct{}
+	onPost  func(T) T
 }
 
 // Get returns the faults. The result must not be altered.
@@ -49,6 +50,10 @@
 	f.set(v)
 }
 
+// OnPost sets a function that each POST passes the new faults through. It
+// must not call methods of f.
+func (f *Faults[T]) OnPost(apply func(T) T) { f.onPost = apply }
+
 // Take decides whether the fault that field selects occurs now.
 func (f *Faults[T]) Take(field func(*T) *Chance) bool {
 	f.mu.Lock()
@@ -94,6 +99,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
+	if f.onPost != nil {
+		next = f.onPost(next)
+	}
 	f.set(next)
 	return true
 }
