--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"fescuelatch"
+	"fescuelatch/ownership"
+)
+
+// This file defines the messages between daemons.
+
+// Hello identifies a daemon and says what it has in force.
+type Hello struct {
+	VM          fescuelatch.VMID
+	Domain      fescuelatch.DomainID
+	Incarnation fescuelatch.Incarnation
+	Generation  fescuelatch.Generation
+	Digest      string
+	// Leaving reports that the daemon is stopping.
+	Leaving bool
+	// Spares is what the daemon's owned endpoints can take at once.
+	Spares []fescuelatch.Spare
+	// Evidence is what the daemon has seen of versions.
+	Evidence []fescuelatch.Evidence
+}
+
+// Heartbeat is sent to the daemons of the own failure domain often, and to
+// those of others now and then. Ownership is set within a failure domain.
+type Heartbeat struct {
+	Hello
+	Ownership *ownership.Heartbeat
+}
+
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
+	Hello
+	Ownership *ownership.Ack
+}
+
+// ChangesRequest asks for what leads from a generation to the newest.
+type ChangesRequest struct{ After fescuelatch.Generation }
+
+// ChangesReply carries changes in order, or a full configuration when the
+// changes are no longer known. Both are JSON documents. Both are empty when
+// there is nothing newer.
+type ChangesReply struct {
+	Generation fescuelatch.Generation
+	Changes    []byte
+	Full       []byte
+}
+
+// BillBatch is a copy of a batch of bills, kept until its origin or its
+// holder has written it to the platform. Body is a JSON document.
+type BillBatch struct {
+	Origin   fescuelatch.Incarnation
+	Sequence uint64
+	Body     []byte
+}
+
+// BillKey names a batch that is at the platform.
+type BillKey struct {
+	Origin   fescuelatch.Incarnation
+	Sequence uint64
+}
+
+// Ack is an empty reply.
+type Ack struct{}
+
+// Validate reports KindInvalid when a daemon does not say who it is.
+func (h *Hello) Validate() error {
+	if h.VM == "" || h.Domain == "" || h.Incarnation == "" {
+		return &Error{Op: "check hello", Kind: KindInvalid}
+	}
+	return nil
+}
