Files must be UTF-8 and values free of control characters

Fuzzing found values that did not survive being written and read again: a byte outside UTF-8 is replaced on its way, and a line break inside a value is written as YAML that cannot be read. Neither has a use in an inventory. After the change 863,446 executions in 75 s found nothing more.

--- a/inventory/decode.go
+++ b/inventory/decode.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"unicode"
 )
 
 // This file defines the decoding of nodes into the domain types. The fields
@@ -29,6 +30,10 @@
 	if n.kind == nodeNull {
 		return
 	}
+	if strings.ContainsFunc(n.text, unicode.IsControl) {
+		d.fault(n.pos, path, "has a control character, such as a line break")
+		return
+	}
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		d.decodeText(n, u, path)
 		return
--- a/inventory/files.go
+++ b/inventory/files.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"bytes"
 	"fmt"
 	"io/fs"
 	"os"
@@ -8,6 +9,7 @@
 	"reflect"
 	"sort"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -118,6 +120,11 @@
 }
 
 func parse(name string, data []byte) *document {
+	if at, ok := invalidUTF8(name, data); ok {
+		d := &document{file: name}
+		d.breakOff(at, "the text is not UTF-8")
+		return d
+	}
 	base := filepath.Base(name)
 	switch ext := filepath.Ext(base); ext {
 	case ".yaml", ".yml":
@@ -131,6 +138,22 @@
 	}
 }
 
+// invalidUTF8 returns the place of the first byte that is not part of UTF-8.
+// Such a byte would be replaced on its way to the daemons.
+func invalidUTF8(name string, data []byte) (Position, bool) {
+	if utf8.Valid(data) {
+		return Position{}, false
+	}
+	line := 1
+	for l := range bytes.Lines(data) {
+		if !utf8.Valid(l) {
+			break
+		}
+		line++
+	}
+	return Position{File: name, Line: line}, true
+}
+
 // list is one list of entries of a configuration.
 type list struct {
 	path  string // as in the paths of fescuelatch.Fault
--- a/inventory/files_test.go
+++ b/inventory/files_test.go
@@ -127,6 +127,12 @@
 		{"csv empty", []file{{"models.csv", ""}}, []string{
 			`models.csv: the file has no header row`,
 		}},
+		{"not UTF-8", []file{{"models.csv", "id\na\xffb\n"}}, []string{
+			`models.csv:2: the text is not UTF-8`,
+		}},
+		{"csv line break in a cell", []file{{"failure-domains.csv", "id,region\nkgl-a,\"rw\ncentral\"\n"}}, []string{
+			`failure-domains.csv:2:7: failure-domains[kgl-a].region: has a control character, such as a line break`,
+		}},
 		{"csv unknown list", []file{{"machines.csv", "id\na\n"}}, []string{
 			`machines.csv:1: machines: unknown list`,
 		}},
--- a/inventory/fuzz_test.go
+++ b/inventory/fuzz_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 // FuzzFiles reads any text as a YAML and as a CSV file. Reading never
@@ -40,8 +42,8 @@
 }
 
 func checkFaults(t *testing.T, name string, err error) {
-	e, ok := err.(*Error)
-	if !ok || e.Kind != KindFaults || len(e.Faults) == 0 {
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindFaults || len(e.Faults) == 0 {
 		t.Fatalf("error without faults: %v", err)
 	}
 	for _, ft := range e.Faults {
