--- /dev/null
+++ b/operator/await_test.go
@@ -0,0 +1,97 @@
+package operator_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/operator"
+)
+
+// fleet returns a configuration with two failure domains of one VM each.
+func fleet(g fescuelatch.Generation) *fescuelatch.Configuration {
+	c := &fescuelatch.Configuration{Generation: g}
+	c.Inventory.Domains = []fescuelatch.FailureDomain{{ID: "a"}, {ID: "b"}}
+	c.Inventory.VMs = []fescuelatch.VM{{ID: "a1", Domain: "a"}, {ID: "b1", Domain: "b"}}
+	return c
+}
+
+func view(g fescuelatch.Generation, a, b operator.DaemonStatus) operator.Status {
+	a.VM, b.VM = "a1", "b1"
+	return operator.Status{Generation: g, Domains: []operator.DomainStatus{
+		{ID: "a", Daemons: []operator.DaemonStatus{a}},
+		{ID: "b", Daemons: []operator.DaemonStatus{b}},
+	}}
+}
+
+func TestConfirmations(t *testing.T) {
+	since := time.Unix(1000, 0).UTC()
+	has := func(s operator.DaemonState, g fescuelatch.Generation) operator.DaemonStatus {
+		return operator.DaemonStatus{State: s, Generation: g, Since: since}
+	}
+	tests := []struct {
+		name     string
+		statuses []operator.Status
+		want     []operator.DaemonStatus // unconfirmed
+	}{
+		{"all", []operator.Status{view(5, has(operator.DaemonAlive, 5), has(operator.DaemonAlive, 6))}, nil},
+		{"leaving daemons count", []operator.Status{view(5, has(operator.DaemonLeaving, 5), has(operator.DaemonLeaving, 4))}, []operator.DaemonStatus{
+			{VM: "b1", State: operator.DaemonLeaving, Generation: 4, Since: since},
+		}},
+		{"cut off with the generation is not confirmed", []operator.Status{view(5, has(operator.DaemonAlive, 5), has(operator.DaemonCutOff, 5))}, []operator.DaemonStatus{
+			{VM: "b1", State: operator.DaemonCutOff, Generation: 5, Since: since},
+		}},
+		{"heard by one of two views", []operator.Status{
+			view(5, has(operator.DaemonAlive, 5), has(operator.DaemonCutOff, 4)),
+			view(5, has(operator.DaemonCutOff, 4), has(operator.DaemonAlive, 5)),
+		}, nil},
+		{"the lower generation of two views counts", []operator.Status{
+			view(5, has(operator.DaemonAlive, 5), has(operator.DaemonAlive, 5)),
+			view(5, has(operator.DaemonAlive, 5), has(operator.DaemonAlive, 4)),
+		}, []operator.DaemonStatus{{VM: "b1", State: operator.DaemonAlive, Generation: 4, Since: since}}},
+		{"an old view does not know new daemons", []operator.Status{{Generation: 4}}, []operator.DaemonStatus{
+			{VM: "a1", State: operator.DaemonSilent},
+			{VM: "b1", State: operator.DaemonSilent},
+		}},
+		{"a later view has removed a daemon", []operator.Status{{Generation: 6, Domains: []operator.DomainStatus{
+			{ID: "a", Daemons: []operator.DaemonStatus{{VM: "a1", State: operator.DaemonAlive, Generation: 6}}},
+		}}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			var got []operator.DaemonStatus
+			ds := operator.Confirmations(fleet(5), tt.statuses)
+			for n := range ds {
+				got = append(got, ds[n].Unconfirmed(5)...)
+			}
+			c.Check(got, qt.DeepEquals, tt.want)
+			c.Check(operator.AllConfirmed(ds, 5), qt.Equals, len(tt.want) == 0)
+		})
+	}
+}
+
+func TestAwaitDeadline(t *testing.T) {
+	c := qt.New(t)
+	alive := operator.DaemonStatus{State: operator.DaemonAlive, Generation: 5}
+	cut := operator.DaemonStatus{State: operator.DaemonCutOff, Generation: 4, Since: time.Unix(1000, 0).UTC()}
+	cl := newClient(serveBackend(t, &fakeBackend{status: view(5, alive, cut)}), closedAddress(t))
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	rounds := 0
+	ds, err := cl.Await(ctx, fleet(5), 50*time.Millisecond, func([]operator.DomainStatus) { rounds++ })
+	c.Assert(err, qt.IsNil)
+	c.Check(operator.AllConfirmed(ds, 5), qt.IsFalse)
+	c.Check(rounds > 1, qt.IsTrue)
+}
+
+func TestAwaitWithoutAnswer(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := newClient(closedAddress(t)).Await(ctx, fleet(5), 20*time.Millisecond, nil)
+	c.Assert(kindOf(err), qt.Equals, operator.KindUnavailable)
+}
