--- a/cmd/fescuelatch/await.go
+++ b/cmd/fescuelatch/await.go
@@ -39,11 +39,8 @@
 
 // await waits until want is in force everywhere, and reports.
 func (s *session) await(ctx context.Context, cl *operator.Client, wait time.Duration, want *fescuelatch.Configuration, r *changeResult) error {
-	// The first round is made even when there is no time to wait.
-	ctx, cancel := context.WithTimeout(ctx, max(wait, firstRound))
-	defer cancel()
 	p := s.newProgress(r.Generation)
-	domains, err := cl.Await(ctx, want, pollInterval, p.update)
+	domains, err := cl.Await(ctx, want, operator.AwaitOptions{Wait: wait, Interval: pollInterval, Report: p.update})
 	p.finish()
 	if err != nil {
 		return notInForce(r, errors.Wrap(err, "no daemon tells what is in force"))
@@ -59,9 +56,6 @@
 	return nil
 }
 
-// firstRound is enough time to ask all daemons once.
-const firstRound = dialTimeout + time.Second
-
 func notInForce(r *changeResult, err error) error {
 	return &commandError{Op: fmt.Sprintf("bring generation %d into force", r.Generation), Kind: kindNotInForce, Err: err}
 }
--- a/cmd/fescuelatch/inventory.go
+++ b/cmd/fescuelatch/inventory.go
@@ -28,7 +28,7 @@
 }
 
 func (s *session) reportCheck(conf *fescuelatch.Configuration) error {
-	n := len(conf.Entries())
+	n := len(conf.Entries()) - 1 // without the overrides, which no file holds
 	if s.args.JSON {
 		return s.writeJSON(checkResult{Entries: n, Faults: []inventory.Fault{}})
 	}
--- a/operator/await.go
+++ b/operator/await.go
@@ -10,35 +10,51 @@
 
 // This file defines how the client waits until a generation is in force.
 
-// Await asks all addresses every interval until each daemon of want confirms
-// its generation or ctx ends, and returns the failure domains of want as last
-// known. It calls report, which may be nil, after each round that got an
-// answer. At least one round is made. The error is that of the last round
-// when no address ever answered.
-func (c *Client) Await(ctx context.Context, want *fescuelatch.Configuration, interval time.Duration, report func([]DomainStatus)) ([]DomainStatus, error) {
-	var known []DomainStatus
+// AwaitOptions sets up a wait. Interval lies between two rounds. Report,
+// which may be nil, is called after each round that got an answer.
+type AwaitOptions struct {
+	Wait     time.Duration
+	Interval time.Duration
+	Report   func([]DomainStatus)
+}
+
+// Await asks all addresses again and again until each daemon of want
+// confirms its generation, the wait has passed or ctx ends, and returns the
+// failure domains of want as last known. The first round is made in full
+// however short the wait is. The error is that of the last round when no
+// address ever answered.
+func (c *Client) Await(ctx context.Context, want *fescuelatch.Configuration, o AwaitOptions) ([]DomainStatus, error) {
+	deadline, cancel := context.WithTimeout(ctx, o.Wait)
+	defer cancel()
+	known, err := c.confirmations(ctx, want)
 	for {
-		statuses, err := askAll[Status](ctx, c, "get status", "/v1/status")
-		if err == nil {
-			known = Confirmations(want, statuses)
-			if report != nil {
-				report(known)
-			}
-			if AllConfirmed(known, want.Generation) {
-				return known, nil
-			}
+		if known != nil && o.Report != nil {
+			o.Report(known)
 		}
-		t := time.NewTimer(interval)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			if known == nil {
-				return nil, err
-			}
+		if known != nil && AllConfirmed(known, want.Generation) {
 			return known, nil
 		}
+		if !sleep(deadline, o.Interval) {
+			break
+		}
+		var told []DomainStatus
+		if told, err = c.confirmations(deadline, want); err == nil {
+			known = told
+		}
+	}
+	if known != nil {
+		err = nil
+	}
+	return known, err
+}
+
+// confirmations makes one round.
+func (c *Client) confirmations(ctx context.Context, want *fescuelatch.Configuration) ([]DomainStatus, error) {
+	statuses, err := askAll[Status](ctx, c, "get status", "/v1/status")
+	if err != nil {
+		return nil, err
 	}
+	return Confirmations(want, statuses), nil
 }
 
 // Confirmations returns the failure domains and daemons of want as the
@@ -51,7 +67,7 @@
 	for _, s := range statuses {
 		later = later || s.Generation > want.Generation
 	}
-	var ds []DomainStatus
+	ds := make([]DomainStatus, 0, len(want.Inventory.Domains))
 	for _, f := range want.Inventory.Domains {
 		d := DomainStatus{ID: f.ID, Out: slices.Contains(want.Overrides.DomainsOut, f.ID)}
 		for _, v := range want.Inventory.VMs {
--- a/operator/await_test.go
+++ b/operator/await_test.go
@@ -1,7 +1,6 @@
 package operator_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -79,19 +78,28 @@
 	alive := operator.DaemonStatus{State: operator.DaemonAlive, Generation: 5}
 	cut := operator.DaemonStatus{State: operator.DaemonCutOff, Generation: 4, Since: time.Unix(1000, 0).UTC()}
 	cl := newClient(serveBackend(t, &fakeBackend{status: view(5, alive, cut)}), closedAddress(t))
-	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-	defer cancel()
-	rounds := 0
-	ds, err := cl.Await(ctx, fleet(5), 50*time.Millisecond, func([]operator.DomainStatus) { rounds++ })
-	c.Assert(err, qt.IsNil)
-	c.Check(operator.AllConfirmed(ds, 5), qt.IsFalse)
-	c.Check(rounds > 1, qt.IsTrue)
+	for _, tt := range []struct {
+		wait  time.Duration
+		least int
+		most  int
+	}{
+		{0, 1, 1},
+		{300 * time.Millisecond, 2, 6},
+	} {
+		rounds := 0
+		ds, err := cl.Await(t.Context(), fleet(5), operator.AwaitOptions{
+			Wait: tt.wait, Interval: 50 * time.Millisecond, Report: func([]operator.DomainStatus) { rounds++ },
+		})
+		c.Assert(err, qt.IsNil)
+		c.Check(operator.AllConfirmed(ds, 5), qt.IsFalse)
+		c.Check(rounds >= tt.least && rounds <= tt.most, qt.IsTrue, qt.Commentf("%d rounds", rounds))
+	}
 }
 
 func TestAwaitWithoutAnswer(t *testing.T) {
 	c := qt.New(t)
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-	defer cancel()
-	_, err := newClient(closedAddress(t)).Await(ctx, fleet(5), 20*time.Millisecond, nil)
+	_, err := newClient(closedAddress(t)).Await(t.Context(), fleet(5), operator.AwaitOptions{
+		Wait: 100 * time.Millisecond, Interval: 20 * time.Millisecond,
+	})
 	c.Assert(kindOf(err), qt.Equals, operator.KindUnavailable)
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -240,7 +240,11 @@
 // pause waits before round n, doubling from round to round. It reports false
 // when ctx has ended.
 func pause(ctx context.Context, n int) bool {
-	d := min(firstPause<<min(n, 10), longestPause)
+	return sleep(ctx, min(firstPause<<min(n, 10), longestPause))
+}
+
+// sleep waits for d and reports false when ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
