--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -1,4 +1,146 @@
-// Command fescuelatchd is not written yet.
+// Command fescuelatchd is the daemon of an entry VM: it serves callers,
+// operators and other daemons of the fleet.
 package main
 
-func main() {}
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+
+	"fescuelatch"
+	"fescuelatch/daemon"
+	"fescuelatch/decision"
+	"fescuelatch/peer"
+	"fescuelatch/platform"
+	"fescuelatch/rating"
+	"fescuelatch/vmlist"
+)
+
+// This file defines the assembly of the daemon from its settings.
+
+const (
+	exitSettings    = 1
+	exitFailure     = 2
+	reportInterval  = time.Second
+	platformTimeout = 2 * time.Second
+)
+
+func main() {
+	s, err := readSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.level}))
+	if err := run(s, log); err != nil {
+		log.Error("failed", "error", err.Error())
+		os.Exit(exitFailure)
+	}
+}
+
+func run(s *settings, log *slog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "fescuelatch", CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	defer closeScope(closer)
+	tlsConfig, err := s.tlsConfig()
+	if err != nil {
+		return err
+	}
+	o, err := s.options(log, tlsConfig)
+	if err != nil {
+		return err
+	}
+	o.Metrics = scope
+	o.Scrape = reporter.HTTPHandler()
+	d, err := daemon.New(*o)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx, daemon.Fronts{
+		Caller: s.CallerListen, Operator: s.OperatorListen, Peer: s.PeerListen,
+		OperatorKey: s.OperatorKey, PeerTLS: tlsConfig,
+	})
+}
+
+func closeScope(c io.Closer) { _ = c.Close() }
+
+// options assembles what the daemon works with.
+func (s *settings) options(log *slog.Logger, tlsConfig *tls.Config) (*daemon.Options, error) {
+	server, err := addressOf(s.Platform)
+	if err != nil {
+		return nil, errors.Wrap(err, "--platform")
+	}
+	dialer := &peer.Dialer{From: s.DialFrom, TLS: tlsConfig}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	incarnation := fescuelatch.Incarnation(uuid.NewString())
+	vm := fescuelatch.VMID(s.VM)
+	domain := fescuelatch.DomainID(s.Domain)
+	return &daemon.Options{
+		VM: vm, Domain: domain, Incarnation: incarnation, Seeds: s.Seeds,
+		FleetKey: peer.FleetKey(s.FleetKey), Sessions: s.sessions, Dialer: dialer,
+		KV:    &platform.Client{Server: server, HTTP: client, Timeout: platformTimeout},
+		VMs:   &vmlist.Client{HTTP: client, URL: s.VMs},
+		Rater: &rating.Client{HTTP: client, URL: s.Rating},
+		Core: decision.Options{
+			VM: vm, Domain: domain, Random: decision.NewRandom(), SampleShare: s.SampleShare,
+			Quality:   find(qualityModels, s.Quality)(incarnation),
+			Versions:  find(versionPolicies, s.VersionPolicy)(incarnation),
+			Placement: find(placementPolicies, s.Placement)(incarnation),
+			Gate:      find(gates, s.Gate)(incarnation),
+		},
+		Log: log, StopTimeout: s.StopTimeout,
+	}, nil
+}
+
+// addressOf returns the address of an HTTP URL with an IP number and a port.
+func addressOf(raw string) (netip.AddrPort, error) {
+	u, err := url.Parse(raw)
+	if err != nil {
+		return netip.AddrPort{}, errors.WithStack(err)
+	}
+	a, err := netip.ParseAddrPort(u.Host)
+	return a, errors.WithStack(err)
+}
+
+// tlsConfig returns the mutual TLS between daemons, or nil when it is off.
+func (s *settings) tlsConfig() (*tls.Config, error) {
+	if s.TLSCertificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "--tls-certificate")
+	}
+	authority, err := os.ReadFile(s.TLSAuthority)
+	if err != nil {
+		return nil, errors.Wrap(err, "--tls-authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.New("--tls-authority holds no certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{certificate}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/cmd/fescuelatchd/settings.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"log/slog"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"fescuelatch/token"
+)
+
+// This file defines the settings of the daemon.
+
+// settings are read from flags and from environment variables with the
+// prefix FESCUELATCH_. A flag goes before its variable.
+type settings struct {
+	VM             string           `arg:"--vm,env:FESCUELATCH_VM" help:"identifier of this VM in the inventory"`
+	Domain         string           `arg:"--domain,env:FESCUELATCH_DOMAIN" help:"failure domain of this VM"`
+	PeerListen     netip.AddrPort   `arg:"--peer-listen,env:FESCUELATCH_PEER_LISTEN" help:"address to listen on for other daemons"`
+	CallerListen   netip.AddrPort   `arg:"--caller-listen,env:FESCUELATCH_CALLER_LISTEN" help:"address to listen on for callers"`
+	OperatorListen netip.AddrPort   `arg:"--operator-listen,env:FESCUELATCH_OPERATOR_LISTEN" help:"address to listen on for operators"`
+	DialFrom       netip.Addr       `arg:"--dial-from,env:FESCUELATCH_DIAL_FROM" help:"address that connections come from"`
+	Platform       string           `arg:"--platform,env:FESCUELATCH_PLATFORM" help:"URL of the key-value service"`
+	VMs            string           `arg:"--vms,env:FESCUELATCH_VMS" help:"URL of the list of VMs"`
+	Rating         string           `arg:"--rating,env:FESCUELATCH_RATING" help:"URL of the rating service"`
+	Seeds          []netip.AddrPort `arg:"--seeds,env:FESCUELATCH_SEEDS" help:"peer addresses to learn from while the platform is away, separated by commas"`
+
+	FleetKey        string `arg:"--,env:FESCUELATCH_FLEET_KEY"`
+	FleetKeyFile    string `arg:"--fleet-key-file,env:FESCUELATCH_FLEET_KEY_FILE" help:"file with the key that daemons prove to each other"`
+	OperatorKey     string `arg:"--,env:FESCUELATCH_OPERATOR_KEY"`
+	OperatorKeyFile string `arg:"--operator-key-file,env:FESCUELATCH_OPERATOR_KEY_FILE" help:"file with the operator key"`
+	SessionKeys     string `arg:"--,env:FESCUELATCH_SESSION_KEYS"`
+	SessionKeysFile string `arg:"--session-keys-file,env:FESCUELATCH_SESSION_KEYS_FILE" help:"file with the keys of session tokens: kid:secret,kid:secret; the first signs"`
+
+	TLSCertificate string `arg:"--tls-certificate,env:FESCUELATCH_TLS_CERTIFICATE" help:"certificate file for mutual TLS between daemons"`
+	TLSKey         string `arg:"--tls-key,env:FESCUELATCH_TLS_KEY" help:"key file for mutual TLS between daemons"`
+	TLSAuthority   string `arg:"--tls-authority,env:FESCUELATCH_TLS_AUTHORITY" help:"file of the authority that signs the certificates of daemons"`
+
+	VersionPolicy string        `arg:"--version-policy,env:FESCUELATCH_VERSION_POLICY" default:"cascade" help:"cascade, always-best or always-cheapest"`
+	Placement     string        `arg:"--placement,env:FESCUELATCH_PLACEMENT" default:"affinity" help:"affinity, least-loaded or random"`
+	Gate          string        `arg:"--gate,env:FESCUELATCH_GATE" default:"adaptive" help:"adaptive or fixed"`
+	Quality       string        `arg:"--quality,env:FESCUELATCH_QUALITY" default:"learned" help:"learned or static"`
+	SampleShare   float64       `arg:"--sample-share,env:FESCUELATCH_SAMPLE_SHARE" default:"0.2" help:"share of answers that are rated for learning, 0 to 1"`
+	StopTimeout   time.Duration `arg:"--stop-timeout,env:FESCUELATCH_STOP_TIMEOUT" default:"30s" help:"longest time of a graceful stop"`
+	LogLevel      string        `arg:"--log-level,env:FESCUELATCH_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+
+	sessions token.Ring
+	level    slog.Level
+}
+
+// Description implements arg.Described.
+func (*settings) Description() string {
+	return "fescuelatchd is the daemon of an entry VM. Keys come from the environment or from files, never from flags."
+}
+
+// readSettings reads and checks the settings; it names all faults at once.
+func readSettings() (*settings, error) {
+	s := new(settings)
+	arg.MustParse(s)
+	var faults []string
+	fault := func(err error) {
+		if err != nil {
+			faults = append(faults, err.Error())
+		}
+	}
+	fault(keyFromFile(&s.FleetKey, s.FleetKeyFile))
+	fault(keyFromFile(&s.OperatorKey, s.OperatorKeyFile))
+	fault(keyFromFile(&s.SessionKeys, s.SessionKeysFile))
+	faults = append(faults, s.check()...)
+	if len(faults) > 0 {
+		return nil, errors.Errorf("settings: %s", strings.Join(faults, "; "))
+	}
+	return s, nil
+}
+
+func keyFromFile(key *string, name string) error {
+	if name == "" {
+		return nil
+	}
+	b, err := os.ReadFile(name) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	*key = strings.TrimSpace(string(b))
+	return nil
+}
+
+func (s *settings) check() []string {
+	var faults []string
+	require := func(ok bool, message string) {
+		if !ok {
+			faults = append(faults, message)
+		}
+	}
+	require(s.VM != "", "--vm is missing")
+	require(s.Domain != "", "--domain is missing")
+	require(s.PeerListen.IsValid(), "--peer-listen is missing")
+	require(s.CallerListen.IsValid(), "--caller-listen is missing")
+	require(s.OperatorListen.IsValid(), "--operator-listen is missing")
+	require(s.Platform != "", "--platform is missing")
+	require(s.VMs != "", "--vms is missing")
+	require(s.Rating != "", "--rating is missing")
+	require(s.FleetKey != "", "the fleet key is missing")
+	require(s.OperatorKey != "", "the operator key is missing")
+	require(s.SampleShare >= 0 && s.SampleShare <= 1, "--sample-share is not within 0 to 1")
+	require(s.StopTimeout > 0, "--stop-timeout is not positive")
+	require(s.level.UnmarshalText([]byte(s.LogLevel)) == nil, "--log-level is unknown")
+	tls := s.TLSCertificate != "" || s.TLSKey != "" || s.TLSAuthority != ""
+	require(!tls || (s.TLSCertificate != "" && s.TLSKey != "" && s.TLSAuthority != ""),
+		"--tls-certificate, --tls-key and --tls-authority go together")
+	var err error
+	s.sessions, err = token.ParseRing(s.SessionKeys)
+	require(err == nil, "the session keys are missing or malformed")
+	faults = append(faults, s.checkPolicies()...)
+	return faults
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,14 +8,12 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
@@ -34,10 +32,9 @@
 
 // Options configure a daemon.
 type Options struct {
-	VM     fescuelatch.VMID
-	Domain fescuelatch.DomainID
-	// DialFrom is the address that connections come from.
-	DialFrom netip.Addr
+	VM          fescuelatch.VMID
+	Domain      fescuelatch.DomainID
+	Incarnation fescuelatch.Incarnation
 	// Seeds are peer addresses to learn a configuration from when the
 	// platform is away.
 	Seeds    []netip.AddrPort
@@ -95,15 +92,14 @@
 
 // New returns a daemon that has not been started.
 func New(o Options) (*Daemon, error) {
-	i := fescuelatch.Incarnation(uuid.NewString())
 	now := time.Now()
-	t, err := ownership.New(o.VM, i, ownership.Settings{}, now)
+	t, err := ownership.New(o.VM, o.Incarnation, ownership.Settings{}, now)
 	if err != nil {
 		return nil, errors.Wrap(err, "new daemon")
 	}
 	d := &Daemon{
 		options:     o,
-		incarnation: i,
+		incarnation: o.Incarnation,
 		started:     now,
 		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
 		holder:      new(configstore.Holder),
@@ -249,13 +245,3 @@
 	defer d.mu.Unlock()
 	return d.core.Open()
 }
-
-// NewCore returns the options of a core with its random source seeded.
-func NewCore(vm fescuelatch.VMID, domain fescuelatch.DomainID, q fescuelatch.QualityModel, v fescuelatch.VersionPolicy,
-	p fescuelatch.PlacementPolicy, g fescuelatch.Gate, sample float64,
-) decision.Options {
-	return decision.Options{
-		VM: vm, Domain: domain, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Quality: q, Versions: v, Placement: p, Gate: g, SampleShare: sample,
-	}
-}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -181,3 +181,17 @@
 	d.log.Info("request ended", args...)
 }
 
+// attemptClaimed makes an attempt of a request that must not be repeated.
+func (s *serving) attemptClaimed(_ context.Context, _ engine.Target, r fescuelatch.AttemptResult, _ time.Time) {
+	s.notStarted(r, errors.New("claims are not served yet"))
+}
+
+func (s *serving) bill(context.Context, decision.Accept, *answer) {}
+
+func (s *serving) resolveSession(context.Context) bool { return true }
+
+// Hold implements peer.Handler.
+func (p *peerHandler) Hold(*peer.BillBatch, *peer.Ack) error { return nil }
+
+// Drop implements peer.Handler.
+func (p *peerHandler) Drop(*peer.BillKey, *peer.Ack) error { return nil }
--- a/decision/core.go
+++ b/decision/core.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// NewRandom returns a source of random choices with a random seed.
+func NewRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // Handle takes one event and returns the actions that follow from it, in
 // order. Times must not decrease. The result is valid until the next call.
 func (c *Core) Handle(now time.Time, e Event) []Action {
