One request served end to end by separate processes

Cause: placement told own endpoints from other daemons by the Endpoint field, but the gate chooses among own endpoints, so forwarded requests found no spot. Spot.Own says it.

--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -21,11 +21,16 @@
 
 var _ operator.Backend = (*operatorBackend)(nil)
 
-// Configuration implements operator.Backend.
+// Configuration implements operator.Backend. Before the first change, the
+// configuration is empty and has generation zero.
 func (o *operatorBackend) Configuration() *fescuelatch.Configuration {
-	if v := (*Daemon)(o).holder.View(); v != nil {
+	d := (*Daemon)(o)
+	if v := d.holder.View(); v != nil {
 		return v.Configuration
 	}
+	if d.learned.Load() {
+		return new(fescuelatch.Configuration)
+	}
 	return nil
 }
 
--- a/decision/place.go
+++ b/decision/place.go
@@ -74,7 +74,7 @@
 	if c.serves[s] > 0 && !q.tried[c.options.VM] {
 		w := c.ownSpare(now, s)
 		spots = append(spots, fescuelatch.Spot{
-			VM: c.options.VM, Domain: c.options.Domain, Local: true, Spare: w.Free - w.Queued, Seen: now,
+			VM: c.options.VM, Domain: c.options.Domain, Own: true, Local: true, Spare: w.Free - w.Queued, Seen: now,
 		})
 	}
 	if q.Forwarded {
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -70,7 +70,7 @@
 // tierOf returns the tier of a spot.
 func tierOf(s *fescuelatch.Spot) tier {
 	switch {
-	case s.Endpoint != "":
+	case s.Own, s.Endpoint != "":
 		return tierOwn
 	case s.Local:
 		return tierLocal
--- a/policy.go
+++ b/policy.go
@@ -85,12 +85,14 @@
 	Plan(now time.Time, r *Request, candidates []Candidate, u float64) []VersionID
 }
 
-// Spot is a place where an attempt can be made: an endpoint that this daemon
-// owns (Endpoint set), or another daemon (VM set) that owns endpoints.
+// Spot is a place where an attempt can be made: this daemon (Own set), whose
+// gate chooses among its endpoints unless Endpoint is set, or another daemon
+// that owns endpoints.
 type Spot struct {
 	VM       VMID
 	Domain   DomainID
 	Endpoint EndpointID
+	Own      bool
 	// Local reports that the spot lies in this daemon's failure domain.
 	Local bool
 	Spare int
