--- a/fleet/address.go
+++ b/fleet/address.go
@@ -6,9 +6,9 @@
 	"net"
 	"net/netip"
 
-	"fescuelatch"
-
 	"github.com/pkg/errors"
+
+	"fescuelatch"
 )
 
 // This file defines the choice of ports.
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -5,9 +5,9 @@
 	"path/filepath"
 	"syscall"
 
-	"fescuelatch"
-
 	"github.com/pkg/errors"
+
+	"fescuelatch"
 )
 
 // This file defines what may be done to single processes of a fleet.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,13 +15,14 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"fescuelatch"
-
 	"github.com/pkg/errors"
+
+	"fescuelatch"
 )
 
 // This file defines fleets and their life cycle.
@@ -39,8 +40,7 @@
 
 // Options say what to start.
 type Options struct {
-	// Configuration holds the inventory and rules. Its account keys are
-	// replaced: see Fleet.Keys.
+	// Configuration holds the inventory and rules.
 	Configuration *fescuelatch.Configuration
 	// Bin is the directory of the programs.
 	Bin string
@@ -68,7 +68,7 @@
 // those that change the same VM must not overlap.
 type Fleet struct {
 	// Configuration is what the fleet was started with: the addresses in
-	// use, and account keys known to this process.
+	// use, and accounts with the keys that Keys holds.
 	Configuration *fescuelatch.Configuration
 	// OperatorKey authorises calls to the operator addresses.
 	OperatorKey string
@@ -171,15 +171,21 @@
 	return nil
 }
 
-// issueKeys gives each client account a new key in place of its own.
+// Key returns the bearer key of a client account of the example inventories.
+// It protects nothing: a fleet listens on loopback only.
+func Key(a fescuelatch.AccountID) string { return "demo-" + string(a) }
+
+// issueKeys lets each client account use the key that Key returns.
 func (f *Fleet) issueKeys() {
 	c := *f.Configuration
 	c.Rules.Accounts = append([]fescuelatch.Account(nil), c.Rules.Accounts...)
 	for n := range c.Rules.Accounts {
 		a := &c.Rules.Accounts[n]
-		k := "key-" + string(a.ID) + "-" + secret(secretBytes)
-		f.Keys[a.ID] = k
-		a.KeyHashes = []string{fescuelatch.HashKey(k)}
+		f.Keys[a.ID] = Key(a.ID)
+		h := fescuelatch.HashKey(Key(a.ID))
+		if !slices.Contains(a.KeyHashes, h) {
+			a.KeyHashes = append(slices.Clone(a.KeyHashes), h)
+		}
 	}
 	f.Configuration = &c
 }
--- a/fleet/operator.go
+++ b/fleet/operator.go
@@ -11,10 +11,10 @@
 	"slices"
 	"time"
 
-	"fescuelatch"
-
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+
+	"fescuelatch"
 )
 
 // This file defines the calls of a fleet to its daemons' operator addresses
--- /dev/null
+++ b/load/errors.go
@@ -0,0 +1,34 @@
+package load
+
+// This file defines the error type of this package and its kinds.
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// Kinds of errors of this package.
+const (
+	// KindProfile means that a profile cannot be planned.
+	KindProfile ErrorKind = "profile"
+	// KindUnreachable means that no target accepted a connection.
+	KindUnreachable ErrorKind = "unreachable"
+	// KindBroken means that an answer broke off or does not decode.
+	KindBroken ErrorKind = "broken"
+)
+
+// Error reports that operation Op failed for a reason of kind Kind.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Op + ": " + string(e.Kind)
+	}
+	return e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/load/profile.go
@@ -0,0 +1,137 @@
+// Package load generates callers' traffic: an open loop of Poisson arrivals
+// that is planned from a seed, sent to the caller addresses of a fleet and
+// checked answer by answer.
+//
+// Plan is pure. A Runner starts a goroutine for each call and ends them all
+// before Run returns.
+package load
+
+import (
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines profiles: what traffic to generate.
+
+// Profile describes the traffic of one run. Shares are from 0 to 1.
+type Profile struct {
+	// Rate is the mean number of arrivals a second.
+	Rate     float64       `json:"rate"`
+	Duration time.Duration `json:"duration"`
+	Seed     uint64        `json:"seed"`
+	// Run makes the nonces and keys of this run differ from other runs'.
+	Run      string    `json:"run"`
+	Accounts []Account `json:"-"`
+	Mix      Mix       `json:"mix"`
+	// Bursts add arrivals of one account.
+	Bursts []Burst `json:"bursts,omitempty"`
+}
+
+// Mix holds the shares of kinds of calls.
+type Mix struct {
+	// Service is the share of calls to plain services, of the calls of an
+	// account that may use one.
+	Service float64 `json:"service"`
+	// Streamed is the share of model calls whose answer is streamed.
+	Streamed float64 `json:"streamed"`
+	// Session is the share of model calls that belong to a session.
+	Session float64 `json:"session"`
+	// Auto and Pinned are the shares of model calls that name "auto" or a
+	// version; the rest names a model.
+	Auto   float64 `json:"auto"`
+	Pinned float64 `json:"pinned"`
+	// OwnQuality is the share of model calls that state the quality needed.
+	OwnQuality float64 `json:"own-quality"`
+	// KeyedModel is the share of model calls with an idempotency key.
+	KeyedModel float64 `json:"keyed-model"`
+	// Keyless is the share of service calls without an idempotency key.
+	Keyless float64 `json:"keyless"`
+	// Repeated is the share of keyed calls that are sent a second time.
+	Repeated float64 `json:"repeated"`
+	// MinTokens and MaxTokens bound the length of answers.
+	MinTokens int `json:"min-tokens"`
+	MaxTokens int `json:"max-tokens"`
+	// Timeout is the time that the caller allows for a request.
+	Timeout time.Duration `json:"timeout"`
+}
+
+// DefaultMix returns the mix of everyday traffic.
+func DefaultMix() Mix {
+	return Mix{
+		Service: 0.25, Streamed: 0.6, Session: 0.3, Auto: 0.1, Pinned: 0.1,
+		OwnQuality: 0.4, KeyedModel: 0.1, Keyless: 0.2, Repeated: 0.3,
+		MinTokens: 8, MaxTokens: 48, Timeout: 10 * time.Second,
+	}
+}
+
+// Burst is extra traffic of one account.
+type Burst struct {
+	Account fescuelatch.AccountID `json:"account"`
+	From    time.Duration         `json:"from"`
+	To      time.Duration         `json:"to"`
+	Rate    float64               `json:"rate"` // arrivals a second
+}
+
+// Account is a client account as its caller knows it.
+type Account struct {
+	ID  fescuelatch.AccountID
+	Key string
+	// Weight is the account's part of the arrivals.
+	Weight   float64
+	Models   []fescuelatch.ModelID
+	Versions []fescuelatch.VersionID
+	Calls    []ServiceCall
+}
+
+// ServiceCall is an operation that an account may call.
+type ServiceCall struct {
+	Service   fescuelatch.ServiceID
+	Operation fescuelatch.Operation
+}
+
+// AccountsOf returns the accounts of a configuration, with what each may
+// use. Accounts without a key in keys are left out.
+func AccountsOf(c *fescuelatch.Configuration, keys map[fescuelatch.AccountID]string) []Account {
+	var as []Account
+	for n := range c.Rules.Accounts {
+		r := &c.Rules.Accounts[n]
+		key, ok := keys[r.ID]
+		if !ok {
+			continue
+		}
+		a := Account{ID: r.ID, Key: key, Weight: r.Share, Models: r.Models}
+		if a.Weight <= 0 {
+			a.Weight = 1
+		}
+		for _, v := range c.Inventory.Versions {
+			if contains(r.Models, v.Model) || contains(r.Versions, v.ID) {
+				a.Versions = append(a.Versions, v.ID)
+			}
+		}
+		for _, s := range c.Inventory.Services {
+			if contains(r.Services, s.ID) {
+				a.Calls = append(a.Calls, calls(s)...)
+			}
+		}
+		as = append(as, a)
+	}
+	return as
+}
+
+func calls(s fescuelatch.Service) []ServiceCall {
+	var cs []ServiceCall
+	for _, o := range s.Operations {
+		cs = append(cs, ServiceCall{Service: s.ID, Operation: o})
+	}
+	return cs
+}
+
+func contains[T comparable](list []T, v T) bool {
+	for _, e := range list {
+		if e == v {
+			return true
+		}
+	}
+	return false
+}
