--- /dev/null
+++ b/fleet/observe.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+)
+
+// This file defines what can be seen of a fleet from the outside: the
+// records of the stand-ins and the keys of the platform.
+
+// Receipt is the receipt of an attempt by a model engine.
+type Receipt struct {
+	At time.Time `json:"at"`
+	// Started is when the attempt got a slot; zero means never.
+	Started time.Time             `json:"started"`
+	Attempt fescuelatch.AttemptID `json:"attempt"`
+	Version fescuelatch.VersionID `json:"version"`
+	Leaving bool                  `json:"leaving"`
+}
+
+// Request returns the request that an attempt belongs to.
+func (s *Receipt) Request() fescuelatch.RequestID { return requestOf(s.Attempt) }
+
+// requestOf cuts the number of the attempt off its identifier.
+func requestOf(a fescuelatch.AttemptID) fescuelatch.RequestID {
+	n := strings.LastIndexByte(string(a), '.')
+	if n < 0 {
+		return fescuelatch.RequestID(a)
+	}
+	return fescuelatch.RequestID(a[:n])
+}
+
+// Execution is one execution of an operation by a plain service.
+type Execution struct {
+	Key       string                  `json:"key"`
+	Service   fescuelatch.ServiceID   `json:"service"`
+	Operation fescuelatch.OperationID `json:"operation"`
+	Attempt   fescuelatch.AttemptID   `json:"attempt"`
+	At        time.Time               `json:"at"`
+}
+
+// EndpointCounts are the counts of an engine or a plain service.
+type EndpointCounts struct {
+	FallOvers  int `json:"fall-overs"`
+	MaxCold    int `json:"max-cold-concurrency"`
+	MaxRunning int `json:"max-concurrency"`
+}
+
+// EndpointLog is what one endpoint has recorded.
+type EndpointLog struct {
+	Endpoint   fescuelatch.Endpoint
+	Pool       fescuelatch.Pool
+	Starts     []Receipt
+	Executions []Execution
+	Counts     EndpointCounts
+}
+
+// EndpointLogs reads the records of all endpoints. It fails when one cannot
+// be read.
+func (f *Fleet) EndpointLogs(ctx context.Context) ([]EndpointLog, error) {
+	pools := make(map[fescuelatch.PoolID]fescuelatch.Pool)
+	for _, l := range f.Configuration.Inventory.Pools {
+		pools[l.ID] = l
+	}
+	var logs []EndpointLog
+	for _, e := range f.Configuration.Inventory.Endpoints {
+		l, err := f.endpointLog(ctx, e, pools[e.Pool])
+		if err != nil {
+			return nil, err
+		}
+		logs = append(logs, l)
+	}
+	return logs, nil
+}
+
+func (f *Fleet) endpointLog(ctx context.Context, e fescuelatch.Endpoint, p fescuelatch.Pool) (EndpointLog, error) {
+	l := EndpointLog{Endpoint: e, Pool: p}
+	if err := f.get(ctx, e.Address, "/counts", &l.Counts); err != nil {
+		return l, err
+	}
+	if p.Service != "" {
+		var a struct {
+			Executions []Execution `json:"executions"`
+		}
+		err := f.get(ctx, e.Address, "/executions", &a)
+		l.Executions = a.Executions
+		return l, err
+	}
+	var a struct {
+		Starts []Receipt `json:"starts"`
+	}
+	err := f.get(ctx, e.Address, "/starts", &a)
+	l.Starts = a.Starts
+	return l, err
+}
+
+func (f *Fleet) get(ctx context.Context, a netip.AddrPort, path string, out any) error {
+	return f.call(ctx, http.MethodGet, "http://"+a.String()+path, nil, out)
+}
+
+// Faults merges faults into those of an endpoint's stand-in.
+func (f *Fleet) Faults(ctx context.Context, e fescuelatch.EndpointID, faults any) error {
+	for _, p := range f.Configuration.Inventory.Endpoints {
+		if p.ID == e {
+			return f.setFaults(ctx, p.Address, faults)
+		}
+	}
+	return &Error{"set faults", KindUnknown, errors.New(string(e))}
+}
+
+// PlatformFaults merges faults into those of the platform's stand-in.
+func (f *Fleet) PlatformFaults(ctx context.Context, faults any) error {
+	return f.setFaults(ctx, f.places.platform, faults)
+}
+
+// RatingFaults merges faults into those of the rating service's stand-in.
+func (f *Fleet) RatingFaults(ctx context.Context, faults any) error {
+	return f.setFaults(ctx, f.places.rating, faults)
+}
+
+func (f *Fleet) setFaults(ctx context.Context, a netip.AddrPort, faults any) error {
+	return f.call(ctx, http.MethodPost, "http://"+a.String()+"/faults", faults, nil)
+}
+
+// PlatformCalls returns the number of calls that the platform has counted,
+// by kind.
+func (f *Fleet) PlatformCalls(ctx context.Context) (map[string]int64, error) {
+	var a struct {
+		Calls map[string]int64 `json:"calls"`
+	}
+	err := f.get(ctx, f.places.platform, "/counts", &a)
+	return a.Calls, err
+}
+
+const billPrefix = "fescuelatch/bill/"
+
+type rangeRequest struct {
+	Key      string `json:"key"`
+	RangeEnd string `json:"range_end"`
+}
+
+type rangeAnswer struct {
+	KVs []struct {
+		Key   []byte `json:"key"`
+		Value []byte `json:"value"`
+	} `json:"kvs"`
+}
+
+// Bills returns all bills at the platform, one for each time that a bill
+// stands there.
+func (f *Fleet) Bills(ctx context.Context) ([]fescuelatch.Bill, error) {
+	last := []byte(billPrefix)
+	last[len(last)-1]++
+	q := rangeRequest{
+		Key:      base64.StdEncoding.EncodeToString([]byte(billPrefix)),
+		RangeEnd: base64.StdEncoding.EncodeToString(last),
+	}
+	var a rangeAnswer
+	if err := f.call(ctx, http.MethodPost, "http://"+f.places.platform.String()+"/v3/kv/range", q, &a); err != nil {
+		return nil, err
+	}
+	var bills []fescuelatch.Bill
+	for _, kv := range a.KVs {
+		bs, err := decodeBills(kv.Value)
+		if err != nil {
+			return nil, &Error{"read " + string(kv.Key), KindRefused, err}
+		}
+		bills = append(bills, bs...)
+	}
+	return bills, nil
+}
+
+// decodeBills decodes a bill, a list of bills, or a batch that holds a list
+// named "bills".
+func decodeBills(b []byte) ([]fescuelatch.Bill, error) {
+	var list []fescuelatch.Bill
+	if json.Unmarshal(b, &list) == nil {
+		return list, nil
+	}
+	var batch struct {
+		Bills []fescuelatch.Bill `json:"bills"`
+	}
+	if err := json.Unmarshal(b, &batch); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if batch.Bills != nil {
+		return batch.Bills, nil
+	}
+	var bill fescuelatch.Bill
+	if err := json.Unmarshal(b, &bill); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if bill.Request == "" {
+		return nil, errors.New("holds no bill")
+	}
+	return []fescuelatch.Bill{bill}, nil
+}
