--- a/cmd/fescuelatch-load/main.go
+++ b/cmd/fescuelatch-load/main.go
@@ -1,4 +1,57 @@
-// Command fescuelatch-load is not written yet.
+// Command fescuelatch-load sends callers' traffic to a fleet, runs a fleet on
+// this machine to try it, and measures it: see docs/LOAD.md.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// This file defines the command line.
+
+type commands struct {
+	Run *runCommand `arg:"subcommand:run" help:"send traffic to the caller addresses of an inventory"`
+	Up  *upCommand  `arg:"subcommand:up" help:"run a fleet on this machine until interrupted"`
+}
+
+// command is a subcommand. It returns the exit status.
+type command interface {
+	run(ctx context.Context) (int, error)
+}
+
+// Exit statuses.
+const (
+	exitGood       = 0
+	exitViolations = 1
+	exitFailed     = 2
+)
+
+func main() {
+	var c commands
+	p, err := arg.NewParser(arg.Config{Program: "fescuelatch-load", EnvPrefix: "FESCUELATCH_"}, &c)
+	if err != nil {
+		panic(err)
+	}
+	p.MustParse(os.Args[1:])
+	s, ok := p.Subcommand().(command)
+	if !ok {
+		p.Fail("a subcommand is required")
+	}
+	os.Exit(execute(s))
+}
+
+func execute(s command) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	status, err := s.run(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fescuelatch-load:", err)
+		return exitFailed
+	}
+	return status
+}
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -48,7 +48,7 @@
 	At        time.Time               `json:"at"`
 }
 
-// EndpointCounts are the counts of an engine or a plain service.
+// EndpointCounts are the counts of an engine.
 type EndpointCounts struct {
 	FallOvers  int `json:"fall-overs"`
 	MaxCold    int `json:"max-cold-concurrency"`
@@ -84,9 +84,6 @@
 
 func (f *Fleet) endpointLog(ctx context.Context, e fescuelatch.Endpoint, p fescuelatch.Pool) (EndpointLog, error) {
 	l := EndpointLog{Endpoint: e, Pool: p}
-	if err := f.get(ctx, e.Address, "/counts", &l.Counts); err != nil {
-		return l, err
-	}
 	if p.Service != "" {
 		var a struct {
 			Executions []Execution `json:"executions"`
@@ -95,6 +92,9 @@
 		l.Executions = a.Executions
 		return l, err
 	}
+	if err := f.get(ctx, e.Address, "/counts", &l.Counts); err != nil {
+		return l, err
+	}
 	var a struct {
 		Starts []Receipt `json:"starts"`
 	}
@@ -204,3 +204,6 @@
 	}
 	return []fescuelatch.Bill{bill}, nil
 }
+
+// Platform returns the address of the platform's key-value service.
+func (f *Fleet) Platform() netip.AddrPort { return f.places.platform }
--- a/fleet/programs.go
+++ b/fleet/programs.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"fmt"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -26,15 +28,32 @@
 	}
 }
 
-// engine returns the command of the stand-in of a model engine.
+// coldStart is the time for which a new process of an engine is cold, unless
+// Options.Engine says otherwise.
+const coldStart = "2s"
+
+// engine returns the command of the stand-in of a model engine, whose
+// answers are as good as the inventory says.
 func (f *Fleet) engine(e fescuelatch.Endpoint, p fescuelatch.Pool) command {
 	args := []string{
-		"--id", string(e.ID),
+		"--endpoint", string(e.ID),
 		"--slots", strconv.Itoa(p.Slots),
 		"--cold-slots", strconv.Itoa(p.ColdSlots),
+		"--cold-start", coldStart,
+		"--weights", f.places.weights.String(),
+	}
+	if !p.Fenced {
+		args = append(args, "--ignore-fencing")
 	}
+	args = append(args, "--versions")
 	for _, v := range p.Versions {
-		args = append(args, "--version", string(v))
+		args = append(args, string(v))
+	}
+	args = append(args, "--quality")
+	for _, v := range f.Configuration.Inventory.Versions {
+		if slices.Contains(p.Versions, v.ID) {
+			args = append(args, fmt.Sprintf("%s=%g", v.ID, v.Quality))
+		}
 	}
 	return f.standin("engine-"+string(e.ID), "engine", e.Address, args...)
 }
@@ -42,10 +61,8 @@
 // service returns the command of the stand-in of a plain service.
 func (f *Fleet) service(e fescuelatch.Endpoint, p fescuelatch.Pool) command {
 	return f.standin("service-"+string(e.ID), "service", e.Address,
-		"--id", string(e.ID),
-		"--service", string(p.Service),
-		"--slots", strconv.Itoa(p.Slots),
-		"--cold-slots", strconv.Itoa(p.ColdSlots))
+		"--endpoint", string(e.ID),
+		"--slots", strconv.Itoa(p.Slots))
 }
 
 // link returns the command of a relay from a to target.
--- a/load/plan.go
+++ b/load/plan.go
@@ -198,6 +198,9 @@
 // modelName draws "auto", a version or a model that a may use.
 func (l *planner) modelName(a *Account) string {
 	m := &l.profile.Mix
+	if len(a.Others) > 0 && l.chance(m.Forbidden) {
+		return string(a.Others[l.rand.IntN(len(a.Others))])
+	}
 	u := l.rand.Float64()
 	switch {
 	case u < m.Auto:
--- a/load/profile.go
+++ b/load/profile.go
@@ -7,6 +7,7 @@
 package load
 
 import (
+	"slices"
 	"time"
 
 	"fescuelatch"
@@ -49,6 +50,9 @@
 	Keyless float64 `json:"keyless"`
 	// Repeated is the share of keyed calls that are sent a second time.
 	Repeated float64 `json:"repeated"`
+	// Forbidden is the share of model calls that name a version that the
+	// account may not use, if there is one.
+	Forbidden float64 `json:"forbidden"`
 	// MinTokens and MaxTokens bound the length of answers.
 	MinTokens int `json:"min-tokens"`
 	MaxTokens int `json:"max-tokens"`
@@ -60,7 +64,7 @@
 func DefaultMix() Mix {
 	return Mix{
 		Service: 0.25, Streamed: 0.6, Session: 0.3, Auto: 0.1, Pinned: 0.1,
-		OwnQuality: 0.4, KeyedModel: 0.1, Keyless: 0.2, Repeated: 0.3,
+		OwnQuality: 0.4, KeyedModel: 0.1, Keyless: 0.2, Repeated: 0.3, Forbidden: 0.02,
 		MinTokens: 8, MaxTokens: 48, Timeout: 10 * time.Second,
 	}
 }
@@ -81,7 +85,9 @@
 	Weight   float64
 	Models   []fescuelatch.ModelID
 	Versions []fescuelatch.VersionID
-	Calls    []ServiceCall
+	// Others are the versions that the account may not use.
+	Others []fescuelatch.VersionID
+	Calls  []ServiceCall
 }
 
 // ServiceCall is an operation that an account may call.
@@ -105,12 +111,14 @@
 			a.Weight = 1
 		}
 		for _, v := range c.Inventory.Versions {
-			if contains(r.Models, v.Model) || contains(r.Versions, v.ID) {
+			if slices.Contains(r.Models, v.Model) || slices.Contains(r.Versions, v.ID) {
 				a.Versions = append(a.Versions, v.ID)
+			} else {
+				a.Others = append(a.Others, v.ID)
 			}
 		}
 		for _, s := range c.Inventory.Services {
-			if contains(r.Services, s.ID) {
+			if slices.Contains(r.Services, s.ID) {
 				a.Calls = append(a.Calls, calls(s)...)
 			}
 		}
@@ -126,12 +134,3 @@
 	}
 	return cs
 }
-
-func contains[T comparable](list []T, v T) bool {
-	for _, e := range list {
-		if e == v {
-			return true
-		}
-	}
-	return false
-}
--- a/load/record.go
+++ b/load/record.go
@@ -36,6 +36,8 @@
 	Complete bool        `json:"complete"`
 	Fault    AnswerFault `json:"fault,omitempty"`
 	Answer   string      `json:"-"`
+	// Bad reports that the answer has the stand-in's mark of a bad one.
+	Bad bool `json:"bad,omitempty"`
 }
 
 // AnswerFault is what is wrong with an answer that claims to be complete.
@@ -58,6 +60,18 @@
 	endWord   = "end:"
 )
 
+// badMark is the word that a stand-in puts into an answer of low quality.
+const badMark = "marker:bad"
+
+// judge takes in a whole answer.
+func (r *Record) judge(text string) {
+	r.Answer = text
+	r.Bad = strings.Contains(text, badMark)
+	if r.Complete {
+		r.Fault = CheckAnswer(text, r.Nonce, r.Tokens)
+	}
+}
+
 // CheckAnswer reports what is wrong with the text of a model's answer to the
 // request with a nonce, which asked for a number of tokens.
 func CheckAnswer(text, nonce string, tokens int) AnswerFault {
--- a/load/runner.go
+++ b/load/runner.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/caller"
 )
 
 // This file defines runners, which send the calls of a plan at their times.
@@ -120,7 +121,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	receive(r, resp, func(gap time.Duration) { u.token(r, gap) })
-	u.keepToken(c, resp.Header.Get(headerSession))
+	u.keepToken(c, resp.Header.Get(caller.HeaderSession))
 	return r
 }
 
--- a/load/send.go
+++ b/load/send.go
@@ -15,23 +15,11 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/caller"
 )
 
 // This file defines how a call is put on the wire and its answer read.
 
-// Header names of the callers' protocol.
-const (
-	headerKey       = "Idempotency-Key"
-	headerSession   = "Fescuelatch-Session"
-	headerQuality   = "Fescuelatch-Quality"
-	headerTimeout   = "Fescuelatch-Timeout"
-	headerPriority  = "Fescuelatch-Priority"
-	headerRequestID = "Fescuelatch-Request-Id"
-	headerOutcome   = "Fescuelatch-Outcome"
-	headerVersion   = "Fescuelatch-Version"
-	headerRetry     = "Retry-After"
-)
-
 const (
 	eventPrefix   = "data: "
 	eventDone     = "[DONE]"
@@ -132,12 +120,12 @@
 	}
 	set("Content-Type", "application/json")
 	set("Authorization", "Bearer "+bearer)
-	set(headerKey, c.Key)
-	set(headerSession, session)
-	set(headerPriority, c.Priority)
-	set(headerTimeout, c.Timeout.String())
+	set(caller.HeaderIdempotencyKey, c.Key)
+	set(caller.HeaderSession, session)
+	set(caller.HeaderPriority, c.Priority)
+	set(caller.HeaderTimeout, c.Timeout.String())
 	if c.Quality > 0 {
-		set(headerQuality, strconv.FormatFloat(c.Quality, 'f', 3, 64))
+		set(caller.HeaderQuality, strconv.FormatFloat(c.Quality, 'f', 3, 64))
 	}
 	return req, nil
 }
@@ -167,16 +155,16 @@
 
 // head takes in headers or trailers.
 func (r *Record) head(h http.Header) {
-	if v := h.Get(headerOutcome); v != "" {
+	if v := h.Get(caller.HeaderOutcome); v != "" {
 		r.Outcome = fescuelatch.Outcome(v)
 	}
-	if v := h.Get(headerRequestID); v != "" {
+	if v := h.Get(caller.HeaderRequestID); v != "" {
 		r.RequestID = fescuelatch.RequestID(v)
 	}
-	if v := h.Get(headerVersion); v != "" {
+	if v := h.Get(caller.HeaderVersion); v != "" {
 		r.Version = fescuelatch.VersionID(v)
 	}
-	if n, err := strconv.Atoi(h.Get(headerRetry)); err == nil {
+	if n, err := strconv.Atoi(h.Get(caller.HeaderRetryAfter)); err == nil {
 		r.RetryAfter = time.Duration(n) * time.Second
 	}
 }
@@ -216,9 +204,8 @@
 		r.fail(a.Error)
 		return nil
 	}
-	r.Answer = a.text(false)
 	r.Complete = true
-	r.Fault = CheckAnswer(r.Answer, r.Nonce, r.Tokens)
+	r.judge(a.text(false))
 	return nil
 }
 
@@ -271,9 +258,6 @@
 			text.WriteString(t)
 		}
 	}
-	r.Answer = text.String()
-	if r.Complete {
-		r.Fault = CheckAnswer(r.Answer, r.Nonce, r.Tokens)
-	}
+	r.judge(text.String())
 	return errors.WithStack(s.Err())
 }
