--- a/cmd/standin/kv/check.go
+++ b/cmd/standin/kv/check.go
@@ -2,49 +2,90 @@
 
 // This file defines the checks that a request passes before it runs.
 
+// writes are the keys that some operations put and the spans they delete.
+type writes struct {
+	puts    map[string]bool
+	deletes []span
+}
+
 // check reports whether a transaction is well formed.
 func (t *txnRequest) check() error {
+	_, err := t.writes()
+	return err
+}
+
+// writes returns the keys that either branch puts. As in etcd, no branch may
+// put a key twice, or put a key that it deletes.
+func (t *txnRequest) writes() (writes, error) {
 	if max(len(t.Compare), len(t.Success), len(t.Failure)) > maxTxnOps {
-		return &Error{Op: "txn", Kind: KindInvalid, Message: "too many operations in txn request"}
+		return writes{}, invalid("too many operations in txn request")
 	}
-	for _, ops := range [][]requestOp{t.Success, t.Failure} {
-		puts := make(map[string]bool)
-		for _, o := range ops {
-			if err := o.check(puts); err != nil {
-				return err
+	success, err := writesOf(t.Success)
+	if err != nil {
+		return writes{}, err
+	}
+	failure, err := writesOf(t.Failure)
+	if err != nil {
+		return writes{}, err
+	}
+	for k := range failure.puts {
+		success.puts[k] = true
+	}
+	return writes{puts: success.puts}, nil
+}
+
+// writesOf returns the writes of one branch.
+func writesOf(ops []requestOp) (writes, error) {
+	all := writes{puts: make(map[string]bool)}
+	for i := range ops {
+		w, err := ops[i].writes()
+		if err != nil {
+			return writes{}, err
+		}
+		for k := range w.puts {
+			if all.puts[k] {
+				return writes{}, errDuplicateKey
 			}
+			all.puts[k] = true
 		}
+		all.deletes = append(all.deletes, w.deletes...)
 	}
-	return nil
+	for k := range all.puts {
+		for _, s := range all.deletes {
+			if s.contains(k) {
+				return writes{}, errDuplicateKey
+			}
+		}
+	}
+	return all, nil
 }
 
-// check reports whether an operation is well formed and puts no key of puts,
-// to which it adds its own.
-func (o *requestOp) check(puts map[string]bool) error {
+func (o *requestOp) writes() (writes, error) {
 	switch {
 	case o.Put != nil:
-		if err := o.Put.check(); err != nil {
-			return err
-		}
-		if puts[string(o.Put.Key)] {
-			return &Error{Op: "txn", Kind: KindInvalid, Message: "duplicate key given in txn request"}
-		}
-		puts[string(o.Put.Key)] = true
-		return nil
+		return writes{puts: map[string]bool{string(o.Put.Key): true}}, o.Put.check()
+	case o.Delete != nil:
+		return writes{deletes: []span{{o.Delete.Key, o.Delete.RangeEnd}}}, nil
 	case o.Txn != nil:
-		return o.Txn.check()
-	case o.Range != nil || o.Delete != nil:
-		return nil
+		return o.Txn.writes()
+	case o.Range != nil:
+		return writes{}, nil
 	}
-	return &Error{Op: "txn", Kind: KindInvalid, Message: "key not found in operation"}
+	return writes{}, invalid("operation is empty")
+}
+
+var errDuplicateKey = invalid("duplicate key given in txn request")
+
+func invalid(message string) *Error {
+	return &Error{Op: "txn", Kind: KindInvalid, Message: message}
 }
 
 func (r *putRequest) check() error {
 	if len(r.Key) == 0 {
-		return &Error{Op: "put", Kind: KindInvalid, Message: "key is not provided"}
+		return invalid("key is not provided")
 	}
 	if len(r.Value) > maxValueSize {
-		return &Error{Op: "put", Kind: KindInvalid, Message: "request is too large"}
+		return invalid("request is too large")
 	}
 	return nil
 }
--- a/cmd/standin/kv/faults.go
+++ b/cmd/standin/kv/faults.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"fescuelatch/cmd/standin/server"
 )
 
@@ -66,18 +64,11 @@
 // limit takes a call from the rate of writes or reads.
 func (p *Platform) limit(write bool) error {
 	f := p.faults.Get()
-	l, perSecond := p.reads, f.ReadRate
+	l, perSecond := &p.reads, f.ReadRate
 	if write {
-		l, perSecond = p.writes, f.WriteRate
-	}
-	if perSecond <= 0 {
-		return nil
-	}
-	if l.Limit() != rate.Limit(perSecond) {
-		l.SetLimit(rate.Limit(perSecond))
-		l.SetBurst(max(1, int(perSecond/4)))
+		l, perSecond = &p.writes, f.WriteRate
 	}
-	if !l.Allow() {
+	if !l.Allow(perSecond) {
 		return &Error{Op: "limit", Kind: KindRateLimited, Message: "too many requests"}
 	}
 	return nil
--- a/cmd/standin/kv/platform.go
+++ b/cmd/standin/kv/platform.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"golang.org/x/time/rate"
 
 	"fescuelatch/cmd/standin/server"
 )
@@ -42,17 +41,13 @@
 	store  *store
 	faults server.Faults[Faults]
 	counts counts
-	writes *rate.Limiter
-	reads  *rate.Limiter
+	writes server.Limiter
+	reads  server.Limiter
 }
 
 // NewPlatform returns an empty service with the given faults.
 func NewPlatform(f Faults) *Platform {
-	p := &Platform{
-		store:  newStore(),
-		writes: rate.NewLimiter(rate.Inf, 0),
-		reads:  rate.NewLimiter(rate.Inf, 0),
-	}
+	p := &Platform{store: newStore()}
 	p.faults.Set(f)
 	return p
 }
@@ -107,7 +102,7 @@
 			return
 		}
 		resp, err := f(&q)
-		if write && p.loses(r.Context()) {
+		if write && err == nil && p.loses(r.Context()) {
 			server.Abort()
 		}
 		if err != nil {
@@ -208,8 +203,9 @@
 // follow sends events from revision next on until ctx ends.
 func (p *Platform) follow(ctx context.Context, out watchStream, s span, next int64) {
 	for {
-		events, after, changed, ok := p.store.eventsFrom(s, next)
+		faulty := p.faults.Changed()
 		p.delay(ctx)
+		events, after, changed, ok := p.store.eventsFrom(s, next)
 		h := header{number(after - 1)}
 		if !ok {
 			out.send(&watchResponse{Header: h, Canceled: true, CompactRevision: number(after)})
@@ -221,7 +217,7 @@
 		next = after
 		select {
 		case <-changed:
-		case <-p.faults.Changed():
+		case <-faulty:
 		case <-ctx.Done():
 			return
 		}
