--- /dev/null
+++ b/cmd/standin/link/link.go
@@ -0,0 +1,110 @@
+// Package link is a TCP relay that stands for a network path. It can cut
+// connections by their dialer's IP number, which stands for a network
+// partition.
+package link
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
+
+	"fescuelatch/cmd/standin/server"
+)
+
+// This file defines the relay.
+
+const dialTimeout = 5 * time.Second
+
+// Settings are the settings of a relay.
+type Settings struct {
+	Listen  netip.AddrPort `arg:"--listen,required,env:STANDIN_LISTEN" help:"address to relay from"`
+	To      netip.AddrPort `arg:"--to,required,env:STANDIN_TO" help:"address to relay to"`
+	Control netip.AddrPort `arg:"--control,required,env:STANDIN_CONTROL" help:"address of the relay's own calls"`
+}
+
+// Run relays until ctx ends.
+func (s *Settings) Run(ctx context.Context, log *slog.Logger) error {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", s.Listen.String())
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindNetwork, Err: err}
+	}
+	k := New(s.To)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return k.Serve(ctx, l) })
+	g.Go(func() error { return server.Run(ctx, log, s.Control, k.Handler()) })
+	return g.Wait()
+}
+
+// Mode is how a cut connection behaves.
+type Mode string
+
+// Modes. The zero value is ModeHang.
+const (
+	ModeHang  Mode = "hang"
+	ModeReset Mode = "reset"
+)
+
+// Faults are the faults of a relay.
+type Faults struct {
+	// Prefixes are those of the dialers that are cut off.
+	Prefixes []netip.Prefix `json:"prefixes"`
+	// Mode is how cut connections behave. Those that hang go on, with what
+	// was sent meanwhile, once they are no longer cut.
+	Mode Mode `json:"mode"`
+	// Delay is added in each direction.
+	Delay time.Duration `json:"delay"`
+}
+
+func (f *Faults) cuts(a netip.Addr) bool {
+	for _, p := range f.Prefixes {
+		if p.Contains(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// Link relays connections.
+type Link struct {
+	to     netip.AddrPort
+	faults server.Faults[Faults]
+}
+
+// New returns a relay to the given address.
+func New(to netip.AddrPort) *Link { return &Link{to: to} }
+
+// Handler returns the HTTP handler of the relay's own calls.
+func (k *Link) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/faults", &k.faults).Methods(http.MethodGet, http.MethodPost)
+	return r
+}
+
+// Serve relays the connections that l accepts until ctx ends. It closes l.
+func (k *Link) Serve(ctx context.Context, l net.Listener) error {
+	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		in, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return &Error{Op: "accept", Kind: KindNetwork, Err: err}
+		}
+		if err != nil {
+			continue
+		}
+		wg.Go(func() { k.relay(ctx, in.(*net.TCPConn)) })
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,13 +13,21 @@
 
 	"fescuelatch/cmd/standin/engine"
 	"fescuelatch/cmd/standin/kv"
+	"fescuelatch/cmd/standin/link"
+	"fescuelatch/cmd/standin/rating"
 	"fescuelatch/cmd/standin/service"
+	"fescuelatch/cmd/standin/vms"
+	"fescuelatch/cmd/standin/weights"
 )
 
 type commands struct {
 	Platform *kv.Settings      `arg:"subcommand:platform" help:"key-value service"`
 	Engine   *engine.Settings  `arg:"subcommand:engine" help:"model engine"`
 	Service  *service.Settings `arg:"subcommand:service" help:"plain service"`
+	VMs      *vms.Settings     `arg:"subcommand:vms" help:"lagging list of VMs"`
+	Rating   *rating.Settings  `arg:"subcommand:rating" help:"rating service"`
+	Weights  *weights.Settings `arg:"subcommand:weights" help:"weight store"`
+	Link     *link.Settings    `arg:"subcommand:link" help:"TCP relay that can cut connections"`
 }
 
 // runner is a stand-in that runs until its context ends.
--- /dev/null
+++ b/cmd/standin/vms/vms.go
@@ -0,0 +1,85 @@
+// Package vms stands for the platform's lagging list of VMs.
+package vms
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"fescuelatch"
+	"fescuelatch/cmd/standin/server"
+)
+
+// This file defines the list.
+
+const requestLimit = 1 << 20 // bytes
+
+// Settings are the settings of the list.
+type Settings struct {
+	Listen netip.AddrPort `arg:"--listen,required,env:STANDIN_LISTEN" help:"address to serve at"`
+	Lag    time.Duration  `arg:"--lag,env:STANDIN_LAG" default:"2s" help:"lag of the list"`
+}
+
+// Run serves until ctx ends.
+func (s *Settings) Run(ctx context.Context, log *slog.Logger) error {
+	return server.Run(ctx, log, s.Listen, New(Faults{Lag: s.Lag}).Handler())
+}
+
+// Faults are the faults of the list.
+type Faults struct {
+	// Lag is how old the answer is.
+	Lag time.Duration `json:"lag"`
+	// Outage breaks all connections.
+	Outage bool `json:"outage"`
+}
+
+// list is the body of GET and POST /vms.
+type list struct {
+	VMs []fescuelatch.ListedVM `json:"vms"`
+}
+
+// List serves the list of VMs.
+type List struct {
+	faults server.Faults[Faults]
+	states server.Lag[list]
+}
+
+// New returns an empty list.
+func New(f Faults) *List {
+	l := new(List)
+	l.faults.Set(f)
+	l.states.Add(time.Now(), list{VMs: []fescuelatch.ListedVM{}})
+	return l
+}
+
+// Handler returns the HTTP handler.
+func (l *List) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/faults", &l.faults).Methods(http.MethodGet, http.MethodPost)
+	r.HandleFunc("/vms", l.get).Methods(http.MethodGet)
+	r.HandleFunc("/vms", l.set).Methods(http.MethodPost)
+	return r
+}
+
+// get answers with the list as it was before the lag.
+func (l *List) get(w http.ResponseWriter, _ *http.Request) {
+	f := l.faults.Get()
+	if f.Outage {
+		server.Abort()
+	}
+	server.WriteJSON(w, http.StatusOK, l.states.At(time.Now().Add(-f.Lag)))
+}
+
+// set replaces the true list.
+func (l *List) set(w http.ResponseWriter, r *http.Request) {
+	var v list
+	if !server.ReadJSON(w, r, requestLimit, &v) {
+		return
+	}
+	l.states.Add(time.Now(), v)
+	server.WriteJSON(w, http.StatusOK, v)
+}
