--- a/cmd/fescuelatchd/settings.go
+++ b/cmd/fescuelatchd/settings.go
@@ -18,16 +18,16 @@
 // settings are read from flags and from environment variables with the
 // prefix FESCUELATCH_. A flag goes before its variable.
 type settings struct {
-	VM             string           `arg:"--vm,env:FESCUELATCH_VM" help:"identifier of this VM in the inventory"`
-	Domain         string           `arg:"--domain,env:FESCUELATCH_DOMAIN" help:"failure domain of this VM"`
-	PeerListen     netip.AddrPort   `arg:"--peer-listen,env:FESCUELATCH_PEER_LISTEN" help:"address to listen on for other daemons"`
-	CallerListen   netip.AddrPort   `arg:"--caller-listen,env:FESCUELATCH_CALLER_LISTEN" help:"address to listen on for callers"`
-	OperatorListen netip.AddrPort   `arg:"--operator-listen,env:FESCUELATCH_OPERATOR_LISTEN" help:"address to listen on for operators"`
-	DialFrom       netip.Addr       `arg:"--dial-from,env:FESCUELATCH_DIAL_FROM" help:"address that connections come from"`
-	Platform       string           `arg:"--platform,env:FESCUELATCH_PLATFORM" help:"URL of the key-value service"`
-	VMs            string           `arg:"--vms,env:FESCUELATCH_VMS" help:"URL of the list of VMs"`
-	Rating         string           `arg:"--rating,env:FESCUELATCH_RATING" help:"URL of the rating service"`
-	Seeds          []netip.AddrPort `arg:"--seeds,env:FESCUELATCH_SEEDS" help:"peer addresses to learn from while the platform is away, separated by commas"`
+	VM             string         `arg:"--vm,env:FESCUELATCH_VM" help:"identifier of this VM in the inventory"`
+	Domain         string         `arg:"--domain,env:FESCUELATCH_DOMAIN" help:"failure domain of this VM"`
+	PeerListen     netip.AddrPort `arg:"--peer-listen,env:FESCUELATCH_PEER_LISTEN" help:"address to listen on for other daemons"`
+	CallerListen   netip.AddrPort `arg:"--caller-listen,env:FESCUELATCH_CALLER_LISTEN" help:"address to listen on for callers"`
+	OperatorListen netip.AddrPort `arg:"--operator-listen,env:FESCUELATCH_OPERATOR_LISTEN" help:"address to listen on for operators"`
+	DialFrom       netip.Addr     `arg:"--dial-from,env:FESCUELATCH_DIAL_FROM" help:"address that connections come from"`
+	Platform       string         `arg:"--platform,env:FESCUELATCH_PLATFORM" help:"URL of the key-value service"`
+	VMs            string         `arg:"--vms,env:FESCUELATCH_VMS" help:"URL of the list of VMs"`
+	Rating         string         `arg:"--rating,env:FESCUELATCH_RATING" help:"URL of the rating service"`
+	Seeds          addresses      `arg:"--seeds,env:FESCUELATCH_SEEDS" help:"peer addresses to learn from while the platform is away, separated by commas"`
 
 	FleetKey        string `arg:"--,env:FESCUELATCH_FLEET_KEY"`
 	FleetKeyFile    string `arg:"--fleet-key-file,env:FESCUELATCH_FLEET_KEY_FILE" help:"file with the key that daemons prove to each other"`
@@ -52,6 +52,21 @@
 	level    slog.Level
 }
 
+// addresses is a list of addresses, separated by commas.
+type addresses []netip.AddrPort
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (a *addresses) UnmarshalText(b []byte) error {
+	for text := range strings.SplitSeq(string(b), ",") {
+		p, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		*a = append(*a, p)
+	}
+	return nil
+}
+
 // Description implements arg.Described.
 func (*settings) Description() string {
 	return "fescuelatchd is the daemon of an entry VM. Keys come from the environment or from files, never from flags."
