--- a/fleet/control.go
+++ b/fleet/control.go
@@ -16,14 +16,14 @@
 
 func isDaemon(c command) bool { return filepath.Base(c.path) == daemonProgram }
 
-// Kill ends the daemon of m at once.
-func (f *Fleet) Kill(m fescuelatch.VMID) error {
+// Kill ends the daemon of m at once and takes the VM off the list.
+func (f *Fleet) Kill(ctx context.Context, m fescuelatch.VMID) error {
 	p, err := f.process(daemonName(m))
 	if err != nil {
 		return err
 	}
 	p.end(syscall.SIGKILL, standinGrace)
-	return nil
+	return f.unlist(ctx, string(m))
 }
 
 // Pause keeps the daemon of m from running until Resume.
@@ -40,27 +40,34 @@
 	return p.signal(s)
 }
 
-// Stop asks the daemon of m for a graceful shutdown and waits for its end.
-// It reports an error when the daemon had to be killed or did not end with
-// exit status 0.
-func (f *Fleet) Stop(m fescuelatch.VMID) error {
+// Stop asks the daemon of m for a graceful shutdown, lists its VM as leaving
+// and waits for its end. It reports an error when the daemon had to be killed
+// or did not end with exit status 0.
+func (f *Fleet) Stop(ctx context.Context, m fescuelatch.VMID) error {
 	p, err := f.process(daemonName(m))
 	if err != nil {
 		return err
 	}
+	if err := f.list(ctx, string(m), fescuelatch.ListedLeaving); err != nil {
+		return err
+	}
 	if !p.end(syscall.SIGTERM, stopGrace) {
-		f.noteDirty(p.command.name)
 		return &Error{"stop " + string(m), KindProcess, errors.New("no clean exit")}
 	}
-	return nil
+	return f.unlist(ctx, string(m))
 }
 
-// Restart starts the daemon of m again after Kill or Stop. It does not wait
-// until the daemon is ready.
-func (f *Fleet) Restart(m fescuelatch.VMID) error { return f.restart(daemonName(m)) }
+// Restart starts the daemon of m again after Kill or Stop, as a new VM in the
+// place of the old one. It does not wait until the daemon is ready.
+func (f *Fleet) Restart(ctx context.Context, m fescuelatch.VMID) error {
+	if err := f.restart(daemonName(m)); err != nil {
+		return err
+	}
+	return f.list(ctx, string(m), fescuelatch.ListedLive)
+}
 
 // KillEndpoint ends the stand-in of an endpoint at once.
-func (f *Fleet) KillEndpoint(e fescuelatch.EndpointID) error {
+func (f *Fleet) KillEndpoint(ctx context.Context, e fescuelatch.EndpointID) error {
 	name, err := f.endpointName(e)
 	if err != nil {
 		return err
@@ -70,17 +77,41 @@
 		return err
 	}
 	p.end(syscall.SIGKILL, standinGrace)
-	return nil
+	return f.unlist(ctx, string(e))
 }
 
 // RestartEndpoint starts the stand-in of an endpoint again after
-// KillEndpoint. It is cold at first.
-func (f *Fleet) RestartEndpoint(e fescuelatch.EndpointID) error {
+// KillEndpoint. It is cold at first, and its records begin anew.
+func (f *Fleet) RestartEndpoint(ctx context.Context, e fescuelatch.EndpointID) error {
 	name, err := f.endpointName(e)
 	if err != nil {
 		return err
 	}
-	return f.restart(name)
+	if err := f.restart(name); err != nil {
+		return err
+	}
+	return f.list(ctx, string(e), fescuelatch.ListedLive)
+}
+
+// leaving is the part of an endpoint's faults that its load reports show.
+type leaving struct {
+	Leaving bool `json:"leaving"`
+}
+
+// Leave lists an endpoint as leaving, which its load reports then say too.
+func (f *Fleet) Leave(ctx context.Context, e fescuelatch.EndpointID) error {
+	if err := f.Faults(ctx, e, leaving{true}); err != nil {
+		return err
+	}
+	return f.list(ctx, string(e), fescuelatch.ListedLeaving)
+}
+
+// Return ends what Leave began.
+func (f *Fleet) Return(ctx context.Context, e fescuelatch.EndpointID) error {
+	if err := f.Faults(ctx, e, leaving{false}); err != nil {
+		return err
+	}
+	return f.list(ctx, string(e), fescuelatch.ListedLive)
 }
 
 func (f *Fleet) endpointName(e fescuelatch.EndpointID) (string, error) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,8 +30,9 @@
 const (
 	maxProcesses  = 60
 	readyTimeout  = 30 * time.Second
-	stopGrace     = 15 * time.Second
-	standinGrace  = 2 * time.Second
+	stopGrace     = 40 * time.Second // beyond the daemon's own --stop-timeout
+	closeGrace    = 8 * time.Second
+	standinGrace  = 3 * time.Second
 	callTimeout   = 5 * time.Second
 	pollInterval  = 50 * time.Millisecond
 	secretBytes   = 16
@@ -84,8 +85,8 @@
 	mu        sync.Mutex
 	processes map[string]*process
 	cuts      cuts
+	listed    map[string]fescuelatch.ListedVM
 	order     []string // names in the order of starting
-	dirtyStop []string // daemons whose planned stop was not a clean one
 	closed    bool
 }
 
@@ -101,6 +102,7 @@
 		client:      &http.Client{Timeout: callTimeout},
 		processes:   make(map[string]*process),
 		cuts:        make(cuts),
+		listed:      make(map[string]fescuelatch.ListedVM),
 	}
 	if err := os.MkdirAll(o.Dir, 0o750); err != nil {
 		return nil, &Error{"start fleet", KindProcess, errors.WithStack(err)}
@@ -208,6 +210,9 @@
 	if err := f.waitListening(ctx); err != nil {
 		return err
 	}
+	if err := f.listAll(ctx); err != nil {
+		return err
+	}
 	if err := f.seed(ctx); err != nil {
 		return err
 	}
@@ -298,14 +303,6 @@
 	return ns
 }
 
-// DirtyStops returns the names of daemons whose planned stop did not end in
-// time with exit status 0.
-func (f *Fleet) DirtyStops() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return append([]string(nil), f.dirtyStop...)
-}
-
 // Close ends all processes: the daemons first, in order, then the rest. It
 // may be called more than once.
 func (f *Fleet) Close() {
@@ -316,7 +313,7 @@
 		ps = append(ps, f.processes[n])
 	}
 	f.mu.Unlock()
-	f.endAll(ps, true, stopGrace)
+	f.endAll(ps, true, closeGrace)
 	f.endAll(ps, false, standinGrace)
 	f.client.CloseIdleConnections()
 }
@@ -331,17 +328,8 @@
 		wg.Go(func() {
 			// A paused process could not see the signal to end.
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
-			clean := p.end(syscall.SIGTERM, grace)
-			if daemons && !clean {
-				f.noteDirty(p.command.name)
-			}
+			p.end(syscall.SIGTERM, grace)
 		})
 	}
 	wg.Wait()
 }
-
-func (f *Fleet) noteDirty(name string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.dirtyStop = append(f.dirtyStop, name)
-}
--- a/fleet/partition.go
+++ b/fleet/partition.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 
 	"fescuelatch"
@@ -11,9 +10,8 @@
 // This file defines network partitions, which the links make by the IP
 // number of the dialer.
 
-// dropRequest asks a link to drop the connections of dialers in Prefixes
-// and to refuse new ones.
-type dropRequest struct {
+// linkFaults are the faults of a link: it cuts off dialers in Prefixes.
+type linkFaults struct {
 	Prefixes []netip.Prefix `json:"prefixes"`
 }
 
@@ -74,7 +72,7 @@
 	f.cuts = make(cuts)
 	f.mu.Unlock()
 	for link := range cs {
-		if err := f.setDrops(ctx, link, nil); err != nil {
+		if err := f.setDrops(ctx, link, []netip.Prefix{}); err != nil {
 			return err
 		}
 	}
@@ -98,5 +96,5 @@
 }
 
 func (f *Fleet) setDrops(ctx context.Context, link netip.AddrPort, ps []netip.Prefix) error {
-	return f.call(ctx, http.MethodPut, "http://"+link.String()+"/drop", dropRequest{Prefixes: ps}, nil)
+	return f.setFaults(ctx, link, linkFaults{Prefixes: ps})
 }
--- a/fleet/programs.go
+++ b/fleet/programs.go
@@ -67,7 +67,7 @@
 
 // link returns the command of a relay from a to target.
 func (f *Fleet) link(name string, a, target netip.AddrPort, control netip.AddrPort) command {
-	return f.standin(name, "link", a, "--target", target.String(), "--control", control.String())
+	return f.standin(name, "link", a, "--to", target.String(), "--control", control.String())
 }
 
 // daemon returns the command of the daemon of m, which listens for its peers
@@ -83,7 +83,6 @@
 		"--platform", "http://" + f.places.platformLink.String(),
 		"--vms", "http://" + f.places.vms.String(),
 		"--rating", "http://" + f.places.rating.String(),
-		"--seeds", strings.Join(f.seeds(m), ","),
 	}
 	return command{
 		name: "daemon-" + string(m.ID),
@@ -93,6 +92,7 @@
 			"FESCUELATCH_FLEET_KEY=" + f.fleetKey,
 			"FESCUELATCH_OPERATOR_KEY=" + f.OperatorKey,
 			"FESCUELATCH_SESSION_KEYS=k1:" + f.sessionKey,
+			"FESCUELATCH_SEEDS=" + strings.Join(f.seeds(m), ","),
 		},
 	}
 }
