--- a/decision/place.go
+++ b/decision/place.go
@@ -36,21 +36,16 @@
 // Versions that no spot serves are passed over.
 func (c *Core) place(now time.Time, q *request) {
 	if !now.Before(q.Deadline) {
-		c.exhausted(q, ReasonDeadline, defaultRetryAfter)
+		c.refuse(q, ReasonDeadline, defaultRetryAfter)
 		return
 	}
 	for {
-		spots := c.spots(now, q)
-		i := -1
-		if len(spots) > 0 {
-			i = c.options.Placement.Choose(now, q.Request, spots, c.options.Random.Float64())
-		}
-		if i >= 0 {
-			c.attempt(now, q, spots[i])
+		if spot, ok := c.choose(now, q); ok {
+			c.attempt(now, q, spot)
 			return
 		}
 		if q.step+1 >= len(q.plan) {
-			c.exhausted(q, c.noSpot(q), defaultRetryAfter)
+			c.refuse(q, c.noSpot(q), defaultRetryAfter)
 			return
 		}
 		q.step++
@@ -58,6 +53,38 @@
 	}
 }
 
+// choose returns the best spot for the current version, if there is any. A
+// version may have been withdrawn, or the account's right to it taken away,
+// since the request was planned.
+func (c *Core) choose(now time.Time, q *request) (fescuelatch.Spot, bool) {
+	if !c.usable(q) {
+		return fescuelatch.Spot{}, false
+	}
+	spots := c.spots(now, q)
+	if len(spots) == 0 {
+		return fescuelatch.Spot{}, false
+	}
+	i := c.options.Placement.Choose(now, q.Request, spots, c.options.Random.Float64())
+	if i < 0 {
+		return fescuelatch.Spot{}, false
+	}
+	return spots[i], true
+}
+
+// usable reports whether the request may still run on the current version,
+// or use its plain service.
+func (c *Core) usable(q *request) bool {
+	account, ok := c.view.Account(q.Account)
+	if !ok {
+		return false
+	}
+	if q.IsService() {
+		return c.view.AllowedService(account, q.Service)
+	}
+	v, ok := c.view.Version(q.plan[q.step])
+	return ok && c.view.Allowed(account, v) && !c.view.Withdrawn(v.ID)
+}
+
 func (c *Core) noSpot(q *request) Reason {
 	if len(q.tried) > 0 {
 		return ReasonNoCapacity
--- a/decision/request.go
+++ b/decision/request.go
@@ -149,7 +149,18 @@
 	return cs
 }
 
+// refuse ends a request that can be placed nowhere: with the best answer so
+// far, as unknown when an earlier attempt was broken, and otherwise as not
+// run.
 func (c *Core) refuse(q *request, why Reason, after time.Duration) {
+	if q.best.id != "" {
+		c.accept(q, q.best, false)
+		return
+	}
+	if q.mayHaveRun {
+		c.giveUp(q, ReasonBroken)
+		return
+	}
 	c.end(q)
 	c.emit(Refuse{Request: q.ID, Reason: why, RetryAfter: max(after, q.retryAfter)})
 }
@@ -259,7 +270,7 @@
 	}
 	q.tried[q.current.vm] = true
 	if q.attempts >= maxAttempts || !c.budget.take() {
-		c.exhausted(q, refusalReason(r), defaultRetryAfter)
+		c.refuse(q, refusalReason(r), defaultRetryAfter)
 		return
 	}
 	c.place(now, q)
@@ -289,20 +300,6 @@
 	c.place(now, q)
 }
 
-// exhausted ends a request that can be placed nowhere: with the best answer
-// so far, as not run, or as unknown when an earlier attempt was broken.
-func (c *Core) exhausted(q *request, why Reason, after time.Duration) {
-	if q.best.id != "" {
-		c.accept(q, q.best, false)
-		return
-	}
-	if q.mayHaveRun {
-		c.giveUp(q, ReasonBroken)
-		return
-	}
-	c.refuse(q, why, after)
-}
-
 func (c *Core) cancelled(now time.Time, e Cancelled) {
 	q, ok := c.requests[e.Request]
 	if !ok {
--- /dev/null
+++ b/openai/chat_test.go
@@ -0,0 +1,88 @@
+package openai_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/openai"
+)
+
+func ExampleChatRequest() {
+	var r openai.ChatRequest
+	err := json.Unmarshal([]byte(`{"model":"triage","messages":[{"role":"user","content":"Hi"}],"temperature":0.2}`), &r)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	r.Model = "triage@small-3"
+	b, _ := json.Marshal(r)
+	fmt.Println(r.Prompt())
+	fmt.Println(string(b))
+	// Output:
+	// Hi
+	// {"model":"triage@small-3","messages":[{"role":"user","content":"Hi"}],"temperature":0.2}
+}
+
+func TestChatRequestFaults(t *testing.T) {
+	tests := []struct{ body, want string }{
+		{`{`, "unexpected end of JSON input"},
+		{`[]`, ".*cannot unmarshal array.*"},
+		{`{"messages":[{"role":"user"}]}`, "model is missing"},
+		{`{"model":"m"}`, "messages is empty"},
+		{`{"model":"m","messages":[{}]}`, `messages\[0\].role is missing`},
+		{`{"model":"m","messages":[{"role":"user"}],"max_tokens":-1}`, "max_tokens is negative"},
+		{`{"model":7,"messages":[{"role":"user"}]}`, ".*cannot unmarshal number.*"},
+	}
+	for _, test := range tests {
+		t.Run(test.body, func(t *testing.T) {
+			c := qt.New(t)
+			var r openai.ChatRequest
+			c.Assert(json.Unmarshal([]byte(test.body), &r), qt.ErrorMatches, test.want)
+		})
+	}
+}
+
+// FuzzChatRequest checks that a request that decodes survives a round trip.
+func FuzzChatRequest(f *testing.F) {
+	f.Add(`{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true,"top_p":1}`)
+	f.Add(`{"model":"m","messages":[{"role":"user","content":[{"type":"text"}]}]}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		var r openai.ChatRequest
+		if json.Unmarshal([]byte(body), &r) != nil {
+			return
+		}
+		b, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again openai.ChatRequest
+		if err := json.Unmarshal(b, &again); err != nil {
+			t.Fatalf("%s: %v", b, err)
+		}
+		if again.Model != r.Model || len(again.Messages) != len(r.Messages) || again.Prompt() != r.Prompt() {
+			t.Fatalf("%s became %s", body, b)
+		}
+	})
+}
+
+// FuzzReadStream checks that no input makes a stream without its end mark
+// look complete.
+func FuzzReadStream(f *testing.F) {
+	f.Add("data: {\"id\":\"a\"}\n\ndata: [DONE]\n\n")
+	f.Add("data: {\"error\":{\"message\":\"x\"}}\n\n")
+	f.Add(": comment\n\ndata:{}\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		err := openai.ReadStream(strings.NewReader(body), func(*openai.Chunk) error { return nil })
+		if err == nil && !strings.Contains(body, "[DONE]") {
+			t.Fatalf("%q read as complete", body)
+		}
+		if errors.Is(err, openai.ErrCut) && strings.Contains(body, "\ndata: [DONE]\n") {
+			t.Fatalf("%q read as cut", body)
+		}
+	})
+}
