--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -137,6 +137,9 @@
 		{"session changes version", audit.PromiseSession, func(e *audit.Evidence) {
 			e.Records[1].Version = "triage@2"
 		}},
+		{"session changes version after another's was withdrawn", audit.PromiseSession, func(e *audit.Evidence) {
+			e.Records[1].Version, e.Records[1].Ended = "triage@2", at(11)
+		}},
 		{"billed twice", audit.PromiseBill, func(e *audit.Evidence) {
 			e.Bills = append(e.Bills, bill("q1", ""))
 		}},
@@ -233,6 +236,10 @@
 			e.Events = append(e.Events, audit.Event{At: at(75), Kind: audit.EventVersionRestored, Name: "triage@2"})
 			e.Endpoints[0].Starts = append(e.Endpoints[0].Starts, receipt("q1", "triage@2", at(76)))
 		}},
+		{"session leaves a withdrawn version", func(e *audit.Evidence) {
+			e.Records[0].Version = "triage@2"
+			e.Records[1].Ended = at(11)
+		}},
 		{"failure domain that is back gets work", func(e *audit.Evidence) {
 			e.Endpoints[0].Starts = append(e.Endpoints[0].Starts, receipt("q1", "triage@1", at(41)))
 		}},
--- /dev/null
+++ b/scenario/step.go
@@ -0,0 +1,73 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the usual steps.
+
+// Withdraw returns the step that withdraws a version.
+func Withdraw(at time.Duration, v fescuelatch.VersionID) Step {
+	return Step{At: at, Name: "withdraw version " + string(v), Do: func(ctx context.Context, r *Run) error {
+		return r.Withdraw(ctx, v)
+	}}
+}
+
+// TakeOut returns the step that takes a failure domain out.
+func TakeOut(at time.Duration, d fescuelatch.DomainID) Step {
+	return Step{At: at, Name: "take out failure domain " + string(d), Do: func(ctx context.Context, r *Run) error {
+		return r.TakeOut(ctx, d)
+	}}
+}
+
+// BringBack returns the step that ends TakeOut.
+func BringBack(at time.Duration, d fescuelatch.DomainID) Step {
+	return Step{At: at, Name: "bring back failure domain " + string(d), Do: func(ctx context.Context, r *Run) error {
+		return r.BringBack(ctx, d)
+	}}
+}
+
+// Kill returns the step that ends the daemon of a VM at once.
+func Kill(at time.Duration, m fescuelatch.VMID) Step {
+	return Step{At: at, Name: "kill daemon " + string(m), Do: func(ctx context.Context, r *Run) error {
+		return r.Kill(ctx, m)
+	}}
+}
+
+// Restart returns the step that starts the daemon of a VM again.
+func Restart(at time.Duration, m fescuelatch.VMID) Step {
+	return Step{At: at, Name: "replace daemon " + string(m), Do: func(ctx context.Context, r *Run) error {
+		return r.Restart(ctx, m)
+	}}
+}
+
+// Stop returns the step that stops the daemon of a VM as planned.
+func Stop(at time.Duration, m fescuelatch.VMID) Step {
+	return Step{At: at, Name: "stop daemon " + string(m), Do: func(ctx context.Context, r *Run) error {
+		return r.Stop(ctx, m)
+	}}
+}
+
+// Leave returns the step that lists an endpoint as leaving.
+func Leave(at time.Duration, e fescuelatch.EndpointID) Step {
+	return Step{At: at, Name: "endpoint " + string(e) + " is leaving", Do: func(ctx context.Context, r *Run) error {
+		return r.Leave(ctx, e)
+	}}
+}
+
+// Return returns the step that ends Leave.
+func Return(at time.Duration, e fescuelatch.EndpointID) Step {
+	return Step{At: at, Name: "endpoint " + string(e) + " is back", Do: func(ctx context.Context, r *Run) error {
+		return r.Return(ctx, e)
+	}}
+}
+
+// Cool returns the step that turns an engine cold for a time.
+func Cool(at time.Duration, e fescuelatch.EndpointID, d time.Duration) Step {
+	return Step{At: at, Name: "endpoint " + string(e) + " turns cold", Do: func(ctx context.Context, r *Run) error {
+		return r.Cool(ctx, e, d)
+	}}
+}
