--- /dev/null
+++ b/cmd/fescuelatch-load/experiment/trial.go
@@ -0,0 +1,131 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch/fleet"
+	"fescuelatch/load"
+	"fescuelatch/scenario"
+)
+
+// This file defines trials: single runs of a variant of an experiment.
+
+// Settings are those of all trials.
+type Settings struct {
+	Fleet string
+	// Options are those of the fleet; Dir holds a directory for each trial.
+	Options  fleet.Options
+	Duration time.Duration
+	Seed     uint64
+	Repeats  int
+	// Note, when set, is told of each trial before it begins.
+	Note func(string)
+}
+
+// Trial is what one run of a variant gave.
+type Trial struct {
+	Experiment Name      `json:"experiment"`
+	Variant    string    `json:"variant"`
+	Seed       uint64    `json:"seed"`
+	Measures   []Measure `json:"measures"`
+	// Broken holds the examples of broken promises.
+	Broken   []string `json:"broken,omitempty"`
+	Failures []string `json:"failures,omitempty"`
+	// FailedShare is the share of failed calls in each second.
+	FailedShare []float64 `json:"failed-share-by-second"`
+}
+
+// Value returns a measure of t.
+func (t *Trial) Value(n MeasureName) (float64, bool) {
+	for _, m := range t.Measures {
+		if m.Name == n {
+			return m.Value, true
+		}
+	}
+	return 0, false
+}
+
+// Run runs the variants of the experiments one after the other, each with
+// the same seeds.
+func Run(ctx context.Context, s *Settings, es []Experiment) ([]Trial, error) {
+	var ts []Trial
+	for n := range es {
+		for k := range s.Repeats {
+			for _, v := range es[n].Variants {
+				t, err := s.trial(ctx, &es[n], v, s.Seed+uint64(k))
+				if err != nil {
+					return ts, &Error{fmt.Sprintf("%s, %s, seed %d", es[n].Name, v.Name, s.Seed+uint64(k)), KindTrial, err}
+				}
+				ts = append(ts, *t)
+			}
+		}
+	}
+	return ts, nil
+}
+
+// trial runs one variant with one seed.
+func (s *Settings) trial(ctx context.Context, e *Experiment, v Variant, seed uint64) (*Trial, error) {
+	name := fmt.Sprintf("%s-%s-%d", e.Name, v.Name, seed)
+	if s.Note != nil {
+		s.Note(name)
+	}
+	w := window(s.Duration)
+	sc := s.scenario(e, v, seed, w)
+	sc.Fleet.Dir = filepath.Join(s.Options.Dir, name)
+	r, err := sc.Run(ctx)
+	if err != nil {
+		return nil, err
+	}
+	o := &outcome{result: r, window: w, duration: s.Duration, config: s.Options.Configuration}
+	t := &Trial{Experiment: e.Name, Variant: v.Name, Seed: seed, Measures: common(o)}
+	if e.measure != nil {
+		t.Measures = append(t.Measures, e.measure(o)...)
+	}
+	t.note(r)
+	return t, nil
+}
+
+// scenario returns what a trial runs.
+func (s *Settings) scenario(e *Experiment, v Variant, seed uint64, w Window) *scenario.Scenario {
+	c := s.Options.Configuration
+	sc := &scenario.Scenario{
+		Fleet: s.Options,
+		Profile: load.Profile{
+			Rate: e.Rate, Duration: s.Duration, Seed: seed,
+			Run: fmt.Sprintf("%s-%d", v.Name, seed), Mix: load.DefaultMix(),
+		},
+	}
+	sc.Fleet.Daemon = append(append([]string(nil), s.Options.Daemon...), v.Daemon...)
+	sc.Fleet.Engine = slow(c)
+	if e.steps != nil && !v.Undisturbed {
+		sc.Steps = e.steps(c, w)
+	}
+	if e.bursts != nil && !v.Undisturbed {
+		sc.Profile.Bursts = e.bursts(c, w)
+	}
+	return sc
+}
+
+// note takes in what went wrong and when.
+func (t *Trial) note(r *scenario.Result) {
+	for k := range r.Report.Findings {
+		f := &r.Report.Findings[k]
+		if f.Violations > 0 {
+			t.Broken = append(t.Broken, fmt.Sprintf("%s: %d violations, such as %s", f.Promise, f.Violations, f.Examples[0]))
+		}
+	}
+	for _, err := range r.Failures {
+		t.Failures = append(t.Failures, err.Error())
+	}
+	for _, c := range r.Crashed {
+		t.Failures = append(t.Failures, errors.Errorf("%s ended unexpectedly", c).Error())
+	}
+	for _, s := range seconds(r, func(*load.Record) bool { return true }) {
+		t.FailedShare = append(t.FailedShare, ratio(s.failed, s.calls))
+	}
+}
--- a/cmd/fescuelatch-load/main.go
+++ b/cmd/fescuelatch-load/main.go
@@ -15,9 +15,10 @@
 // This file defines the command line.
 
 type commands struct {
-	Run  *runCommand  `arg:"subcommand:run" help:"send traffic to the caller addresses of an inventory"`
-	Up   *upCommand   `arg:"subcommand:up" help:"run a fleet on this machine until interrupted"`
-	Demo *demoCommand `arg:"subcommand:demo" help:"run a fleet under load and failures, and audit it"`
+	Run        *runCommand        `arg:"subcommand:run" help:"send traffic to the caller addresses of an inventory"`
+	Up         *upCommand         `arg:"subcommand:up" help:"run a fleet on this machine until interrupted"`
+	Demo       *demoCommand       `arg:"subcommand:demo" help:"run a fleet under load and failures, and audit it"`
+	Experiment *experimentCommand `arg:"subcommand:experiment" help:"measure the policies against baselines"`
 }
 
 // command is a subcommand. It returns the exit status.
--- a/load/send.go
+++ b/load/send.go
@@ -81,7 +81,7 @@
 		Model: c.Model,
 		Messages: []message{
 			{Role: "system", Content: systemPrompt(c)},
-			{Role: "user", Content: nonceWord + c.Nonce + " classify the text of request " + c.Nonce},
+			{Role: "user", Content: userPrompt(c)},
 		},
 		MaxTokens: c.Tokens,
 		Stream:    c.Streamed,
@@ -96,6 +96,10 @@
 	return strings.Repeat(s, prefixLength/len(s)+1)
 }
 
+func userPrompt(c *Call) string {
+	return nonceWord + c.Nonce + " classify the text of request " + c.Nonce
+}
+
 func path(c *Call) string {
 	if c.IsService() {
 		return fmt.Sprintf("/v1/services/%s/%s", c.Service, c.Operation)
@@ -261,3 +265,9 @@
 	r.judge(text.String())
 	return errors.WithStack(s.Err())
 }
+
+// PromptTokens returns the number of words of a model call's prompt, which is
+// what a stand-in counts as its tokens.
+func PromptTokens(c *Call) int {
+	return len(strings.Fields(systemPrompt(c))) + len(strings.Fields(userPrompt(c)))
+}
