--- /dev/null
+++ b/cmd/standin/endpoint/load.go
@@ -0,0 +1,59 @@
+package endpoint
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fescuelatch"
+	"fescuelatch/cmd/standin/server"
+)
+
+// This file defines load reports.
+
+// retryAfter is the value of Retry-After when a request is not started.
+const retryAfter = "1" // seconds
+
+// LoadReports serves the load report with a lag.
+type LoadReports struct {
+	// Lag returns the lag, Report the report of the present.
+	Lag    func() time.Duration
+	Report func() fescuelatch.LoadReport
+
+	samples server.Lag[fescuelatch.LoadReport]
+}
+
+// Sample records reports until ctx ends.
+func (l *LoadReports) Sample(ctx context.Context) { l.samples.Sample(ctx, l.Lag, l.Report) }
+
+// ServeHTTP answers with the report.
+func (l *LoadReports) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	lag := l.Lag()
+	r := l.samples.At(time.Now().Add(-lag))
+	if lag == 0 || r.Generated.IsZero() {
+		r = l.Report()
+	}
+	server.WriteJSON(w, http.StatusOK, r)
+}
+
+// State returns the state that an endpoint reports.
+func State(c *ColdStart, leaving bool, now time.Time) fescuelatch.EndpointState {
+	switch {
+	case leaving:
+		return fescuelatch.EndpointLeaving
+	case c.Reported(now):
+		return fescuelatch.EndpointCold
+	}
+	return fescuelatch.EndpointWarm
+}
+
+// NewIncarnation returns the identifier of a new process.
+func NewIncarnation() fescuelatch.Incarnation {
+	return fescuelatch.Incarnation(uuid.NewString())
+}
+
+// AdviseRetry adds the advice to a response that says that a request was not
+// started.
+func AdviseRetry(w http.ResponseWriter) { w.Header().Set("Retry-After", retryAfter) }
--- a/cmd/standin/engine/completions.go
+++ b/cmd/standin/engine/completions.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,15 +14,13 @@
 	"github.com/gorilla/mux"
 
 	"fescuelatch"
+	"fescuelatch/cmd/standin/endpoint"
 	"fescuelatch/cmd/standin/server"
 )
 
 // This file defines the HTTP front of the engine.
 
-const (
-	requestLimit = 8 << 20 // bytes
-	retryAfter   = "1"     // seconds
-)
+const requestLimit = 8 << 20 // bytes
 
 func (e *Engine) takes(field func(*Faults) *server.Chance) bool { return e.faults.Take(field) }
 
@@ -172,10 +170,10 @@
 		if b == nil {
 			break
 		}
-		_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+		sendEvent(w, b)
 		_ = ctrl.Flush()
 	}
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	sendEvent(w, []byte("[DONE]"))
 	_ = ctrl.Flush()
 }
 
@@ -185,7 +183,12 @@
 		server.Abort()
 	}
 	b, _ := json.Marshal(errorBody(string(KindCancelled)))
-	_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+	sendEvent(w, b)
+}
+
+// sendEvent sends one server-sent event.
+func sendEvent(w io.Writer, data []byte) {
+	_, _ = w.Write(slices.Concat([]byte("data: "), data, []byte("\n\n")))
 }
 
 func kindOf(err error) Kind {
@@ -199,7 +202,7 @@
 // answerError answers a request that has no answer.
 func answerError(w http.ResponseWriter, err error) {
 	switch kindOf(err) {
-	case KindFull:
+	case KindNotStarted:
 		writeUnavailable(w)
 	case KindNotLoaded:
 		writeError(w, http.StatusNotFound, "version-not-loaded")
@@ -211,7 +214,7 @@
 }
 
 func writeUnavailable(w http.ResponseWriter) {
-	w.Header().Set("Retry-After", retryAfter)
+	endpoint.AdviseRetry(w)
 	writeError(w, http.StatusServiceUnavailable, "unavailable")
 }
 
@@ -248,15 +251,6 @@
 	sendChunks(r.Context(), w, n, from, -1)
 }
 
-func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	lag := e.faults.Get().LoadLag
-	report := e.load.At(time.Now().Add(-lag))
-	if lag == 0 || report.Generated.IsZero() {
-		report = e.report()
-	}
-	server.WriteJSON(w, http.StatusOK, report)
-}
-
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	if err != nil && r.FormValue("after") != "" {
@@ -268,7 +262,11 @@
 }
 
 func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	e.record.withCounts(func(c Counts) { server.WriteJSON(w, http.StatusOK, c) })
+	c := e.record.snapshot()
+	e.mu.Lock()
+	c.FallOvers, c.MaxCold = e.cold.FallOvers(), e.cold.MaxCold()
+	e.mu.Unlock()
+	server.WriteJSON(w, http.StatusOK, c)
 }
 
 // serveStarts answers with the latest starts, those since a time when asked.
--- a/cmd/standin/engine/engine.go
+++ b/cmd/standin/engine/engine.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"fescuelatch"
+	"fescuelatch/cmd/standin/endpoint"
 	"fescuelatch/cmd/standin/server"
 )
 
@@ -33,9 +33,9 @@
 // Settings are the settings of an engine.
 type Settings struct {
 	Listen        netip.AddrPort                    `arg:"--listen,required,env:STANDIN_LISTEN" help:"address to serve at"`
-	Endpoint      fescuelatch.EndpointID            `arg:"--endpoint,env:STANDIN_ENDPOINT" help:"identifier in load reports"`
-	Versions      []fescuelatch.VersionID           `arg:"--versions,env:STANDIN_VERSIONS" help:"versions loaded at the start"`
-	Quality       map[fescuelatch.VersionID]float64 `arg:"--quality,env:STANDIN_QUALITY" help:"probability of good answers by version, VERSION=NUMBER"`
+	Endpoint      fescuelatch.EndpointID            `arg:"--id,env:STANDIN_ID" help:"identifier in load reports"`
+	Versions      []fescuelatch.VersionID           `arg:"--version,separate,env:STANDIN_VERSIONS" help:"version loaded at the start; may stand several times"`
+	Quality       map[fescuelatch.VersionID]float64 `arg:"--quality,separate,env:STANDIN_QUALITY" help:"probability of good answers by version, VERSION=NUMBER"`
 	Slots         int                               `arg:"--slots,env:STANDIN_SLOTS" default:"8" help:"requests that run at once"`
 	Queue         int                               `arg:"--queue,env:STANDIN_QUEUE" default:"64" help:"requests that may wait"`
 	ColdSlots     int                               `arg:"--cold-slots,env:STANDIN_COLD_SLOTS" default:"2" help:"requests borne when cold, 0 for no limit"`
@@ -66,7 +66,7 @@
 	faults   server.Faults[Faults]
 	record   *record
 	cache    *cache
-	load     server.Lag[fescuelatch.LoadReport]
+	load     endpoint.LoadReports
 	orders   orders
 
 	mu          sync.Mutex
@@ -77,9 +77,7 @@
 	queue       queue
 	runs        *lru.LRU[fescuelatch.AttemptID, *run]
 	last        []*run // ended last, of use for crossed answers
-	coldUntil   time.Time
-	downUntil   time.Time
-	announced   bool // of the cold start
+	cold        endpoint.ColdStart
 }
 
 // New returns an engine that starts now.
@@ -90,12 +88,14 @@
 		log:         log,
 		record:      newRecord(),
 		cache:       newCache(s.CacheSize),
-		incarnation: newIncarnation(),
+		incarnation: endpoint.NewIncarnation(),
 		versions:    make(map[fescuelatch.VersionID]bool),
 		running:     make(map[*run]bool),
-		coldUntil:   time.Now().Add(s.ColdStart),
-		announced:   true,
+		cold:        endpoint.ColdStart{Slots: s.ColdSlots, Time: s.ColdStart, FallOver: s.FallOver},
 	}
+	e.cold.Begin(time.Now())
+	e.load.Lag = func() time.Duration { return e.faults.Get().LoadLag }
+	e.load.Report = e.report
 	// The size is above 0, so that there is no error.
 	e.runs, _ = lru.NewLRU[fescuelatch.AttemptID, *run](keptRuns, nil)
 	for _, v := range s.Versions {
@@ -111,10 +111,6 @@
 	return e
 }
 
-func newIncarnation() fescuelatch.Incarnation {
-	return fescuelatch.Incarnation(uuid.NewString())
-}
-
 // Handler returns the HTTP handler.
 func (e *Engine) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -126,7 +122,7 @@
 	s.HandleFunc("/v1/chat/completions", e.serveCompletion).Methods(http.MethodPost)
 	s.HandleFunc("/v1/requests/{id}/cancel", e.serveCancel).Methods(http.MethodPost)
 	s.HandleFunc("/v1/requests/{id}/stream", e.serveResume).Methods(http.MethodGet)
-	s.HandleFunc("/load", e.serveLoad).Methods(http.MethodGet)
+	s.Handle("/load", &e.load).Methods(http.MethodGet)
 	s.HandleFunc("/cache-events", e.serveCacheEvents).Methods(http.MethodGet)
 	s.HandleFunc("/orders", e.serveOrder).Methods(http.MethodPost)
 	s.HandleFunc("/orders", e.serveOrders).Methods(http.MethodGet)
@@ -147,14 +143,11 @@
 	f := e.faults.Get()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return f.Down || time.Now().Before(e.downUntil)
+	return f.Down || e.cold.Down(time.Now())
 }
 
 // Sample records the load until ctx ends.
-func (e *Engine) Sample(ctx context.Context) {
-	lag := func() time.Duration { return e.faults.Get().LoadLag }
-	e.load.Sample(ctx, lag, e.report)
-}
+func (e *Engine) Sample(ctx context.Context) { e.load.Sample(ctx) }
 
 // report returns the load at present.
 func (e *Engine) report() fescuelatch.LoadReport {
@@ -165,7 +158,7 @@
 	r := fescuelatch.LoadReport{
 		Endpoint:    e.settings.Endpoint,
 		Incarnation: e.incarnation,
-		State:       e.state(now, f.Leaving),
+		State:       endpoint.State(&e.cold, f.Leaving, now),
 		Running:     len(e.running),
 		Waiting:     len(e.queue),
 		Slots:       e.settings.Slots,
@@ -177,13 +170,3 @@
 	slices.Sort(r.Versions)
 	return r
 }
-
-func (e *Engine) state(now time.Time, leaving bool) fescuelatch.EndpointState {
-	switch {
-	case leaving:
-		return fescuelatch.EndpointLeaving
-	case e.announced && now.Before(e.coldUntil):
-		return fescuelatch.EndpointCold
-	}
-	return fescuelatch.EndpointWarm
-}
--- a/cmd/standin/engine/errors.go
+++ b/cmd/standin/engine/errors.go
@@ -9,11 +9,12 @@
 const (
 	// KindDown means that the engine is down and breaks connections.
 	KindDown Kind = "down"
-	// KindFull means that the wait queue is full; nothing was started.
-	KindFull Kind = "full"
+	// KindNotStarted means that the attempt got no slot: the wait queue was
+	// full or the attempt was cancelled while it waited.
+	KindNotStarted Kind = "not-started"
 	// KindNotLoaded means that the version is not loaded.
 	KindNotLoaded Kind = "not-loaded"
-	// KindCancelled means that the attempt was cancelled.
+	// KindCancelled means that the attempt was cancelled while it ran.
 	KindCancelled Kind = "cancelled"
 	// KindWeights means that the weight store gave no weights.
 	KindWeights Kind = "weights"
--- a/cmd/standin/engine/faults.go
+++ b/cmd/standin/engine/faults.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/cmd/standin/endpoint"
 	"fescuelatch/cmd/standin/server"
 )
 
@@ -40,19 +41,7 @@
 	// IgnoreFencing accepts orders with an old fencing number.
 	IgnoreFencing bool `json:"ignore-fencing"`
 	// Cold turns the engine cold once; it is absent from the faults in force.
-	Cold *Cold `json:"cold,omitempty"`
-}
-
-// Cold turns a warm engine cold.
-type Cold struct {
-	// For is the time that the engine stays cold; 0 means the setting's.
-	For time.Duration `json:"for"`
-	// Unannounced keeps the load report at "warm".
-	Unannounced bool `json:"unannounced"`
-	// NewIncarnation gives the engine a new incarnation.
-	NewIncarnation bool `json:"new-incarnation"`
-	// Break breaks the requests in progress.
-	Break bool `json:"break"`
+	Cold *endpoint.Cold `json:"cold,omitempty"`
 }
 
 // apply carries out what was asked of the engine by a change of faults, and
@@ -70,16 +59,13 @@
 	return f
 }
 
-func (e *Engine) cool(c *Cold, now time.Time) {
-	d := c.For
-	if d == 0 {
-		d = e.settings.ColdStart
-	}
+func (e *Engine) cool(c *endpoint.Cold, now time.Time) {
 	if c.Break {
 		e.breakAll()
 	}
 	if c.NewIncarnation {
-		e.incarnation = newIncarnation()
+		e.incarnation = endpoint.NewIncarnation()
 	}
-	e.turnCold(now.Add(d), !c.Unannounced)
+	e.cache.clear()
+	e.cold.Turn(c, now)
 }
--- a/cmd/standin/engine/record.go
+++ b/cmd/standin/engine/record.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -87,23 +88,14 @@
 	}
 }
 
-func (c *record) cold(concurrency int) {
+// snapshot returns a copy of the counts.
+func (c *record) snapshot() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counts.MaxCold = max(c.counts.MaxCold, concurrency)
-}
-
-func (c *record) fellOver() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts.FallOvers++
-}
-
-// withCounts calls f with the counts while they stay as they are.
-func (c *record) withCounts(f func(Counts)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	f(c.counts)
+	s := c.counts
+	s.Versions = maps.Clone(s.Versions)
+	s.Executions = maps.Clone(s.Executions)
+	return s
 }
 
 // latest returns the starts at or after the given time.
--- a/cmd/standin/engine/scheduler.go
+++ b/cmd/standin/engine/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/cmd/standin/endpoint"
 	"fescuelatch/cmd/standin/server"
 )
 
@@ -17,20 +18,20 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if f.Down || now.Before(e.downUntil) {
+	if f.Down || e.cold.Down(now) {
 		return &Error{Op: "admit", Kind: KindDown}
 	}
 	if !e.versions[r.request.Model] {
 		return &Error{Op: "admit", Kind: KindNotLoaded}
 	}
-	if len(e.queue) >= e.settings.Queue {
-		return &Error{Op: "admit", Kind: KindFull}
+	if len(e.running) >= e.settings.Slots && len(e.queue) >= e.settings.Queue {
+		return &Error{Op: "admit", Kind: KindNotStarted}
 	}
 	e.arrivals++
 	r.order = e.arrivals
 	e.record.arrived(r, now, f.Leaving)
-	if !e.bears(now) {
-		e.fallOver(now)
+	if !e.cold.Admit(now, len(e.running)+len(e.queue)+1) {
+		e.restart()
 		return &Error{Op: "admit", Kind: KindDown}
 	}
 	e.runs.Add(r.attempt, r)
@@ -39,31 +40,12 @@
 	return nil
 }
 
-// bears reports whether the engine bears one more request.
-func (e *Engine) bears(now time.Time) bool {
-	if e.settings.ColdSlots == 0 || !now.Before(e.coldUntil) {
-		return true
-	}
-	n := len(e.running) + len(e.queue) + 1
-	e.record.cold(n)
-	return n <= e.settings.ColdSlots
-}
-
-// fallOver breaks all requests and stops answering for a time, after which a
-// new process starts cold.
-func (e *Engine) fallOver(now time.Time) {
-	e.record.fellOver()
+// restart is the end of one process, all of whose requests break, and the
+// begin of the next.
+func (e *Engine) restart() {
 	e.breakAll()
-	e.downUntil = now.Add(e.settings.FallOver)
-	e.turnCold(e.downUntil.Add(e.settings.ColdStart), true)
-	e.incarnation = newIncarnation()
-}
-
-// turnCold makes the engine cold until the given time.
-func (e *Engine) turnCold(until time.Time, announced bool) {
-	e.coldUntil = until
-	e.announced = announced
 	e.cache.clear()
+	e.incarnation = endpoint.NewIncarnation()
 }
 
 // breakAll breaks all requests, waiting or running.
@@ -125,7 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	factor := 1 + e.settings.Growth*float64(len(e.running)-1)/float64(e.settings.Slots)
-	if time.Now().Before(e.coldUntil) {
+	if e.cold.Cold(time.Now()) {
 		factor *= coldSlowdown
 	}
 	return time.Duration(float64(d) * factor)
@@ -135,12 +117,13 @@
 func (e *Engine) cancelRun(id fescuelatch.AttemptID) bool {
 	e.mu.Lock()
 	r, ok := e.runs.Get(id)
-	if ok {
-		e.queue.remove(r)
+	kind := KindCancelled
+	if ok && e.queue.remove(r) {
+		kind = KindNotStarted
 	}
 	e.mu.Unlock()
 	if ok {
-		r.finish(&Error{Op: "run", Kind: KindCancelled})
+		r.finish(&Error{Op: "run", Kind: kind})
 	}
 	return ok
 }
--- a/cmd/standin/kv/kv_test.go
+++ b/cmd/standin/kv/kv_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/cmd/standin/server/servertest"
 )
 
 const testTimeout = 10 * time.Second
@@ -27,22 +29,8 @@
 	return p, s.URL
 }
 
-// call posts body and decodes the answer into out. It returns the status, or
-// 0 when there was no answer.
-func call(url, body string, out any) int {
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	defer cancel()
-	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
-	r, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return 0
-	}
-	defer r.Body.Close()
-	if out != nil {
-		_ = json.NewDecoder(r.Body).Decode(out)
-	}
-	return r.StatusCode
-}
+// call posts body and decodes the answer into out.
+func call(url, body string, out any) int { return servertest.Post(url, body, out).Status }
 
 // Keys and values in base64: a, ab, b, x, y.
 const (
@@ -304,11 +292,10 @@
 		s.commit()
 	}
 	c.Assert(s.history, qt.HasLen, historyLength)
-	_, _, _, ok := s.eventsFrom(span{key: []byte("a")}, 2)
-	c.Assert(ok, qt.IsFalse)
-	es, _, _, ok := s.eventsFrom(span{key: []byte("a")}, s.compacted)
-	c.Assert(ok, qt.IsTrue)
-	c.Assert(es, qt.HasLen, historyLength)
+	c.Assert(s.eventsFrom(span{key: []byte("a")}, 2).compacted, qt.IsTrue)
+	b := s.eventsFrom(span{key: []byte("a")}, s.compacted)
+	c.Assert(b.compacted, qt.IsFalse)
+	c.Assert(b.events, qt.HasLen, historyLength)
 }
 
 func TestWatchGap(t *testing.T) {
--- a/cmd/standin/kv/platform.go
+++ b/cmd/standin/kv/platform.go
@@ -205,18 +205,18 @@
 	for {
 		faulty := p.faults.Changed()
 		p.delay(ctx)
-		events, after, changed, ok := p.store.eventsFrom(s, next)
-		h := header{number(after - 1)}
-		if !ok {
-			out.send(&watchResponse{Header: h, Canceled: true, CompactRevision: number(after)})
+		b := p.store.eventsFrom(s, next)
+		h := header{number(b.next - 1)}
+		if b.compacted {
+			out.send(&watchResponse{Header: h, Canceled: true, CompactRevision: number(b.next)})
 			return
 		}
-		if events = p.gaps(events); len(events) > 0 {
+		if events := p.gaps(b.events); len(events) > 0 {
 			out.send(&watchResponse{Header: h, Events: events})
 		}
-		next = after
+		next = b.next
 		select {
-		case <-changed:
+		case <-b.changed:
 		case <-faulty:
 		case <-ctx.Done():
 			return
--- a/cmd/standin/kv/store.go
+++ b/cmd/standin/kv/store.go
@@ -160,22 +160,32 @@
 	s.dirty = true
 }
 
-// eventsFrom returns the events within p at or after a revision, the
-// revision that follows them, and a channel that is closed at the next
-// change. It reports false when part of that history is gone.
-func (s *store) eventsFrom(p span, revision int64) (es []event, next int64, changed <-chan struct{}, ok bool) {
+// batch is a part of the history.
+type batch struct {
+	events []event
+	// next is the revision that follows the batch.
+	next int64
+	// changed is closed at the next change.
+	changed <-chan struct{}
+	// compacted reports that part of the history asked for is gone.
+	compacted bool
+}
+
+// eventsFrom returns the events within p at or after a revision.
+func (s *store) eventsFrom(p span, revision int64) batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if revision < s.compacted {
-		return nil, s.compacted, s.changed, false
+		return batch{next: s.compacted, compacted: true}
 	}
+	b := batch{next: max(revision, s.revision+1), changed: s.changed}
 	i := sort.Search(len(s.history), func(i int) bool { return int64(s.history[i].KV.ModRevision) >= revision })
 	for _, e := range s.history[i:] {
 		if p.contains(string(e.KV.Key)) {
-			es = append(es, e)
+			b.events = append(b.events, e)
 		}
 	}
-	return es, max(revision, s.revision+1), s.changed, true
+	return b
 }
 
 // header returns the header of an answer.
--- /dev/null
+++ b/cmd/standin/server/servertest/servertest.go
@@ -0,0 +1,65 @@
+// Package servertest makes bounded HTTP calls in tests of the stand-ins.
+package servertest
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Timeout bounds each call.
+const Timeout = 10 * time.Second
+
+// Answer is the answer to a call.
+type Answer struct {
+	// Status is 0 when there was no answer.
+	Status int
+	Header http.Header
+	Body   string
+	// Err is the error of the call, or that of reading a body that was cut.
+	Err error
+}
+
+// Start serves h at a random port for the length of a test and returns its
+// URL.
+func Start(c *qt.C, h http.Handler) string {
+	s := httptest.NewServer(h)
+	c.Cleanup(s.Close)
+	return s.URL
+}
+
+// Get calls url and decodes a JSON answer into out unless that is nil.
+func Get(url string, out any) Answer { return Do(http.MethodGet, url, "", nil, out) }
+
+// Post posts body to url and decodes a JSON answer into out unless that is
+// nil.
+func Post(url, body string, out any) Answer { return Do(http.MethodPost, url, body, nil, out) }
+
+// Do makes a call with header fields, given as names and values in turn.
+func Do(method, url, body string, header []string, out any) Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), Timeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, err := io.ReadAll(r.Body)
+	if err == nil && out != nil {
+		err = json.Unmarshal(b, out)
+	}
+	return Answer{Status: r.StatusCode, Header: r.Header, Body: string(b), Err: err}
+}
--- a/cmd/standin/service/service.go
+++ b/cmd/standin/service/service.go
@@ -3,33 +3,30 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
 	"fescuelatch"
+	"fescuelatch/cmd/standin/endpoint"
 	"fescuelatch/cmd/standin/server"
 )
 
-// This file defines the service, its settings and its executions.
-
-const (
-	requestLimit = 8 << 20 // bytes
-	retryAfter   = "1"     // seconds
-)
+// This file defines the service, its settings, faults and load.
 
 // Settings are the settings of a service.
 type Settings struct {
 	Listen      netip.AddrPort         `arg:"--listen,required,env:STANDIN_LISTEN" help:"address to serve at"`
-	Endpoint    fescuelatch.EndpointID `arg:"--endpoint,env:STANDIN_ENDPOINT" help:"identifier in load reports"`
+	Endpoint    fescuelatch.EndpointID `arg:"--id,env:STANDIN_ID" help:"identifier in load reports"`
+	Service     fescuelatch.ServiceID  `arg:"--service,env:STANDIN_SERVICE" help:"the only service; default any"`
 	Slots       int                    `arg:"--slots,env:STANDIN_SLOTS" default:"16" help:"calls that run at once"`
+	ColdSlots   int                    `arg:"--cold-slots,env:STANDIN_COLD_SLOTS" default:"0" help:"calls borne when cold, 0 for no limit"`
+	ColdStart   time.Duration          `arg:"--cold-start,env:STANDIN_COLD_START" default:"0s" help:"time for which a new process is cold"`
+	FallOver    time.Duration          `arg:"--fall-over,env:STANDIN_FALL_OVER" default:"5s" help:"time without service after falling over"`
 	ServiceTime time.Duration          `arg:"--service-time,env:STANDIN_SERVICE_TIME" default:"10ms" help:"time of a call"`
 	LoadLag     time.Duration          `arg:"--load-lag,env:STANDIN_LOAD_LAG" default:"200ms" help:"lag of load reports"`
 }
@@ -61,42 +58,53 @@
 	// Leaving is reported in the load. Down breaks all connections.
 	Leaving bool `json:"leaving"`
 	Down    bool `json:"down"`
+	// Cold turns the service cold once; it is absent from the faults in
+	// force.
+	Cold *endpoint.Cold `json:"cold,omitempty"`
 }
 
-// execution is one execution of a call.
-type execution struct {
-	Key       string                  `json:"key"`
-	Service   fescuelatch.ServiceID   `json:"service"`
-	Operation fescuelatch.OperationID `json:"operation"`
-	Attempt   fescuelatch.AttemptID   `json:"attempt"`
-	At        time.Time               `json:"at"`
-}
-
-// answer is the answer to a call.
-type answer struct {
-	Nonce   string                `json:"nonce"`
-	Attempt fescuelatch.AttemptID `json:"attempt"`
-	Result  string                `json:"result"`
+// counts is an answer to GET /counts.
+type counts struct {
+	Calls      int `json:"calls"`
+	Executions int `json:"executions"`
+	FallOvers  int `json:"fall-overs"`
+	MaxCold    int `json:"max-cold-concurrency"`
+	MaxRunning int `json:"max-concurrency"`
+	// AfterLeaving counts calls received while leaving.
+	AfterLeaving int `json:"received-while-leaving"`
 }
 
 // Service runs calls and keeps a record of each execution.
 type Service struct {
-	settings    Settings
-	faults      server.Faults[Faults]
-	load        server.Lag[fescuelatch.LoadReport]
-	incarnation fescuelatch.Incarnation
+	settings Settings
+	faults   server.Faults[Faults]
+	load     endpoint.LoadReports
 
-	mu         sync.Mutex
-	running    int
+	mu          sync.Mutex
+	incarnation fescuelatch.Incarnation
+	cold        endpoint.ColdStart
+	running     int
+	// broken is closed when the requests in progress break.
+	broken     chan struct{}
+	counts     counts
 	executions []execution
 	last       answer
 }
 
 // New returns a service that starts now.
 func New(s Settings) *Service {
-	v := &Service{settings: s, incarnation: fescuelatch.Incarnation(uuid.NewString())}
-	v.last = answer{Nonce: "other", Attempt: "other", Result: "done"}
+	v := &Service{
+		settings:    s,
+		incarnation: endpoint.NewIncarnation(),
+		cold:        endpoint.ColdStart{Slots: s.ColdSlots, Time: s.ColdStart, FallOver: s.FallOver},
+		broken:      make(chan struct{}),
+		last:        answer{Nonce: "other", Attempt: "other", Result: resultDone},
+	}
+	v.cold.Begin(time.Now())
+	v.load.Lag = func() time.Duration { return v.faults.Get().LoadLag }
+	v.load.Report = v.report
 	v.faults.Set(Faults{LoadLag: s.LoadLag})
+	v.faults.OnPost(v.apply)
 	return v
 }
 
@@ -105,117 +113,70 @@
 	r := mux.NewRouter()
 	r.Handle("/faults", &s.faults).Methods(http.MethodGet, http.MethodPost)
 	r.HandleFunc("/executions", s.serveExecutions).Methods(http.MethodGet)
+	r.HandleFunc("/counts", s.serveCounts).Methods(http.MethodGet)
 	r.HandleFunc("/v1/services/{service}/{operation}", s.serveCall).Methods(http.MethodPost)
 	r.HandleFunc("/load", s.serveLoad).Methods(http.MethodGet)
 	return r
 }
 
-// serveCall runs a call.
-func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, requestLimit))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if s.refuses(w) {
-		return
+// apply carries out what was asked of the service by a change of faults, and
+// returns the faults that stay in force.
+func (s *Service) apply(f Faults) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := f.Cold
+	if f.Down || (c != nil && c.Break) {
+		s.breakAll()
 	}
-	if !s.acquire() {
-		writeUnavailable(w)
-		return
+	if c != nil {
+		if c.NewIncarnation {
+			s.incarnation = endpoint.NewIncarnation()
+		}
+		s.cold.Turn(c, time.Now())
+		f.Cold = nil
 	}
-	defer s.release()
-	a := s.execute(r, b)
-	s.answer(r.Context(), w, a)
+	return f
 }
 
-// refuses applies the faults that precede an execution and reports whether
-// the call has been answered.
-func (s *Service) refuses(w http.ResponseWriter) bool {
-	switch {
-	case s.faults.Get().Down || s.takes(func(f *Faults) *server.Chance { return &f.CutBefore }):
-		server.Abort()
-	case s.takes(func(f *Faults) *server.Chance { return &f.Unavailable }):
-		writeUnavailable(w)
-	case s.takes(func(f *Faults) *server.Chance { return &f.ErrorBefore }):
-		http.Error(w, "internal error", http.StatusInternalServerError)
-	default:
-		return false
-	}
-	return true
+// breakAll breaks the calls in progress.
+func (s *Service) breakAll() {
+	close(s.broken)
+	s.broken = make(chan struct{})
+	s.running = 0
 }
 
-func (s *Service) takes(field func(*Faults) *server.Chance) bool { return s.faults.Take(field) }
-
-func writeUnavailable(w http.ResponseWriter) {
-	w.Header().Set("Retry-After", retryAfter)
-	http.Error(w, "unavailable", http.StatusServiceUnavailable)
-}
+// Sample records the load until ctx ends.
+func (s *Service) Sample(ctx context.Context) { s.load.Sample(ctx) }
 
-func (s *Service) acquire() bool {
+// report returns the load at present.
+func (s *Service) report() fescuelatch.LoadReport {
+	leaving := s.faults.Get().Leaving
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running >= s.settings.Slots {
-		return false
+	return fescuelatch.LoadReport{
+		Endpoint:    s.settings.Endpoint,
+		Incarnation: s.incarnation,
+		State:       endpoint.State(&s.cold, leaving, now),
+		Running:     s.running,
+		Slots:       s.settings.Slots,
+		Generated:   now,
 	}
-	s.running++
-	return true
 }
 
-func (s *Service) release() {
+// down reports whether the service is without service.
+func (s *Service) down() bool {
+	f := s.faults.Get()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running--
-}
-
-// execute records the execution and takes the service time, also when the
-// client is gone.
-func (s *Service) execute(r *http.Request, body []byte) answer {
-	var q struct {
-		Nonce string `json:"nonce"`
-	}
-	// A body without a nonce is served as well.
-	_ = json.Unmarshal(body, &q)
-	key := r.Header.Get("Idempotency-Key")
-	if key == "" {
-		key = q.Nonce
-	}
-	v := mux.Vars(r)
-	e := execution{
-		Key:       key,
-		Service:   fescuelatch.ServiceID(v["service"]),
-		Operation: fescuelatch.OperationID(v["operation"]),
-		Attempt:   fescuelatch.AttemptID(r.Header.Get("X-Request-Id")),
-		At:        time.Now(),
-	}
-	s.mu.Lock()
-	s.executions = append(s.executions, e)
-	s.mu.Unlock()
-	server.Sleep(context.WithoutCancel(r.Context()), s.settings.ServiceTime)
-	return answer{Nonce: q.Nonce, Attempt: e.Attempt, Result: "done"}
+	return f.Down || s.cold.Down(time.Now())
 }
 
-// answer sends an answer, with the faults that apply.
-func (s *Service) answer(ctx context.Context, w http.ResponseWriter, a answer) {
-	if s.takes(func(f *Faults) *server.Chance { return &f.Late }) {
-		server.Sleep(ctx, s.faults.Get().LateBy)
-	}
-	if s.takes(func(f *Faults) *server.Chance { return &f.Cut }) {
+func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if s.down() {
 		server.Abort()
 	}
-	if s.takes(func(f *Faults) *server.Chance { return &f.ErrorAfter }) {
-		http.Error(w, "internal error", http.StatusInternalServerError)
-		return
-	}
-	s.mu.Lock()
-	other := s.last
-	s.last = a
-	s.mu.Unlock()
-	if s.takes(func(f *Faults) *server.Chance { return &f.Crossed }) {
-		a = other
-	}
-	w.Header().Set("X-Request-Id", string(a.Attempt))
-	server.WriteJSON(w, http.StatusOK, a)
+	s.load.ServeHTTP(w, r)
 }
 
 func (s *Service) serveExecutions(w http.ResponseWriter, _ *http.Request) {
@@ -227,37 +188,11 @@
 	}{es})
 }
 
-// Sample records the load until ctx ends.
-func (s *Service) Sample(ctx context.Context) {
-	lag := func() time.Duration { return s.faults.Get().LoadLag }
-	s.load.Sample(ctx, lag, s.report)
-}
-
-func (s *Service) report() fescuelatch.LoadReport {
-	state := fescuelatch.EndpointWarm
-	if s.faults.Get().Leaving {
-		state = fescuelatch.EndpointLeaving
-	}
+func (s *Service) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return fescuelatch.LoadReport{
-		Endpoint:    s.settings.Endpoint,
-		Incarnation: s.incarnation,
-		State:       state,
-		Running:     s.running,
-		Slots:       s.settings.Slots,
-		Generated:   time.Now(),
-	}
-}
-
-func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	f := s.faults.Get()
-	if f.Down {
-		server.Abort()
-	}
-	report := s.load.At(time.Now().Add(-f.LoadLag))
-	if f.LoadLag == 0 || report.Generated.IsZero() {
-		report = s.report()
-	}
-	server.WriteJSON(w, http.StatusOK, report)
+	c := s.counts
+	c.Executions = len(s.executions)
+	c.FallOvers, c.MaxCold = s.cold.FallOvers(), s.cold.MaxCold()
+	s.mu.Unlock()
+	server.WriteJSON(w, http.StatusOK, c)
 }
