--- a/cmd/standin/engine/completions.go
+++ b/cmd/standin/engine/completions.go
@@ -279,6 +279,6 @@
 		}
 	}
 	server.WriteJSON(w, http.StatusOK, struct {
-		Starts []start `json:"starts"`
+		Starts []receipt `json:"starts"`
 	}{e.record.latest(since)})
 }
--- a/cmd/standin/engine/record.go
+++ b/cmd/standin/engine/record.go
@@ -15,9 +15,10 @@
 	maxExecutions = 200_000
 )
 
-// start is the receipt of one request.
-type start struct {
-	At      time.Time             `json:"at"`
+// receipt is the record of a request that the engine has received.
+type receipt struct {
+	At time.Time `json:"at"`
+	// Started is when the request got a slot; zero means never.
 	Started time.Time             `json:"started,omitzero"`
 	Attempt fescuelatch.AttemptID `json:"attempt"`
 	Version fescuelatch.VersionID `json:"version"`
@@ -46,7 +47,7 @@
 type record struct {
 	mu     sync.Mutex
 	counts Counts
-	starts []*start
+	starts []*receipt
 }
 
 func newRecord() *record {
@@ -61,10 +62,10 @@
 func (c *record) arrived(r *run, now time.Time, leaving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := &start{At: now, Attempt: r.attempt, Version: r.request.Model, Leaving: leaving}
+	s := &receipt{At: now, Attempt: r.attempt, Version: r.request.Model, Leaving: leaving}
 	c.starts = append(c.starts, s)
 	c.starts = c.starts[max(0, len(c.starts)-maxStarts):]
-	r.start = s
+	r.receipt = s
 	v := c.counts.Versions[r.request.Model]
 	if v.Requests == 0 {
 		v.First = now
@@ -81,7 +82,7 @@
 func (c *record) started(r *run, now time.Time, running int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.start.Started = now
+	r.receipt.Started = now
 	c.counts.MaxRunning = max(c.counts.MaxRunning, running)
 	if len(c.counts.Executions) < maxExecutions {
 		c.counts.Executions[r.attempt]++
@@ -99,10 +100,10 @@
 }
 
 // latest returns the starts at or after the given time.
-func (c *record) latest(since time.Time) []start {
+func (c *record) latest(since time.Time) []receipt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ss := []start{}
+	ss := []receipt{}
 	for _, s := range c.starts {
 		if !s.At.Before(since) {
 			ss = append(ss, *s)
--- a/cmd/standin/engine/run.go
+++ b/cmd/standin/engine/run.go
@@ -24,7 +24,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	created time.Time
-	start   *start
+	receipt *receipt
 
 	mu      sync.Mutex
 	tokens  []string
