--- a/cmd/standin/link/link.go
+++ b/cmd/standin/link/link.go
@@ -21,7 +21,10 @@
 
 // This file defines the relay.
 
-const dialTimeout = 5 * time.Second
+const (
+	dialTimeout = 5 * time.Second
+	acceptRetry = 10 * time.Millisecond
+)
 
 // Settings are the settings of a relay.
 type Settings struct {
@@ -103,6 +106,8 @@
 			return &Error{Op: "accept", Kind: KindNetwork, Err: err}
 		}
 		if err != nil {
+			// Too many open files, for example.
+			server.Sleep(ctx, acceptRetry)
 			continue
 		}
 		wg.Go(func() { k.relay(ctx, in.(*net.TCPConn)) })
