--- a/cmd/standin/engine/engine.go
+++ b/cmd/standin/engine/engine.go
@@ -33,9 +33,9 @@
 // Settings are the settings of an engine.
 type Settings struct {
 	Listen        netip.AddrPort                    `arg:"--listen,required,env:STANDIN_LISTEN" help:"address to serve at"`
-	Endpoint      fescuelatch.EndpointID            `arg:"--id,env:STANDIN_ID" help:"identifier in load reports"`
-	Versions      []fescuelatch.VersionID           `arg:"--version,separate,env:STANDIN_VERSIONS" help:"version loaded at the start; may stand several times"`
-	Quality       map[fescuelatch.VersionID]float64 `arg:"--quality,separate,env:STANDIN_QUALITY" help:"probability of good answers by version, VERSION=NUMBER"`
+	Endpoint      fescuelatch.EndpointID            `arg:"--endpoint,env:STANDIN_ENDPOINT" help:"identifier in load reports"`
+	Versions      []fescuelatch.VersionID           `arg:"--versions,env:STANDIN_VERSIONS" help:"versions loaded at the start"`
+	Quality       map[fescuelatch.VersionID]float64 `arg:"--quality,env:STANDIN_QUALITY" help:"probability of good answers, VERSION=NUMBER for each version"`
 	Slots         int                               `arg:"--slots,env:STANDIN_SLOTS" default:"8" help:"requests that run at once"`
 	Queue         int                               `arg:"--queue,env:STANDIN_QUEUE" default:"64" help:"requests that may wait"`
 	ColdSlots     int                               `arg:"--cold-slots,env:STANDIN_COLD_SLOTS" default:"2" help:"requests borne when cold, 0 for no limit"`
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -37,10 +37,7 @@
 
 func main() {
 	var c commands
-	p, err := arg.NewParser(arg.Config{Program: "standin", EnvPrefix: "FESCUELATCH_"}, &c)
-	if err != nil {
-		panic(err)
-	}
+	p := newParser(&c)
 	p.MustParse(os.Args[1:])
 	r, ok := p.Subcommand().(runner)
 	if !ok {
@@ -53,6 +50,15 @@
 	}
 }
 
+func newParser(c *commands) *arg.Parser {
+	p, err := arg.NewParser(arg.Config{Program: "standin", EnvPrefix: "FESCUELATCH_"}, c)
+	if err != nil {
+		// The definition of commands is wrong.
+		panic(err)
+	}
+	return p
+}
+
 func run(r runner, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/cmd/standin/service/call.go
+++ b/cmd/standin/service/call.go
@@ -44,7 +44,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if s.refuses(w, r) {
+	if s.refuses(w) {
 		return
 	}
 	a, done := s.execute(r, b)
@@ -56,13 +56,10 @@
 
 // refuses applies the faults that precede an execution and reports whether
 // the call has been answered.
-func (s *Service) refuses(w http.ResponseWriter, r *http.Request) bool {
-	only := s.settings.Service
+func (s *Service) refuses(w http.ResponseWriter) bool {
 	switch {
 	case s.down() || s.takes(func(f *Faults) *server.Chance { return &f.CutBefore }):
 		server.Abort()
-	case only != "" && mux.Vars(r)["service"] != string(only):
-		http.Error(w, "unknown service", http.StatusNotFound)
 	case s.takes(func(f *Faults) *server.Chance { return &f.ErrorBefore }):
 		http.Error(w, "internal error", http.StatusInternalServerError)
 	case s.takes(func(f *Faults) *server.Chance { return &f.Unavailable }), !s.admit():
--- a/cmd/standin/service/service.go
+++ b/cmd/standin/service/service.go
@@ -21,8 +21,7 @@
 // Settings are the settings of a service.
 type Settings struct {
 	Listen      netip.AddrPort         `arg:"--listen,required,env:STANDIN_LISTEN" help:"address to serve at"`
-	Endpoint    fescuelatch.EndpointID `arg:"--id,env:STANDIN_ID" help:"identifier in load reports"`
-	Service     fescuelatch.ServiceID  `arg:"--service,env:STANDIN_SERVICE" help:"the only service; default any"`
+	Endpoint    fescuelatch.EndpointID `arg:"--endpoint,env:STANDIN_ENDPOINT" help:"identifier in load reports"`
 	Slots       int                    `arg:"--slots,env:STANDIN_SLOTS" default:"16" help:"calls that run at once"`
 	ColdSlots   int                    `arg:"--cold-slots,env:STANDIN_COLD_SLOTS" default:"0" help:"calls borne when cold, 0 for no limit"`
 	ColdStart   time.Duration          `arg:"--cold-start,env:STANDIN_COLD_START" default:"0s" help:"time for which a new process is cold"`
