--- a/cmd/standin/engine/completions.go
+++ b/cmd/standin/engine/completions.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -73,124 +72,6 @@
 	}
 }
 
-// answer sends the answer of a run, with the faults that apply.
-func (e *Engine) answer(ctx context.Context, w http.ResponseWriter, n *run) {
-	if e.takes(func(f *Faults) *server.Chance { return &f.ErrorAfter }) {
-		_, _ = n.whole(ctx)
-		writeError(w, http.StatusInternalServerError, "internal")
-		return
-	}
-	source := n
-	if e.takes(func(f *Faults) *server.Chance { return &f.Crossed }) {
-		_, _ = n.whole(ctx)
-		source = e.other(n)
-	}
-	if e.takes(func(f *Faults) *server.Chance { return &f.Late }) {
-		_, _ = n.whole(ctx)
-		server.Sleep(ctx, e.faults.Get().LateBy)
-	}
-	times := 1
-	if e.takes(func(f *Faults) *server.Chance { return &f.Twice }) {
-		times = 2
-	}
-	cut := e.takes(func(f *Faults) *server.Chance { return &f.Cut })
-	if n.request.Stream {
-		e.stream(ctx, w, source, times, cut)
-	} else {
-		e.whole(ctx, w, source, times, cut)
-	}
-}
-
-// other returns an ended run of another attempt than n, made up when there
-// is none.
-func (e *Engine) other(n *run) *run {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, o := range e.last {
-		if o.attempt != n.attempt && o.succeeded() {
-			return o
-		}
-	}
-	o := newRun(fescuelatch.AttemptID(uuid.NewString()), n.request)
-	o.add("other")
-	o.finish(nil)
-	return o
-}
-
-func (e *Engine) whole(ctx context.Context, w http.ResponseWriter, n *run, times int, cut bool) {
-	c, err := n.whole(ctx)
-	if err != nil {
-		answerError(w, err)
-		return
-	}
-	// Encoding of this type cannot fail.
-	b, _ := json.Marshal(c)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)*times))
-	if cut {
-		_, _ = w.Write(b[:len(b)/2])
-		_ = http.NewResponseController(w).Flush()
-		server.Abort()
-	}
-	for range times {
-		_, _ = w.Write(b)
-	}
-}
-
-// stream sends the chunks of a run as server-sent events.
-func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, n *run, times int, cut bool) {
-	// The answer to an attempt that is not started is no stream.
-	if b, err := n.chunk(ctx, 0); b == nil {
-		answerError(w, err)
-		return
-	}
-	limit := -1
-	if cut {
-		limit = e.faults.Get().CutAfter
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	for range times {
-		sendChunks(ctx, w, n, 0, limit)
-	}
-}
-
-// sendChunks sends the chunks of a run from number i on, and cuts the
-// connection before chunk limit unless that is negative.
-func sendChunks(ctx context.Context, w http.ResponseWriter, n *run, i, limit int) {
-	ctrl := http.NewResponseController(w)
-	for ; ; i++ {
-		if i == limit {
-			server.Abort()
-		}
-		b, err := n.chunk(ctx, i)
-		if err != nil && b == nil {
-			sendStreamError(w, err)
-			return
-		}
-		if b == nil {
-			break
-		}
-		sendEvent(w, b)
-		_ = ctrl.Flush()
-	}
-	sendEvent(w, []byte("[DONE]"))
-	_ = ctrl.Flush()
-}
-
-// sendStreamError ends a stream that has begun.
-func sendStreamError(w http.ResponseWriter, err error) {
-	if kindOf(err) != KindCancelled {
-		server.Abort()
-	}
-	b, _ := json.Marshal(errorBody(string(KindCancelled)))
-	sendEvent(w, b)
-}
-
-// sendEvent sends one server-sent event.
-func sendEvent(w io.Writer, data []byte) {
-	_, _ = w.Write(slices.Concat([]byte("data: "), data, []byte("\n\n")))
-}
-
 func kindOf(err error) Kind {
 	var e *Error
 	if errors.As(err, &e) {
@@ -248,7 +129,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	sendChunks(r.Context(), w, n, from, -1)
+	d := &delivery{run: n, times: 1, cut: noCut}
+	d.sendChunks(r.Context(), w, from)
 }
 
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
--- a/cmd/standin/engine/engine_test.go
+++ b/cmd/standin/engine/engine_test.go
@@ -243,6 +243,17 @@
 	}
 }
 
+func TestStreamCrossesInTheMiddle(t *testing.T) {
+	c := qt.New(t)
+	_, url := start(c, fast())
+	complete(url, "a1", body("111", 1, streamed))
+	servertest.Post(url+"/faults", `{"crossed":{"next":1},"crossed-after":2}`, nil)
+	a := complete(url, "a2", body("222", 1, streamed))
+	c.Assert(a.Body, qt.Contains, "nonce:222")
+	c.Assert(a.Body, qt.Contains, "end:111")
+	c.Assert(strings.Count(a.Body, `"id":"a2"`), qt.Equals, 2)
+}
+
 func TestTwiceAndLate(t *testing.T) {
 	c := qt.New(t)
 	_, url := start(c, fast())
--- a/cmd/standin/engine/faults.go
+++ b/cmd/standin/engine/faults.go
@@ -23,9 +23,11 @@
 	// Late delays answers by LateBy.
 	Late   server.Chance `json:"late"`
 	LateBy time.Duration `json:"late-by"`
-	// Twice sends an answer twice, Crossed sends that of another attempt.
-	Twice   server.Chance `json:"twice"`
-	Crossed server.Chance `json:"crossed"`
+	// Twice sends an answer twice, Crossed sends that of another attempt, in
+	// streams from chunk CrossedAfter on.
+	Twice        server.Chance `json:"twice"`
+	Crossed      server.Chance `json:"crossed"`
+	CrossedAfter int           `json:"crossed-after"`
 	// Cut breaks the connection after CutAfter chunks, or in the middle of
 	// a whole answer.
 	Cut      server.Chance `json:"cut"`
--- a/cmd/standin/kv/errors.go
+++ b/cmd/standin/kv/errors.go
@@ -10,6 +10,7 @@
 	KindInvalid     Kind = "invalid"
 	KindNotFound    Kind = "not-found"
 	KindRateLimited Kind = "rate-limited"
+	KindUnavailable Kind = "unavailable"
 )
 
 // Error reports that operation Op failed for a reason of kind Kind.
--- a/cmd/standin/kv/faults.go
+++ b/cmd/standin/kv/faults.go
@@ -16,21 +16,38 @@
 
 // Outages. The zero value is none.
 const (
-	OutageNone   Outage = ""
+	OutageNone Outage = ""
+	// OutageRefuse breaks connections.
 	OutageRefuse Outage = "refuse"
-	OutageHang   Outage = "hang"
+	// OutageHang answers after the outage.
+	OutageHang Outage = "hang"
+	// OutageUnavailable answers 503, as a service without a leader does.
+	OutageUnavailable Outage = "unavailable"
+)
+
+// Loss is a way of losing the answer of a write that has taken effect.
+type Loss string
+
+// Losses. The zero value is LossCut.
+const (
+	// LossCut breaks the connection.
+	LossCut Loss = "cut"
+	// LossHang never answers.
+	LossHang Loss = "hang"
+	// LossTimedOut answers 503, as a service that lost its leader does.
+	LossTimedOut Loss = "timed-out"
 )
 
 // Faults are the faults of the key-value service.
 type Faults struct {
-	// Outage breaks or hangs all calls and watches.
+	// Outage stops all calls and watches.
 	Outage Outage `json:"outage"`
 	// Slowness delays each call and each delivery of a watch.
 	Slowness time.Duration `json:"slowness"`
-	// LostAnswer loses the answer of writes that have taken effect: the
-	// connection is cut, or hangs when LostAnswerHangs is set.
-	LostAnswer      server.Chance `json:"lost-answer"`
-	LostAnswerHangs bool          `json:"lost-answer-hangs"`
+	// LostAnswer loses the answers of writes that have taken effect, in the
+	// way of LostAnswerMode.
+	LostAnswer     server.Chance `json:"lost-answer"`
+	LostAnswerMode Loss          `json:"lost-answer-mode"`
 	// WriteRate and ReadRate limit the calls a second; 0 is no limit.
 	WriteRate float64 `json:"write-rate"`
 	ReadRate  float64 `json:"read-rate"`
@@ -38,14 +55,17 @@
 	WatchGap server.Chance `json:"watch-gap"`
 }
 
-// delay applies an outage and slowness.
-func (p *Platform) delay(ctx context.Context) {
+// delay applies an outage and slowness. It returns an error when the call is
+// to be refused.
+func (p *Platform) delay(ctx context.Context) error {
 	for {
 		changed := p.faults.Changed()
 		f := p.faults.Get()
 		switch f.Outage {
 		case OutageRefuse:
 			server.Abort()
+		case OutageUnavailable:
+			return &Error{Op: "call", Kind: KindUnavailable, Message: "no leader"}
 		case OutageHang:
 			select {
 			case <-changed:
@@ -57,7 +77,7 @@
 		if !server.Sleep(ctx, f.Slowness) {
 			server.Abort()
 		}
-		return
+		return nil
 	}
 }
 
@@ -74,15 +94,20 @@
 	return nil
 }
 
-// loses reports whether the answer of a write is lost.
-func (p *Platform) loses(ctx context.Context) bool {
+// lose applies the loss of the answer of a write that has taken effect. It
+// returns the error to answer with in place of it, if any.
+func (p *Platform) lose(ctx context.Context) error {
 	if !p.faults.Take(func(f *Faults) *server.Chance { return &f.LostAnswer }) {
-		return false
+		return nil
 	}
-	if p.faults.Get().LostAnswerHangs {
+	switch p.faults.Get().LostAnswerMode {
+	case LossTimedOut:
+		return &Error{Op: "call", Kind: KindUnavailable, Message: "request timed out"}
+	case LossHang:
 		<-ctx.Done()
 	}
-	return true
+	server.Abort()
+	return nil
 }
 
 // gaps returns the events that a watch delivers.
--- a/cmd/standin/kv/kv_test.go
+++ b/cmd/standin/kv/kv_test.go
@@ -314,14 +314,32 @@
 }
 
 func TestLostAnswer(t *testing.T) {
+	c := qt.New(t)
+	tests := []struct {
+		mode   string
+		status int
+	}{{"cut", 0}, {"timed-out", 503}}
+	for _, test := range tests {
+		p, url := newTestServer(c)
+		call(url+"/faults", `{"lost-answer":{"next":1},"lost-answer-mode":"`+test.mode+`"}`, nil)
+		var r rangeResponse
+		c.Assert(call(url+"/v3/kv/range", `{"key":"YQ=="}`, &r), qt.Equals, 200)
+		c.Assert(call(url+"/v3/kv/put", `{"key":"YQ==","value":"eA=="}`, nil), qt.Equals, test.status)
+		c.Assert(p.values(), qt.DeepEquals, map[string]string{"a": "x"})
+		c.Assert(call(url+"/v3/kv/put", `{"key":"YQ==","value":"eQ=="}`, nil), qt.Equals, 200)
+	}
+}
+
+func TestLostAnswerHangs(t *testing.T) {
 	c := qt.New(t)
 	p, url := newTestServer(c)
-	call(url+"/faults", `{"lost-answer":{"next":1}}`, nil)
-	var r rangeResponse
-	c.Assert(call(url+"/v3/kv/range", `{"key":"YQ=="}`, &r), qt.Equals, 200)
-	c.Assert(call(url+"/v3/kv/put", `{"key":"YQ==","value":"eA=="}`, nil), qt.Equals, 0)
+	call(url+"/faults", `{"lost-answer":{"next":1},"lost-answer-mode":"hang"}`, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v3/kv/put", strings.NewReader(`{"key":"YQ==","value":"eA=="}`))
+	_, err := http.DefaultClient.Do(q)
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
 	c.Assert(p.values(), qt.DeepEquals, map[string]string{"a": "x"})
-	c.Assert(call(url+"/v3/kv/put", `{"key":"YQ==","value":"eQ=="}`, nil), qt.Equals, 200)
 }
 
 func TestOutage(t *testing.T) {
@@ -336,6 +354,9 @@
 	_, err = next()
 	c.Assert(err, qt.IsNotNil)
 
+	call(url+"/faults", `{"outage":"unavailable"}`, nil)
+	c.Assert(call(url+"/v3/kv/put", `{"key":"YQ==","value":"eA=="}`, nil), qt.Equals, 503)
+
 	call(url+"/faults", `{"outage":"hang"}`, nil)
 	done := make(chan int)
 	go func() { done <- call(url+"/v3/kv/put", `{"key":"YQ==","value":"eA=="}`, nil) }()
--- a/cmd/standin/kv/platform.go
+++ b/cmd/standin/kv/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -22,6 +21,15 @@
 	expiryPeriod = 50 * time.Millisecond
 )
 
+// Codes of gRPC.
+const (
+	codeInvalidArgument   = 3
+	codeNotFound          = 5
+	codeResourceExhausted = 8
+	codeInternal          = 13
+	codeUnavailable       = 14
+)
+
 // Settings are the settings of the platform's stand-in.
 type Settings struct {
 	Listen    netip.AddrPort `arg:"--listen,required,env:STANDIN_LISTEN" help:"address to serve at"`
@@ -95,16 +103,7 @@
 		if !server.ReadJSON(w, r, requestLimit, &q) {
 			return
 		}
-		p.delay(r.Context())
-		write := isWrite(kind, &q)
-		if err := p.limit(write); err != nil {
-			writeError(w, err)
-			return
-		}
-		resp, err := f(&q)
-		if write && err == nil && p.loses(r.Context()) {
-			server.Abort()
-		}
+		resp, err := p.serve(r.Context(), isWrite(kind, &q), func() (any, error) { return f(&q) })
 		if err != nil {
 			writeError(w, err)
 			return
@@ -114,6 +113,29 @@
 	r.HandleFunc(paths[kind], h).Methods(http.MethodPost)
 }
 
+// serve applies the faults around f.
+func (p *Platform) serve(ctx context.Context, write bool, f func() (any, error)) (any, error) {
+	if err := p.admit(ctx, write); err != nil {
+		return nil, err
+	}
+	resp, err := f()
+	if err != nil {
+		return nil, err
+	}
+	if write {
+		err = p.lose(ctx)
+	}
+	return resp, err
+}
+
+// admit applies the faults that precede a call.
+func (p *Platform) admit(ctx context.Context, write bool) error {
+	if err := p.delay(ctx); err != nil {
+		return err
+	}
+	return p.limit(write)
+}
+
 // isWrite reports whether a call counts against the rate of writes.
 func isWrite(kind string, q any) bool {
 	if t, ok := q.(*txnRequest); ok {
@@ -158,7 +180,7 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	status, code := http.StatusInternalServerError, 13
+	status, code := http.StatusInternalServerError, codeInternal
 	var e *Error
 	if errors.As(err, &e) {
 		status, code = statusOf(e.Kind)
@@ -170,67 +192,12 @@
 func statusOf(k Kind) (status, code int) {
 	switch k {
 	case KindNotFound:
-		return http.StatusNotFound, 5
+		return http.StatusNotFound, codeNotFound
 	case KindRateLimited:
-		return http.StatusTooManyRequests, 8
+		return http.StatusTooManyRequests, codeResourceExhausted
+	case KindUnavailable:
+		return http.StatusServiceUnavailable, codeUnavailable
 	default:
-		return http.StatusBadRequest, 3
-	}
-}
-
-// watch streams the changes of a range of keys.
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	p.counts.add("watch")
-	var q watchRequest
-	if !server.ReadJSON(w, r, requestLimit, &q) {
-		return
-	}
-	p.delay(r.Context())
-	if err := p.limit(false); err != nil {
-		writeError(w, err)
-		return
-	}
-	next := int64(q.Create.StartRevision)
-	if next == 0 {
-		next = p.store.currentRevision() + 1
-	}
-	w.Header().Set("Content-Type", "application/json")
-	out := watchStream{json.NewEncoder(w), http.NewResponseController(w)}
-	out.send(&watchResponse{Header: header{number(p.store.currentRevision())}, Created: true})
-	p.follow(r.Context(), out, span{q.Create.Key, q.Create.RangeEnd}, next)
-}
-
-// follow sends events from revision next on until ctx ends.
-func (p *Platform) follow(ctx context.Context, out watchStream, s span, next int64) {
-	for {
-		faulty := p.faults.Changed()
-		p.delay(ctx)
-		b := p.store.eventsFrom(s, next)
-		h := header{number(b.next - 1)}
-		if b.compacted {
-			out.send(&watchResponse{Header: h, Canceled: true, CompactRevision: number(b.next)})
-			return
-		}
-		if events := p.gaps(b.events); len(events) > 0 {
-			out.send(&watchResponse{Header: h, Events: events})
-		}
-		next = b.next
-		select {
-		case <-b.changed:
-		case <-faulty:
-		case <-ctx.Done():
-			return
-		}
+		return http.StatusBadRequest, codeInvalidArgument
 	}
 }
-
-type watchStream struct {
-	enc  *json.Encoder
-	ctrl *http.ResponseController
-}
-
-// send writes one response. A client that is gone ends the watch's context.
-func (s watchStream) send(r *watchResponse) {
-	_ = s.enc.Encode(result{r})
-	_ = s.ctrl.Flush()
-}
