--- a/cmd/standin/kv/faults.go
+++ b/cmd/standin/kv/faults.go
@@ -25,10 +25,15 @@
 	OutageUnavailable Outage = "unavailable"
 )
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (o *Outage) UnmarshalText(b []byte) error {
+	return server.DecodeOneOf(o, b, OutageNone, OutageRefuse, OutageHang, OutageUnavailable)
+}
+
 // Loss is a way of losing the answer of a write that has taken effect.
 type Loss string
 
-// Losses. The zero value is LossCut.
+// Losses. The zero value means LossCut.
 const (
 	// LossCut breaks the connection.
 	LossCut Loss = "cut"
@@ -38,6 +43,11 @@
 	LossTimedOut Loss = "timed-out"
 )
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (l *Loss) UnmarshalText(b []byte) error {
+	return server.DecodeOneOf(l, b, "", LossCut, LossHang, LossTimedOut)
+}
+
 // Faults are the faults of the key-value service.
 type Faults struct {
 	// Outage stops all calls and watches.
--- a/cmd/standin/kv/kv_test.go
+++ b/cmd/standin/kv/kv_test.go
@@ -25,7 +25,7 @@
 	c.Cleanup(s.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
-	go p.Expire(ctx)
+	go p.Maintain(ctx)
 	return p, s.URL
 }
 
@@ -402,4 +402,6 @@
 	_ = json.NewEncoder(&b).Encode(map[string]any{"requestPut": 1})
 	c.Assert(call(url+"/v3/kv/txn", b.String(), nil), qt.Equals, 400)
 	c.Assert(call(url+"/faults", `{"outtage":"hang"}`, nil), qt.Equals, 400)
+	c.Assert(call(url+"/faults", `{"outage":"slow"}`, nil), qt.Equals, 400)
+	c.Assert(call(url+"/faults", `{"lost-answer-mode":"slow"}`, nil), qt.Equals, 400)
 }
--- a/cmd/standin/kv/platform.go
+++ b/cmd/standin/kv/platform.go
@@ -40,7 +40,7 @@
 // Run serves until ctx ends.
 func (s *Settings) Run(ctx context.Context, log *slog.Logger) error {
 	p := NewPlatform(Faults{WriteRate: s.WriteRate, ReadRate: s.ReadRate})
-	go p.Expire(ctx)
+	go p.Maintain(ctx)
 	return server.Run(ctx, log, s.Listen, p.Handler())
 }
 
@@ -51,20 +51,22 @@
 	counts counts
 	writes server.Limiter
 	reads  server.Limiter
+	ended  chan struct{}
 }
 
 // NewPlatform returns an empty service with the given faults.
 func NewPlatform(f Faults) *Platform {
-	p := &Platform{store: newStore()}
+	p := &Platform{store: newStore(), ended: make(chan struct{})}
 	p.faults.Set(f)
 	return p
 }
 
-// Expire ends leases that expire until ctx ends.
-func (p *Platform) Expire(ctx context.Context) {
+// Maintain ends leases that expire until ctx ends, then ends all watches.
+func (p *Platform) Maintain(ctx context.Context) {
 	for server.Sleep(ctx, expiryPeriod) {
 		p.store.expire(time.Now())
 	}
+	close(p.ended)
 }
 
 // Handler returns the HTTP handler.
--- a/cmd/standin/kv/watch.go
+++ b/cmd/standin/kv/watch.go
@@ -31,7 +31,7 @@
 	p.follow(r.Context(), out, span{q.Create.Key, q.Create.RangeEnd}, next)
 }
 
-// follow sends events from revision next on until ctx ends.
+// follow sends events from revision next on until ctx or the platform ends.
 func (p *Platform) follow(ctx context.Context, out watchStream, s span, next int64) {
 	for {
 		faulty := p.faults.Changed()
@@ -51,6 +51,8 @@
 		select {
 		case <-b.changed:
 		case <-faulty:
+		case <-p.ended:
+			return
 		case <-ctx.Done():
 			return
 		}
--- a/cmd/standin/link/link.go
+++ b/cmd/standin/link/link.go
@@ -50,12 +50,17 @@
 // Mode is how a cut connection behaves.
 type Mode string
 
-// Modes. The zero value is ModeHang.
+// Modes. The zero value means ModeHang.
 const (
 	ModeHang  Mode = "hang"
 	ModeReset Mode = "reset"
 )
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (m *Mode) UnmarshalText(b []byte) error {
+	return server.DecodeOneOf(m, b, "", ModeHang, ModeReset)
+}
+
 // Faults are the faults of a relay.
 type Faults struct {
 	// Prefixes are those of the dialers that are cut off.
--- a/cmd/standin/link/link_test.go
+++ b/cmd/standin/link/link_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
@@ -153,7 +154,8 @@
 func TestDelay(t *testing.T) {
 	c := qt.New(t)
 	to, faults := startLink(c, startEcho(c))
-	servertest.Post(faults, `{"delay":50000000}`, nil)
+	c.Assert(servertest.Post(faults, `{"mode":"slow"}`, nil).Status, qt.Equals, http.StatusBadRequest)
+	c.Assert(servertest.Post(faults, `{"delay":50000000}`, nil).Status, qt.Equals, http.StatusOK)
 	k := dial(c, inside, to)
 	begin := time.Now()
 	mustEcho(c, k)
--- a/cmd/standin/server/errors.go
+++ b/cmd/standin/server/errors.go
@@ -5,8 +5,11 @@
 // Kind classifies an Error.
 type Kind string
 
-// KindNetwork is the kind of errors of the network.
-const KindNetwork Kind = "network"
+// Kinds of errors.
+const (
+	KindNetwork Kind = "network"
+	KindInvalid Kind = "invalid"
+)
 
 // Error reports that operation Op failed for a reason of kind Kind.
 type Error struct {
--- a/cmd/standin/server/server.go
+++ b/cmd/standin/server/server.go
@@ -58,9 +58,8 @@
 func stop(s *http.Server, cancel context.CancelFunc) {
 	ctx, done := context.WithTimeout(context.Background(), stopGrace)
 	defer done()
-	// Streams that wait, such as watches, end with the base context.
-	time.AfterFunc(stopGrace/2, cancel)
-	if err := s.Shutdown(ctx); err != nil {
+	if s.Shutdown(ctx) != nil {
+		cancel()
 		_ = s.Close()
 	}
 }
