Quality: verdict chart, property tests, stated bound and its measurement

The verdict's rules stood in a switch; they now fire events of a chart in verdict.yaml. The evidence of others is left out only until a probation is passed, because a daemon that never quarantined never starts afresh.

The default rate of quarantine is 1e-4 instead of 1e-5 an observation.

--- /dev/null
+++ b/quality/experiment_test.go
@@ -0,0 +1,172 @@
+package quality
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+)
+
+// seeds is the number of seeds of each experiment.
+const seeds = 5
+
+// fleet is a set of models that exchange evidence after each round, in which
+// every model sees one rating.
+type fleet struct {
+	models []*Model
+	now    time.Time
+}
+
+func newFleet(n int, s Settings) *fleet {
+	f := &fleet{now: epoch}
+	for i := range n {
+		m := New(fescuelatch.Incarnation(fmt.Sprintf("daemon-%03d", i)), s)
+		m.Configure(epoch, versions[1:])
+		f.models = append(f.models, m)
+	}
+	return f
+}
+
+// round rates one answer at each model that still uses the version.
+func (f *fleet) round(r *rand.Rand, p float64) {
+	f.now = f.now.Add(time.Second)
+	var all []fescuelatch.Evidence
+	for _, m := range f.models {
+		if m.Health(f.now, "triage@small") != fescuelatch.HealthQuarantined {
+			m.ObserveRating(f.now, "triage@small", draw(r, p))
+		}
+		all = append(all, m.Evidence(f.now)...)
+	}
+	for _, m := range f.models {
+		m.Merge(f.now, all)
+	}
+}
+
+// quarantined returns the number of models that quarantine the version.
+func (f *fleet) quarantined() int {
+	n := 0
+	for _, m := range f.models {
+		if m.Health(f.now, "triage@small") == fescuelatch.HealthQuarantined {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFalseAlarms counts quarantines of a version at the lowest quality that
+// is tolerated and compares them with the stated bound. It uses a high rate,
+// because the default one would raise no alarm in a test.
+func TestFalseAlarms(t *testing.T) {
+	const rate, quality = 1e-3, 0.9 - defaultTolerance
+	tests := []struct{ daemons, rounds int }{{1, 40000}, {8, 5000}, {52, 100}}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.daemons), func(t *testing.T) {
+			alarms := 0
+			for seed := range uint64(seeds) {
+				r := rand.New(rand.NewPCG(seed, 2))
+				f := newFleet(test.daemons, Settings{QuarantineRate: rate})
+				for range test.rounds {
+					f.round(r, quality)
+					if f.quarantined() > 0 {
+						alarms++
+						f = newFleet(test.daemons, Settings{QuarantineRate: rate})
+					}
+				}
+			}
+			ratings := seeds * test.daemons * test.rounds
+			bound := rate * float64(ratings)
+			t.Logf("%d daemons, %d ratings, seeds 0 to %d: %d false alarms, bound %.0f", test.daemons, ratings, seeds-1, alarms, bound)
+			qt.Assert(t, float64(alarms) <= bound, qt.IsTrue)
+		})
+	}
+}
+
+// TestTurnedBad states the number of ratings at each daemon within which all
+// daemons quarantine a version that turns from 0.9 to 0.5.
+func TestTurnedBad(t *testing.T) {
+	const warmup = 50 // ratings at each daemon
+	tests := []struct{ daemons, limit, trials int }{{1, 100, 20}, {8, 25, 20}, {52, 10, seeds}}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.daemons), func(t *testing.T) {
+			var delays []int
+			for seed := range uint64(test.trials) {
+				r := rand.New(rand.NewPCG(seed, 1))
+				f := newFleet(test.daemons, Settings{})
+				for range warmup {
+					f.round(r, 0.9)
+				}
+				qt.Assert(t, f.quarantined(), qt.Equals, 0)
+				n := 0
+				for f.quarantined() < test.daemons && n <= test.limit {
+					f.round(r, 0.5)
+					n++
+				}
+				delays = append(delays, n)
+			}
+			slices.Sort(delays)
+			t.Logf("%d daemons, seeds 0 to %d: ratings at each daemon: median %d, largest %d", test.daemons, test.trials-1, delays[test.trials/2], delays[test.trials-1])
+			qt.Assert(t, delays[test.trials-1] <= test.limit, qt.IsTrue)
+		})
+	}
+}
+
+// TestProbation states the share of versions that pass a probation while
+// they are still bad, and that of good ones, within a number of ratings.
+func TestProbation(t *testing.T) {
+	const trials, ratings = 200, 300
+	passed := func(p float64, seed uint64) bool {
+		r := rand.New(rand.NewPCG(seed, 3))
+		f := newFleet(1, Settings{})
+		for f.quarantined() == 0 {
+			f.round(r, 0.3)
+		}
+		f.now = f.now.Add(defaultQuarantine)
+		for range ratings {
+			f.round(r, p)
+			if h := f.models[0].Health(f.now, "triage@small"); h != fescuelatch.HealthSuspect {
+				return h == fescuelatch.HealthGood
+			}
+		}
+		return false
+	}
+	count := func(p float64) int {
+		n := 0
+		for seed := range uint64(trials) {
+			if passed(p, seed) {
+				n++
+			}
+		}
+		return n
+	}
+	bad, good := count(0.5), count(0.92)
+	t.Logf("of %d, seeds 0 to %d: %d bad and %d good versions pass", trials, trials-1, bad, good)
+	qt.Check(t, bad <= trials*defaultMissRate, qt.IsTrue)
+	qt.Check(t, good >= trials*9/10, qt.IsTrue)
+}
+
+func BenchmarkObserveRating(b *testing.B) {
+	m := newFleet(1, Settings{}).models[0]
+	b.ReportAllocs()
+	for i := range b.N {
+		m.ObserveRating(epoch.Add(time.Duration(i)*time.Second), "triage@small", 1)
+	}
+}
+
+func BenchmarkEstimate(b *testing.B) {
+	f := newFleet(1, Settings{})
+	m := f.models[0]
+	var all []fescuelatch.Evidence
+	for _, p := range newFleet(1100, Settings{}).models {
+		all = append(all, p.Evidence(epoch)...)
+	}
+	m.Merge(epoch, all)
+	b.ReportAllocs()
+	for i := range b.N {
+		m.Estimate(epoch.Add(time.Duration(i)*time.Millisecond), "triage@small")
+	}
+}
--- a/quality/model.go
+++ b/quality/model.go
@@ -38,6 +38,8 @@
 	// failed is the version of the last failure, and failedAt its time.
 	failed   fescuelatch.VersionID
 	failedAt time.Time
+	// expired is when old evidence was last dropped.
+	expired time.Time
 }
 
 // New returns a model for the daemon origin.
@@ -64,6 +66,11 @@
 		records[v.ID] = r
 		m.order = append(m.order, v.ID)
 	}
+	for id, r := range m.records {
+		if records[id] == nil {
+			r.verdict.fire(eventRemove)
+		}
+	}
 	slices.Sort(m.order)
 	m.order = slices.Compact(m.order)
 	m.records = records
@@ -127,7 +134,7 @@
 		return fescuelatch.HealthSuspect
 	}
 	r.step(now, &m.settings, &m.alarms)
-	return r.verdict.state.health()
+	return r.verdict.health()
 }
 
 // Evidence implements fescuelatch.QualityModel. The evidence of a quarantined
@@ -137,7 +144,7 @@
 	for _, v := range m.order {
 		r := m.records[v]
 		r.step(now, &m.settings, &m.alarms)
-		if r.verdict.state == stateQuarantined {
+		if r.verdict.machine.State() == stateQuarantined {
 			age(&r.own, now, m.settings.HalfLife)
 		}
 		list = append(list, r.own)
@@ -155,6 +162,10 @@
 		}
 		r.merge(e, &m.settings)
 	}
+	if now.Sub(m.expired) < refreshInterval {
+		return
+	}
+	m.expired = now
 	for _, r := range m.records {
 		r.peers.expire(now, &m.settings)
 	}
--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -115,24 +115,3 @@
 		})
 	}
 }
-
-// TestTurnedBad states the count of ratings within which a version that
-// turns from 0.9 to 0.5 is quarantined by one daemon.
-func TestTurnedBad(t *testing.T) {
-	const limit = 80 // ratings
-	for seed := range uint64(20) {
-		r := rand.New(rand.NewPCG(seed, 1))
-		m, now := newModel("a"), epoch
-		for range 500 {
-			now = now.Add(time.Second)
-			m.ObserveRating(now, "triage@small", draw(r, 0.9))
-		}
-		n := 0
-		for m.Health(now, "triage@small") != fescuelatch.HealthQuarantined && n <= limit {
-			now = now.Add(time.Second)
-			m.ObserveRating(now, "triage@small", draw(r, 0.5))
-			n++
-		}
-		qt.Check(t, n <= limit, qt.IsTrue, qt.Commentf("seed %d: %d ratings", seed, n))
-	}
-}
--- a/quality/record.go
+++ b/quality/record.go
@@ -50,7 +50,10 @@
 }
 
 func newRecord(now time.Time, origin fescuelatch.Incarnation, v fescuelatch.VersionID) *record {
-	return &record{own: fescuelatch.Evidence{Origin: origin, Version: v, Since: now, Updated: now}}
+	return &record{
+		own:     fescuelatch.Evidence{Origin: origin, Version: v, Since: now, Updated: now},
+		verdict: verdict{machine: verdictChart().New()},
+	}
 }
 
 // configure sets the expected quality.
--- a/quality/settings.go
+++ b/quality/settings.go
@@ -35,9 +35,9 @@
 	FailureShare float64
 	// QuarantineRate bounds the probability, for each observation in the
 	// fleet, that a version which is not bad is quarantined. The default is
-	// 1e-5.
+	// 1e-4.
 	QuarantineRate float64
-	// SuspectRate is the same bound for a suspicion. The default is 1e-3.
+	// SuspectRate is the same bound for a suspicion. The default is 1e-2.
 	SuspectRate float64
 	// ProbationRate is the same bound for a version on probation. The
 	// default is 1e-2.
@@ -62,8 +62,8 @@
 	defaultTolerance      = 0.03
 	defaultOddsRatio      = 4
 	defaultFailureShare   = 0.05
-	defaultQuarantineRate = 1e-5
-	defaultSuspectRate    = 1e-3
+	defaultQuarantineRate = 1e-4
+	defaultSuspectRate    = 1e-2
 	defaultProbationRate  = 1e-2
 	defaultMissRate       = 1e-2
 	defaultQuarantine     = 10 * time.Minute
--- a/quality/verdict.go
+++ b/quality/verdict.go
@@ -1,41 +1,54 @@
 package quality
 
 import (
+	_ "embed" // for the chart
 	"math"
+	"sync"
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines the verdict on a version and the rules that change it.
 
-// state is the state of a verdict.
-type state int
+//go:embed verdict.yaml
+var verdictFile []byte
 
+// verdictChart returns the chart of verdicts, which is part of the program.
+var verdictChart = sync.OnceValue(func() *chart.Chart {
+	c, err := chart.Parse("verdict.yaml", verdictFile)
+	if err != nil {
+		panic(err)
+	}
+	return c
+})
+
+// States of the chart of verdicts.
 const (
-	stateGood state = iota
-	stateSuspect
-	stateQuarantined
-	stateProbation
+	stateGood        chart.State = "good"
+	stateSuspect     chart.State = "suspect"
+	stateQuarantined chart.State = "quarantined"
+	stateProbation   chart.State = "probation"
+	stateRemoved     chart.State = "removed"
 )
 
-// health returns what callers see of a state.
-func (s state) health() fescuelatch.Health {
-	switch s {
-	case stateQuarantined:
-		return fescuelatch.HealthQuarantined
-	case stateSuspect, stateProbation:
-		return fescuelatch.HealthSuspect
-	default:
-		return fescuelatch.HealthGood
-	}
-}
+// Events of the chart of verdicts.
+const (
+	eventDoubt      chart.Event = "doubt"
+	eventClear      chart.Event = "clear"
+	eventQuarantine chart.Event = "quarantine"
+	eventRelease    chart.Event = "release"
+	eventPass       chart.Event = "pass"
+	eventRemove     chart.Event = "remove"
+)
 
 // verdict is the state of a version with what its rules need.
 type verdict struct {
-	state state
-	// epoch is the start of the last quarantine. Evidence begun before it
-	// describes the time before the fault and no longer counts.
+	machine *chart.Machine
+	// epoch is the start of the quarantine until its probation is passed.
+	// Evidence begun before it is about the fault and does not count for the
+	// probation.
 	epoch time.Time
 	// until is the end of the quarantine.
 	until time.Time
@@ -45,6 +58,26 @@
 	length time.Duration
 }
 
+// health returns what callers see of the verdict.
+func (v *verdict) health() fescuelatch.Health {
+	switch v.machine.State() {
+	case stateQuarantined, stateRemoved:
+		return fescuelatch.HealthQuarantined
+	case stateSuspect, stateProbation:
+		return fescuelatch.HealthSuspect
+	default:
+		return fescuelatch.HealthGood
+	}
+}
+
+// fire makes the transition of e where the chart has one from the present
+// state.
+func (v *verdict) fire(e chart.Event) {
+	if v.machine.Can(e) {
+		_ = v.machine.Fire(e)
+	}
+}
+
 // alarms holds the thresholds of the change detector.
 type alarms struct {
 	suspect, quarantine, probation thresholds
@@ -67,7 +100,7 @@
 
 // step applies the rules that hold at now.
 func (r *record) step(now time.Time, s *Settings, a *alarms) {
-	switch r.verdict.state {
+	switch r.verdict.machine.State() {
 	case stateGood, stateSuspect:
 		r.watch(now, s, a)
 	case stateQuarantined:
@@ -84,9 +117,9 @@
 	case a.quarantine.raised(r.own.Alarm, c):
 		r.quarantine(now, s)
 	case a.suspect.raised(r.own.Alarm, c):
-		r.verdict.state = stateSuspect
+		r.verdict.fire(eventDoubt)
 	default:
-		r.verdict.state = stateGood
+		r.verdict.fire(eventClear)
 	}
 }
 
@@ -95,17 +128,12 @@
 func (r *record) quarantine(now time.Time, s *Settings) {
 	v := &r.verdict
 	length := s.Quarantine
-	relapse := v.length > 0 && (v.state == stateProbation || now.Sub(v.cleared) < s.MaxQuarantine)
+	relapse := v.length > 0 && (v.machine.State() == stateProbation || now.Sub(v.cleared) < s.MaxQuarantine)
 	if relapse {
 		length = min(2*v.length, s.MaxQuarantine)
 	}
-	*v = verdict{
-		state:   stateQuarantined,
-		epoch:   now,
-		until:   now.Add(length),
-		cleared: v.cleared,
-		length:  length,
-	}
+	v.fire(eventQuarantine)
+	v.epoch, v.until, v.length = now, now.Add(length), length
 }
 
 // release begins the probation once the quarantine has passed.
@@ -113,7 +141,7 @@
 	if now.Before(r.verdict.until) {
 		return
 	}
-	r.verdict.state = stateProbation
+	r.verdict.fire(eventRelease)
 	r.reset(now)
 }
 
@@ -125,8 +153,10 @@
 	case a.probation.raised(r.own.Alarm, c):
 		r.quarantine(now, s)
 	case r.passes(c, s):
-		r.verdict.state = stateGood
+		r.verdict.fire(eventPass)
 		r.verdict.cleared = now
+		r.verdict.epoch = time.Time{}
+		r.refresh()
 	}
 }
 
