Claims: at-most-once records at the platform

A claim is created before the one dispatch that it allows. A lost answer is decided by repeating the write: it finds the claimant's own record or another claimant's. A claim that was given up is released by a record that stays in place rather than by deletion, because a late write would recreate the key.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,226 @@
+package claim_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/claim"
+	"fescuelatch/platform"
+	"fescuelatch/platform/memory"
+)
+
+// This file tests single claims and what their repeats are told.
+
+var start = time.Date(2026, 11, 30, 12, 0, 0, 0, time.UTC)
+
+// clock is a time that tests set.
+type clock struct{ now time.Time }
+
+func (k *clock) Now() time.Time { return k.now }
+
+func newClaimer(kv *memory.KV, k *clock) *claim.Claimer {
+	return &claim.Claimer{Submitter: platform.Direct{Transactor: kv}, Leases: kv, Now: k.Now, MaxTime: 100 * time.Millisecond}
+}
+
+func request(claimant string) claim.Request {
+	return claim.Request{
+		Account: "desk", Key: "ban-1", Fingerprint: claim.Fingerprint([]byte("body")),
+		Claimant: claimant, Deadline: start.Add(time.Minute),
+	}
+}
+
+func TestRepeats(t *testing.T) {
+	ctx := context.Background()
+	answer := &claim.Answer{Status: 200, ContentType: "application/json", Body: []byte("banned")}
+	tests := []struct {
+		name  string
+		first func(c *qt.C, l *claim.Claim)
+		later time.Duration
+		state claim.State
+		body  string
+	}{
+		{"claimed", func(*qt.C, *claim.Claim) {}, 0, claim.StateInProgress, ""},
+		{"claimed, deadline passed", func(*qt.C, *claim.Claim) {}, time.Hour, claim.StateUnknown, ""},
+		{"released", func(c *qt.C, l *claim.Claim) {
+			c.Assert(l.Release(ctx), qt.IsNil)
+		}, 0, claim.StateMine, ""},
+		{"not started, released", func(c *qt.C, l *claim.Claim) {
+			c.Assert(l.Dispatch(), qt.IsTrue)
+			l.NotStarted()
+			c.Assert(l.Release(ctx), qt.IsNil)
+		}, 0, claim.StateMine, ""},
+		{"answered", func(c *qt.C, l *claim.Claim) {
+			c.Assert(l.Dispatch(), qt.IsTrue)
+			c.Assert(l.Finish(ctx, fescuelatch.OutcomeAnswered, answer), qt.IsNil)
+		}, time.Hour, claim.StateFinished, "banned"},
+		{"unknown", func(c *qt.C, l *claim.Claim) {
+			c.Assert(l.Dispatch(), qt.IsTrue)
+			c.Assert(l.Finish(ctx, fescuelatch.OutcomeUnknown, nil), qt.IsNil)
+		}, 0, claim.StateUnknown, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := &clock{now: start}
+			r := newClaimer(new(memory.KV), k)
+			l, err := r.Claim(ctx, request("first"))
+			c.Assert(err, qt.IsNil)
+			c.Assert(l.State, qt.Equals, claim.StateMine)
+			test.first(c, l)
+			k.now = start.Add(test.later)
+			l, err = r.Claim(ctx, request("second"))
+			c.Assert(err, qt.IsNil)
+			c.Check(l.State, qt.Equals, test.state)
+			if test.body != "" {
+				c.Check(string(l.Answer.Body), qt.Equals, test.body)
+			}
+			c.Check(l.Dispatch(), qt.Equals, test.state == claim.StateMine)
+		})
+	}
+}
+
+func TestOtherBodyIsMismatch(t *testing.T) {
+	c := qt.New(t)
+	r := newClaimer(new(memory.KV), &clock{now: start})
+	_, err := r.Claim(context.Background(), request("first"))
+	c.Assert(err, qt.IsNil)
+	q := request("second")
+	q.Fingerprint = claim.Fingerprint([]byte("other body"))
+	_, err = r.Claim(context.Background(), q)
+	c.Check(claim.KindOf(err), qt.Equals, claim.KindMismatch)
+}
+
+func TestDispatchOnce(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	r := newClaimer(new(memory.KV), &clock{now: start})
+	l, err := r.Claim(ctx, request("first"))
+	c.Assert(err, qt.IsNil)
+	c.Check(l.Finish(ctx, fescuelatch.OutcomeAnswered, nil), qt.ErrorMatches, ".*invalid.*")
+	c.Check(l.Dispatch(), qt.IsTrue)
+	c.Check(l.Dispatch(), qt.IsFalse)
+	c.Check(l.Release(ctx), qt.ErrorMatches, ".*invalid.*")
+	c.Check(l.Finish(ctx, fescuelatch.OutcomeNotRun, nil), qt.ErrorMatches, ".*invalid.*")
+	c.Check(l.Finish(ctx, fescuelatch.OutcomeAnswered, nil), qt.IsNil)
+	c.Check(l.Finish(ctx, fescuelatch.OutcomeAnswered, nil), qt.ErrorMatches, ".*invalid.*")
+}
+
+func TestLongAnswerIsOmitted(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	r := newClaimer(new(memory.KV), &clock{now: start})
+	r.MaxAnswer = 4
+	l, err := r.Claim(ctx, request("first"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Dispatch(), qt.IsTrue)
+	c.Assert(l.Finish(ctx, fescuelatch.OutcomeAnswered, &claim.Answer{Status: 200, Body: []byte("12345")}), qt.IsNil)
+	l, err = r.Claim(ctx, request("second"))
+	c.Assert(err, qt.IsNil)
+	c.Check(l.Answer, qt.DeepEquals, &claim.Answer{Status: 200, Omitted: true})
+}
+
+func TestOutageIsNotMade(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	r := newClaimer(kv, &clock{now: start})
+	kv.SetDown(true)
+	_, err := r.Claim(context.Background(), request("first"))
+	c.Check(claim.KindOf(err), qt.Equals, claim.KindNotMade)
+	kv.SetDown(false)
+	l, err := r.Claim(context.Background(), request("second"))
+	c.Assert(err, qt.IsNil)
+	c.Check(l.State, qt.Equals, claim.StateMine)
+}
+
+// loseWrites loses the answers of the numbered transactions, from 1.
+func loseWrites(kv *memory.KV, lost ...int) {
+	n := 0
+	kv.Faults = func(call memory.Call) memory.Fault {
+		if call.Op != "transaction" {
+			return memory.Fault{}
+		}
+		n++
+		for _, l := range lost {
+			if n == l {
+				return memory.Fault{After: memory.Lost(call.Op)}
+			}
+		}
+		return memory.Fault{}
+	}
+}
+
+func TestLostAnswerBelongsToItsClaimant(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv := new(memory.KV)
+	loseWrites(kv, 1)
+	r := newClaimer(kv, &clock{now: start})
+	l, err := r.Claim(ctx, request("first"))
+	c.Assert(err, qt.IsNil)
+	c.Check(l.State, qt.Equals, claim.StateMine)
+	o, err := r.Claim(ctx, request("second"))
+	c.Assert(err, qt.IsNil)
+	c.Check(o.State, qt.Equals, claim.StateInProgress)
+	c.Assert(l.Dispatch(), qt.IsTrue)
+	c.Check(l.Finish(ctx, fescuelatch.OutcomeAnswered, nil), qt.IsNil)
+}
+
+func TestAbandonedClaimIsReleased(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	kv := new(memory.KV)
+	r := newClaimer(kv, &clock{now: start})
+	healed := make(chan struct{})
+	kv.Faults = func(call memory.Call) memory.Fault {
+		select {
+		case <-healed:
+			return memory.Fault{}
+		default:
+		}
+		if call.Op == "transaction" {
+			return memory.Fault{After: memory.Lost(call.Op)}
+		}
+		return memory.Fault{}
+	}
+	_, err := r.Claim(ctx, request("first"))
+	c.Assert(claim.KindOf(err), qt.Equals, claim.KindNotMade)
+	close(healed)
+	done := make(chan struct{})
+	go func() { defer close(done); r.Run(ctx) }()
+	for r.Stats().Released == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	l, err := r.Claim(context.Background(), request("second"))
+	c.Assert(err, qt.IsNil)
+	c.Check(l.State, qt.Equals, claim.StateMine)
+}
+
+func TestOldDatedKeyIsRefused(t *testing.T) {
+	tests := []struct {
+		key  string
+		kind claim.ErrorKind
+	}{
+		{"2026-11-29/ban-1", ""},
+		{"2026-11-22/ban-1", claim.KindExpired},
+		{"01a22499-f800-7000-8000-000000000000", ""},                // 2026-11-29
+		{"01900000-0000-7000-8000-000000000000", claim.KindExpired}, // 2024
+		{"0193aaaa-0000-4000-8000-000000000000", ""},                // not dated
+		{"not-a-date/ban-1", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.key, func(t *testing.T) {
+			c := qt.New(t)
+			r := newClaimer(new(memory.KV), &clock{now: start})
+			q := request("first")
+			q.Key = test.key
+			_, err := r.Claim(context.Background(), q)
+			c.Check(claim.KindOf(err), qt.Equals, test.kind)
+		})
+	}
+}
--- /dev/null
+++ b/claim/claimer.go
@@ -0,0 +1,280 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/platform"
+)
+
+// This file defines how claims are made.
+
+// State says what a claim means for the request that asked for it.
+type State string
+
+// States of a claim.
+const (
+	// StateMine means that the request may be dispatched, once.
+	StateMine State = "mine"
+	// StateInProgress means that a repeat of the request holds the claim
+	// and its deadline has not passed.
+	StateInProgress State = "in-progress"
+	// StateFinished means that the request has run; Answer is its answer.
+	StateFinished State = "finished"
+	// StateUnknown means that the request may have run.
+	StateUnknown State = "unknown"
+)
+
+// Request asks for a claim.
+type Request struct {
+	Account fescuelatch.AccountID
+	// Key is the caller's idempotency key.
+	Key string
+	// Fingerprint is that of the request body.
+	Fingerprint string
+	// Claimant is unique to one arrival of the request at one daemon.
+	Claimant string
+	// Deadline is that of the request. After it a repeat is told that the
+	// outcome is unknown rather than in progress; it has no other effect.
+	Deadline time.Time
+}
+
+// Granter creates platform leases.
+type Granter interface {
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+}
+
+var (
+	_ Granter          = fescuelatch.KV(nil)
+	_ json.Unmarshaler = (*record)(nil)
+)
+
+// Defaults of a Claimer.
+const (
+	DefaultRetention = 7 * 24 * time.Hour
+	DefaultMaxAnswer = 64 << 10
+	DefaultMaxTime   = 2 * time.Second
+	DefaultBacklog   = 10000
+
+	// clockMargin allows for the clocks of callers and daemons.
+	clockMargin = time.Hour
+	retryPause  = 20 * time.Millisecond
+	// backlogPause passes between attempts while the platform is away.
+	backlogPause   = 500 * time.Millisecond
+	backlogWorkers = 8
+	// defaultRetryAfter is the advice when the platform gave none.
+	defaultRetryAfter = 2 * time.Second
+)
+
+// Claimer makes claims. Only Submitter, Leases and Now are required; it is
+// safe for concurrent use. Run must be running for claims that were given up
+// to be released.
+type Claimer struct {
+	Submitter platform.Submitter
+	Leases    Granter
+	Now       func() time.Time
+	// Retention is the least time for which a claim is kept.
+	Retention time.Duration
+	// MaxAnswer is the number of bytes of an answer that is recorded.
+	MaxAnswer int
+	// MaxTime bounds Claim when its context has no earlier deadline.
+	MaxTime time.Duration
+	// Backlog bounds the ends of claims that wait for the platform.
+	Backlog int
+
+	mu      sync.Mutex
+	lease   epoch
+	backlog []*Claim
+	wake    chan struct{}
+	stats   Stats
+}
+
+// Stats counts what a Claimer has done.
+type Stats struct {
+	Made     int64 `json:"made"`
+	Repeats  int64 `json:"repeats"`
+	NotMade  int64 `json:"not-made"`
+	Released int64 `json:"released"`
+	Finished int64 `json:"finished"`
+	Waiting  int   `json:"waiting"`
+	// Dropped counts ends of claims that did not fit the backlog. Repeats
+	// of their requests are told that the outcome is unknown.
+	Dropped int64 `json:"dropped"`
+}
+
+const (
+	opClaim   = "claim"
+	opFinish  = "finish"
+	opRelease = "release"
+)
+
+// Claim asks for the claim of a request. The request may be dispatched only
+// if the state of the result is StateMine. With an error of any kind nothing
+// has been or will be sent for it, so that "not run" is true of this arrival
+// of the request.
+func (c *Claimer) Claim(ctx context.Context, r Request) (*Claim, error) {
+	if err := c.check(r); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orDefault(c.MaxTime, DefaultMaxTime))
+	defer cancel()
+	lease, err := c.currentLease(ctx)
+	if err != nil {
+		return nil, c.notMade(err)
+	}
+	now := c.Now()
+	l := &Claim{claimer: c, key: recordKey(r.Account, r.Key), lease: lease.id}
+	l.record = record{
+		Claimant: r.Claimant, Status: statusClaimed, Fingerprint: r.Fingerprint, Created: now, Deadline: r.Deadline,
+	}
+	if err := c.acquire(ctx, l); err != nil {
+		return nil, err
+	}
+	if l.State == StateMine && !lease.usable(c.Now(), c.retention()) {
+		// A long pause has used up the time for which the claim is kept.
+		l.giveUp()
+		return nil, c.notMade(errors.New("the lease of the claim has aged"))
+	}
+	c.count(l.State)
+	return l, nil
+}
+
+func (c *Claimer) check(r Request) error {
+	if r.Account == "" || r.Key == "" || r.Claimant == "" || r.Fingerprint == "" {
+		return &Error{Op: opClaim, Kind: KindInvalid, Err: errors.New("the request lacks a field")}
+	}
+	if t, ok := keyTime(r.Key); ok && c.Now().Sub(t) > c.retention()-clockMargin {
+		return &Error{Op: opClaim, Kind: KindExpired, Err: errors.Errorf("the key was drawn before %s", t)}
+	}
+	return nil
+}
+
+func (c *Claimer) retention() time.Duration { return orDefault(c.Retention, DefaultRetention) }
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return d
+}
+
+func (c *Claimer) notMade(err error) error {
+	c.mu.Lock()
+	c.stats.NotMade++
+	c.mu.Unlock()
+	after := orDefault(platform.RetryAfter(err), defaultRetryAfter)
+	return &Error{Op: opClaim, Kind: KindNotMade, RetryAfter: after, Err: err}
+}
+
+func (c *Claimer) count(s State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s == StateMine {
+		c.stats.Made++
+	} else {
+		c.stats.Repeats++
+	}
+}
+
+// Stats returns the counts so far.
+func (c *Claimer) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.stats
+	s.Waiting = len(c.backlog)
+	return s
+}
+
+// acquire writes the claim, or finds whose it is. A write of unknown outcome
+// is repeated: it either succeeds or finds the record that the first one or
+// another claimant left.
+func (c *Claimer) acquire(ctx context.Context, l *Claim) error {
+	var revision int64 // of the released record to replace, or zero
+	unknown := false
+	for {
+		res, err := c.Submitter.Submit(ctx, l.swap(revision))
+		switch {
+		case err == nil && res.Succeeded:
+			l.State, l.revision = StateMine, res.Revision
+			return nil
+		case err == nil:
+			var done bool
+			revision, done, err = c.examine(l, res)
+			if done {
+				return err
+			}
+			continue
+		case platform.KindOf(err) == platform.KindInvalid:
+			c.dropLease(l.lease)
+		}
+		if platform.NoEffect(err) && !unknown {
+			return c.notMade(err)
+		}
+		unknown = unknown || !platform.NoEffect(err)
+		if !sleep(ctx, retryPause) {
+			l.giveUp()
+			return c.notMade(err)
+		}
+	}
+}
+
+// examine decides from the record that was found in place of none, or in
+// place of the released one. When that record leaves the key free, it returns
+// its revision and false.
+func (c *Claimer) examine(l *Claim, res fescuelatch.KVTxnResult) (int64, bool, error) {
+	kv, ok := found(res)
+	if !ok {
+		// The released record went with its lease.
+		return 0, false, nil
+	}
+	r, err := decode(kv)
+	if err != nil {
+		return 0, true, c.notMade(err)
+	}
+	switch {
+	case r.Claimant == l.record.Claimant && r.Status == statusClaimed:
+		l.State, l.revision = StateMine, kv.Revision
+		return 0, true, nil
+	case r.Status == statusReleased:
+		return kv.Revision, false, nil
+	case r.Fingerprint != l.record.Fingerprint:
+		return 0, true, &Error{Op: opClaim, Kind: KindMismatch, Err: errors.New("the key was used for another request")}
+	}
+	l.State, l.Answer = stateOf(r, c.Now())
+	return 0, true, nil
+}
+
+func found(res fescuelatch.KVTxnResult) (fescuelatch.KeyValue, bool) {
+	if len(res.Results) != 1 || len(res.Results[0].Values) != 1 {
+		return fescuelatch.KeyValue{}, false
+	}
+	return res.Results[0].Values[0], true
+}
+
+// stateOf returns what the record of another claimant means to a repeat.
+func stateOf(r *record, now time.Time) (State, *Answer) {
+	switch {
+	case r.Status == statusFinished && r.Outcome == fescuelatch.OutcomeAnswered:
+		return StateFinished, r.Answer
+	case r.Status == statusClaimed && now.Before(r.Deadline):
+		return StateInProgress, nil
+	default:
+		return StateUnknown, nil
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
