Billing: ledger, copies with peers and writing each batch once

A key for each origin lists the sequences at the platform and is swapped in the transaction that writes the bills. So origin and holder may write any batches in any grouping, and a write takes one call however many batches it has; one key for each 20 ms batch would have been some 20,000 keys a second at 1,100 daemons. The race detector found the submitter stored without its lock; it is an argument now.

--- /dev/null
+++ b/billing/billing_test.go
@@ -0,0 +1,310 @@
+package billing_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/billing"
+	"fescuelatch/platform"
+	"fescuelatch/platform/memory"
+)
+
+// This file tests a ledger with one peer against a key-value service in
+// memory.
+
+// peer is a Copier that holds copies with one keeper.
+type peer struct {
+	name   fescuelatch.Incarnation
+	keeper *billing.Keeper
+
+	mu   sync.Mutex
+	away bool
+}
+
+var _ billing.Copier = (*peer)(nil)
+
+func (p *peer) setAway(away bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.away = away
+}
+
+func (p *peer) Hold(_ context.Context, b billing.Batch) (fescuelatch.Incarnation, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.away {
+		return "", errors.New("peer is away")
+	}
+	return p.name, p.keeper.Hold(b)
+}
+
+func (p *peer) Drop(_ context.Context, o fescuelatch.Incarnation, through uint64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.away {
+		return errors.New("peer is away")
+	}
+	p.keeper.Drop(o, through)
+	return nil
+}
+
+func newKeeper(kv *memory.KV) *billing.Keeper {
+	return &billing.Keeper{
+		Submitter: platform.Direct{Transactor: kv}, Now: time.Now,
+		HoldTime: 20 * time.Millisecond, Pause: 5 * time.Millisecond,
+	}
+}
+
+func newLedger(kv *memory.KV, c billing.Copier) *billing.Ledger {
+	return &billing.Ledger{
+		Origin: "origin", Submitter: platform.Direct{Transactor: kv}, Copier: c,
+		Interval: time.Millisecond, FlushInterval: 10 * time.Millisecond,
+	}
+}
+
+// run starts f and stops it when the test ends or the function returned is
+// called.
+func run(t testing.TB, f func(context.Context)) context.CancelFunc {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f(ctx) }()
+	stop := func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return stop
+}
+
+func bill(n int, key string) fescuelatch.Bill {
+	return fescuelatch.Bill{Request: fescuelatch.RequestID(fmt.Sprint("request-", n)), Account: "desk", Cost: int64(n), Key: key}
+}
+
+// billed returns how often each request, or key, stands at the platform.
+func billed(kv *memory.KV) map[string]int {
+	n := make(map[string]int)
+	for _, v := range kv.Snapshot("fescuelatch/bill/batch/") {
+		var b billing.Batch
+		if err := json.Unmarshal(v.Value, &b); err != nil {
+			panic(err)
+		}
+		for _, x := range b.Bills {
+			n[string(x.Request)]++
+		}
+	}
+	for _, v := range kv.Snapshot("fescuelatch/bill/key/") {
+		var x fescuelatch.Bill
+		if err := json.Unmarshal(v.Value, &x); err != nil {
+			panic(err)
+		}
+		n[x.Key]++
+	}
+	return n
+}
+
+// waitFor fails the test unless ok holds soon.
+func waitFor(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within 5s: %s", what)
+}
+
+func record(t testing.TB, l *billing.Ledger, b fescuelatch.Bill) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	return l.Record(ctx, b)
+}
+
+func TestRecordIsSafe(t *testing.T) {
+	tests := []struct {
+		name string
+		down bool // the platform
+		away bool // the peer
+		kind billing.ErrorKind
+	}{
+		{"both there", false, false, ""},
+		{"platform away", true, false, ""},
+		{"peer away", false, true, ""},
+		{"both away", true, true, billing.KindPending},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			kv := new(memory.KV)
+			kv.SetDown(test.down)
+			p := &peer{name: "peer", keeper: newKeeper(kv)}
+			p.setAway(test.away)
+			l := newLedger(kv, p)
+			run(t, l.Run)
+			c.Check(billing.KindOf(record(t, l, bill(1, ""))), qt.Equals, test.kind)
+			kv.SetDown(false)
+			p.setAway(false)
+			waitFor(t, "bill at the platform", func() bool { return billed(kv)["request-1"] == 1 })
+			waitFor(t, "ledger empty", func() bool { return l.Stats().Waiting == 0 })
+		})
+	}
+}
+
+func TestPeerWritesWhatAKilledDaemonLeft(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	kv.SetDown(true)
+	p := &peer{name: "peer", keeper: newKeeper(kv)}
+	l := newLedger(kv, p)
+	kill := run(t, l.Run)
+	for n := range 5 {
+		c.Assert(record(t, l, bill(n, "")), qt.IsNil)
+	}
+	kill()
+	kv.SetDown(false)
+	run(t, p.keeper.Run)
+	waitFor(t, "bills at the platform", func() bool { return len(billed(kv)) == 5 })
+	waitFor(t, "copies dropped", func() bool { return p.keeper.Stats().Waiting == 0 })
+}
+
+func TestKeyBillsOnce(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	a := newLedger(kv, &peer{name: "peer", keeper: newKeeper(kv)})
+	b := newLedger(kv, &peer{name: "peer", keeper: newKeeper(kv)})
+	b.Origin = "other"
+	run(t, a.Run)
+	run(t, b.Run)
+	c.Assert(record(t, a, bill(1, "key")), qt.IsNil)
+	c.Assert(record(t, a, bill(2, "key")), qt.IsNil)
+	c.Assert(record(t, b, bill(3, "key")), qt.IsNil)
+	waitFor(t, "ledgers empty", func() bool { return a.Stats().Waiting+b.Stats().Waiting == 0 })
+	c.Check(billed(kv), qt.DeepEquals, map[string]int{"key": 1})
+}
+
+func TestFlushOnStop(t *testing.T) {
+	tests := []struct {
+		name string
+		down bool
+		away bool
+		kind billing.ErrorKind
+	}{
+		{"to the platform", false, true, ""},
+		{"to a peer", true, false, ""},
+		{"to nobody", true, true, billing.KindPending},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			kv := new(memory.KV)
+			p := &peer{name: "peer", keeper: newKeeper(kv)}
+			l := newLedger(kv, p)
+			// Nothing runs, so the bill is still forming.
+			c.Assert(billing.KindOf(record(t, l, bill(1, ""))), qt.Equals, billing.KindPending)
+			kv.SetDown(test.down)
+			p.setAway(test.away)
+			c.Check(billing.KindOf(l.Flush(context.Background())), qt.Equals, test.kind)
+			kv.SetDown(false)
+			c.Check(p.keeper.Flush(context.Background()), qt.IsNil)
+			want := 1
+			if test.kind != "" {
+				want = 0
+			}
+			c.Check(billed(kv)["request-1"], qt.Equals, want)
+		})
+	}
+}
+
+func TestKeeperHandsOn(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	kv.SetDown(true)
+	last := newKeeper(kv)
+	k := newKeeper(kv)
+	k.Copier = &peer{name: "last", keeper: last}
+	c.Assert(k.Hold(billing.Batch{Origin: "origin", Sequence: 1, Bills: []fescuelatch.Bill{bill(1, "")}}), qt.IsNil)
+	c.Assert(k.Flush(context.Background()), qt.IsNil)
+	kv.SetDown(false)
+	c.Assert(last.Flush(context.Background()), qt.IsNil)
+	c.Check(billed(kv)["request-1"], qt.Equals, 1)
+}
+
+func TestLostHolder(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	kv.SetDown(true)
+	p := &peer{name: "first", keeper: newKeeper(kv)}
+	l := newLedger(kv, p)
+	run(t, l.Run)
+	c.Assert(record(t, l, bill(1, "")), qt.IsNil)
+	second := newKeeper(kv)
+	p.mu.Lock()
+	p.name, p.keeper = "second", second
+	p.mu.Unlock()
+	l.Lost("first")
+	waitFor(t, "copy at the second peer", func() bool { return second.Stats().Waiting == 1 })
+}
+
+func TestBounds(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	kv.SetDown(true)
+	k := newKeeper(kv)
+	k.MaxBills = 1
+	l := newLedger(kv, &peer{name: "peer", keeper: k})
+	l.MaxBills = 2
+	run(t, l.Run)
+	c.Check(record(t, l, bill(1, "")), qt.IsNil)
+	c.Check(billing.KindOf(record(t, l, bill(2, ""))), qt.Equals, billing.KindPending)
+	c.Check(l.Full(), qt.IsTrue)
+	c.Check(billing.KindOf(record(t, l, bill(3, ""))), qt.Equals, billing.KindFull)
+	c.Check(k.Stats().Refused > 0, qt.IsTrue)
+	kv.SetDown(false)
+	waitFor(t, "ledger empty", func() bool { return l.Stats().Waiting == 0 })
+}
+
+func TestManyKeyedBillsFitTheTransactions(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	kv.SetDown(true)
+	l := newLedger(kv, &peer{name: "peer", keeper: newKeeper(kv)})
+	stop := run(t, l.Run)
+	var wg sync.WaitGroup
+	for n := range 500 {
+		wg.Go(func() { _ = record(t, l, bill(n, fmt.Sprint("key-", n))) })
+	}
+	wg.Wait()
+	stop()
+	kv.SetDown(false)
+	c.Assert(l.Flush(context.Background()), qt.IsNil)
+	c.Check(billed(kv), qt.HasLen, 500)
+}
+
+func TestBatchChecksItself(t *testing.T) {
+	tests := []struct{ text, fault string }{
+		{`{"origin":"o","sequence":1,"bills":[{"request":"r","account":"a"}]}`, ""},
+		{`{"origin":"o","sequence":0,"bills":[{"request":"r","account":"a"}]}`, "batch lacks"},
+		{`{"sequence":1,"bills":[{"request":"r","account":"a"}]}`, "batch lacks"},
+		{`{"origin":"o","sequence":1,"bills":[]}`, "batch lacks"},
+		{`{"origin":"o","sequence":1,"bills":[{"account":"a"}]}`, "bill lacks"},
+	}
+	for _, test := range tests {
+		t.Run(test.text, func(t *testing.T) {
+			c := qt.New(t)
+			var b billing.Batch
+			err := json.Unmarshal([]byte(test.text), &b)
+			if test.fault == "" {
+				c.Check(err, qt.IsNil)
+				return
+			}
+			c.Check(err, qt.IsNotNil)
+			c.Check(strings.Contains(err.Error(), test.fault), qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/billing/errors.go
@@ -0,0 +1,55 @@
+// Package billing brings the bills of answered requests to the platform,
+// each once, from daemons that keep nothing on disk. A bill is safe when a
+// second daemon holds a copy or when it is at the platform.
+package billing
+
+import "github.com/pkg/errors"
+
+// This file defines the error type of this package.
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// Kinds of errors.
+const (
+	// KindPending means that the bill is in memory and will be written, but
+	// is not safe yet: neither a peer nor the platform has it.
+	KindPending ErrorKind = "pending"
+	// KindFull means that no more bills can be kept. The bill or batch was
+	// not taken.
+	KindFull ErrorKind = "full"
+	// KindInvalid means that the bill or batch is malformed.
+	KindInvalid ErrorKind = "invalid"
+	// KindUnavailable means that the platform did not take the bills, or
+	// that its answer was lost. Writing them again is safe.
+	KindUnavailable ErrorKind = "unavailable"
+)
+
+// Error reports that operation Op failed.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	s := "billing: " + e.Op + ": " + string(e.Kind)
+	if e.Err == nil {
+		return s
+	}
+	return s + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of the first Error in err's chain, or the empty
+// kind.
+func KindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
--- /dev/null
+++ b/billing/flush.go
@@ -0,0 +1,279 @@
+package billing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the loops of a ledger: one closes batches and has them
+// copied, the other writes them to the platform.
+
+// Run closes, copies and writes batches until ctx ends. What is left then is
+// for Flush.
+func (l *Ledger) Run(ctx context.Context) {
+	l.mu.Lock()
+	l.init()
+	l.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { l.copyLoop(ctx) })
+	wg.Go(func() { l.writeLoop(ctx) })
+	wg.Wait()
+}
+
+func (l *Ledger) copyLoop(ctx context.Context) {
+	slots := make(chan struct{}, holders)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-l.formed:
+		case <-ctx.Done():
+			return
+		}
+		if !sleep(ctx, orDefault(l.Interval, DefaultInterval)) {
+			return
+		}
+		for _, p := range l.uncopied() {
+			slots <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-slots }()
+				l.copy(ctx, p)
+			})
+		}
+	}
+}
+
+// copying is the holder of a batch while it is being copied.
+const copying fescuelatch.Incarnation = "copying"
+
+// uncopied closes the forming batch and returns the batches that are to be
+// copied.
+func (l *Ledger) uncopied() []*pending {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeForming()
+	var ps []*pending
+	for _, p := range l.pending {
+		if !p.isSafe && p.holder != copying {
+			p.holder = copying
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+func (l *Ledger) copy(ctx context.Context, p *pending) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	holder, err := l.Copier.Hold(ctx, p.batch)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		p.holder = ""
+		wake(l.urgent)
+		return
+	}
+	p.markSafe(holder)
+}
+
+func (l *Ledger) writeLoop(ctx context.Context) {
+	pause := urgentPause
+	for {
+		urgent := l.awaitWrite(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err := l.writeRun(ctx, urgent); err != nil {
+			pause = min(2*pause, orDefault(l.FlushInterval, DefaultFlushInterval))
+		} else {
+			pause = urgentPause
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+		l.retryUnsafe()
+	}
+}
+
+// retryUnsafe has the batches that neither a peer nor the platform has
+// copied and written again.
+func (l *Ledger) retryUnsafe() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.anyUnsafe() {
+		wake(l.formed)
+		wake(l.urgent)
+	}
+}
+
+// awaitWrite returns when a write is due, and whether it is urgent.
+func (l *Ledger) awaitWrite(ctx context.Context) bool {
+	interval := orDefault(l.FlushInterval, DefaultFlushInterval)
+	if l.Spread != nil {
+		interval = time.Duration(float64(interval) * l.Spread())
+	}
+	t := time.NewTimer(interval)
+	defer t.Stop()
+	select {
+	case <-l.urgent:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// anyUnsafe reports whether a batch is neither held nor written. The lock is
+// held.
+func (l *Ledger) anyUnsafe() bool {
+	for _, p := range l.pending {
+		if !p.isSafe {
+			return true
+		}
+	}
+	return false
+}
+
+// writeRun writes the oldest batches, or the oldest that no peer holds, in one
+// transaction.
+func (l *Ledger) writeRun(ctx context.Context, unsafeOnly bool) error {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	run := l.nextRun(unsafeOnly)
+	if len(run) == 0 {
+		return nil
+	}
+	err := l.writer.write(ctx, l.Submitter, l.Origin, run)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats.Writes++
+	if err != nil {
+		l.stats.Failed++
+		return err
+	}
+	l.removeWritten(run)
+	through := l.writtenThrough()
+	l.mu.Unlock()
+	// A copy that is not dropped is found written by its holder.
+	dctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	_ = l.Copier.Drop(dctx, l.Origin, through)
+	cancel()
+	l.mu.Lock()
+	return nil
+}
+
+func (l *Ledger) nextRun(unsafeOnly bool) []Batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var batches []Batch
+	for _, p := range l.pending {
+		if !unsafeOnly || !p.isSafe {
+			batches = append(batches, p.batch)
+		}
+		if len(batches) > maxRunBills {
+			break
+		}
+	}
+	return batches[:firstRun(batches)]
+}
+
+// removeWritten takes the batches out of the ledger. The lock is held.
+func (l *Ledger) removeWritten(run []Batch) {
+	written := make(map[uint64]bool, len(run))
+	for _, b := range run {
+		written[b.Sequence] = true
+		l.bills -= len(b.Bills)
+		l.stats.Written += int64(len(b.Bills))
+	}
+	var rest []*pending
+	for _, p := range l.pending {
+		if written[p.batch.Sequence] {
+			p.markSafe("")
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	l.pending = rest
+}
+
+// writtenThrough returns the sequence up to which all batches are at the
+// platform. The lock is held.
+func (l *Ledger) writtenThrough() uint64 {
+	if len(l.pending) == 0 {
+		return l.sequence
+	}
+	return l.pending[0].batch.Sequence - 1
+}
+
+// Flush writes all bills to the platform, or has what it cannot write copied
+// to a peer. It reports KindPending when some bills are in neither place. A
+// daemon calls it after its last Record, before it stops.
+func (l *Ledger) Flush(ctx context.Context) error {
+	l.mu.Lock()
+	l.init()
+	l.closeForming()
+	l.mu.Unlock()
+	for {
+		l.mu.Lock()
+		left := len(l.pending)
+		l.mu.Unlock()
+		if left == 0 {
+			return nil
+		}
+		if err := l.writeRun(ctx, false); err != nil {
+			return l.handOn(ctx, err)
+		}
+	}
+}
+
+// handOn has the batches that no peer holds copied to one.
+func (l *Ledger) handOn(ctx context.Context, cause error) error {
+	var failed error
+	for _, p := range l.unsafeBatches() {
+		holder, err := l.Copier.Hold(ctx, p.batch)
+		if err != nil {
+			failed = err
+			continue
+		}
+		l.mu.Lock()
+		p.markSafe(holder)
+		l.mu.Unlock()
+	}
+	if failed != nil {
+		return &Error{Op: opFlush, Kind: KindPending, Err: cause}
+	}
+	return nil
+}
+
+func (l *Ledger) unsafeBatches() []*pending {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ps []*pending
+	for _, p := range l.pending {
+		if !p.isSafe {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return d
+}
