--- a/billing/writer.go
+++ b/billing/writer.go
@@ -26,7 +26,8 @@
 	prefixKey    = "fescuelatch/bill/key/"
 	prefixOrigin = "fescuelatch/bill-origin/"
 
-	// maxRunBills bounds the bills of a transaction, to some 600 KB.
+	// maxRunBills bounds the bills of a transaction, which must stay below a
+	// megabyte.
 	maxRunBills = 2000
 	// maxRunKeyed bounds those that have a key of their own, as an etcd
 	// server takes 128 operations a transaction by default.
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -23,7 +23,7 @@
 func (k *clock) Now() time.Time { return k.now }
 
 func newClaimer(kv *memory.KV, k *clock) *claim.Claimer {
-	return &claim.Claimer{Submitter: platform.Direct{Transactor: kv}, Leases: kv, Now: k.Now, MaxTime: 100 * time.Millisecond}
+	return &claim.Claimer{Submitter: platform.Direct{Transactor: kv}, Granter: kv, Now: k.Now, MaxTime: 100 * time.Millisecond}
 }
 
 func request(claimant string) claim.Request {
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -44,15 +44,7 @@
 	Deadline time.Time
 }
 
-// Granter creates platform leases.
-type Granter interface {
-	Grant(ctx context.Context, ttl time.Duration) (int64, error)
-}
-
-var (
-	_ Granter          = fescuelatch.KV(nil)
-	_ json.Unmarshaler = (*record)(nil)
-)
+var _ json.Unmarshaler = (*record)(nil)
 
 // Defaults of a Claimer.
 const (
@@ -71,12 +63,12 @@
 	defaultRetryAfter = 2 * time.Second
 )
 
-// Claimer makes claims. Only Submitter, Leases and Now are required; it is
+// Claimer makes claims. Only Submitter, Granter and Now are required; it is
 // safe for concurrent use. Run must be running for claims that were given up
 // to be released.
 type Claimer struct {
 	Submitter platform.Submitter
-	Leases    Granter
+	Granter   platform.Granter
 	Now       func() time.Time
 	// Retention is the least time for which a claim is kept.
 	Retention time.Duration
@@ -88,7 +80,7 @@
 	Backlog int
 
 	mu      sync.Mutex
-	lease   epoch
+	leases  *platform.EpochLeases
 	backlog []*Claim
 	wake    chan struct{}
 	stats   Stats
@@ -123,19 +115,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orDefault(c.MaxTime, DefaultMaxTime))
 	defer cancel()
-	lease, err := c.currentLease(ctx)
+	leases := c.epochLeases()
+	lease, err := leases.Current(ctx)
 	if err != nil {
 		return nil, c.notMade(err)
 	}
 	now := c.Now()
-	l := &Claim{claimer: c, key: recordKey(r.Account, r.Key), lease: lease.id}
+	l := &Claim{claimer: c, key: recordKey(r.Account, r.Key), lease: lease.ID}
 	l.record = record{
 		Claimant: r.Claimant, Status: statusClaimed, Fingerprint: r.Fingerprint, Created: now, Deadline: r.Deadline,
 	}
 	if err := c.acquire(ctx, l); err != nil {
 		return nil, err
 	}
-	if l.State == StateMine && !lease.usable(c.Now(), c.retention()) {
+	if l.State == StateMine && !leases.Kept(lease, c.Now()) {
 		// A long pause has used up the time for which the claim is kept.
 		l.giveUp()
 		return nil, c.notMade(errors.New("the lease of the claim has aged"))
@@ -154,6 +147,15 @@
 	return nil
 }
 
+func (c *Claimer) epochLeases() *platform.EpochLeases {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leases == nil {
+		c.leases = &platform.EpochLeases{Granter: c.Granter, Now: c.Now, Retention: c.retention()}
+	}
+	return c.leases
+}
+
 func (c *Claimer) retention() time.Duration { return orDefault(c.Retention, DefaultRetention) }
 
 func orDefault(d, def time.Duration) time.Duration {
@@ -210,7 +212,7 @@
 			}
 			continue
 		case platform.KindOf(err) == platform.KindInvalid:
-			c.dropLease(l.lease)
+			c.epochLeases().Drop(l.lease)
 		}
 		if platform.NoEffect(err) && !unknown {
 			return c.notMade(err)
--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,133 @@
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/platform"
+	"fescuelatch/platform/memory"
+	"fescuelatch/session"
+)
+
+// This file tests bindings from several daemons and in an outage.
+
+var (
+	start = time.Date(2026, 11, 30, 12, 0, 0, 0, time.UTC)
+	talk  = session.Session{Account: "desk", ID: "talk"}
+)
+
+func newStore(kv *memory.KV, now *time.Time) *session.Store {
+	return &session.Store{
+		Submitter: platform.Direct{Transactor: kv}, Granter: kv,
+		Now: func() time.Time { return *now }, MaxTime: 100 * time.Millisecond,
+	}
+}
+
+func TestFirstBindingWins(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv, now := new(memory.KV), start
+	var wg sync.WaitGroup
+	got := make([]fescuelatch.VersionID, 8)
+	for i := range got {
+		wg.Go(func() {
+			got[i], _ = newStore(kv, &now).Bind(ctx, talk, fescuelatch.VersionID(fmt.Sprint("m@", i)))
+		})
+	}
+	wg.Wait()
+	want, err := newStore(kv, &now).Lookup(ctx, talk)
+	c.Assert(err, qt.IsNil)
+	for _, v := range got {
+		c.Check(v, qt.Equals, want)
+	}
+}
+
+func TestLostAnswerOfABinding(t *testing.T) {
+	c := qt.New(t)
+	kv, now := new(memory.KV), start
+	lost := false
+	kv.Faults = func(call memory.Call) memory.Fault {
+		if call.Op != "transaction" || lost {
+			return memory.Fault{}
+		}
+		lost = true
+		return memory.Fault{After: memory.Lost(call.Op)}
+	}
+	v, err := newStore(kv, &now).Bind(context.Background(), talk, "m@1")
+	c.Assert(err, qt.IsNil)
+	c.Check(v, qt.Equals, fescuelatch.VersionID("m@1"))
+}
+
+func TestOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv, now := new(memory.KV), start
+	s := newStore(kv, &now)
+	_, err := s.Bind(ctx, talk, "m@1")
+	c.Assert(err, qt.IsNil)
+	kv.SetDown(true)
+	// Past half of the retention the renewal fails, and the binding holds.
+	now = start.Add(20 * time.Hour)
+	v, err := s.Lookup(ctx, talk)
+	c.Assert(err, qt.IsNil)
+	c.Check(v, qt.Equals, fescuelatch.VersionID("m@1"))
+	_, err = s.Lookup(ctx, session.Session{Account: "desk", ID: "other"})
+	c.Check(session.KindOf(err), qt.Equals, session.KindUnavailable)
+	_, err = s.Bind(ctx, session.Session{Account: "desk", ID: "other"}, "m@1")
+	c.Check(session.KindOf(err), qt.Equals, session.KindUnavailable)
+}
+
+func TestUnboundIsNotCached(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv, now := new(memory.KV), start
+	a, b := newStore(kv, &now), newStore(kv, &now)
+	v, err := a.Lookup(ctx, talk)
+	c.Assert(err, qt.IsNil)
+	c.Check(v, qt.Equals, fescuelatch.VersionID(""))
+	_, err = b.Bind(ctx, talk, "m@2")
+	c.Assert(err, qt.IsNil)
+	v, err = a.Lookup(ctx, talk)
+	c.Assert(err, qt.IsNil)
+	c.Check(v, qt.Equals, fescuelatch.VersionID("m@2"))
+}
+
+func TestRebindOfAWithdrawnVersion(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv, now := new(memory.KV), start
+	a, b := newStore(kv, &now), newStore(kv, &now)
+	_, err := a.Bind(ctx, talk, "m@1")
+	c.Assert(err, qt.IsNil)
+	_, err = b.Lookup(ctx, talk)
+	c.Assert(err, qt.IsNil)
+	v, err := a.Rebind(ctx, talk, "m@1", "m@2")
+	c.Assert(err, qt.IsNil)
+	c.Check(v, qt.Equals, fescuelatch.VersionID("m@2"))
+	// The other daemon has m@1 cached and would choose another version.
+	v, err = b.Rebind(ctx, talk, "m@1", "m@3")
+	c.Assert(err, qt.IsNil)
+	c.Check(v, qt.Equals, fescuelatch.VersionID("m@2"))
+}
+
+func TestUsedSessionOutlivesItsFirstLease(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv, now := new(memory.KV), start
+	s := newStore(kv, &now)
+	_, err := s.Bind(ctx, talk, "m@1")
+	c.Assert(err, qt.IsNil)
+	now = start.Add(13 * time.Hour)
+	_, err = s.Lookup(ctx, talk)
+	c.Assert(err, qt.IsNil)
+	kv.Expire(1)
+	v, err := newStore(kv, &now).Lookup(ctx, talk)
+	c.Assert(err, qt.IsNil)
+	c.Check(v, qt.Equals, fescuelatch.VersionID("m@1"))
+}
