--- a/configstore/follow.go
+++ b/configstore/follow.go
@@ -107,7 +107,7 @@
 	if h.Generation <= now {
 		return nil
 	}
-	if now > 0 && h.Generation-now <= retainedGenerations {
+	if now > 0 && h.Generation-now <= f.Store.retain() {
 		cs, err := f.Store.changes(ctx, opFollow, now, h.Generation)
 		if KindOf(err) == KindUnavailable {
 			return err
--- a/configstore/holder.go
+++ b/configstore/holder.go
@@ -121,15 +121,9 @@
 	if v := h.View(); v != nil {
 		c = v.Configuration
 	}
-	for i := range u.Changes {
-		if u.Changes[i].Base < c.Generation {
-			continue
-		}
-		next, err := c.Apply(&u.Changes[i])
-		if err != nil {
-			return nil, nil, err
-		}
-		c = next
+	c, err := applyAll(c, u.Changes)
+	if err != nil {
+		return nil, nil, err
 	}
 	return c, u.Changes, nil
 }
--- a/configstore/propose.go
+++ b/configstore/propose.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t, err := transaction(next, p.change, revision)
+	t, err := p.transaction(next, revision)
 	if err != nil {
 		return nil, &Error{Op: opPropose, Kind: KindInvalid, Err: err}
 	}
@@ -199,8 +199,9 @@
 
 // transaction returns the step that accepts the change if the head is still
 // at revision.
-func transaction(next *fescuelatch.Configuration, c *fescuelatch.Change, revision int64) (fescuelatch.KVTxn, error) {
+func (p *proposal) transaction(next *fescuelatch.Configuration, revision int64) (fescuelatch.KVTxn, error) {
 	var t fescuelatch.KVTxn
+	c := p.change
 	h, err := json.Marshal(head{Generation: next.Generation, Digest: c.Digest, Change: c.ID})
 	if err != nil {
 		return t, errors.WithStack(err)
@@ -220,7 +221,7 @@
 		return t, err
 	}
 	t.Then = append(t.Then, put(fullKey(g), full))
-	t.Then = append(t.Then, prune(g)...)
+	t.Then = append(t.Then, prune(g, p.store.retain())...)
 	return t, nil
 }
 
@@ -230,11 +231,11 @@
 
 // prune returns the deletions that go with the full configuration of g: the
 // oldest retained interval of changes, and the full configuration before it.
-func prune(g fescuelatch.Generation) []fescuelatch.KVOp {
-	if g <= retainedGenerations {
+func prune(g, retain fescuelatch.Generation) []fescuelatch.KVOp {
+	if g <= retain {
 		return nil
 	}
-	last := g - retainedGenerations
+	last := g - retain
 	ops := make([]fescuelatch.KVOp, 0, fullInterval+1)
 	for old := last - fullInterval + 1; old <= last; old++ {
 		ops = append(ops, fescuelatch.KVOp{Delete: changeKey(old)})
--- a/configstore/record.go
+++ b/configstore/record.go
@@ -22,9 +22,8 @@
 	// fullInterval is the number of generations from one stored full
 	// configuration to the next.
 	fullInterval = 64
-	// retainedGenerations is the number of generations of which the changes
-	// are kept. It is a multiple of fullInterval.
-	retainedGenerations = 32 * fullInterval
+	// DefaultRetain is a number of generations, a multiple of fullInterval.
+	DefaultRetain = 32 * fullInterval
 
 	maxFullBytes = 64 << 20
 )
--- a/configstore/start.go
+++ b/configstore/start.go
@@ -16,9 +16,11 @@
 // A daemon is ready when it has read the head at the platform. While the
 // platform is away no change is accepted, and the daemon is ready once more
 // than half of the entry VMs of its failure domain, itself and those that are
-// gone left out of the count, have answered: any generation that more than
-// half of them had in force is then among the answers. It takes the highest
-// generation that it has heard of.
+// gone left out of the count, have answered with a configuration. If more than
+// half of all of them, the daemon's predecessor included, had a generation in
+// force, one of these is then among those that answered. The daemon takes the
+// highest generation that it has heard of. Daemons that hold nothing yet do
+// not count as answers.
 
 // Basis says what a daemon's first configuration rests on.
 type Basis string
@@ -37,8 +39,7 @@
 
 // Peer is another daemon that can be asked for its configuration.
 type Peer struct {
-	VM     fescuelatch.VMID
-	Domain fescuelatch.DomainID
+	VM fescuelatch.VMID
 	// Since returns what leads from a generation to the one in force there.
 	// An Update of generation zero says that the daemon holds none.
 	Since func(ctx context.Context, g fescuelatch.Generation) (Update, error)
@@ -135,7 +136,7 @@
 	if newest == nil {
 		return "", &Error{Op: opStart, Kind: KindNotReady, Err: err}
 	}
-	if have, of := s.count(newest, answered); 2*have <= of {
+	if have, of := s.count(newest, answered); of > 0 && 2*have <= of {
 		err := errors.Wrapf(err, "%d of %d VMs of the failure domain answered", have, of)
 		return "", &Error{Op: opStart, Kind: KindNotReady, Err: err}
 	}
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -18,6 +18,16 @@
 	// Retry paces attempts to learn an unknown outcome; the zero value means
 	// the defaults.
 	Retry Retry
+	// Retain is the number of generations of which the changes are kept, a
+	// multiple of 64. Zero means DefaultRetain.
+	Retain fescuelatch.Generation
+}
+
+func (s *Store) retain() fescuelatch.Generation {
+	if s.Retain == 0 {
+		return DefaultRetain
+	}
+	return s.Retain
 }
 
 const (
@@ -51,10 +61,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	for i := range cs {
-		if c, err = c.Apply(&cs[i]); err != nil {
-			return nil, 0, &Error{Op: opLoad, Kind: KindCorrupt, Err: err}
-		}
+	if c, err = applyAll(c, cs); err != nil {
+		return nil, 0, &Error{Op: opLoad, Kind: KindCorrupt, Err: err}
 	}
 	if d := c.Digest(); c.Generation != h.Generation || d != h.Digest {
 		err := errors.Errorf("read generation %d digest %s, head says %d %s", c.Generation, d, h.Generation, h.Digest)
@@ -141,7 +149,7 @@
 	if err != nil || h.Generation == 0 || limit <= 0 {
 		return nil, err
 	}
-	limit = min(limit, retainedGenerations)
+	limit = min(limit, int(s.retain()))
 	var from fescuelatch.Generation
 	if h.Generation > fescuelatch.Generation(limit) {
 		from = h.Generation - fescuelatch.Generation(limit)
