--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -201,6 +202,40 @@
 	c.Check(l.State, qt.Equals, claim.StateMine)
 }
 
+// slowWrite is a Submitter during whose calls time passes.
+type slowWrite struct {
+	platform.Direct
+	clock *clock
+	takes time.Duration
+}
+
+func (s slowWrite) Submit(ctx context.Context, t fescuelatch.KVTxn) (fescuelatch.KVTxnResult, error) {
+	res, err := s.Direct.Submit(ctx, t)
+	s.clock.now = s.clock.now.Add(s.takes)
+	return res, err
+}
+
+func TestClaimIsKeptForTheRetention(t *testing.T) {
+	tests := []struct {
+		name  string
+		takes time.Duration
+		kind  claim.ErrorKind
+	}{
+		{"short pause", time.Hour, ""},
+		{"pause that uses up the lease", 3 * time.Hour, claim.KindNotMade},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			kv, k := new(memory.KV), &clock{now: start}
+			r := newClaimer(kv, k)
+			r.Submitter = slowWrite{platform.Direct{Transactor: kv}, k, test.takes}
+			_, err := r.Claim(context.Background(), request("first"))
+			c.Check(claim.KindOf(err), qt.Equals, test.kind)
+		})
+	}
+}
+
 func TestOldDatedKeyIsRefused(t *testing.T) {
 	tests := []struct {
 		key  string
@@ -224,3 +259,32 @@
 		})
 	}
 }
+
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"claimant":"c","status":"claimed","fingerprint":"f"}`))
+	f.Add([]byte(`{"claimant":"c","status":"released"}`))
+	f.Add([]byte(`{"claimant":"c","status":"finished","outcome":"answered","answer":{"status":200}}`))
+	f.Add([]byte(`{"claimant":"c","status":"finished","outcome":"not-run"}`))
+	f.Add([]byte(`{"status":"claimed"}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		ctx := context.Background()
+		kv := new(memory.KV)
+		r := newClaimer(kv, &clock{now: start})
+		first, err := r.Claim(ctx, request("first"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := kv.Snapshot("fescuelatch/claim/")[0].Key
+		if _, err := kv.Txn(ctx, fescuelatch.KVTxn{Then: []fescuelatch.KVOp{{Put: &fescuelatch.KVPut{Key: key, Value: b}}}}); err != nil {
+			t.Fatal(err)
+		}
+		second, err := r.Claim(ctx, request("second"))
+		var stored struct{ Status string }
+		_ = json.Unmarshal(b, &stored)
+		if err == nil && second.State == claim.StateMine && stored.Status != "released" {
+			t.Fatalf("claimed over %q", b)
+		}
+		_ = first.Release(ctx)
+	})
+}
