--- a/cmd/fescuelatch/await.go
+++ b/cmd/fescuelatch/await.go
@@ -25,6 +25,9 @@
 	domainConfirmed domainState = "confirmed"
 	domainWaiting   domainState = "waiting"
 	domainCutOff    domainState = "cut-off"
+	// domainEmpty means that the failure domain has no entry VMs, so that
+	// there is nothing to confirm.
+	domainEmpty domainState = "no-daemons"
 )
 
 // domainResult is one failure domain in the report. Since is the time from
@@ -65,7 +68,10 @@
 	for n := range ds {
 		d := &ds[n]
 		r := domainResult{ID: d.ID, State: domainConfirmed, Daemons: len(d.Daemons), Unconfirmed: d.Unconfirmed(g)}
-		if len(r.Unconfirmed) > 0 {
+		switch {
+		case len(d.Daemons) == 0:
+			r.State = domainEmpty
+		case len(r.Unconfirmed) > 0:
 			r.State, r.Since = stateOf(r.Unconfirmed)
 		}
 		out = append(out, r)
