A daemon that hangs no longer holds up commands; names of loop variables

Reads that ask all addresses waited for the slowest. They now leave the others one second once a first answer is there. Taking the first answer alone was ruled out: a daemon that is cut off has an old configuration.

--- a/cmd/fescuelatch/main_test.go
+++ b/cmd/fescuelatch/main_test.go
@@ -179,17 +179,17 @@
 
 // What `get` writes can be applied again and changes nothing.
 func TestGetThenApply(t *testing.T) {
-	for _, example := range []string{"umurongo", "kestrelmoor"} {
-		t.Run(example, func(t *testing.T) {
+	for _, e := range []string{"umurongo", "kestrelmoor"} {
+		t.Run(e, func(t *testing.T) {
 			c := qt.New(t)
 			t.Setenv("FESCUELATCH_OPERATOR_KEY", testKey)
-			f := newFakeFleet(c, example)
+			f := newFakeFleet(c, e)
 			address := f.serve(t)
 			dir := t.TempDir()
-			for _, part := range []string{"inventory", "rules"} {
-				got := invoke(t.Context(), "", part, "get", "--address", address)
+			for _, p := range []string{"inventory", "rules"} {
+				got := invoke(t.Context(), "", p, "get", "--address", address)
 				c.Assert(got.code, qt.Equals, exitDone)
-				c.Assert(os.WriteFile(filepath.Join(dir, part+".yaml"), []byte(got.out), 0o600), qt.IsNil)
+				c.Assert(os.WriteFile(filepath.Join(dir, p+".yaml"), []byte(got.out), 0o600), qt.IsNil)
 			}
 			got := invoke(t.Context(), "", "inventory", "apply", dir, "--address", address)
 			c.Check(got.code, qt.Equals, exitDone, qt.Commentf("%s", got.err))
--- a/cmd/fescuelatch/session.go
+++ b/cmd/fescuelatch/session.go
@@ -18,7 +18,7 @@
 
 const (
 	dialTimeout       = 2 * time.Second
-	maxAttemptTimeout = 10 * time.Second
+	maxAttemptTimeout = 5 * time.Second
 	// attemptsInTimeout is the number of daemons that may hang before the
 	// timeout of the command has passed.
 	attemptsInTimeout = 3
--- a/inventory/csv.go
+++ b/inventory/csv.go
@@ -59,15 +59,15 @@
 	if len(row) != len(header) {
 		d.fault(out.pos, "", fmt.Sprintf("the row has %d cells, the header %d", len(row), len(header)))
 	}
-	for n, text := range trimCells(row) {
-		if n >= len(header) || header[n] == "" || text == "" {
+	for n, t := range trimCells(row) {
+		if n >= len(header) || header[n] == "" || t == "" {
 			continue
 		}
 		p := d.cell(r, n)
 		out.fields = append(out.fields, nodeField{
 			name:  header[n],
 			pos:   p,
-			value: node{kind: nodeCell, pos: p, text: text},
+			value: node{kind: nodeCell, pos: p, text: t},
 		})
 	}
 	return out
--- a/inventory/decode.go
+++ b/inventory/decode.go
@@ -97,16 +97,16 @@
 		return
 	}
 	list := reflect.MakeSlice(v.Type(), len(items), len(items))
-	for k, item := range items {
-		d.decode(item, list.Index(k), fmt.Sprintf("%s[%d]", path, k))
+	for k, i := range items {
+		d.decode(i, list.Index(k), fmt.Sprintf("%s[%d]", path, k))
 	}
 	v.Set(list)
 }
 
 func splitCell(n node) []node {
 	var items []node
-	for _, word := range strings.Fields(n.text) {
-		items = append(items, node{kind: nodeScalar, pos: n.pos, text: word})
+	for _, w := range strings.Fields(n.text) {
+		items = append(items, node{kind: nodeScalar, pos: n.pos, text: w})
 	}
 	return items
 }
--- a/inventory/files.go
+++ b/inventory/files.go
@@ -57,12 +57,12 @@
 		return nil, &Error{Op: op, Kind: KindRead, Err: err}
 	}
 	var docs []*document
-	for _, name := range names {
-		data, err := readFile(name)
+	for _, n := range names {
+		data, err := readFile(n)
 		if err != nil {
 			return nil, &Error{Op: op, Kind: KindRead, Err: err}
 		}
-		docs = append(docs, parse(name, data))
+		docs = append(docs, parse(n, data))
 	}
 	return assemble(docs), nil
 }
@@ -162,11 +162,11 @@
 
 func listsByName(c *fescuelatch.Configuration) map[string]list {
 	m := make(map[string]list)
-	for name, v := range fieldsByName(reflect.ValueOf(&c.Inventory).Elem()) {
-		m[name] = list{path: "inventory." + name, value: v}
+	for n, v := range fieldsByName(reflect.ValueOf(&c.Inventory).Elem()) {
+		m[n] = list{path: "inventory." + n, value: v}
 	}
-	for name, v := range fieldsByName(reflect.ValueOf(&c.Rules).Elem()) {
-		m[name] = list{path: "rules." + name, value: v}
+	for n, v := range fieldsByName(reflect.ValueOf(&c.Rules).Elem()) {
+		m[n] = list{path: "rules." + n, value: v}
 	}
 	return m
 }
@@ -201,8 +201,8 @@
 			entries[l.name] = append(entries[l.name], f.decodeList(l, target.value.Type())...)
 		}
 	}
-	for name, es := range entries {
-		f.place(name, lists[name], es)
+	for n, es := range entries {
+		f.place(n, lists[n], es)
 	}
 	return f
 }
@@ -223,10 +223,10 @@
 		return nil
 	}
 	var es []entry
-	for _, item := range l.value.items {
+	for _, i := range l.value.items {
 		d := decoder{positions: make(map[string]Position)}
 		v := reflect.New(t.Elem()).Elem()
-		d.decode(item, v, "")
+		d.decode(i, v, "")
 		es = append(es, entry{id: v.FieldByName("ID").String(), value: v, positions: d.positions, faults: d.faults})
 	}
 	return es
--- a/inventory/fuzz_test.go
+++ b/inventory/fuzz_test.go
@@ -13,17 +13,17 @@
 // panics, every fault is placed in a file, and a sound configuration is the
 // same after it has been written and read again.
 func FuzzFiles(f *testing.F) {
-	for _, fleet := range []string{"umurongo", "kestrelmoor"} {
-		names, err := filepath.Glob("../examples/" + fleet + "/*")
+	for _, e := range []string{"umurongo", "kestrelmoor"} {
+		names, err := filepath.Glob("../examples/" + e + "/*")
 		if err != nil || len(names) == 0 {
-			f.Fatalf("no example files of %s: %v", fleet, err)
+			f.Fatalf("no example files of %s: %v", e, err)
 		}
-		for _, name := range names {
-			data, err := readFile(name)
+		for _, n := range names {
+			data, err := readFile(n)
 			if err != nil {
 				f.Fatal(err)
 			}
-			f.Add(filepath.Base(name), data)
+			f.Add(filepath.Base(n), data)
 		}
 	}
 	f.Add("models.yaml", []byte("models: &a\n  - {id: *a}\n  - <<: {}\n"))
--- a/inventory/merge.go
+++ b/inventory/merge.go
@@ -10,8 +10,8 @@
 
 // HoldsInventory reports whether the files have a list other than accounts.
 func (f *Files) HoldsInventory() bool {
-	for name := range f.held {
-		if name != "accounts" {
+	for n := range f.held {
+		if n != "accounts" {
 			return true
 		}
 	}
--- a/inventory/yaml.go
+++ b/inventory/yaml.go
@@ -22,8 +22,8 @@
 		d.breakOff(yamlErrorPosition(file, err), yamlErrorMessage(err))
 		return d
 	}
-	for _, doc := range f.Docs {
-		d.readBody(doc.Body)
+	for _, p := range f.Docs {
+		d.readBody(p.Body)
 	}
 	return d
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +24,7 @@
 	maxAnswerBytes        = 64 << 20
 	firstPause            = 100 * time.Millisecond
 	longestPause          = 2 * time.Second
+	gracePeriod           = time.Second
 )
 
 // Client talks to the daemons of a fleet. It tries Addresses in turn until
@@ -98,27 +98,39 @@
 	return readFailure(last)
 }
 
-// askAll asks all addresses at once and returns the answers, in the order of
-// the addresses. The error is nil when there is at least one.
+// answer is what one daemon gave of many that were asked.
+type answer[T any] struct {
+	value T
+	err   *Error
+}
+
+// askAll asks all addresses at once and returns the answers. Once one has
+// answered, the others have the grace period left: a daemon that hangs does
+// not hold up the command. The error is nil when there is at least one
+// answer.
 func askAll[T any](ctx context.Context, c *Client, op, path string) ([]T, error) {
-	answers := make([]T, len(c.Addresses))
-	errs := make([]*Error, len(c.Addresses))
-	var wg sync.WaitGroup
-	for n, a := range c.Addresses {
-		wg.Go(func() {
-			l := call{op: op, method: http.MethodGet, address: a, path: path}
-			errs[n] = c.call(ctx, l, &answers[n])
-		})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer[T], len(c.Addresses))
+	for _, a := range c.Addresses {
+		go func() {
+			var r answer[T]
+			r.err = c.call(ctx, call{op: op, method: http.MethodGet, address: a, path: path}, &r.value)
+			answers <- r
+		}()
 	}
-	wg.Wait()
 	last := &Error{Op: op, Kind: KindInvalid, Err: errors.New("no operator address given")}
 	var out []T
-	for n, e := range errs {
-		if e == nil {
-			out = append(out, answers[n])
+	for range c.Addresses {
+		r := <-answers
+		if r.err != nil {
+			last = r.err
 			continue
 		}
-		last = e
+		if len(out) == 0 {
+			time.AfterFunc(gracePeriod, cancel)
+		}
+		out = append(out, r.value)
 	}
 	if len(out) == 0 {
 		return nil, readFailure(last)
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -159,3 +159,17 @@
 		})
 	}
 }
+
+// A daemon that takes connections and never answers does not hold up a
+// command that another one answers.
+func TestReadsBesideHangingDaemon(t *testing.T) {
+	c := qt.New(t)
+	hanging := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	cl := newClient(hanging, serveBackend(t, &fakeBackend{configuration: &fescuelatch.Configuration{Generation: 8}}))
+	cl.AttemptTimeout = time.Minute
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	conf, err := cl.Configuration(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Check(conf.Generation, qt.Equals, fescuelatch.Generation(8))
+}
--- a/operator/propose.go
+++ b/operator/propose.go
@@ -33,13 +33,13 @@
 		return ProposeResult{}, &Error{Op: op, Kind: KindInvalid, Err: errors.New("no operator address given")}
 	}
 	p := proposal{client: c, change: change, body: body}
-	for round := 0; ; round++ {
+	for n := 0; ; n++ {
 		for _, a := range c.Addresses {
 			if p.try(ctx, a); p.settled {
 				return p.result, p.err()
 			}
 		}
-		if !pause(ctx, round) {
+		if !pause(ctx, n) {
 			return ProposeResult{}, p.unsettled(op)
 		}
 	}
