--- a/cmd/standin/kv/kv_test.go
+++ b/cmd/standin/kv/kv_test.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -185,6 +187,40 @@
 	}
 }
 
+func TestKeySet(t *testing.T) {
+	c := qt.New(t)
+	const n = 4 * maxChunk
+	r := rand.New(rand.NewPCG(1, 2))
+	var s keySet
+	want := make([]string, n)
+	for i := range want {
+		want[i] = fmt.Sprintf("%05d", i)
+	}
+	for _, i := range r.Perm(n) {
+		s.add(want[i])
+	}
+	all := span{key: []byte("0"), end: []byte{0}}
+	c.Assert(s.within(all), qt.DeepEquals, want)
+	c.Assert(s.within(span{key: []byte("00100"), end: []byte("01500")}), qt.DeepEquals, want[100:1500])
+	c.Assert(s.within(span{key: []byte("9"), end: []byte{0}}), qt.HasLen, 0)
+	for _, i := range r.Perm(n) {
+		if i%3 != 0 {
+			s.remove(want[i])
+		}
+	}
+	var left []string
+	for i := 0; i < n; i += 3 {
+		left = append(left, want[i])
+	}
+	c.Assert(s.within(all), qt.DeepEquals, left)
+	for _, k := range left {
+		s.remove(k)
+	}
+	c.Assert(s.within(all), qt.HasLen, 0)
+	s.add("a")
+	c.Assert(s.within(all), qt.DeepEquals, []string{"a"})
+}
+
 func TestValueLimit(t *testing.T) {
 	c := qt.New(t)
 	_, url := newTestServer(c)
--- a/cmd/standin/kv/store.go
+++ b/cmd/standin/kv/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sort"
 	"sync"
 )
@@ -18,7 +19,7 @@
 type store struct {
 	mu       sync.Mutex
 	revision int64
-	keys     []string // sorted
+	keys     keySet
 	values   map[string]keyValue
 	leases   map[int64]*lease
 	nextID   int64
@@ -59,12 +60,13 @@
 
 // inSpan returns the keys within p, in order.
 func (s *store) inSpan(p span) []string {
-	from := sort.SearchStrings(s.keys, string(p.key))
-	to := from
-	for to < len(s.keys) && p.contains(s.keys[to]) {
-		to++
+	if len(p.end) > 0 {
+		return s.keys.within(p)
 	}
-	return s.keys[from:to:to]
+	if _, ok := s.values[string(p.key)]; ok {
+		return []string{string(p.key)}
+	}
+	return nil
 }
 
 func (s *store) rangeKeys(r *rangeRequest) *rangeResponse {
@@ -74,7 +76,7 @@
 		return resp
 	}
 	if r.SortOrder == "DESCEND" {
-		keys = reversed(keys)
+		slices.Reverse(keys)
 	}
 	if r.Limit > 0 && len(keys) > int(r.Limit) {
 		keys, resp.More = keys[:r.Limit], true
@@ -89,20 +91,12 @@
 	return resp
 }
 
-func reversed(keys []string) []string {
-	r := make([]string, 0, len(keys))
-	for i := len(keys) - 1; i >= 0; i-- {
-		r = append(r, keys[i])
-	}
-	return r
-}
-
 // put sets a key at the given revision.
 func (s *store) put(r *putRequest, revision int64) {
 	k := string(r.Key)
 	v, ok := s.values[k]
 	if !ok {
-		s.insertKey(k)
+		s.keys.add(k)
 		v = keyValue{Key: r.Key, CreateRevision: number(revision)}
 	}
 	s.detach(k, v.Lease)
@@ -117,20 +111,12 @@
 	s.record(event{KV: v})
 }
 
-func (s *store) insertKey(k string) {
-	i := sort.SearchStrings(s.keys, k)
-	s.keys = append(s.keys, "")
-	copy(s.keys[i+1:], s.keys[i:])
-	s.keys[i] = k
-}
-
 // deleteSpan deletes the keys within p at the given revision and returns
 // their number.
 func (s *store) deleteSpan(p span, revision int64) int {
-	keys := append([]string(nil), s.inSpan(p)...)
+	keys := s.inSpan(p)
 	for _, k := range keys {
-		i := sort.SearchStrings(s.keys, k)
-		s.keys = append(s.keys[:i], s.keys[i+1:]...)
+		s.keys.remove(k)
 		s.detach(k, s.values[k].Lease)
 		delete(s.values, k)
 		s.record(event{Type: "DELETE", KV: keyValue{Key: []byte(k), ModRevision: number(revision)}})
