--- a/cmd/fescuelatch-load/experiment/experiment.go
+++ b/cmd/fescuelatch-load/experiment/experiment.go
@@ -80,7 +80,7 @@
 			Name:     CostAtQuality,
 			Question: "What does an answer cost, and how many answers are as good as callers need?",
 			Variants: []Variant{router, {Name: "always-best", Daemon: []string{"--version-policy=always-best"}}, {Name: "always-cheapest", Daemon: []string{"--version-policy=always-cheapest"}}},
-			Primary:  CostPerGood, Rate: 30, measure: measureCost,
+			Primary:  CostPerAnswer, Rate: 30, measure: measureCost,
 		},
 		{
 			Name:     Latency,
--- a/cmd/fescuelatch-load/experiment/report_test.go
+++ b/cmd/fescuelatch-load/experiment/report_test.go
@@ -51,6 +51,33 @@
 	}
 }
 
+func TestReportComparesAtQualityTarget(t *testing.T) {
+	cost := func(variant string, cost, shortfall float64) Trial {
+		return Trial{Experiment: CostAtQuality, Variant: variant, Measures: []Measure{{CostPerAnswer, cost}, {Shortfall, shortfall}}}
+	}
+	tests := []struct {
+		name   string
+		trials []Trial
+		want   float64
+		note   string
+	}{
+		{"cheapest misses the target", []Trial{cost("router", 49.99, 0), cost("always-best", 99.99, 0), cost("always-cheapest", 9.99, 0.1)}, 0.5, ""},
+		{"cheapest meets the target", []Trial{cost("router", 49.99, 0), cost("always-best", 99.99, 0), cost("always-cheapest", 9.99, 0)}, 5, ""},
+		{"no baseline meets the target", []Trial{cost("router", 49.99, 0), cost("always-best", 99.99, 0.1)}, 0.5, ""},
+		{"router misses the target", []Trial{cost("router", 49.99, 0.1), cost("always-best", 99.99, 0)}, 0, "not compared: .*"},
+	}
+	es, err := Find(string(CostAtQuality))
+	qt.Assert(t, err, qt.IsNil)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := NewReport(&Settings{Fleet: "umurongo"}, es, test.trials)
+			c.Assert(math.Abs(r.Sections[0].Ratio-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%v", r.Sections[0].Ratio))
+			c.Assert(r.Sections[0].Note, qt.Matches, test.note)
+		})
+	}
+}
+
 func TestScoreWeighsSections(t *testing.T) {
 	tests := []struct {
 		name     string
