--- a/cmd/fescuelatch-load/demo.go
+++ b/cmd/fescuelatch-load/demo.go
@@ -144,6 +144,7 @@
 		scenario.BringBack(at(0.45), out),
 		scenario.Stop(at(0.52), stopped),
 		scenario.Leave(at(0.60), left),
+		scenario.Restart(at(0.65), stopped),
 		scenario.Cool(at(0.70), cooled, coldFor),
 		scenario.Return(at(0.90), left),
 	}, nil
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -207,3 +207,7 @@
 
 // Platform returns the address of the platform's key-value service.
 func (f *Fleet) Platform() netip.AddrPort { return f.places.platform }
+
+// PlatformLink returns the address at which the daemons reach the platform's
+// key-value service.
+func (f *Fleet) PlatformLink() netip.AddrPort { return f.places.platformLink }
