--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -146,6 +146,9 @@
 		{"key billed twice", audit.PromiseBill, func(e *audit.Evidence) {
 			e.Bills = append(e.Bills, bill("q9", "key-q3"))
 		}},
+		{"billed to another account", audit.PromiseBill, func(e *audit.Evidence) {
+			e.Bills[0].Account = "weekly"
+		}},
 		{"answered but not billed", audit.PromiseBill, func(e *audit.Evidence) {
 			e.Bills = e.Bills[1:]
 		}},
--- a/audit/requests.go
+++ b/audit/requests.go
@@ -171,6 +171,9 @@
 	for n := range x.Bills {
 		b := &x.Bills[n]
 		count[string(b.Request)]++
+		if r, ok := x.byRequest[b.Request]; ok && r.Account != b.Account {
+			f.violate("request %s of %s: billed to %s", b.Request, r.Account, b.Account)
+		}
 		if b.Key != "" {
 			keyed[string(b.Account)+" "+b.Key]++
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -125,9 +125,9 @@
 func TestChangeIsInForceEverywhere(t *testing.T) {
 	c := qt.New(t)
 	f, ctx := startSmall(t)
-	a, err := f.Change(ctx, "b-1", func(c *fescuelatch.Configuration) {
+	a, err := f.Change(ctx, func(c *fescuelatch.Configuration) {
 		c.Overrides.DomainsOut = []fescuelatch.DomainID{"a"}
-	})
+	}, "b-1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(a.Generation, qt.Equals, fescuelatch.Generation(2))
 	for _, m := range []fescuelatch.VMID{"a-1", "b-1"} {
--- a/scenario/steps.go
+++ b/scenario/steps.go
@@ -5,11 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"fescuelatch"
 	"fescuelatch/audit"
-	"fescuelatch/fleet"
 )
 
 // This file defines what a step can do to a fleet. Each method notes what an
@@ -25,21 +22,14 @@
 	r.events = append(r.events, audit.Event{At: t, Kind: k, Name: name, Generation: g})
 }
 
-// change edits the configuration through the first daemon that accepts it.
+// change edits the configuration through the daemons that run.
 func (r *Run) change(ctx context.Context, k audit.EventKind, name string, edit func(*fescuelatch.Overrides)) error {
-	err := errors.New("no daemon runs")
-	for _, m := range r.Fleet.Configuration.Inventory.VMs {
-		if !r.Fleet.Running(m.ID) {
-			continue
-		}
-		var a fleet.Accepted
-		a, err = r.Fleet.Change(ctx, m.ID, func(c *fescuelatch.Configuration) { edit(&c.Overrides) })
-		if err == nil {
-			r.eventAt(a.Accepted, k, name, a.Generation)
-			return nil
-		}
+	a, err := r.Fleet.Change(ctx, func(c *fescuelatch.Configuration) { edit(&c.Overrides) })
+	if err != nil {
+		return err
 	}
-	return err
+	r.eventAt(a.At, k, name, a.Generation)
+	return nil
 }
 
 // with returns list with v, without returns it without v.
