--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -16,71 +14,16 @@
 
 	"fescuelatch"
 	"fescuelatch/fleet"
+	"fescuelatch/fleet/fleettest"
 	"fescuelatch/load"
 )
 
-// bin holds the programs, which are built once for all tests.
-var bin string
-
-func TestMain(m *testing.M) {
-	os.Exit(build(m))
-}
-
-func build(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "fleet-test-")
-	if err != nil {
-		panic(err)
-	}
-	defer os.RemoveAll(dir)
-	bin = dir
-	for _, p := range []string{"fescuelatchd", "standin"} {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, p), "../cmd/"+p).CombinedOutput()
-		if err != nil {
-			panic(string(out))
-		}
-	}
-	return m.Run()
-}
-
-func address(s string) netip.AddrPort { return netip.MustParseAddrPort(s) }
-
-func vm(id fescuelatch.VMID, d fescuelatch.DomainID, ip string) fescuelatch.VM {
-	return fescuelatch.VM{
-		ID: id, Domain: d,
-		Peer: address(ip + ":7100"), Caller: address(ip + ":7200"), Operator: address(ip + ":7300"),
-	}
-}
-
-// small returns a configuration of two failure domains.
-func small() *fescuelatch.Configuration {
-	return &fescuelatch.Configuration{
-		Inventory: fescuelatch.Inventory{
-			Domains:  []fescuelatch.FailureDomain{{ID: "a"}, {ID: "b"}},
-			VMs:      []fescuelatch.VM{vm("a-1", "a", "127.77.1.1"), vm("b-1", "b", "127.77.2.1")},
-			Models:   []fescuelatch.Model{{ID: "triage"}},
-			Versions: []fescuelatch.Version{{ID: "triage@1", Model: "triage", Quality: 0.9, Weight: 1}},
-			Pools: []fescuelatch.Pool{
-				{ID: "models", Versions: []fescuelatch.VersionID{"triage@1"}, Slots: 8, ColdSlots: 2},
-				{ID: "desks", Service: "desk", Slots: 8, ColdSlots: 2},
-			},
-			Endpoints: []fescuelatch.Endpoint{
-				{ID: "a-model", Pool: "models", Domain: "a", Address: address("127.77.1.11:7400")},
-				{ID: "b-desk", Pool: "desks", Domain: "b", Address: address("127.77.2.12:7400")},
-				{ID: "b-model", Pool: "models", Domain: "b", Address: address("127.77.2.11:7400")},
-			},
-			Services: []fescuelatch.Service{{ID: "desk", Operations: []fescuelatch.Operation{{ID: "ban"}}}},
-		},
-		Rules: fescuelatch.Rules{Accounts: []fescuelatch.Account{{
-			ID: "daily", KeyHashes: []string{fescuelatch.HashKey("other")},
-			Models: []fescuelatch.ModelID{"triage"}, Services: []fescuelatch.ServiceID{"desk"}, DefaultQuality: 0.8,
-		}}},
-	}
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.Main(m)) }
 
 func startSmall(t *testing.T) (*fleet.Fleet, context.Context) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
-	return fleet.StartTest(t, fleet.Options{Configuration: small(), Bin: bin}), ctx
+	return fleet.StartTest(t, fleet.Options{Configuration: fleettest.Small(), Bin: fleettest.Bin()}), ctx
 }
 
 func TestStartSeedsConfiguration(t *testing.T) {
@@ -229,14 +172,14 @@
 	}{
 		{"no VM", func(o *fleet.Options) { o.Configuration.Inventory.VMs = nil }, "place fleet: configuration: .*"},
 		{"not on loopback", func(o *fleet.Options) {
-			o.Configuration.Inventory.VMs[0].Peer = address("192.0.2.1:1")
+			o.Configuration.Inventory.VMs[0].Peer = fleettest.Address("192.0.2.1:1")
 		}, "reserve addresses: configuration: .*"},
 		{"no programs", func(o *fleet.Options) { o.Bin = o.Dir }, "start process: process: .*"},
 		{"daemon that ends", func(o *fleet.Options) { o.Daemon = []string{"--no-such-flag"} }, ".*ended unexpectedly: .*"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			o := fleet.Options{Configuration: small(), Bin: bin, Dir: t.TempDir()}
+			o := fleet.Options{Configuration: fleettest.Small(), Bin: fleettest.Bin(), Dir: t.TempDir()}
 			test.edit(&o)
 			_, err := fleet.Start(context.Background(), o)
 			qt.Assert(t, err, qt.ErrorMatches, test.want)
