--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -61,6 +61,7 @@
 	for _, m := range t.sorted {
 		m.settle(now, t.settings)
 	}
+	t.renew(now)
 	t.join(now)
 	fresh := t.fresh(now)
 	ready, joined := t.ready(now), t.joined || t.anyJoined()
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"fescuelatch"
@@ -37,7 +38,9 @@
 // Table is the state of ownership at one daemon. Use New.
 type Table struct {
 	self        fescuelatch.VMID
-	incarnation fescuelatch.Incarnation
+	process     fescuelatch.Incarnation
+	incarnation fescuelatch.Incarnation // of process, or a renewal of it
+	renewals    int
 	settings    Settings
 	sequence    uint64
 
@@ -50,9 +53,11 @@
 	// of all members that are alive.
 	readyAt time.Time
 	// listed reports that the configuration lists this VM.
-	listed   bool
-	leaving  bool
-	replaced bool
+	listed  bool
+	leaving bool
+	// replaced is when a member took another process for this VM's latest,
+	// or zero.
+	replaced time.Time
 
 	me      *member
 	members map[fescuelatch.VMID]*member
@@ -77,6 +82,7 @@
 func newTable(self fescuelatch.VMID, i fescuelatch.Incarnation, s Settings, start time.Time) *Table {
 	return &Table{
 		self:        self,
+		process:     i,
 		incarnation: i,
 		settings:    s,
 		started:     start,
@@ -129,6 +135,19 @@
 	}
 }
 
+// renew joins anew as another incarnation some time after this one was taken
+// for a former one. That happens when a heartbeat of a former process came
+// late; a process that was truly replaced meanwhile stands back.
+func (t *Table) renew(now time.Time) {
+	if t.replaced.IsZero() || now.Before(t.replaced.Add(t.settings.TakeoverAfter)) {
+		return
+	}
+	t.replaced = time.Time{}
+	t.renewals++
+	t.incarnation = t.process + fescuelatch.Incarnation("."+strconv.Itoa(t.renewals))
+	t.rejoin(now)
+}
+
 // Heartbeat returns the heartbeat to send to every other member at now. The
 // caller keeps now as the time of sending for Acknowledged.
 func (t *Table) Heartbeat(now time.Time) Heartbeat {
@@ -186,8 +205,9 @@
 	// The member ran at some time after sent, which is all that is known.
 	m.touch(sent)
 	switch {
+	case a.Replaced && t.replaced.IsZero():
+		t.replaced = now
 	case a.Replaced:
-		t.replaced = true
 	case !a.Unknown && !sent.Before(t.started):
 		m.acked = true
 		if l := sent.Add(t.settings.LeaseFor); a.Joined && l.After(m.lease) {
@@ -219,4 +239,4 @@
 }
 
 // idle reports that this daemon claims nothing whatever it hears.
-func (t *Table) idle() bool { return t.leaving || t.replaced || !t.listed }
+func (t *Table) idle() bool { return t.leaving || !t.replaced.IsZero() || !t.listed }
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -72,6 +72,7 @@
 		}
 	}
 	consider(t.readyAt)
+	consider(t.replaced.Add(t.settings.TakeoverAfter))
 	consider(t.started.Add(t.settings.TakeoverAfter))
 	for _, m := range t.sorted {
 		consider(m.lease)
