--- a/gate/doc.go
+++ b/gate/doc.go
@@ -11,4 +11,7 @@
 
 import "fescuelatch"
 
-var _ fescuelatch.Gate = (*Fixed)(nil)
+var (
+	_ fescuelatch.Gate = (*Adaptive)(nil)
+	_ fescuelatch.Gate = (*Fixed)(nil)
+)
--- /dev/null
+++ b/gate/settings.go
@@ -0,0 +1,42 @@
+package gate
+
+import "time"
+
+// This file defines the settings of an adaptive gate.
+
+// Default settings.
+const (
+	defaultReportLag     = 2 * time.Second
+	defaultReportTimeout = 5 * time.Second
+	defaultRampFor       = 10 * time.Second
+)
+
+// Settings are the bounds that an adaptive gate works with. A zero field
+// stands for its default.
+type Settings struct {
+	// QueueLimit bounds the attempts that wait.
+	QueueLimit int
+	// ReportLag bounds the time after which work that was sent to an
+	// endpoint shows in the load reports that then arrive.
+	ReportLag time.Duration
+	// ReportTimeout is how long an endpoint may be without a new report
+	// before it counts as cold.
+	ReportTimeout time.Duration
+	// RampFor is the time from the cold to the full number of slots.
+	RampFor time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	or := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	or(&s.ReportLag, defaultReportLag)
+	or(&s.ReportTimeout, defaultReportTimeout)
+	or(&s.RampFor, defaultRampFor)
+	if s.QueueLimit == 0 {
+		s.QueueLimit = defaultQueueLimit
+	}
+	return s
+}
--- /dev/null
+++ b/gate/warmth.go
@@ -0,0 +1,115 @@
+package gate
+
+import (
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines what a gate infers of an endpoint's warmth. Doubt counts
+// as cold: a cold endpoint falls over under the load of a warm one, whereas
+// a warm one taken for cold only serves less for a while.
+
+const (
+	// slowFactor times the usual latency to the first token marks a slow
+	// attempt, and slowMin is the least latency that does.
+	slowFactor = 4
+	slowMin    = 500 * time.Millisecond
+	// suspicions of slow or failed attempts in a row make an endpoint cold.
+	suspicions = 3
+	// coldHold is how long an endpoint that is cold by suspicion stays so
+	// without an attempt that shows it warm.
+	coldHold = 10 * time.Second
+)
+
+// warmth is the inferred warmth of one endpoint. The zero value is cold.
+type warmth struct {
+	warm bool
+	// since is when the endpoint became cold or warm, or came back.
+	since time.Time
+	// suspected reports that the endpoint is cold against its own word.
+	suspected bool
+	strikes   int
+	// usual is the latency to the first token when warm.
+	usual       average
+	incarnation fescuelatch.Incarnation
+	generated   time.Time
+	reported    time.Time
+	leaving     bool
+}
+
+func (w *warmth) chill(now time.Time, suspected bool) {
+	if w.warm {
+		w.since = now
+	}
+	w.warm, w.suspected, w.strikes = false, suspected, 0
+}
+
+// report takes in a load report. It reports whether it was a new one.
+func (w *warmth) report(now time.Time, r fescuelatch.LoadReport, lag time.Duration) bool {
+	replaced := w.incarnation != "" && r.Incarnation != w.incarnation
+	if !replaced && !r.Generated.IsZero() && !r.Generated.After(w.generated) {
+		return false
+	}
+	w.incarnation, w.generated, w.reported = r.Incarnation, r.Generated, now
+	w.leaving = r.State == fescuelatch.EndpointLeaving
+	if replaced {
+		w.warm, w.since, w.suspected, w.strikes = false, now, false, 0
+	}
+	switch {
+	case r.State == fescuelatch.EndpointCold:
+		w.chill(now, false)
+	case r.State == fescuelatch.EndpointWarm && w.credible(now, lag):
+		w.warm, w.since, w.suspected, w.strikes = true, now, false, 0
+	}
+	return true
+}
+
+// credible reports whether a cold endpoint that says it is warm is believed:
+// the word is newer than the doubt, and suspicion has been refuted or is old.
+func (w *warmth) credible(now time.Time, lag time.Duration) bool {
+	if w.warm || now.Before(w.since.Add(lag)) {
+		return false
+	}
+	return !w.suspected || !now.Before(w.since.Add(coldHold))
+}
+
+// lapse makes the endpoint cold when it has not reported for too long.
+func (w *warmth) lapse(now time.Time, timeout time.Duration) {
+	if w.warm && now.Sub(w.reported) > timeout {
+		w.chill(now, false)
+	}
+}
+
+// slow reports whether d is far above the usual latency to the first token.
+func (w *warmth) slow(d time.Duration) bool {
+	return w.usual.mean > 0 && d > max(slowMin, slowFactor*w.usual.mean)
+}
+
+// first takes in a latency to the first token. It reports whether it was
+// slow.
+func (w *warmth) first(now time.Time, d time.Duration) bool {
+	if w.slow(d) {
+		w.strike(now)
+		if w.suspected {
+			// The endpoint says that it is warm; it may have become slower
+			// for good.
+			w.usual.observe(min(d, slowFactor*w.usual.mean))
+		}
+		return true
+	}
+	w.strikes = 0
+	if w.warm || w.suspected {
+		w.usual.observe(d)
+	}
+	w.suspected = false
+	return false
+}
+
+// strike counts one slow or failed attempt.
+func (w *warmth) strike(now time.Time) {
+	w.strikes++
+	if w.strikes >= suspicions && w.warm {
+		w.chill(now, true)
+	}
+}
