--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -25,10 +25,16 @@
 	latency  latencies
 	budget   budget
 	polled   time.Time
+	called   time.Time
 }
 
-// pollEvery bounds how often inferences about all endpoints are refreshed.
-const pollEvery = 20 * time.Millisecond
+const (
+	// pollEvery bounds how often inferences about all endpoints are
+	// refreshed.
+	pollEvery = 20 * time.Millisecond
+	// pauseMin is the time between calls that tells of a pause.
+	pauseMin = time.Second
+)
 
 // NewAdaptive returns a gate that owns nothing.
 func NewAdaptive(s Settings) *Adaptive {
@@ -41,8 +47,20 @@
 	}
 }
 
+// wake notes a pause of this process: load reports that came meanwhile have
+// not been read yet.
+func (g *Adaptive) wake(now time.Time) {
+	if now.Sub(g.called) > pauseMin {
+		for _, p := range g.places {
+			p.resumed = now
+		}
+	}
+	g.called = now
+}
+
 // Own implements fescuelatch.Gate.
 func (g *Adaptive) Own(now time.Time, owned []fescuelatch.OwnedEndpoint) {
+	g.wake(now)
 	held := make(map[fescuelatch.EndpointID]bool, len(owned))
 	for _, o := range owned {
 		held[o.Endpoint.ID] = true
@@ -83,6 +101,7 @@
 
 // Offer implements fescuelatch.Gate.
 func (g *Adaptive) Offer(now time.Time, w fescuelatch.Work) fescuelatch.Admission {
+	g.wake(now)
 	t := targetOf(w)
 	if expired(now, w) || !g.serves(t, w) {
 		return refuse(w.Attempt, minRetryAfter)
@@ -197,6 +216,7 @@
 
 // End implements fescuelatch.Gate.
 func (g *Adaptive) End(now time.Time, r fescuelatch.AttemptResult) []fescuelatch.Admission {
+	g.wake(now)
 	a := g.attempts[r.Attempt]
 	if a == nil {
 		g.withdraw(r.Attempt)
@@ -232,6 +252,7 @@
 
 // Report implements fescuelatch.Gate.
 func (g *Adaptive) Report(now time.Time, r fescuelatch.LoadReport) []fescuelatch.Admission {
+	g.wake(now)
 	p := g.places[r.Endpoint]
 	if p == nil {
 		return nil
@@ -242,6 +263,7 @@
 
 // Poll implements fescuelatch.Gate.
 func (g *Adaptive) Poll(now time.Time) []fescuelatch.Admission {
+	g.wake(now)
 	if now.Sub(g.polled) >= pollEvery {
 		g.polled = now
 		for _, p := range g.sorted {
--- /dev/null
+++ b/gate/adaptive_test.go
@@ -0,0 +1,319 @@
+package gate_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/gate"
+)
+
+// This file tests the decisions of an adaptive gate one by one.
+
+var (
+	epoch    = time.Unix(1_000_000, 0)
+	settings = gate.Settings{
+		QueueLimit:    8,
+		ReportLag:     time.Second,
+		ReportTimeout: 3 * time.Second,
+		RampFor:       10 * time.Second,
+	}
+)
+
+// at returns a time after epoch.
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func work(id string, account fescuelatch.AccountID) fescuelatch.Work {
+	return fescuelatch.Work{
+		Attempt: fescuelatch.AttemptID(id),
+		Version: testVersion,
+		Request: &fescuelatch.Request{ID: fescuelatch.RequestID(id), Account: account, Arrived: epoch},
+	}
+}
+
+func warmReport(now time.Time, running int) fescuelatch.LoadReport {
+	return fescuelatch.LoadReport{
+		Endpoint: "engine", Incarnation: "1", State: fescuelatch.EndpointWarm,
+		Running: running, Generated: now,
+	}
+}
+
+// warmGate returns a gate whose only endpoint is warm and past its ramp at
+// the returned time.
+func warmGate(slots, cold int) (*gate.Adaptive, time.Time) {
+	g := gate.NewAdaptive(settings)
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{owned("engine", slots, cold)})
+	now := epoch
+	for now.Before(at(15 * time.Second)) {
+		now = now.Add(time.Second)
+		g.Report(now, warmReport(now, 0))
+	}
+	return g, now
+}
+
+// fill offers n attempts and returns how many started. Time passes, so that
+// spacing does not hold them back.
+func fill(g *gate.Adaptive, now time.Time, n int) int {
+	started := 0
+	for i := range n {
+		if g.Offer(now, work(fmt.Sprint("fill-", now.UnixNano(), "-", i), "large")).Verdict == fescuelatch.AdmissionStart {
+			started++
+		}
+	}
+	for range 10 {
+		now = now.Add(200 * time.Millisecond)
+		started += starts(g.Poll(now))
+	}
+	return started
+}
+
+func starts(as []fescuelatch.Admission) int {
+	n := 0
+	for _, a := range as {
+		if a.Verdict == fescuelatch.AdmissionStart {
+			n++
+		}
+	}
+	return n
+}
+
+func TestColdInference(t *testing.T) {
+	const slots, cold = 8, 2
+	for _, test := range []struct {
+		name  string
+		chill func(g *gate.Adaptive, now time.Time) time.Time
+		want  int
+	}{
+		{"nothing happens", func(_ *gate.Adaptive, now time.Time) time.Time { return now }, slots},
+		{"it says that it is cold", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = now.Add(time.Second)
+			r := warmReport(now, 0)
+			r.State = fescuelatch.EndpointCold
+			g.Report(now, r)
+			return now
+		}, cold},
+		{"another incarnation", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = now.Add(time.Second)
+			r := warmReport(now, 0)
+			r.Incarnation = "2"
+			g.Report(now, r)
+			return now
+		}, cold},
+		{"no report for too long", func(_ *gate.Adaptive, now time.Time) time.Time {
+			return now.Add(settings.ReportTimeout + time.Millisecond)
+		}, cold},
+		{"the same report again", func(g *gate.Adaptive, now time.Time) time.Time {
+			g.Report(now.Add(settings.ReportTimeout), warmReport(now, 0))
+			return now.Add(settings.ReportTimeout + time.Millisecond)
+		}, cold},
+		{"slow first tokens", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return answer(g, now, 3, 2*time.Second)
+		}, cold},
+		{"no first tokens", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			as := make([]fescuelatch.Work, 3)
+			for i := range as {
+				as[i] = work(fmt.Sprint("slow-", i), "large")
+				g.Offer(now, as[i])
+			}
+			now = now.Add(2 * time.Second)
+			g.Poll(now)
+			for _, w := range as {
+				g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptCancelled})
+			}
+			return now
+		}, cold},
+		{"failures in a row", func(g *gate.Adaptive, now time.Time) time.Time {
+			for i := range 3 {
+				w := work(fmt.Sprint("broken-", i), "large")
+				g.Offer(now, w)
+				g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptBroken})
+			}
+			return now
+		}, cold},
+		{"it leaves", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = now.Add(time.Second)
+			r := warmReport(now, 0)
+			r.State = fescuelatch.EndpointLeaving
+			g.Report(now, r)
+			return now
+		}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g, now := warmGate(slots, cold)
+			now = test.chill(g, now)
+			qt.Assert(t, fill(g, now, 8), qt.Equals, test.want)
+		})
+	}
+}
+
+// answer runs n attempts one after the other that give their first token
+// after d, and keeps reports coming.
+func answer(g *gate.Adaptive, now time.Time, n int, d time.Duration) time.Time {
+	for range n {
+		w := work(fmt.Sprint("answer-", now.UnixNano()), "large")
+		g.Offer(now, w)
+		now = now.Add(d)
+		g.First(now, w.Attempt)
+		g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
+		g.Report(now, warmReport(now, 0))
+	}
+	return now
+}
+
+func TestShares(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		share float64
+		want  int
+	}{
+		{"whole", 1, 5},
+		{"half", 0.5, 2},
+		{"an eighth", 0.125, 0},
+		{"none", 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := gate.NewAdaptive(settings)
+			o := owned("engine", 8, 5)
+			o.Share = test.share
+			g.Own(epoch, []fescuelatch.OwnedEndpoint{o})
+			g.Report(at(time.Millisecond), fescuelatch.LoadReport{Endpoint: "engine", State: fescuelatch.EndpointCold})
+			qt.Assert(t, fill(g, at(time.Millisecond), 8), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	c := qt.New(t)
+	g := gate.NewAdaptive(settings)
+	o := owned("engine", 8, 5)
+	o.After = at(time.Second)
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{o})
+	g.Report(at(900*time.Millisecond), warmReport(at(900*time.Millisecond), 0))
+	c.Assert(g.Offer(at(900*time.Millisecond), work("early", "large")).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+	c.Assert(g.Poll(at(1100*time.Millisecond)), qt.HasLen, 0, qt.Commentf("no report has come since"))
+
+	r := warmReport(at(1200*time.Millisecond), 4)
+	r.State = fescuelatch.EndpointCold
+	c.Assert(starts(g.Report(at(1200*time.Millisecond), r)), qt.Equals, 1)
+	c.Assert(fill(g, at(1300*time.Millisecond), 4), qt.Equals, 0, qt.Commentf("a former owner's work runs"))
+
+	r.Generated, r.Running = at(4*time.Second), 1
+	c.Assert(starts(g.Report(at(4*time.Second), r)), qt.Equals, 1)
+	c.Assert(fill(g, at(4200*time.Millisecond), 0), qt.Equals, 3)
+}
+
+func TestRefusals(t *testing.T) {
+	within := func(w fescuelatch.Work, now time.Time, d time.Duration) fescuelatch.Work {
+		w.Request.Deadline = now.Add(d)
+		return w
+	}
+	for _, test := range []struct {
+		name  string
+		offer func(now time.Time) fescuelatch.Work
+		want  fescuelatch.AdmissionVerdict
+	}{
+		{"in time", func(now time.Time) fescuelatch.Work {
+			return within(work("a", "small"), now, 10*time.Second)
+		}, fescuelatch.AdmissionQueue},
+		{"too late", func(now time.Time) fescuelatch.Work {
+			return within(work("a", "small"), now, 1500*time.Millisecond)
+		}, fescuelatch.AdmissionRefuse},
+		{"expired", func(now time.Time) fescuelatch.Work {
+			return within(work("a", "small"), now, 0)
+		}, fescuelatch.AdmissionRefuse},
+		{"unknown version", func(time.Time) fescuelatch.Work {
+			w := work("a", "small")
+			w.Version = "other@1"
+			return w
+		}, fescuelatch.AdmissionRefuse},
+		{"unknown endpoint", func(time.Time) fescuelatch.Work {
+			w := work("a", "small")
+			w.Endpoint = "other"
+			return w
+		}, fescuelatch.AdmissionRefuse},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, now := warmGate(1, 1)
+			w := work("first", "large")
+			g.Offer(now, w)
+			g.End(now.Add(time.Second), fescuelatch.AttemptResult{
+				Attempt: w.Attempt, Version: testVersion, Status: fescuelatch.AttemptAnswered, Total: time.Second,
+			})
+			now = now.Add(time.Second)
+			g.Offer(now, work("runs", "large"))
+			a := g.Offer(now, test.offer(now))
+			c.Assert(a.Verdict, qt.Equals, test.want)
+			c.Assert(a.RetryAfter > 0, qt.Equals, test.want == fescuelatch.AdmissionRefuse)
+		})
+	}
+}
+
+func TestQueue(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(1, 1)
+	c.Assert(g.Offer(now, work("runs", "large")).Verdict, qt.Equals, fescuelatch.AdmissionStart)
+	low, high := work("low", "large"), work("high", "large")
+	low.Request.Priority, high.Request.Priority = fescuelatch.PriorityLow, fescuelatch.PriorityHigh
+	for _, w := range []fescuelatch.Work{low, work("normal", "large"), high, work("small", "small")} {
+		c.Assert(g.Offer(now, w).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+	}
+	c.Assert(g.Spare(now), qt.DeepEquals, []fescuelatch.Spare{{Version: testVersion, Queued: 4, Slots: 1}})
+	c.Assert(g.End(now, fescuelatch.AttemptResult{Attempt: "normal"}), qt.HasLen, 0)
+
+	// The large account has been served once, so the small one is due.
+	last := fescuelatch.AttemptID("runs")
+	for _, want := range []fescuelatch.AttemptID{"small", "high", "low"} {
+		as := g.End(now, fescuelatch.AttemptResult{Attempt: last, Status: fescuelatch.AttemptAnswered})
+		c.Assert(as, qt.HasLen, 1)
+		c.Assert(as[0].Attempt, qt.Equals, want)
+		last = want
+	}
+}
+
+func TestQueueLeavesRoom(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(1, 1)
+	verdicts := make(map[fescuelatch.AdmissionVerdict]int)
+	for i := range 20 {
+		verdicts[g.Offer(now, work(fmt.Sprint(i), "large")).Verdict]++
+	}
+	c.Assert(verdicts[fescuelatch.AdmissionQueue], qt.Equals, settings.QueueLimit/2)
+	c.Assert(g.Offer(now, work("small", "small")).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+}
+
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(8, 8)
+	started := 0
+	for i := range 40 {
+		w := work("same", "large")
+		w.Attempt = fescuelatch.AttemptID(fmt.Sprint(i))
+		a := g.Offer(now, w)
+		if a.Verdict != fescuelatch.AdmissionStart {
+			c.Assert(a.Verdict, qt.Equals, fescuelatch.AdmissionRefuse)
+			continue
+		}
+		started++
+		g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptNotStarted, Overloaded: true})
+		now = now.Add(time.Second)
+		g.Report(now, warmReport(now, 0))
+	}
+	c.Assert(started, qt.Equals, 11) // one and a burst of retries
+}
+
+func TestOverloadLowersLimit(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(8, 2)
+	w := work("refused", "large")
+	g.Offer(now, w)
+	g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptNotStarted, Overloaded: true})
+	c.Assert(g.Spare(now)[0].Slots, qt.Equals, 5)
+	now = answer(g, now.Add(time.Second), 40, 100*time.Millisecond)
+	c.Assert(g.Spare(now)[0].Slots, qt.Equals, 8)
+}
--- a/gate/place.go
+++ b/gate/place.go
@@ -45,7 +45,8 @@
 	// share is in use. A larger target, set at changed, waits for a report.
 	share, target float64
 	changed       time.Time
-	slots         int // that the endpoint reports, or zero
+	resumed       time.Time // after a pause of this process
+	slots         int       // that the endpoint reports, or zero
 	next          time.Time
 }
 
@@ -72,11 +73,18 @@
 // grow puts a larger share to use once a report has shown what others sent
 // before.
 func (p *place) grow(now time.Time) {
-	if !p.warmth.reported.Before(p.changed) || now.Sub(p.changed) > p.settings.ReportTimeout {
+	if p.informed(now, p.changed) {
 		p.share = p.target
 	}
 }
 
+// informed reports whether a load report has come since t. An endpoint that
+// gives none for long is served without, at its cold slots; the time of a
+// pause of this process does not count.
+func (p *place) informed(now, t time.Time) bool {
+	return !p.warmth.reported.Before(t) || now.Sub(later(t, p.resumed)) > p.settings.ReportTimeout
+}
+
 // refresh brings what depends on reports up to now.
 func (p *place) refresh(now time.Time) {
 	p.warmth.lapse(now, p.settings.ReportTimeout)
@@ -94,12 +102,12 @@
 }
 
 // open reports whether new work may be sent at all. A new owner waits for a
-// report that shows what a former owner sent, but not for ever.
+// report that shows what a former owner sent.
 func (p *place) open(now time.Time) bool {
 	if !p.held || p.owned.Out || p.warmth.leaving || now.Before(p.owned.After) {
 		return false
 	}
-	return !p.warmth.reported.Before(p.owned.After) || now.Sub(p.owned.After) > p.settings.ReportTimeout
+	return p.informed(now, p.owned.After)
 }
 
 // bound returns the number of attempts that may run at the endpoint now.
