--- /dev/null
+++ b/cascade/experiment_test.go
@@ -0,0 +1,254 @@
+package cascade_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"fescuelatch"
+	"fescuelatch/cascade"
+	"fescuelatch/quality"
+)
+
+// This file compares policies offline. A request has a hidden difficulty; a
+// version answers well when the difficulty, partly shared between versions,
+// is below its limit. The ratings between steps err; those for the quality
+// model are late and sampled.
+
+const (
+	seeds          = 5
+	sharedPart     = 0.5  // of the variance of difficulty, shared by versions
+	detection      = 0.9  // of bad answers by the rating between steps
+	falseRejection = 0.05 // of good answers by the rating between steps
+	ratedShare     = 0.1  // of first answers, rated for the quality model
+	ratingDelay    = 30   // requests
+	streamedShare  = 0.3
+)
+
+var epoch = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+func inventory() []fescuelatch.Version {
+	return []fescuelatch.Version{
+		{ID: "small-3", Model: "triage", Quality: 0.82, PromptCost: 40, OutputCost: 120, Weight: 1},
+		{ID: "small-4", Model: "triage", Quality: 0.87, PromptCost: 60, OutputCost: 180, Weight: 1},
+		{ID: "base-2", Model: "triage", Quality: 0.94, PromptCost: 220, OutputCost: 660, Weight: 1},
+		{ID: "large-6", Model: "triage", Quality: 0.97, PromptCost: 1200, OutputCost: 3600, Weight: 1},
+	}
+}
+
+// rating is a rating on its way to the quality model.
+type rating struct {
+	version fescuelatch.VersionID
+	score   float64
+}
+
+// world answers requests and counts what they cost.
+type world struct {
+	random   *rand.Rand
+	now      time.Time
+	versions []fescuelatch.Version
+	truth    map[fescuelatch.VersionID]float64
+	policy   fescuelatch.VersionPolicy
+	model    fescuelatch.QualityModel
+	late     []rating
+
+	requests, good int
+	cost           float64
+	// answers counts the answers given by version.
+	answers map[fescuelatch.VersionID]int
+}
+
+// newWorld returns a world whose versions differ from their configured
+// quality by up to spread.
+func newWorld(seed uint64, p fescuelatch.VersionPolicy, m fescuelatch.QualityModel, spread float64) *world {
+	w := &world{
+		random:   rand.New(rand.NewPCG(seed, 4)),
+		now:      epoch,
+		versions: inventory(),
+		truth:    make(map[fescuelatch.VersionID]float64),
+		policy:   p,
+		model:    m,
+		answers:  make(map[fescuelatch.VersionID]int),
+	}
+	for _, v := range w.versions {
+		w.truth[v.ID] = v.Quality + spread*(2*w.random.Float64()-1)
+	}
+	m.Configure(w.now, w.versions)
+	return w
+}
+
+func (w *world) candidates() []fescuelatch.Candidate {
+	var list []fescuelatch.Candidate
+	for _, v := range w.versions {
+		h := w.model.Health(w.now, v.ID)
+		if h == fescuelatch.HealthQuarantined {
+			continue
+		}
+		list = append(list, fescuelatch.Candidate{
+			Version: v, Estimate: w.model.Estimate(w.now, v.ID), Health: h, Spare: 8, Latency: time.Second,
+		})
+	}
+	return list
+}
+
+// serve runs one request with the given need.
+func (w *world) serve(need float64) {
+	w.now = w.now.Add(50 * time.Millisecond)
+	r := fescuelatch.Request{
+		Quality: need, Idempotent: true, Streamed: w.random.Float64() < streamedShare,
+		PromptTokens: 1000, OutputTokens: 250, Deadline: w.now.Add(20 * time.Second),
+	}
+	plan := w.policy.Plan(w.now, &r, w.candidates(), w.random.Float64())
+	shared := w.random.NormFloat64()
+	w.requests++
+	for i, v := range plan {
+		good := w.answer(v, shared)
+		if i == 0 {
+			w.rate(v, good)
+		}
+		if i < len(plan)-1 && w.rejected(good) {
+			continue
+		}
+		w.answers[v]++
+		if good {
+			w.good++
+		}
+		return
+	}
+}
+
+// answer charges one answer of v and reports whether it is good.
+func (w *world) answer(v fescuelatch.VersionID, shared float64) bool {
+	for _, c := range w.versions {
+		if c.ID == v {
+			w.cost += float64(c.PromptCost) + float64(c.OutputCost)/4
+		}
+	}
+	difficulty := math.Sqrt(sharedPart)*shared + math.Sqrt(1-sharedPart)*w.random.NormFloat64()
+	return difficulty <= distuv.UnitNormal.Quantile(w.truth[v])
+}
+
+// rejected is the rating between two steps.
+func (w *world) rejected(good bool) bool {
+	if good {
+		return w.random.Float64() < falseRejection
+	}
+	return w.random.Float64() < detection
+}
+
+// rate samples a first answer for the quality model, which learns of it
+// late.
+func (w *world) rate(v fescuelatch.VersionID, good bool) {
+	if w.random.Float64() < ratedShare {
+		score := 0.0
+		if good {
+			score = 1
+		}
+		w.late = append(w.late, rating{v, score})
+	}
+	if len(w.late) > ratingDelay*ratedShare {
+		w.model.ObserveRating(w.now, w.late[0].version, w.late[0].score)
+		w.late = w.late[1:]
+	}
+}
+
+func (w *world) quality() float64 { return float64(w.good) / float64(w.requests) }
+
+func (w *world) meanCost() float64 { return w.cost / float64(w.requests) }
+
+// contender is a policy with the model that it trusts.
+type contender struct {
+	name   string
+	policy fescuelatch.VersionPolicy
+	model  func() fescuelatch.QualityModel
+}
+
+func learned() fescuelatch.QualityModel { return quality.New("daemon-1", quality.Settings{}) }
+
+func static() fescuelatch.QualityModel { return &quality.Static{} }
+
+func contenders() []contender {
+	return []contender{
+		{"policy, learned", &cascade.Policy{}, learned},
+		{"policy, static", &cascade.Policy{}, static},
+		{"always best", cascade.AlwaysBest{}, learned},
+		{"always cheapest", cascade.AlwaysCheapest{}, learned},
+	}
+}
+
+// TestCostAtQuality compares cost at a quality target.
+func TestCostAtQuality(t *testing.T) {
+	const requests, spread, slack = 10000, 0.02, 0.01
+	for _, need := range []float64{0.8, 0.86, 0.9, 0.93, 0.95} {
+		costs := map[string]float64{}
+		for _, c := range contenders() {
+			total, lowest := 0.0, 1.0
+			for seed := range uint64(seeds) {
+				w := newWorld(seed, c.policy, c.model(), spread)
+				for range requests {
+					w.serve(need)
+				}
+				total += w.meanCost() / seeds
+				lowest = min(lowest, w.quality())
+				if c.name == "policy, learned" {
+					qt.Check(t, w.quality() >= need-slack, qt.IsTrue, qt.Commentf("need %.2f seed %d: %.3f", need, seed, w.quality()))
+				}
+			}
+			t.Logf("need %.2f, %-15s: cost %6.1f, lowest quality %.3f", need, c.name, total, lowest)
+			costs[c.name] = total
+		}
+		qt.Check(t, costs["policy, learned"] < costs["always best"], qt.IsTrue)
+	}
+}
+
+// TestTurnedBad counts the answers that a version gives after it has turned
+// bad.
+func TestTurnedBad(t *testing.T) {
+	const before, after, need = 4000, 8000, 0.86
+	answers, qualities := map[string]int{}, map[string]float64{}
+	for _, c := range contenders() {
+		for seed := range uint64(seeds) {
+			w := newWorld(seed, c.policy, c.model(), 0)
+			for range before {
+				w.serve(need)
+			}
+			w.truth["small-4"], w.truth["small-3"] = 0.5, 0.5
+			w.answers, w.requests, w.good = map[fescuelatch.VersionID]int{}, 0, 0
+			for range after {
+				w.serve(need)
+			}
+			answers[c.name] += w.answers["small-4"] + w.answers["small-3"]
+			qualities[c.name] += w.quality() / seeds
+		}
+		t.Logf("%-15s: %5d of %d answers by bad versions, quality %.3f", c.name, answers[c.name], seeds*after, qualities[c.name])
+	}
+	qt.Check(t, answers["policy, learned"] < answers["policy, static"]/4, qt.IsTrue)
+	qt.Check(t, qualities["policy, learned"] >= need, qt.IsTrue)
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, copies := range []int{1, 3, 10} {
+		w := newWorld(1, &cascade.Policy{}, static(), 0)
+		list := w.candidates()
+		n := len(list)
+		for i := n; i < copies*n; i++ {
+			c := list[i-n]
+			c.Version.ID += "x"
+			c.Version.PromptCost += 7
+			c.Estimate.Mean += 0.002
+			list = append(list, c)
+		}
+		b.Run(fmt.Sprintf("%d candidates", len(list)), func(b *testing.B) {
+			r := fescuelatch.Request{Quality: 0.93, Idempotent: true}
+			b.ReportAllocs()
+			for i := range b.N {
+				w.policy.Plan(epoch, &r, list, float64(i%1000)/1000)
+			}
+		})
+	}
+}
--- a/cascade/option.go
+++ b/cascade/option.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"gonum.org/v1/gonum/stat/distuv"
+
 	"fescuelatch"
 )
 
@@ -26,10 +28,10 @@
 }
 
 // newOption returns the option that candidate c is for request r.
-func newOption(r *fescuelatch.Request, c *fescuelatch.Candidate, s *Settings) option {
+func newOption(r *fescuelatch.Request, c *fescuelatch.Candidate, s *Settings, u float64) option {
 	o := option{
 		version: c.Version.ID,
-		quality: c.Estimate.Mean,
+		quality: sample(&c.Estimate, s.Caution, u),
 		cost:    price(r, &c.Version),
 		latency: c.Latency,
 	}
@@ -40,6 +42,27 @@
 	return o
 }
 
+// deviations is the number of standard deviations between the ends of an
+// estimate's interval, taken as the central 90 % of a normal distribution.
+const deviations = 3.29
+
+// sample draws a quality from the distribution that e describes (Thompson
+// sampling). A version with few ratings is thus tried in part of the
+// requests, until ratings settle whether it suffices; with the mean alone, a
+// few bad ratings would keep a version from ever being rated again.
+func sample(e *fescuelatch.Estimate, caution, u float64) float64 {
+	width := e.High - e.Low
+	if width <= 0 {
+		return e.Mean
+	}
+	u = min(max(u, minTail), 1-minTail)
+	q := e.Mean - caution*(e.Mean-e.Low) + width/deviations*distuv.UnitNormal.Quantile(u)
+	return min(max(q, 0), 1)
+}
+
+// minTail keeps quantiles finite.
+const minTail = 1e-6
+
 // price returns the cost of one answer of v to r.
 func price(r *fescuelatch.Request, v *fescuelatch.Version) float64 {
 	prompt, output := r.PromptTokens, r.OutputTokens
--- a/cascade/plan.go
+++ b/cascade/plan.go
@@ -20,11 +20,10 @@
 	cost float64
 	// latency is the time to the end of the last step.
 	latency time.Duration
-	// reach is the probability that the last step is taken, good and bad
-	// split it by whether that step's predecessors would have been good.
+	// reach is the probability that the last step is taken.
 	reach float64
-	// failed is the quality that the steps before the last were unable to
-	// reach; a correlated successor loses that share.
+	// failed is the share of requests on which the steps before the last
+	// are taken to have failed at best; it lowers the quality of the last.
 	failed float64
 	// accepted is the probability that a step before the last one ends the
 	// plan with a good answer.
@@ -92,6 +91,11 @@
 // meets reports whether p reaches the quality that is asked for.
 func (g *goal) meets(p *plan) bool { return p.quality >= g.quality-tolerance }
 
+// fits reports whether p is expected to end in time.
+func (g *goal) fits(p *plan, s *Settings) bool {
+	return g.budget <= 0 || float64(p.latency)*s.LatencyMargin <= float64(g.budget)
+}
+
 // better reports whether p is to be preferred to q. A plan that meets the
 // quality goes before one that does not; among those that do the cheaper one
 // is better, and among those that do not the one of higher quality.
@@ -130,7 +134,7 @@
 			continue
 		}
 		next := p.extend(list, i, s)
-		if g.budget > 0 && next.latency > g.budget {
+		if !g.fits(&next, s) {
 			continue
 		}
 		if g.better(&next, best) {
--- a/cascade/policy.go
+++ b/cascade/policy.go
@@ -42,7 +42,12 @@
 	if r.Streamed || !r.Idempotent {
 		g.steps = 1
 	}
-	return g.plan(r, list, &s, u)
+	random := newUniforms(u)
+	plan := g.plan(r, list, &s, &random)
+	if len(plan) > 1 && random.next() < s.DirectShare {
+		plan = plan[len(plan)-1:]
+	}
+	return plan
 }
 
 // pinned returns the only version that may serve r, if there is one. A
@@ -77,8 +82,13 @@
 // versions in use, then whatever is left. A later set is only used when the
 // earlier ones hold no plan that meets the quality; suspects are only added
 // when there is no other version.
-func (g *goal) plan(r *fescuelatch.Request, list []fescuelatch.Candidate, s *Settings, u float64) []fescuelatch.VersionID {
-	options, best := g.among(r, list, draw(list, s, u), s)
+func (g *goal) plan(r *fescuelatch.Request, list []fescuelatch.Candidate, s *Settings, random *uniforms) []fescuelatch.VersionID {
+	all := make([]option, len(list))
+	for i := range list {
+		all[i] = newOption(r, &list[i], s, random.next())
+	}
+	options := among(all, draw(list, s, random))
+	best := g.search(options, s)
 	if best.n > 0 && g.meets(&best) {
 		return versions(options, best)
 	}
@@ -86,22 +96,21 @@
 	if len(good) == 0 {
 		good = rest
 	}
-	options, best = g.among(r, list, good, s)
+	options = among(all, good)
+	best = g.search(options, s)
 	if best.n > 0 {
 		return versions(options, best)
 	}
 	return fastest(options)
 }
 
-// among returns the best plan over the candidates with the given indices,
-// and the options that it refers to.
-func (g *goal) among(r *fescuelatch.Request, list []fescuelatch.Candidate, indices []int, s *Settings) ([]option, plan) {
+// among returns the pruned options with the given indices.
+func among(all []option, indices []int) []option {
 	options := make([]option, 0, len(indices))
 	for _, i := range indices {
-		options = append(options, newOption(r, &list[i], s))
+		options = append(options, all[i])
 	}
-	options = prune(options)
-	return options, g.search(options, s)
+	return prune(options)
 }
 
 // inUse splits the indices of the candidates with a weight into good ones
--- a/cascade/settings.go
+++ b/cascade/settings.go
@@ -19,6 +19,17 @@
 	// RatingTime is the time that the rating of an answer takes before the
 	// next version is tried. The default is 200 ms.
 	RatingTime time.Duration
+	// LatencyMargin multiplies the expected latency of a plan before it is
+	// compared with the time left. The default is 1.5.
+	LatencyMargin float64
+	// DirectShare is the share of cascades that skip to their last version.
+	// Only the first answers of plans are representative, so without them
+	// versions that come last would not be rated. The default is 0.01.
+	DirectShare float64
+	// Caution lowers the quality that a version is credited with, as a part
+	// of the distance from the mean to the low end of its estimate. The
+	// default is 0.1.
+	Caution float64
 	// SuspectShare is the share of requests for which a suspect version is
 	// considered although a good one is there. The default is 0.05.
 	SuspectShare float64
@@ -34,6 +45,9 @@
 	defaultFalseRejection  = 0.05
 	defaultCorrelation     = 0.5
 	defaultRatingTime      = 200 * time.Millisecond
+	defaultLatencyMargin   = 1.5
+	defaultDirectShare     = 0.01
+	defaultCaution         = 0.1
 	defaultSuspectShare    = 0.05
 	defaultSaturatedFactor = 2
 )
@@ -50,6 +64,9 @@
 	fill(&s.FalseRejection, defaultFalseRejection)
 	fill(&s.Correlation, defaultCorrelation)
 	fill(&s.RatingTime, defaultRatingTime)
+	fill(&s.LatencyMargin, defaultLatencyMargin)
+	fill(&s.DirectShare, defaultDirectShare)
+	fill(&s.Caution, defaultCaution)
 	fill(&s.SuspectShare, defaultSuspectShare)
 	fill(&s.SaturatedFactor, defaultSaturatedFactor)
 	return s
--- a/cascade/share.go
+++ b/cascade/share.go
@@ -44,8 +44,7 @@
 // Versions that differ in cost compete by cost; each such lot takes part in
 // its weight's share of the heaviest lot of the model. Suspects take part in
 // their reduced share.
-func draw(list []fescuelatch.Candidate, s *Settings, u float64) []int {
-	g := newUniforms(u)
+func draw(list []fescuelatch.Candidate, s *Settings, g *uniforms) []int {
 	var lots []lot
 	for i := range list {
 		c := &list[i]
@@ -55,7 +54,7 @@
 		}
 		lots = enter(lots, &c.Version, i, y)
 	}
-	return admit(lots, &g)
+	return admit(lots, g)
 }
 
 // enter adds candidate i to its lot and lets it replace the chosen one with a
--- a/quality/example_test.go
+++ b/quality/example_test.go
@@ -41,5 +41,5 @@
 	e := b.Estimate(now, "triage@small-4")
 	fmt.Printf("%.2f from %.0f ratings\n", e.Mean, e.Samples)
 	// Output:
-	// 0.79 from 60 ratings
+	// 0.82 from 60 ratings
 }
--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -1,6 +1,7 @@
 package quality
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -36,12 +37,12 @@
 		name      string
 		version   fescuelatch.VersionID
 		good, bad int
-		low, high float64
+		want      float64
 	}{
-		{"prior", "triage@small", 0, 0, 0.89, 0.91},
-		{"better than expected", "triage@small", 200, 0, 0.97, 1},
-		{"worse than expected", "triage@small", 100, 100, 0.5, 0.56},
-		{"unknown", "triage@other", 10, 0, 0, 0},
+		{"prior", "triage@small", 0, 0, 0.9},
+		{"better than expected", "triage@small", 200, 0, 0.98},
+		{"worse than expected", "triage@small", 100, 100, 0.58},
+		{"unknown", "triage@other", 10, 0, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -54,7 +55,7 @@
 				m.ObserveRating(epoch, test.version, 0)
 			}
 			e := m.Estimate(epoch, test.version)
-			c.Assert(e.Mean >= test.low && e.Mean <= test.high, qt.IsTrue, qt.Commentf("%+v", e))
+			c.Assert(math.Abs(e.Mean-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%+v", e))
 			c.Assert(e.Low <= e.Mean && e.Mean <= e.High, qt.IsTrue, qt.Commentf("%+v", e))
 		})
 	}
--- a/quality/settings.go
+++ b/quality/settings.go
@@ -7,7 +7,7 @@
 // Settings tune a Model. A zero field takes its default.
 type Settings struct {
 	// PriorWeight is the number of ratings that a version's configured
-	// quality counts as. The default is 20.
+	// quality counts as. The default is 50.
 	PriorWeight float64
 	// HalfLife is the time in which evidence loses half its weight in
 	// estimates. The default is 30 minutes.
@@ -53,7 +53,7 @@
 
 // Defaults of Settings.
 const (
-	defaultPriorWeight    = 20
+	defaultPriorWeight    = 50
 	defaultHalfLife       = 30 * time.Minute
 	defaultExpiry         = 2 * time.Hour
 	defaultMaxSkew        = time.Minute
