--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -12,20 +12,35 @@
 // This file defines prefix affinity: rendezvous hashing of a prompt's prefix
 // over the spots with spare capacity.
 
-// affine returns the spot of the highest rendezvous score. All daemons agree
-// on the order of the same spots, and a spot that is full passes its prefixes
-// on to different others.
-func (c *choice) affine() int {
-	chosen, highest := none, math.Inf(-1)
+// affine returns the spot of the highest rendezvous score among those with
+// enough spare capacity, or none. All daemons agree on the order of the same
+// spots, and a spot that is short passes its prefixes on to different others.
+//
+// Several daemons send to spots that are not their own, and know of each
+// other's sends with a lag only. A popular prefix is therefore shared there
+// by the two spots of the highest scores, in proportion to their weights.
+func (c *choice) affine(u float64) int {
+	first, second := none, none
+	highest, next := math.Inf(-1), math.Inf(-1)
 	for i := range c.spots {
-		if c.spare(i) <= 0 {
+		if w := c.weight(i); w <= 0 || w < c.settings.AffinityFloor*c.mean {
 			continue
 		}
-		if s := score(c.request.Prefix, &c.spots[i]); s > highest {
-			chosen, highest = i, s
+		switch s := score(c.request.Prefix, &c.spots[i]); {
+		case s > highest:
+			second, next = first, highest
+			first, highest = i, s
+		case s > next:
+			second, next = i, s
 		}
 	}
-	return chosen
+	if c.tier == tierOwn || second == none {
+		return first
+	}
+	if a, b := c.weight(first), c.weight(second); u*(a+b) >= a {
+		return second
+	}
+	return first
 }
 
 // score returns the rendezvous score of a spot for a prefix.
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -3,14 +3,13 @@
 //
 // Own endpoints go before daemons of the same failure domain, and these
 // before daemons elsewhere. Spare capacity of other daemons is known with a
-// lag, so a Policy draws in proportion to what is left after its own sends
-// instead of sending all work to the largest figure.
+// lag, so a Policy draws in proportion to it instead of sending all work to
+// the largest figure, and trusts a figure less the older it is.
 //
 // LeastLoaded and Random are baselines.
 package placement
 
 import (
-	"math"
 	"time"
 
 	"fescuelatch"
@@ -26,13 +25,32 @@
 
 // Settings tune a Policy. A zero field takes its default.
 type Settings struct {
-	// HalfLife is the age at which spare capacity that another daemon
-	// reported counts for half. The default is 5 seconds.
+	// HalfLife is the age at which the spare capacity that another daemon
+	// reported counts for half, and the mean of all counts for the rest. The
+	// default is 700 ms.
 	HalfLife time.Duration
+	// AffinityFloor is the part of the mean spare capacity below which a
+	// spot takes no requests for the sake of their prefix. The default is
+	// 0.25.
+	AffinityFloor float64
 }
 
-// defaultHalfLife is the default of Settings.HalfLife.
-const defaultHalfLife = 5 * time.Second
+// Defaults of Settings.
+const (
+	defaultHalfLife      = 700 * time.Millisecond
+	defaultAffinityFloor = 0.25
+)
+
+// withDefaults returns s with its zero fields filled in.
+func (s Settings) withDefaults() Settings {
+	if s.HalfLife == 0 {
+		s.HalfLife = defaultHalfLife
+	}
+	if s.AffinityFloor == 0 {
+		s.AffinityFloor = defaultAffinityFloor
+	}
+	return s
+}
 
 // none says that no spot qualifies.
 const none = -1
@@ -45,12 +63,9 @@
 
 // Choose implements fescuelatch.PlacementPolicy.
 func (p *Policy) Choose(now time.Time, r *fescuelatch.Request, spots []fescuelatch.Spot, u float64) int {
-	halfLife := p.Settings.HalfLife
-	if halfLife == 0 {
-		halfLife = defaultHalfLife
-	}
+	settings := p.Settings.withDefaults()
 	for t := tierOwn; t <= reach(r); t++ {
-		c := choice{now: now, request: r, spots: spots, tier: t, halfLife: halfLife}
+		c := choice{now: now, request: r, spots: spots, tier: t, settings: settings}
 		if i := c.choose(u); i != none {
 			return i
 		}
@@ -112,60 +127,3 @@
 	}
 	return none
 }
-
-// choice is one choice among the spots of a tier.
-type choice struct {
-	now      time.Time
-	request  *fescuelatch.Request
-	spots    []fescuelatch.Spot
-	tier     tier
-	halfLife time.Duration
-}
-
-// spare returns the capacity that is expected to be left at spot i: what was
-// reported less what was sent since, discounted by its age.
-func (c *choice) spare(i int) float64 {
-	s := &c.spots[i]
-	if tierOf(s) != c.tier {
-		return 0
-	}
-	left := float64(s.Spare - s.Sent)
-	if left <= 0 {
-		return 0
-	}
-	if c.tier == tierOwn {
-		return left
-	}
-	age := max(c.now.Sub(s.Seen), 0)
-	return left * math.Exp2(-age.Seconds()/c.halfLife.Seconds())
-}
-
-// choose returns a spot of the tier with spare capacity, or none.
-func (c *choice) choose(u float64) int {
-	if c.request.Prefix != 0 {
-		return c.affine()
-	}
-	return c.proportional(u)
-}
-
-// proportional draws a spot with a probability in proportion to its spare
-// capacity.
-func (c *choice) proportional(u float64) int {
-	total := 0.0
-	for i := range c.spots {
-		total += c.spare(i)
-	}
-	chosen := none
-	for i := range c.spots {
-		w := c.spare(i)
-		if w <= 0 {
-			continue
-		}
-		chosen = i
-		if u*total < w {
-			break
-		}
-		u -= w / total
-	}
-	return chosen
-}
--- /dev/null
+++ b/placement/property_test.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fescuelatch"
+)
+
+func drawSpot(t *rapid.T) fescuelatch.Spot {
+	id := rapid.StringMatching("[a-z]{3}").Draw(t, "id")
+	s := fescuelatch.Spot{
+		Spare: rapid.IntRange(-2, 10).Draw(t, "spare"),
+		Sent:  rapid.IntRange(0, 12).Draw(t, "sent"),
+		Local: rapid.Bool().Draw(t, "local"),
+		Seen:  epoch.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond),
+	}
+	if rapid.Bool().Draw(t, "own") {
+		s.Endpoint, s.Local, s.Sent = fescuelatch.EndpointID(id), true, 0
+	} else {
+		s.VM = fescuelatch.VMID(id)
+	}
+	return s
+}
+
+// nearest returns the nearest tier in which a spot has spare capacity left.
+func nearest(spots []fescuelatch.Spot) (tier, bool) {
+	for t := tierOwn; t <= tierRemote; t++ {
+		if slices.ContainsFunc(spots, func(s fescuelatch.Spot) bool { return tierOf(&s) == t && s.Spare > s.Sent }) {
+			return t, true
+		}
+	}
+	return 0, false
+}
+
+// TestChooseProperties checks what holds for every choice.
+func TestChooseProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spots := rapid.SliceOfN(rapid.Custom(drawSpot), 0, 12).Draw(t, "spots")
+		r := fescuelatch.Request{
+			Prefix:    rapid.SampledFrom([]uint64{0, 1, 2}).Draw(t, "prefix"),
+			Forwarded: rapid.Bool().Draw(t, "forwarded"),
+		}
+		u := rapid.Float64Range(0, 0.999999).Draw(t, "u")
+		var p Policy
+		i := p.Choose(epoch, &r, spots, u)
+		if i != p.Choose(epoch, &r, spots, u) {
+			t.Fatalf("the same arguments give another choice")
+		}
+		near, spare := nearest(spots)
+		switch {
+		case i < none || i >= len(spots):
+			t.Fatalf("index %d of %d", i, len(spots))
+		case i == none && spare && !r.Forwarded:
+			t.Fatalf("no choice although a spot has spare capacity")
+		case i == none:
+			return
+		case r.Forwarded && tierOf(&spots[i]) != tierOwn:
+			t.Fatalf("a forwarded request is forwarded again")
+		case spare && tierOf(&spots[i]) > near:
+			t.Fatalf("spot %d is farther than tier %d", i, near)
+		case spare && near == tierOwn && spots[i].Spare <= 0:
+			t.Fatalf("own endpoint %d is full", i)
+		}
+	})
+}
