Quality: sums of evidence change by what is merged

A merge beside 1,100 origins summed all of them anew, which at ten messages a second with forty versions each would have taken a daemon's whole budget of control work. The sums are now integers that evidence is added to and taken from; all evidence decays at one rate, so they need scaling only, and a new sum every 10 s drops what has expired. Floating sums were ruled out because their last bits depend on the order of arrival.

--- a/quality/evidence.go
+++ b/quality/evidence.go
@@ -9,12 +9,16 @@
 	"fescuelatch"
 )
 
-// This file defines how evidence is checked, ordered, decayed and pooled.
+// This file defines how evidence is checked, ordered, decayed and kept.
+
+// maxCount bounds the figures of a piece of evidence, so that the sums over
+// all origins stay in range.
+const maxCount = 1e8
 
 // valid reports whether e can be pooled at time now.
 func valid(now time.Time, e *fescuelatch.Evidence, s *Settings) bool {
-	for _, x := range []float64{e.Rated, e.Good, e.Attempts, e.Failed, e.Alarm} {
-		if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+	for _, x := range [...]float64{e.Rated, e.Good, e.Attempts, e.Failed, e.Alarm} {
+		if math.IsNaN(x) || x < 0 || x > maxCount {
 			return false
 		}
 	}
@@ -62,74 +66,46 @@
 	e.Updated = now
 }
 
-// counts are sums over the evidence of several origins.
-type counts struct {
-	rated, good, attempts, failed float64
-	// alarm is the sum of the statistics of origins many origins.
-	alarm   float64
-	origins int
-}
-
-// add adds e as it stands at now. The statistic does not decay.
-func (c *counts) add(now time.Time, e *fescuelatch.Evidence, halfLife time.Duration) {
-	w := decay(now.Sub(e.Updated), halfLife)
-	c.rated += w * e.Rated
-	c.good += w * e.Good
-	c.attempts += w * e.Attempts
-	c.failed += w * e.Failed
-	c.alarm += e.Alarm
-	c.origins++
-}
-
 // peers holds the newest evidence of each other daemon on one version,
-// ordered by origin so that sums do not depend on the order of arrival.
+// ordered by origin.
 type peers []fescuelatch.Evidence
 
-// put takes in e and reports whether it was new.
-func (p *peers) put(e fescuelatch.Evidence, limit int) bool {
+// put takes in e. It reports whether e was new, and what was dropped for it:
+// the former evidence of its origin, or the oldest one beyond the limit.
+func (p *peers) put(e fescuelatch.Evidence, limit int) (dropped fescuelatch.Evidence, ok bool) {
 	i, found := slices.BinarySearchFunc(*p, e.Origin, func(x fescuelatch.Evidence, o fescuelatch.Incarnation) int {
 		return cmp.Compare(x.Origin, o)
 	})
 	if found {
-		if compare(&e, &(*p)[i]) <= 0 {
-			return false
+		dropped = (*p)[i]
+		if compare(&e, &dropped) <= 0 {
+			return fescuelatch.Evidence{}, false
 		}
 		(*p)[i] = e
-		return true
+		return dropped, true
 	}
 	*p = slices.Insert(*p, i, e)
 	if len(*p) > limit {
-		p.evict()
+		dropped = p.evict()
 	}
-	return true
+	return dropped, true
 }
 
 // evict drops the evidence that was updated first, which is also the one to
 // expire first.
-func (p *peers) evict() {
+func (p *peers) evict() fescuelatch.Evidence {
 	oldest := 0
 	for i := range *p {
 		if (*p)[i].Updated.Before((*p)[oldest].Updated) {
 			oldest = i
 		}
 	}
+	dropped := (*p)[oldest]
 	*p = slices.Delete(*p, oldest, oldest+1)
+	return dropped
 }
 
 // expire drops evidence that is too old.
 func (p *peers) expire(now time.Time, s *Settings) {
 	*p = slices.DeleteFunc(*p, func(e fescuelatch.Evidence) bool { return expired(now, &e, s) })
 }
-
-// pool sums the evidence that was begun at or after epoch.
-func (p peers) pool(now, epoch time.Time, s *Settings) counts {
-	var c counts
-	for i := range p {
-		e := &p[i]
-		if e.Since.Before(epoch) || expired(now, e, s) {
-			continue
-		}
-		c.add(now, e, s.HalfLife)
-	}
-	return c
-}
--- a/quality/experiment_test.go
+++ b/quality/experiment_test.go
@@ -170,3 +170,20 @@
 		m.Estimate(epoch.Add(time.Duration(i)*time.Millisecond), "triage@small")
 	}
 }
+
+// BenchmarkMerge takes in new evidence of one daemon on one version beside
+// that of 1,100 others, and asks for the verdict.
+func BenchmarkMerge(b *testing.B) {
+	m := newFleet(1, Settings{}).models[0]
+	for _, p := range newFleet(1100, Settings{}).models {
+		m.Merge(epoch, p.Evidence(epoch))
+	}
+	e := m.records["triage@small"].peers[500]
+	b.ReportAllocs()
+	for i := range b.N {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		e.Updated = now
+		m.Merge(now, []fescuelatch.Evidence{e})
+		m.Health(now, "triage@small")
+	}
+}
--- a/quality/model.go
+++ b/quality/model.go
@@ -38,8 +38,6 @@
 	// failed is the version of the last failure, and failedAt its time.
 	failed   fescuelatch.VersionID
 	failedAt time.Time
-	// expired is when old evidence was last dropped.
-	expired time.Time
 }
 
 // New returns a model for the daemon origin.
@@ -157,16 +155,9 @@
 func (m *Model) Merge(now time.Time, list []fescuelatch.Evidence) {
 	for _, e := range list {
 		r := m.records[e.Version]
-		if r == nil || e.Origin == m.origin || !valid(now, &e, &m.settings) {
+		if r == nil || e.Origin == "" || e.Origin == m.origin || !valid(now, &e, &m.settings) {
 			continue
 		}
 		r.merge(e, &m.settings)
 	}
-	if now.Sub(m.expired) < refreshInterval {
-		return
-	}
-	m.expired = now
-	for _, r := range m.records {
-		r.peers.expire(now, &m.settings)
-	}
 }
--- a/quality/property_test.go
+++ b/quality/property_test.go
@@ -48,10 +48,15 @@
 		a.Merge(epoch, list)
 		for i := range shuffled {
 			b.Merge(epoch, shuffled[i:i+1])
+			for _, r := range b.records {
+				r.counts(epoch, &b.settings)
+			}
 		}
 		for _, v := range versions {
 			require(t, len(a.records[v.ID].peers) <= limit, "%d origins", len(a.records[v.ID].peers))
 			require(t, slices.Equal(a.records[v.ID].peers, b.records[v.ID].peers), "%v", a.records[v.ID].peers)
+			x, y := a.records[v.ID].counts(epoch, &a.settings), b.records[v.ID].counts(epoch, &b.settings)
+			require(t, x == y, "%+v and %+v", x, y)
 			require(t, b.Estimate(epoch, v.ID) == a.Estimate(epoch, v.ID), "%v", a.Estimate(epoch, v.ID))
 			require(t, b.Health(epoch, v.ID) == a.Health(epoch, v.ID), "%v", a.Health(epoch, v.ID))
 		}
--- a/quality/record.go
+++ b/quality/record.go
@@ -10,8 +10,7 @@
 
 // This file defines what a Model keeps of one version.
 
-// refreshInterval is how long a pooled sum and an estimate are reused while
-// only time passes.
+// refreshInterval is how long an estimate is reused while only time passes.
 const refreshInterval = time.Second
 
 // failureInterval is the time in which further failures are taken for one
@@ -39,9 +38,8 @@
 	failureSum cusum
 	failing    []failing
 
-	peers    peers
-	pooled   counts
-	pooledAt time.Time
+	peers peers
+	pool  pool
 
 	verdict verdict
 
@@ -120,25 +118,31 @@
 
 // refresh forgets all cached sums.
 func (r *record) refresh() {
-	r.pooledAt = time.Time{}
+	r.pool = pool{}
 	r.changed()
 }
 
 // merge takes in the evidence of another daemon.
 func (r *record) merge(e fescuelatch.Evidence, s *Settings) {
-	if r.peers.put(e, s.MaxOrigins) {
-		r.refresh()
+	dropped, ok := r.peers.put(e, s.MaxOrigins)
+	if !ok {
+		return
 	}
+	r.pool.add(&e, 1)
+	if dropped.Origin != "" {
+		r.pool.add(&dropped, -1)
+	}
+	r.changed()
 }
 
 // counts returns the evidence of all daemons at now.
 func (r *record) counts(now time.Time, s *Settings) counts {
-	if r.pooledAt.IsZero() || now.Sub(r.pooledAt) >= refreshInterval {
-		r.pooled = r.peers.pool(now, r.verdict.epoch, s)
-		r.pooledAt = now
+	if r.pool.stale(now) {
+		r.peers.expire(now, s)
+		r.pool = newPool(now, r.verdict.epoch, s.HalfLife, r.peers)
 		r.changed()
 	}
-	c := r.pooled
+	c := r.pool.counts(now)
 	c.add(now, &r.own, s.HalfLife)
 	return c
 }
