Quality: a daemon that starts during a quarantine learns of it

Its own empty evidence raised the threshold of the sum over all daemons, so a sum that had just passed the others' threshold did not pass its own; and good ratings that came late lowered the statistic of a quarantined version. Origins without an observation are no longer counted, and the statistic stands still during a quarantine. TestLateStart fails without the change and passes with it, for 1, 8 and 52 daemons.

--- a/quality/experiment_test.go
+++ b/quality/experiment_test.go
@@ -20,10 +20,14 @@
 type fleet struct {
 	models []*Model
 	now    time.Time
+	rated  int
+	// always makes suspects get all requests, which counts delays in
+	// ratings.
+	always bool
 }
 
 func newFleet(n int, s Settings) *fleet {
-	f := &fleet{now: epoch}
+	f := &fleet{now: epoch, always: true}
 	for i := range n {
 		m := New(fescuelatch.Incarnation(fmt.Sprintf("daemon-%03d", i)), s)
 		m.Configure(epoch, versions[1:])
@@ -32,13 +36,18 @@
 	return f
 }
 
-// round rates one answer at each model that still uses the version.
+// suspectShare is the share of requests that a suspect version gets.
+const suspectShare = 0.05
+
+// round rates one answer at each model that uses the version.
 func (f *fleet) round(r *rand.Rand, p float64) {
 	f.now = f.now.Add(time.Second)
 	var all []fescuelatch.Evidence
 	for _, m := range f.models {
-		if m.Health(f.now, "triage@small") != fescuelatch.HealthQuarantined {
+		h := m.Health(f.now, "triage@small")
+		if h == fescuelatch.HealthGood || f.always && h != fescuelatch.HealthQuarantined || h == fescuelatch.HealthSuspect && r.Float64() < suspectShare {
 			m.ObserveRating(f.now, "triage@small", draw(r, p))
+			f.rated++
 		}
 		all = append(all, m.Evidence(f.now)...)
 	}
@@ -47,6 +56,11 @@
 	}
 }
 
+// all reports whether all models have the verdict h.
+func (f *fleet) all(h fescuelatch.Health) bool {
+	return !slices.ContainsFunc(f.models, func(m *Model) bool { return m.Health(f.now, "triage@small") != h })
+}
+
 // quarantined returns the number of models that quarantine the version.
 func (f *fleet) quarantined() int {
 	n := 0
@@ -149,6 +163,34 @@
 	qt.Check(t, good >= trials*9/10, qt.IsTrue)
 }
 
+// TestReturn runs a version that is bad for half an hour and then mended. It
+// may give few answers while it is bad, and must return in time: quarantines
+// double, so that the last one lasts as long as all before it.
+func TestReturn(t *testing.T) {
+	const bad, limit = 30 * time.Minute, time.Hour
+	for _, daemons := range []int{1, 8} {
+		for seed := range uint64(seeds) {
+			r := rand.New(rand.NewPCG(seed, 6))
+			f := newFleet(daemons, Settings{})
+			f.always = false
+			for range 200 {
+				f.round(r, 0.9)
+			}
+			f.rated = 0
+			for range int(bad / time.Second) {
+				f.round(r, 0.5)
+			}
+			answers, mended := f.rated, f.now
+			for !f.all(fescuelatch.HealthGood) && f.now.Sub(mended) <= limit {
+				f.round(r, 0.9)
+			}
+			t.Logf("%d daemons, seed %d: %d answers while bad, %v until good again", daemons, seed, answers, f.now.Sub(mended))
+			qt.Check(t, answers <= daemons*int(bad/time.Second)/10, qt.IsTrue)
+			qt.Check(t, f.now.Sub(mended) <= limit, qt.IsTrue)
+		}
+	}
+}
+
 func BenchmarkObserveRating(b *testing.B) {
 	m := newFleet(1, Settings{}).models[0]
 	b.ReportAllocs()
--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -116,3 +116,24 @@
 		})
 	}
 }
+
+// TestLateStart checks that a daemon that starts during a quarantine learns
+// of it from the others.
+func TestLateStart(t *testing.T) {
+	for _, daemons := range []int{1, 8, 52} {
+		f := newFleet(daemons, Settings{})
+		for f.quarantined() < daemons {
+			f.round(rand.New(rand.NewPCG(7, 7)), 0)
+		}
+		for _, m := range f.models {
+			m.ObserveRating(f.now, "triage@small", 1)
+		}
+		f.now = f.now.Add(defaultQuarantine - time.Second)
+		late := New("late", Settings{})
+		late.Configure(f.now, versions)
+		for _, m := range f.models {
+			late.Merge(f.now, m.Evidence(f.now))
+		}
+		qt.Check(t, late.Health(f.now, "triage@small"), qt.Equals, fescuelatch.HealthQuarantined, qt.Commentf("%d daemons", daemons))
+	}
+}
--- a/quality/pool.go
+++ b/quality/pool.go
@@ -25,9 +25,16 @@
 	c.attempts += w * e.Attempts
 	c.failed += w * e.Failed
 	c.alarm += e.Alarm
-	c.origins++
+	if observed(e) {
+		c.origins++
+	}
 }
 
+// observed reports whether e holds any observation. The statistic of an
+// origin without one is 0 for certain, and must not raise the threshold of
+// the sum: a daemon that has just started would not believe the others.
+func observed(e *fescuelatch.Evidence) bool { return e.Rated+e.Attempts > 0 }
+
 const (
 	// poolUnit is the fixed-point unit of a pool's sums.
 	poolUnit = 1 << 20
@@ -75,7 +82,9 @@
 	p.attempts += sign * int64(w*e.Attempts)
 	p.failed += sign * int64(w*e.Failed)
 	p.alarm += sign * int64(poolUnit*e.Alarm)
-	p.origins += int(sign)
+	if observed(e) {
+		p.origins += int(sign)
+	}
 }
 
 // counts returns the sums as they stand at now.
--- a/quality/record.go
+++ b/quality/record.go
@@ -70,8 +70,7 @@
 	age(&r.own, now, s.HalfLife)
 	r.own.Rated++
 	r.own.Good += score
-	r.ratingSum.add(r.ratings.ratio(score))
-	r.own.Alarm = combine(r.ratingSum, r.failureSum)
+	r.test(&r.ratingSum, r.ratings.ratio(score))
 	r.changed()
 }
 
@@ -80,7 +79,16 @@
 	age(&r.own, now, s.HalfLife)
 	r.own.Attempts++
 	r.own.Failed += 1 - score
-	r.failureSum.add(r.attempts.ratio(score))
+	r.test(&r.failureSum, r.attempts.ratio(score))
+}
+
+// test adds a ratio to one of the statistics. During a quarantine they stand
+// still, so that a daemon that starts meanwhile sees why.
+func (r *record) test(c *cusum, ratio float64) {
+	if r.verdict.machine.State() == stateQuarantined {
+		return
+	}
+	c.add(ratio)
 	r.own.Alarm = combine(r.ratingSum, r.failureSum)
 }
 
