Claims, bills, sessions and the adaptive gate join the daemon

A request that must not be repeated is claimed at the platform before its one dispatch; bills are copied to a daemon of another failure domain before an answer ends; a daemon without a configuration learns from the platform or its domain and serves nothing before.

--- a/caller/front.go
+++ b/caller/front.go
@@ -27,6 +27,9 @@
 	// defaultOutputTokens is the expected length of an answer that is not
 	// bounded by the caller.
 	defaultOutputTokens = 256
+	// ownKeyPrefix begins the claim keys of requests without an idempotency
+	// key. It holds a character that no header value may have.
+	ownKeyPrefix = "request\x00"
 	// modelAuto asks for any model that the account may use.
 	modelAuto = "auto"
 )
@@ -37,13 +40,19 @@
 	Share   float64
 	// Attempt is set when another daemon forwards the request.
 	Attempt fescuelatch.AttemptID
-	// Chat is set for chat completions, Body for plain services.
+	// Chat is set for chat completions. Body is what the caller sent.
 	Chat *openai.ChatRequest
 	Body []byte
 	// Key is the caller's idempotency key, or empty.
 	Key string
+	// ClaimKey identifies a request that must not be repeated: the
+	// idempotency key, or one of the request's own.
+	ClaimKey string
 	// Session is the session header: a token or a bare identifier.
-	Session string
+	// SessionMove reports that the session may go on with another version
+	// when its own has been withdrawn.
+	Session     string
+	SessionMove bool
 }
 
 // Backend runs requests.
@@ -154,7 +163,10 @@
 		return
 	}
 	describe(q, chat)
-	c := &Call{Request: q, Share: a.account.Share, Chat: chat, Key: a.options.key, Session: a.options.session}
+	c := &Call{
+		Request: q, Share: a.account.Share, Chat: chat, Body: a.body, Key: a.options.key,
+		Session: a.options.session, SessionMove: a.options.move,
+	}
 	f.Backend.Serve(r.Context(), c, NewReply(w, string(a.id)))
 }
 
@@ -223,7 +235,10 @@
 	q.Service = service
 	q.Operation = operation.ID
 	q.Idempotent = operation.Idempotent
-	c := &Call{Request: q, Share: a.account.Share, Body: a.body, Key: a.options.key}
+	c := &Call{Request: q, Share: a.account.Share, Body: a.body, Key: a.options.key, ClaimKey: a.options.key}
+	if c.ClaimKey == "" {
+		c.ClaimKey = ownKeyPrefix + string(a.id)
+	}
 	f.Backend.Serve(r.Context(), c, NewReply(w, string(a.id)))
 }
 
--- a/caller/headers.go
+++ b/caller/headers.go
@@ -21,6 +21,7 @@
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderSession        = "Fescuelatch-Session"
+	HeaderSessionMove    = "Fescuelatch-Session-Move"
 	HeaderQuality        = "Fescuelatch-Quality"
 	HeaderTimeout        = "Fescuelatch-Timeout"
 	HeaderPriority       = "Fescuelatch-Priority"
@@ -46,6 +47,7 @@
 type options struct {
 	key      string
 	session  string
+	move     bool
 	quality  float64 // negative when absent
 	timeout  time.Duration
 	priority fescuelatch.Priority
@@ -61,6 +63,9 @@
 	if len(o.session) > maxSessionBytes {
 		return o, &Error{"parse headers", KindInvalid, errors.Errorf("%s is longer than %d bytes", HeaderSession, maxSessionBytes)}
 	}
+	if err := parseMove(h.Get(HeaderSessionMove), &o.move); err != nil {
+		return o, err
+	}
 	if err := parseQuality(h.Get(HeaderQuality), &o.quality); err != nil {
 		return o, err
 	}
@@ -70,6 +75,18 @@
 	return o, parsePriority(h.Get(HeaderPriority), &o.priority)
 }
 
+// sessionMoveAllow lets a session go on with another version when its own
+// has been withdrawn.
+const sessionMoveAllow = "allow"
+
+func parseMove(s string, move *bool) error {
+	if s != "" && s != sessionMoveAllow {
+		return &Error{"parse headers", KindInvalid, errors.Errorf("%s %q is not %q", HeaderSessionMove, s, sessionMoveAllow)}
+	}
+	*move = s == sessionMoveAllow
+	return nil
+}
+
 func parseQuality(s string, quality *float64) error {
 	if s == "" {
 		return nil
--- a/cmd/fescuelatchd/policies.go
+++ b/cmd/fescuelatchd/policies.go
@@ -29,7 +29,7 @@
 }
 
 var gates = []choice[fescuelatch.Gate]{
-	{"adaptive", func(fescuelatch.Incarnation) fescuelatch.Gate { return new(gate.Fixed) }},
+	{"adaptive", func(fescuelatch.Incarnation) fescuelatch.Gate { return gate.NewAdaptive(gate.Settings{}) }},
 	{"fixed", func(fescuelatch.Incarnation) fescuelatch.Gate { return new(gate.Fixed) }},
 }
 
--- /dev/null
+++ b/daemon/claims.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/claim"
+	"fescuelatch/engine"
+)
+
+// This file defines attempts of requests that must not be repeated: a claim
+// at the platform, then one dispatch.
+
+const (
+	// claimTimeout bounds the making of a claim.
+	claimTimeout = time.Second
+	// claimPause is how long no claim is tried after one could not be made,
+	// so that requests are refused at once while the platform is away.
+	claimPause = time.Second
+)
+
+// recordTimeout bounds the writing of a claim's end while its caller waits
+// for nothing any more.
+const recordTimeout = 2 * time.Second
+
+// attemptClaimed makes an attempt once the request has been claimed.
+func (s *serving) attemptClaimed(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
+	if !s.daemon.claimsTried() {
+		s.conclude(r, &answer{}, &engine.Error{
+			Op: "claim", Kind: engine.KindNotStarted, RetryAfter: claimPause, Err: errors.New("the platform is away"),
+		})
+		return
+	}
+	q := s.call.Request
+	l, err := s.daemon.claims.Claim(ctx, claim.Request{
+		Account: q.Account, Key: s.call.ClaimKey,
+		Fingerprint: claim.Fingerprint([]byte(string(q.Service) + "/" + string(q.Operation) + "\n" + string(s.call.Body))),
+		Claimant:    string(s.daemon.incarnation) + "/" + string(r.Attempt), Deadline: q.Deadline,
+	})
+	if err != nil {
+		if claim.KindOf(err) == claim.KindNotMade {
+			s.daemon.claimsAway.Store(time.Now().Add(claimPause).UnixNano())
+		}
+		s.conclude(r, &answer{}, claimError(err))
+		return
+	}
+	if l.State != claim.StateMine {
+		s.repeat(r, l)
+		return
+	}
+	if !s.daemon.mayStart(r, decided) || !l.Dispatch() {
+		s.release(ctx, l)
+		s.notStarted(r, errors.New("too late after the decision to start"))
+		return
+	}
+	v, err := s.send(ctx, t, &r)
+	s.daemon.work.Go(func() { s.finish(ctx, l, v, err) })
+	s.conclude(r, v, err)
+}
+
+// claimsTried reports whether claims are made at present.
+func (d *Daemon) claimsTried() bool { return time.Now().UnixNano() >= d.claimsAway.Load() }
+
+// repeat ends an attempt whose request is claimed elsewhere.
+func (s *serving) repeat(r fescuelatch.AttemptResult, l *claim.Claim) {
+	switch {
+	case l.State == claim.StateFinished && l.Answer != nil && !l.Answer.Omitted:
+		a := &engine.Answer{Status: l.Answer.Status, ContentType: l.Answer.ContentType, Body: l.Answer.Body}
+		s.conclude(r, &answer{service: a}, nil)
+	case l.State == claim.StateInProgress:
+		s.conclude(r, &answer{}, &engine.Error{Op: "claim", Kind: engine.KindInProgress, RetryAfter: time.Second})
+	default:
+		s.conclude(r, &answer{}, &engine.Error{Op: "claim", Kind: engine.KindClaimUnknown})
+	}
+}
+
+// finish records how a dispatched request ended. The caller does not wait
+// for it, and a failure is made up for in the background.
+func (s *serving) finish(ctx context.Context, l *claim.Claim, v *answer, err error) {
+	var e *engine.Error
+	if errors.As(err, &e) {
+		switch e.Kind {
+		case engine.KindNotStarted, engine.KindOverloaded, engine.KindRejected:
+			l.NotStarted()
+			s.release(ctx, l)
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err != nil {
+		s.recorded(l.Finish(ctx, fescuelatch.OutcomeUnknown, nil))
+		return
+	}
+	s.recorded(l.Finish(ctx, fescuelatch.OutcomeAnswered, &claim.Answer{
+		Status: v.service.Status, ContentType: v.service.ContentType, Body: v.service.Body,
+	}))
+}
+
+func (s *serving) release(ctx context.Context, l *claim.Claim) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	s.recorded(l.Release(ctx))
+}
+
+func (s *serving) recorded(err error) {
+	if err != nil {
+		s.daemon.log.Warn("claim not recorded yet", "request", s.call.Request.ID, "error", err.Error())
+	}
+}
+
+// claimError translates the failure to make a claim. Nothing was sent.
+func claimError(err error) *engine.Error {
+	e := &engine.Error{Op: "claim", Kind: engine.KindNotStarted, Err: err}
+	var c *claim.Error
+	if errors.As(err, &c) {
+		e.RetryAfter = c.RetryAfter
+		if c.Kind != claim.KindNotMade {
+			e.Kind = engine.KindRejected
+		}
+	}
+	return e
+}
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -23,7 +23,6 @@
 	followers      = 2
 	followInterval = time.Second
 	fetchTimeout   = 2 * time.Second
-	learnInterval  = 500 * time.Millisecond
 )
 
 // reachability is whether the platform could be reached last.
@@ -62,8 +61,8 @@
 		go d.resignWhenSuperseded(watching, cancel)
 		f := &configstore.Follower{
 			Store: d.store, Holder: d.holder,
-			Failed:  func(err error) { d.platform.set(false); d.log.Warn("platform", "error", err.Error()) },
-			Reached: func(fescuelatch.Generation) { d.platform.set(true); d.learned.Store(true) },
+			Failed:  func(err error) { d.reach.set(false); d.log.Warn("platform", "error", err.Error()) },
+			Reached: func(fescuelatch.Generation) { d.reach.set(true); d.becomeLearned() },
 		}
 		f.Run(watching)
 		cancel()
@@ -99,6 +98,11 @@
 // bringIntoForce hands each new configuration to the core and the ownership
 // table, and tells the daemons of the own failure domain of it.
 func (d *Daemon) bringIntoForce(ctx context.Context) {
+	select {
+	case <-d.learnedSignal:
+	case <-ctx.Done():
+		return
+	}
 	var g fescuelatch.Generation
 	for ctx.Err() == nil {
 		v, err := d.holder.Wait(ctx, g)
@@ -145,34 +149,76 @@
 }
 
 func (d *Daemon) fetchAfter(ctx context.Context, from netip.AddrPort, g fescuelatch.Generation) error {
-	reply, err := d.peers.Changes(ctx, from, &peer.ChangesRequest{After: g})
+	u, err := d.changesAfter(ctx, from, g)
 	if err != nil {
 		return err
 	}
-	var u configstore.Update
-	if err := json.Unmarshal(reply.Update, &u); err != nil {
-		return err
-	}
 	_, err = d.holder.Take(u)
 	return err
 }
 
-// learn brings a daemon that starts while the platform is away up to what
-// its failure domain has in force. Until the platform, or every seed that
-// can be asked, has answered, the daemon is not ready.
+// changesAfter asks a daemon for what leads from generation g to its own.
+func (d *Daemon) changesAfter(ctx context.Context, from netip.AddrPort, g fescuelatch.Generation) (configstore.Update, error) {
+	var u configstore.Update
+	reply, err := d.peers.Changes(ctx, from, &peer.ChangesRequest{After: g})
+	if err != nil {
+		return u, err
+	}
+	return u, json.Unmarshal(reply.Update, &u)
+}
+
+// learn brings a daemon that holds nothing up to what the platform or its
+// failure domain has in force. It is not ready before.
 func (d *Daemon) learn(ctx context.Context) {
-	for ctx.Err() == nil && !d.learned.Load() {
-		answered := 0
-		for _, s := range d.options.Seeds {
-			if d.fetch(ctx, s) {
-				answered++
-			}
+	s := &configstore.Starter{
+		Store: d.store, Holder: d.holder, VM: d.options.VM, Domain: d.options.Domain,
+		Peers: d.teachers, Gone: d.isGone,
+		Failed: func(err error) { d.log.Info("no configuration yet", "error", err.Error()) },
+	}
+	basis, err := s.Run(ctx)
+	if err != nil {
+		return
+	}
+	d.log.Info("configuration learned", "basis", basis, "generation", d.holder.Generation())
+	d.becomeLearned()
+}
+
+// becomeLearned lets the configuration held come into force.
+func (d *Daemon) becomeLearned() {
+	if d.learned.CompareAndSwap(false, true) {
+		close(d.learnedSignal)
+	}
+}
+
+// teachers returns the daemons to learn from.
+func (d *Daemon) teachers(c *fescuelatch.Configuration) []configstore.Peer {
+	var ps []configstore.Peer
+	if c == nil {
+		for _, a := range d.options.Seeds {
+			ps = append(ps, d.teacher("", a))
 		}
-		if answered > 0 && answered == len(d.options.Seeds) && d.holder.View() != nil {
-			d.learned.Store(true)
+		return ps
+	}
+	for _, m := range c.Inventory.VMs {
+		if m.ID != d.options.VM {
+			ps = append(ps, d.teacher(m.ID, m.Peer))
 		}
-		pause(ctx, learnInterval)
 	}
+	return ps
+}
+
+func (d *Daemon) teacher(vm fescuelatch.VMID, a netip.AddrPort) configstore.Peer {
+	since := func(ctx context.Context, g fescuelatch.Generation) (configstore.Update, error) {
+		return d.changesAfter(ctx, a, g)
+	}
+	return configstore.Peer{VM: vm, Since: since}
+}
+
+// isGone reports whether the list of VMs has been read and lacks a VM.
+func (d *Daemon) isGone(vm fescuelatch.VMID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed != nil && !d.listed[string(vm)]
 }
 
 // pause waits for t or the end of ctx.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -19,12 +20,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"fescuelatch"
+	"fescuelatch/billing"
 	"fescuelatch/caller"
+	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/engine"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
+	"fescuelatch/platform"
+	"fescuelatch/session"
 	"fescuelatch/token"
 )
 
@@ -50,6 +55,9 @@
 	Scrape   http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// FlushInterval is that of bills to the platform; zero means the
+	// default.
+	FlushInterval time.Duration
 }
 
 // Daemon is the daemon of one entry VM.
@@ -65,18 +73,31 @@
 	services    *engine.Client
 	metrics     *metrics
 
-	leaving  atomic.Bool
-	learned  atomic.Bool
-	platform reachability
+	batcher  *platform.Batcher
+	claims   *claim.Claimer
+	ledger   *billing.Ledger
+	keeper   *billing.Keeper
+	bindings *session.Store
+
+	// claimsAway is the time, in nanoseconds since 1970, until which no
+	// claim is tried.
+	claimsAway atomic.Int64
+
+	leaving atomic.Bool
+	learned atomic.Bool
+	// learnedSignal is closed when learned is set.
+	learnedSignal chan struct{}
+	reach         reachability
 
 	// mu guards the fields below it, which make up the decisions.
 	mu       sync.Mutex
 	core     *decision.Core
 	table    *ownership.Table
 	nextOwn  time.Time
+	listed   map[string]bool // VMs on the platform's list, nil before the first
 	vmsOut   map[string]bool // endpoints listed as leaving
 	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
-	sessions map[fescuelatch.RequestID]*serving
+	servings map[fescuelatch.RequestID]*serving
 	hellos   map[fescuelatch.VMID]heard
 
 	// work counts requests that are being served.
@@ -109,15 +130,33 @@
 		core:        decision.New(o.Core),
 		table:       t,
 		vmsOut:      make(map[string]bool),
-		reports:     make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
-		sessions:    make(map[fescuelatch.RequestID]*serving),
-		hellos:      make(map[fescuelatch.VMID]heard),
+
+		learnedSignal: make(chan struct{}),
+		reports:       make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
+		servings:      make(map[fescuelatch.RequestID]*serving),
+		hellos:        make(map[fescuelatch.VMID]heard),
 	}
+	d.keep(o)
 	d.engines = &engine.Client{HTTP: d.httpClient(false), Now: time.Now}
 	d.services = &engine.Client{HTTP: d.httpClient(true), Now: time.Now}
 	return d, nil
 }
 
+// keep sets up what is kept at the platform.
+func (d *Daemon) keep(o Options) {
+	d.batcher = &platform.Batcher{KV: o.KV}
+	d.claims = &claim.Claimer{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.bindings = &session.Store{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.ledger = &billing.Ledger{
+		Origin: d.incarnation, Submitter: d.batcher, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
+		Spread: func() float64 { return minSpread + rand.Float64() },
+	}
+	d.keeper = &billing.Keeper{Submitter: d.batcher, Now: time.Now, Copier: (*copier)(d)}
+}
+
+// minSpread is the least factor of a flush interval; the greatest is 1 more.
+const minSpread = 0.5
+
 const idlePerHost = 256
 
 // httpClient returns a client for endpoints and for daemons that requests
@@ -155,7 +194,7 @@
 
 func (d *Daemon) deliver(now time.Time, actions []decision.Action) {
 	for _, a := range actions {
-		s, ok := d.sessions[a.Of()]
+		s, ok := d.servings[a.Of()]
 		if !ok {
 			d.log.Error("action for an unknown request", "request", a.Of())
 			continue
@@ -186,8 +225,14 @@
 	d.deliver(now, d.core.Handle(now, decision.Owned{Endpoints: owned, Owners: owners}))
 }
 
-// View implements caller.Backend.
-func (d *Daemon) View() *fescuelatch.View { return d.holder.View() }
+// View implements caller.Backend. There is none until this daemon has
+// learned what its failure domain has in force.
+func (d *Daemon) View() *fescuelatch.View {
+	if !d.learned.Load() {
+		return nil
+	}
+	return d.holder.View()
+}
 
 var _ caller.Backend = (*Daemon)(nil)
 
@@ -237,6 +282,7 @@
 	case <-time.After(d.options.StopTimeout):
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
+	d.handOn()
 	d.log.Info("stopped")
 }
 
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -41,7 +41,7 @@
 		return
 	}
 	now := time.Now()
-	h, err := peer.ForwardHeader(s.daemon.options.FleetKey, s.call.Request, s.call.Share, a.Version, now)
+	h, err := peer.ForwardHeader(s.daemon.options.FleetKey, s.call, a.Version, now)
 	if err != nil {
 		s.notStarted(r, err)
 		return
@@ -56,25 +56,61 @@
 
 // attempt sends the request to t and tells the core how it ended.
 func (s *serving) attempt(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
-	sent := time.Now()
-	if sent.Sub(decided) > startWithin {
+	if !s.daemon.mayStart(r, decided) {
 		s.notStarted(r, errors.New("too late after the decision to start"))
 		return
 	}
+	v, err := s.send(ctx, t, &r)
+	s.conclude(r, v, err)
+}
+
+// send makes an attempt and fills in its result.
+func (s *serving) send(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult) (*answer, error) {
+	sent := time.Now()
 	v := &answer{}
 	var err error
 	if s.call.Chat != nil {
-		err = s.chat(ctx, t, &r, v, sent)
+		err = s.chat(ctx, t, r, v, sent)
 	} else {
-		err = s.service(ctx, t, &r, v)
+		err = s.service(ctx, t, r, v)
 	}
 	r.Total = time.Since(sent)
+	return v, err
+}
+
+// conclude tells the core how an attempt ended.
+func (s *serving) conclude(r fescuelatch.AttemptResult, v *answer, err error) {
 	s.settle(&r, err)
 	v.result = r
 	s.answers[r.Attempt] = v
 	s.daemon.decide(decision.Ended{Request: s.call.Request.ID, Result: r})
 }
 
+// mayStart reports whether an attempt may still be sent. The process may
+// have been paused, or a claim may have taken long, since the decision.
+func (d *Daemon) mayStart(r fescuelatch.AttemptResult, decided time.Time) bool {
+	now := time.Now()
+	if now.Sub(decided) <= startWithin {
+		return true
+	}
+	if r.Endpoint == "" {
+		return false
+	}
+	v := d.holder.View()
+	e, ok := v.Endpoint(r.Endpoint)
+	if !ok || v.EndpointOut(e) || v.Withdrawn(r.Version) {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, o := range d.table.Owned(now) {
+		if o.Endpoint.ID == r.Endpoint {
+			return !d.vmsOut[string(e.ID)]
+		}
+	}
+	return false
+}
+
 func (s *serving) chat(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult, v *answer, sent time.Time) error {
 	q := *s.call.Chat
 	q.Model = string(r.Version)
@@ -144,8 +180,7 @@
 
 // notStarted tells the core that nothing was sent.
 func (s *serving) notStarted(r fescuelatch.AttemptResult, err error) {
-	s.settle(&r, &engine.Error{Op: "start", Kind: engine.KindNotStarted, Err: err})
-	s.daemon.decide(decision.Ended{Request: s.call.Request.ID, Result: r})
+	s.conclude(r, &answer{}, &engine.Error{Op: "start", Kind: engine.KindNotStarted, Err: err})
 }
 
 // sample has an answer rated for learning, in the background.
@@ -180,18 +215,3 @@
 	}
 	d.log.Info("request ended", args...)
 }
-
-// attemptClaimed makes an attempt of a request that must not be repeated.
-func (s *serving) attemptClaimed(_ context.Context, _ engine.Target, r fescuelatch.AttemptResult, _ time.Time) {
-	s.notStarted(r, errors.New("claims are not served yet"))
-}
-
-func (s *serving) bill(context.Context, decision.Accept, *answer) {}
-
-func (s *serving) resolveSession(context.Context) bool { return true }
-
-// Hold implements peer.Handler.
-func (p *peerHandler) Hold(*peer.BillBatch, *peer.Ack) error { return nil }
-
-// Drop implements peer.Handler.
-func (p *peerHandler) Drop(*peer.BillKey, *peer.Ack) error { return nil }
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -62,6 +62,9 @@
 	g.Go(func() error { d.follow(ctx); return nil })
 	g.Go(func() error { d.bringIntoForce(ctx); return nil })
 	g.Go(func() error { d.learn(ctx); return nil })
+	for _, run := range []func(context.Context){d.batcher.Run, d.claims.Run, d.ledger.Run, d.keeper.Run} {
+		g.Go(func() error { run(ctx); return nil })
+	}
 }
 
 // hello says who this daemon is and what it has in force.
@@ -168,7 +171,7 @@
 		d.decideLocked(decision.Summarised{VM: h.VM, Domain: h.Domain, Spares: h.Spares, Evidence: h.Evidence, At: now})
 	}
 	d.mu.Unlock()
-	if h.Generation > d.holder.Generation() {
+	if d.learned.Load() && h.Generation > d.holder.Generation() {
 		d.fetchFrom(ctx, h.VM)
 	}
 }
@@ -248,6 +251,7 @@
 			d.table.Gone(now, m.ID)
 		}
 	}
+	d.listed = listed
 	d.vmsOut = leaving
 	d.refreshOwned(now)
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -14,6 +14,7 @@
 	scope        tally.Scope
 	forwards     tally.Counter
 	ratingErrors tally.Counter
+	billsUnsafe  tally.Counter
 	heartbeats   tally.Counter
 	silent       tally.Counter
 	generation   tally.Gauge
@@ -30,6 +31,7 @@
 		scope:        s,
 		forwards:     s.Counter("forwards"),
 		ratingErrors: s.Counter("rating_errors"),
+		billsUnsafe:  s.Counter("bills_without_copy"),
 		heartbeats:   s.Counter("heartbeats"),
 		silent:       s.Counter("heartbeats_unanswered"),
 		generation:   s.Gauge("generation"),
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -9,10 +9,13 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/billing"
+	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/operator"
 	"fescuelatch/ownership"
+	"fescuelatch/platform"
 )
 
 // This file defines what a daemon answers to operators.
@@ -102,7 +105,7 @@
 	s := operator.Status{
 		VM: d.options.VM, Domain: d.options.Domain, Generation: d.holder.Generation(), Digest: d.holder.Digest(), At: now,
 	}
-	s.Platform.Reachable, s.Platform.Since = d.platform.get()
+	s.Platform.Reachable, s.Platform.Since = d.reach.get()
 	v := d.holder.View()
 	if v == nil {
 		return s, nil
@@ -202,6 +205,10 @@
 	Spares      []fescuelatch.Spare         `json:"spares"`
 	Versions    []decision.VersionState     `json:"versions"`
 	Evidence    []fescuelatch.Evidence      `json:"evidence"`
+	Claims      claim.Stats                 `json:"claims"`
+	Bills       billing.Stats               `json:"bills"`
+	Copies      billing.KeeperStats         `json:"bill-copies"`
+	Batches     platform.BatcherStats       `json:"platform-batches"`
 	Reports     []fescuelatch.LoadReport    `json:"reports"`
 	Peers       []peerDump                  `json:"peers"`
 }
@@ -225,6 +232,10 @@
 		Open: d.core.Open(), Members: d.table.Members(now), Owned: d.table.Owned(now), Versions: d.core.Versions(now),
 	}
 	s.Spares, s.Evidence = d.core.Summary(now)
+	s.Claims = d.claims.Stats()
+	s.Bills = d.ledger.Stats()
+	s.Copies = d.keeper.Stats()
+	s.Batches = d.batcher.Stats()
 	for _, r := range d.reports {
 		s.Reports = append(s.Reports, r)
 	}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"fescuelatch/billing"
 	"fescuelatch/peer"
 )
 
@@ -44,3 +45,18 @@
 	reply.Update = b
 	return err
 }
+
+// Hold implements peer.Handler.
+func (p *peerHandler) Hold(b *peer.BillBatch, _ *peer.Ack) error {
+	var batch billing.Batch
+	if err := json.Unmarshal(b.Body, &batch); err != nil {
+		return err
+	}
+	return (*Daemon)(p).keeper.Hold(batch)
+}
+
+// Written implements peer.Handler.
+func (p *peerHandler) Written(w *peer.BillsWritten, _ *peer.Ack) error {
+	(*Daemon)(p).keeper.Drop(w.Origin, w.Through)
+	return nil
+}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -73,12 +73,12 @@
 	}
 	id := c.Request.ID
 	d.mu.Lock()
-	d.sessions[id] = s
+	d.servings[id] = s
 	d.decideLocked(decision.Arrived{Request: c.Request, Share: c.Share, Attempt: c.Attempt})
 	d.mu.Unlock()
 	s.run(ctx)
 	d.mu.Lock()
-	delete(d.sessions, id)
+	delete(d.servings, id)
 	d.mu.Unlock()
 }
 
@@ -198,7 +198,9 @@
 		}
 	}
 	if s.last != nil && s.last.Kind == engine.KindRejected {
-		f = caller.Failure{Status: http.StatusBadRequest, Code: "rejected", Message: s.last.Error(), Outcome: fescuelatch.OutcomeNotRun}
+		f.Status = http.StatusBadRequest
+		f.Code = string(engine.KindRejected)
+		f.Message = s.last.Error()
 	}
 	if f.Status != http.StatusServiceUnavailable {
 		f.RetryAfter = 0
--- a/decision/request.go
+++ b/decision/request.go
@@ -88,6 +88,19 @@
 	c.place(now, q)
 }
 
+// Pick returns the version that a request would begin with, or none. It
+// changes nothing.
+func (c *Core) Pick(now time.Time, r *fescuelatch.Request) fescuelatch.VersionID {
+	if c.view == nil {
+		return ""
+	}
+	plan, _ := c.planVersions(now, &request{Request: r})
+	if len(plan) == 0 {
+		return ""
+	}
+	return plan[0]
+}
+
 // planVersions returns the versions to try, or the reason for none.
 func (c *Core) planVersions(now time.Time, q *request) ([]fescuelatch.VersionID, Reason) {
 	candidates := c.candidates(now, q)
--- a/peer/client.go
+++ b/peer/client.go
@@ -78,9 +78,9 @@
 	return err
 }
 
-// Drop tells a daemon that a batch is at the platform.
-func (c *Client) Drop(ctx context.Context, to netip.AddrPort, k *BillKey) error {
-	_, err := call(ctx, c, to, "Drop", k, new(Ack))
+// Written tells a daemon which batches of bills are at the platform.
+func (c *Client) Written(ctx context.Context, to netip.AddrPort, w *BillsWritten) error {
+	_, err := call(ctx, c, to, "Written", w, new(Ack))
 	return err
 }
 
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -32,15 +32,16 @@
 type forwarded struct {
 	Request   fescuelatch.Request `json:"request"`
 	Share     float64             `json:"share"`
+	ClaimKey  string              `json:"claim-key,omitempty"`
 	Remaining time.Duration       `json:"remaining"`
 }
 
 // ForwardHeader returns the headers that carry a request to another daemon.
-func ForwardHeader(key FleetKey, r *fescuelatch.Request, share float64, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
-	q := *r
+func ForwardHeader(key FleetKey, c *caller.Call, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
+	q := *c.Request
 	q.Forwarded = true
 	q.Version = v
-	b, err := json.Marshal(forwarded{Request: q, Share: share, Remaining: r.Deadline.Sub(now)})
+	b, err := json.Marshal(forwarded{Request: q, Share: c.Share, ClaimKey: c.ClaimKey, Remaining: q.Deadline.Sub(now)})
 	if err != nil {
 		return nil, &Error{"encode request", KindInvalid, err}
 	}
@@ -112,6 +113,6 @@
 	v.Request.Deadline = now.Add(v.Remaining)
 	return &caller.Call{
 		Request: &v.Request, Share: v.Share, Attempt: fescuelatch.AttemptID(attempt),
-		Body: body, Key: r.Header.Get(engine.HeaderIdempotencyKey),
+		ClaimKey: v.ClaimKey, Body: body, Key: r.Header.Get(engine.HeaderIdempotencyKey),
 	}, nil
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -43,16 +43,13 @@
 
 // BillBatch is a copy of a batch of bills, kept until its origin or its
 // holder has written it to the platform. Body is a JSON document.
-type BillBatch struct {
-	Origin   fescuelatch.Incarnation
-	Sequence uint64
-	Body     []byte
-}
+type BillBatch struct{ Body []byte }
 
-// BillKey names a batch that is at the platform.
-type BillKey struct {
-	Origin   fescuelatch.Incarnation
-	Sequence uint64
+// BillsWritten says that all batches of Origin up to Through are at the
+// platform.
+type BillsWritten struct {
+	Origin  fescuelatch.Incarnation
+	Through uint64
 }
 
 // Ack is an empty reply.
--- a/peer/server.go
+++ b/peer/server.go
@@ -24,7 +24,7 @@
 	Heartbeat(h *Heartbeat, reply *HeartbeatReply) error
 	Changes(r *ChangesRequest, reply *ChangesReply) error
 	Hold(b *BillBatch, reply *Ack) error
-	Drop(k *BillKey, reply *Ack) error
+	Written(w *BillsWritten, reply *Ack) error
 }
 
 // FleetKey proves that a connection comes from a daemon of the fleet.
