--- /dev/null
+++ b/ownership/table_test.go
@@ -0,0 +1,295 @@
+package ownership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/ownership"
+)
+
+// This file tests tables step by step.
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+// domainOf returns a failure domain of members and endpoints.
+func domainOf(members []fescuelatch.VMID, endpoints int) ownership.Domain {
+	d := ownership.Domain{Members: members}
+	for i := range endpoints {
+		d.Endpoints = append(d.Endpoints, fescuelatch.OwnedEndpoint{
+			Endpoint: fescuelatch.Endpoint{ID: fescuelatch.EndpointID(fmt.Sprint("endpoint-", i))},
+		})
+	}
+	return d
+}
+
+func newTable(t testing.TB, vm fescuelatch.VMID, d ownership.Domain) *ownership.Table {
+	o, err := ownership.New(vm, fescuelatch.Incarnation(vm+"/1"), ownership.Settings{}, epoch)
+	qt.Assert(t, err, qt.IsNil)
+	o.Configure(epoch, d)
+	return o
+}
+
+// exchange carries heartbeats of all tables to all others at once.
+func exchange(now time.Time, tables ...*ownership.Table) {
+	for _, a := range tables {
+		h := a.Heartbeat(now)
+		for _, b := range tables {
+			if a == b {
+				continue
+			}
+			if k, err := b.Received(now, h); err == nil {
+				// A stale reply is dropped, as a caller does.
+				_ = a.Acknowledged(now, now, k)
+			}
+		}
+	}
+}
+
+// beat exchanges heartbeats from one time to another.
+func beat(from, to time.Duration, tables ...*ownership.Table) {
+	for d := from; d <= to; d += ownership.DefaultHeartbeatEvery {
+		exchange(at(d), tables...)
+	}
+}
+
+func shares(now time.Time, t *ownership.Table) map[float64]int {
+	m := make(map[float64]int)
+	for _, o := range t.Owned(now) {
+		m[o.Share]++
+	}
+	return m
+}
+
+func Example() {
+	d := domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 1)
+	a, _ := ownership.New("vm-a", "a/1", ownership.Settings{}, epoch)
+	b, _ := ownership.New("vm-b", "b/1", ownership.Settings{}, epoch)
+	a.Configure(epoch, d)
+	b.Configure(epoch, d)
+
+	// Two rounds: in the first the daemons learn of each other, in the
+	// second they promise to leave each other's endpoints alone.
+	now := epoch
+	for range 2 {
+		now = now.Add(ownership.DefaultHeartbeatEvery)
+		exchange(now, a, b)
+	}
+	owner, _ := b.OwnerOf(now, "endpoint-0")
+	fmt.Println(owner, len(a.Owned(now)), len(b.Owned(now)))
+	// Output: vm-b 0 1
+}
+
+func TestTakeoverAndReturn(t *testing.T) {
+	c := qt.New(t)
+	d := domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 10)
+	a, b := newTable(t, "vm-a", d), newTable(t, "vm-b", d)
+	beat(0, 10*time.Second, a, b)
+	mine, theirs := len(a.Owned(at(10*time.Second))), len(b.Owned(at(10*time.Second)))
+	c.Assert(mine+theirs, qt.Equals, 10)
+	c.Assert(shares(at(10*time.Second), a), qt.DeepEquals, map[float64]int{1: mine})
+
+	// Without b, a's lease lapses first, then a takes over a quarter.
+	lapse := 10*time.Second + ownership.DefaultLeaseFor
+	c.Assert(shares(at(lapse-1), a), qt.DeepEquals, map[float64]int{1: mine})
+	c.Assert(shares(at(lapse), a), qt.DeepEquals, map[float64]int{0.5: mine})
+	takeover := 10*time.Second + ownership.DefaultTakeoverAfter
+	c.Assert(a.Next(at(lapse)), qt.Equals, at(takeover))
+	c.Assert(shares(at(takeover), a), qt.DeepEquals, map[float64]int{0.5: mine, 0.25: theirs})
+	for _, o := range a.Owned(at(takeover)) {
+		if o.Share == 0.25 {
+			c.Assert(o.After, qt.Equals, at(takeover+ownership.DefaultReportLag))
+		}
+	}
+
+	// The list of VMs counts once it cannot lag behind what was heard.
+	c.Assert(a.Gone(at(takeover), "vm-b"), qt.IsFalse)
+	gone := 10*time.Second + ownership.DefaultGoneAfter
+	c.Assert(a.Gone(at(gone), "vm-b"), qt.IsTrue)
+	c.Assert(a.Members(at(gone))[0].State, qt.Equals, ownership.StateGone)
+	c.Assert(shares(at(gone+ownership.DefaultReportLag), a), qt.DeepEquals, map[float64]int{1: 10})
+
+	// b returns with what it had.
+	beat(40*time.Second, 50*time.Second, a, b)
+	c.Assert(len(a.Owned(at(50*time.Second))), qt.Equals, mine)
+	c.Assert(shares(at(50*time.Second), b), qt.DeepEquals, map[float64]int{1: theirs})
+}
+
+func TestLeave(t *testing.T) {
+	c := qt.New(t)
+	d := domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 10)
+	a, b := newTable(t, "vm-a", d), newTable(t, "vm-b", d)
+	beat(0, 5*time.Second, a, b)
+	now := at(5 * time.Second)
+	b.Leave(now)
+	c.Assert(b.Owned(now), qt.HasLen, 0)
+	exchange(now, a, b)
+	c.Assert(a.Owned(now), qt.HasLen, 10, qt.Commentf("the successor does not wait for silence"))
+	c.Assert(a.Members(now)[0].State, qt.Equals, ownership.StateLeaving)
+	owner, ok := b.OwnerOf(now, "endpoint-0")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(owner, qt.Equals, fescuelatch.VMID("vm-a"))
+}
+
+func TestOutAndIn(t *testing.T) {
+	c := qt.New(t)
+	both := domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 10)
+	one := domainOf([]fescuelatch.VMID{"vm-a"}, 10)
+	a, b := newTable(t, "vm-a", both), newTable(t, "vm-b", both)
+	beat(0, 5*time.Second, a, b)
+	a.Configure(at(5*time.Second), one)
+	b.Configure(at(5*time.Second), one)
+	beat(5*time.Second, 8*time.Second, a, b)
+	c.Assert(b.Owned(at(8*time.Second)), qt.HasLen, 0)
+	c.Assert(shares(at(8*time.Second), a), qt.DeepEquals, map[float64]int{1: 10})
+	a.Configure(at(9*time.Second), both)
+	b.Configure(at(9*time.Second), both)
+	beat(9*time.Second, 15*time.Second, a, b)
+	c.Assert(len(a.Owned(at(15*time.Second)))+len(b.Owned(at(15*time.Second))), qt.Equals, 10)
+	c.Assert(len(b.Owned(at(15*time.Second))) > 0, qt.IsTrue)
+}
+
+// TestReplacedByLateHeartbeat checks that a heartbeat of a former process
+// which comes late does not keep its successor out for good.
+func TestReplacedByLateHeartbeat(t *testing.T) {
+	c := qt.New(t)
+	d := domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 10)
+	a, b := newTable(t, "vm-a", d), newTable(t, "vm-b", d)
+	beat(0, time.Second, a, b)
+	late := ownership.Heartbeat{From: "vm-b", Incarnation: "vm-b/0", Sequence: 9, Joined: true}
+	_, err := a.Received(at(time.Second), late)
+	c.Assert(err, qt.IsNil)
+	beat(1500*time.Millisecond, 2*time.Second, a, b)
+	c.Assert(b.Owned(at(2*time.Second)), qt.HasLen, 0)
+	beat(2500*time.Millisecond, 10*time.Second, a, b)
+	c.Assert(len(b.Owned(at(10*time.Second))) > 0, qt.IsTrue)
+}
+
+func TestMessageErrors(t *testing.T) {
+	d := domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 1)
+	for _, test := range []struct {
+		name string
+		give func(*ownership.Table) error
+		kind ownership.ErrorKind
+	}{
+		{"heartbeat without sender", func(a *ownership.Table) error {
+			_, err := a.Received(epoch, ownership.Heartbeat{Incarnation: "b/1", Sequence: 1})
+			return err
+		}, ownership.KindInvalid},
+		{"acknowledgement without sender", func(a *ownership.Table) error {
+			return a.Acknowledged(epoch, epoch, ownership.Ack{To: "vm-a/1"})
+		}, ownership.KindInvalid},
+		{"acknowledgement of a stranger", func(a *ownership.Table) error {
+			return a.Acknowledged(epoch, epoch, ownership.Ack{From: "vm-c", Incarnation: "c/1", To: "vm-a/1"})
+		}, ownership.KindUnknown},
+		{"acknowledgement to a former process", func(a *ownership.Table) error {
+			return a.Acknowledged(epoch, epoch, ownership.Ack{From: "vm-b", Incarnation: "b/1", To: "vm-a/0"})
+		}, ownership.KindStale},
+		{"whole", func(a *ownership.Table) error {
+			return a.Acknowledged(epoch, epoch, ownership.Ack{From: "vm-b", Incarnation: "b/1", To: "vm-a/1"})
+		}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			err := test.give(newTable(t, "vm-a", d))
+			var e *ownership.Error
+			if errors.As(err, &e) {
+				qt.Assert(t, e.Kind, qt.Equals, test.kind)
+				return
+			}
+			qt.Assert(t, test.kind, qt.Equals, ownership.ErrorKind(""))
+		})
+	}
+}
+
+func TestSettings(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		settings ownership.Settings
+		ok       bool
+	}{
+		{"defaults", ownership.Settings{}, true},
+		{"lease outlasts the promise", ownership.Settings{LeaseFor: 3 * time.Second}, false},
+		{"lease shorter than a heartbeat", ownership.Settings{LeaseFor: 400 * time.Millisecond}, false},
+		{"negative lag", ownership.Settings{ReportLag: -1}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, test.settings.Check() == nil, qt.Equals, test.ok)
+		})
+	}
+}
+
+// TestRankIsEven checks that members own about as many endpoints each, and
+// that one that leaves moves only its own.
+func TestRankIsEven(t *testing.T) {
+	c := qt.New(t)
+	const members, endpoints = 8, 167
+	var vms []fescuelatch.VMID
+	for i := range members {
+		vms = append(vms, fescuelatch.VMID(fmt.Sprint("vm-", i)))
+	}
+	owners := func(vms []fescuelatch.VMID) map[fescuelatch.EndpointID]fescuelatch.VMID {
+		d := domainOf(vms, endpoints)
+		tables := make([]*ownership.Table, len(vms))
+		for i, vm := range vms {
+			tables[i] = newTable(t, vm, d)
+		}
+		beat(0, 4*time.Second, tables...)
+		m := make(map[fescuelatch.EndpointID]fescuelatch.VMID)
+		for i, o := range tables {
+			for _, e := range o.Owned(at(4 * time.Second)) {
+				m[e.Endpoint.ID] = vms[i]
+			}
+		}
+		return m
+	}
+	before, after := owners(vms), owners(vms[1:])
+	c.Assert(before, qt.HasLen, endpoints)
+	counts := make(map[fescuelatch.VMID]int)
+	for e, vm := range before {
+		counts[vm]++
+		if vm != vms[0] {
+			c.Check(after[e], qt.Equals, vm)
+		}
+	}
+	for vm, n := range counts {
+		c.Check(n <= 2*endpoints/members, qt.IsTrue, qt.Commentf("%s owns %d", vm, n))
+	}
+}
+
+// BenchmarkOwnerOf is the cost that ownership adds to each request.
+func BenchmarkOwnerOf(b *testing.B) {
+	o, now := benchmarkTable(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		o.OwnerOf(now, "endpoint-7")
+	}
+}
+
+// BenchmarkReceived is the cost of a heartbeat at a daemon.
+func BenchmarkReceived(b *testing.B) {
+	o, now := benchmarkTable(b)
+	h := ownership.Heartbeat{From: "vm-1", Incarnation: "vm-1/1", Joined: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		h.Sequence++
+		if _, err := o.Received(now, h); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func benchmarkTable(b *testing.B) (*ownership.Table, time.Time) {
+	var vms []fescuelatch.VMID
+	for i := range 52 {
+		vms = append(vms, fescuelatch.VMID(fmt.Sprint("vm-", i)))
+	}
+	return newTable(b, vms[0], domainOf(vms, 167)), epoch
+}
