--- a/gate/compare_test.go
+++ b/gate/compare_test.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// TestSilentColdStart checks that an engine which turns cold while it goes on
+// with its work falls over once at most, before anything shows that it is
+// cold.
+func TestSilentColdStart(t *testing.T) {
+	c := qt.New(t)
+	run := func(g fescuelatch.Gate, seed uint64) int {
+		b := newBench(g, seed, 4, 8, 2)
+		b.clients = []*client{{account: "large", rate: 12, deadline: 5 * time.Second}}
+		b.run(30 * time.Second)
+		b.engines[0].coldUntil = b.now.Add(coldFor)
+		b.run(20 * time.Second)
+		return b.engines[0].falls
+	}
+	for seed := range uint64(compareSeeds) {
+		falls := run(gate.NewAdaptive(gate.Settings{ReportLag: reportLag + reportEvery}), seed)
+		plain := run(new(gate.Fixed), seed)
+		t.Logf("seed %d: fell over %d times with adaptive, %d with fixed", seed, falls, plain)
+		c.Check(falls <= 1, qt.IsTrue)
+	}
+}
+
 // TestNoWaveOnReturn checks that queued work is spread out when endpoints
 // that were out come back.
 func TestNoWaveOnReturn(t *testing.T) {
--- a/gate/engine_test.go
+++ b/gate/engine_test.go
@@ -64,8 +64,11 @@
 
 // bench runs one gate with engines and clients.
 type bench struct {
-	gate    fescuelatch.Gate
-	rand    *rand.Rand
+	gate fescuelatch.Gate
+	// Arrivals and service draw from two sources, so that all gates get the
+	// same arrivals.
+	arrivals, service *rand.Rand
+
 	start   time.Time
 	now     time.Time
 	engines []*engine
@@ -78,11 +81,12 @@
 
 func newBench(g fescuelatch.Gate, seed uint64, engines, slots, cold int) *bench {
 	b := &bench{
-		gate:   g,
-		rand:   rand.New(rand.NewPCG(seed, 0)),
-		start:  time.Unix(1_000_000, 0),
-		now:    time.Unix(1_000_000, 0),
-		queued: make(map[fescuelatch.AttemptID]fescuelatch.Work),
+		gate:     g,
+		arrivals: rand.New(rand.NewPCG(seed, 0)),
+		service:  rand.New(rand.NewPCG(seed, 1)),
+		start:    time.Unix(1_000_000, 0),
+		now:      time.Unix(1_000_000, 0),
+		queued:   make(map[fescuelatch.AttemptID]fescuelatch.Work),
 	}
 	for i := range engines {
 		b.engines = append(b.engines, &engine{owned: owned(fmt.Sprint("engine-", i), slots, cold)})
@@ -119,7 +123,7 @@
 			b.step(e)
 		}
 		for _, c := range b.clients {
-			if b.now.Sub(b.start) >= c.from && b.rand.Float64() < c.rate*engineTick.Seconds() {
+			if b.now.Sub(b.start) >= c.from && b.arrivals.Float64() < c.rate*engineTick.Seconds() {
 				b.offer(c)
 			}
 		}
@@ -173,7 +177,7 @@
 	i := slices.IndexFunc(b.engines, func(e *engine) bool { return e.owned.Endpoint.ID == id })
 	e := b.engines[i]
 	j := &engineJob{work: w, started: b.now}
-	span := serviceMin + time.Duration(b.rand.Int64N(int64(serviceSpread)))
+	span := serviceMin + time.Duration(b.service.Int64N(int64(serviceSpread)))
 	first := span / 5
 	if e.cold(b.now) {
 		span, first = span*coldSlowdown, span
--- /dev/null
+++ b/gate/example_test.go
@@ -0,0 +1,35 @@
+package gate_test
+
+import (
+	"fmt"
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/gate"
+)
+
+func ExampleAdaptive() {
+	g := gate.NewAdaptive(gate.Settings{})
+	start := time.Unix(1_000_000, 0)
+	g.Own(start, []fescuelatch.OwnedEndpoint{owned("engine", 8, 1)})
+
+	// Nothing is known of the endpoint yet, so it counts as cold.
+	now := start.Add(time.Second)
+	g.Report(now, fescuelatch.LoadReport{Endpoint: "engine", State: fescuelatch.EndpointWarm, Generated: now})
+	fmt.Println(g.Offer(now, work("a", "large")).Verdict)
+	fmt.Println(g.Offer(now, work("b", "large")).Verdict)
+
+	// A later report is believed, and work is let in bit by bit.
+	now = start.Add(3 * time.Second)
+	g.Report(now, fescuelatch.LoadReport{Endpoint: "engine", State: fescuelatch.EndpointWarm, Running: 1, Generated: now})
+	for _, a := range g.Poll(now.Add(2 * time.Second)) {
+		fmt.Println(a.Attempt, a.Verdict, a.Endpoint)
+	}
+	d := g.Dump(now)[0]
+	fmt.Println(d.Warm, d.Running, d.Others)
+	// Output:
+	// start
+	// queue
+	// b start engine
+	// true 2 0
+}
