Ownership: take in the whole list of VMs

A member that was killed and then removed from the inventory could never be found gone by a caller that asks about configured members only, and would have kept the owners at half of the cold slots for ever. Listed takes the whole list, with the time at which it was asked for.

--- a/ownership/fleet_test.go
+++ b/ownership/fleet_test.go
@@ -265,11 +265,13 @@
 	if d == nil || d.paused {
 		return
 	}
+	var vms []fescuelatch.VMID
 	for j, live := range f.listed(f.now.Add(-f.delay(simListLag))) {
-		if !live && j != i {
-			d.table.Gone(f.clock(d), f.names[j])
+		if live {
+			vms = append(vms, f.names[j])
 		}
 	}
+	d.table.Listed(f.clock(d), f.clock(d), vms)
 }
 
 // run lets time pass and reports the first broken invariant.
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -218,20 +218,41 @@
 	return nil
 }
 
-// Gone takes in evidence that vm runs no more: it is missing from the list
-// of VMs that was read at now. It reports whether the evidence counts, which
-// it does not while the list may lag behind what was heard of vm.
+// Listed takes in the list of VMs that was asked for at asked, by this
+// daemon's clock: a member that it lacks is gone, also one that the
+// configuration lacks. The list does not count against a member that was
+// heard within GoneAfter before asked, because it may lag behind.
+func (t *Table) Listed(now, asked time.Time, vms []fescuelatch.VMID) {
+	t.update(now)
+	for _, m := range t.sorted {
+		if !slices.Contains(vms, m.vm) {
+			t.lost(asked, m)
+		}
+	}
+	t.apply(now)
+}
+
+// Gone takes in that vm was missing from a list of VMs asked for at now. It
+// reports whether that counts, see Listed.
 func (t *Table) Gone(now time.Time, vm fescuelatch.VMID) bool {
 	t.update(now)
 	m := t.members[vm]
-	if m == nil || now.Before(m.heard.Add(t.settings.GoneAfter)) {
+	if m == nil || !t.lost(now, m) {
 		return false
 	}
-	m.gone = true
 	t.apply(now)
 	return true
 }
 
+// lost marks m as gone if a list that was asked for at asked can know.
+func (t *Table) lost(asked time.Time, m *member) bool {
+	if asked.Before(m.heard.Add(t.settings.GoneAfter)) {
+		return false
+	}
+	m.gone = true
+	return true
+}
+
 // Leave releases all endpoints for good. Heartbeats say so from now on.
 func (t *Table) Leave(now time.Time) {
 	t.leaving = true
--- a/ownership/table_test.go
+++ b/ownership/table_test.go
@@ -155,6 +155,24 @@
 	c.Assert(len(b.Owned(at(15*time.Second))) > 0, qt.IsTrue)
 }
 
+// TestRemovedMember checks that a member which is killed and removed from the
+// inventory does not bind cold slots for ever.
+func TestRemovedMember(t *testing.T) {
+	c := qt.New(t)
+	a := newTable(t, "vm-a", domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 10))
+	b := newTable(t, "vm-b", domainOf([]fescuelatch.VMID{"vm-a", "vm-b"}, 10))
+	beat(0, 5*time.Second, a, b)
+	a.Configure(at(6*time.Second), domainOf([]fescuelatch.VMID{"vm-a"}, 10))
+	c.Assert(a.Members(at(6*time.Second)), qt.HasLen, 1, qt.Commentf("it may still claim"))
+	asked := 5*time.Second + ownership.DefaultGoneAfter
+	list := []fescuelatch.VMID{"vm-a"}
+	a.Listed(at(asked+time.Second), at(asked-1), list)
+	c.Assert(shares(at(asked+time.Second), a)[1], qt.Equals, 0, qt.Commentf("the list was asked for too early"))
+	a.Listed(at(asked+time.Second), at(asked), list)
+	later := at(asked + time.Second + ownership.DefaultReportLag)
+	c.Assert(shares(later, a), qt.DeepEquals, map[float64]int{1: 10})
+}
+
 // TestReplacedByLateHeartbeat checks that a heartbeat of a former process
 // which comes late does not keep its successor out for good.
 func TestReplacedByLateHeartbeat(t *testing.T) {
