--- a/fleet/control.go
+++ b/fleet/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"sync"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -57,6 +58,29 @@
 	return f.unlist(ctx, string(m))
 }
 
+// StopAll asks all daemons that run for a graceful shutdown at the same time
+// and waits for their ends. It returns, in the order of the inventory, the
+// VMs whose daemons had to be killed or did not end with exit status 0.
+func (f *Fleet) StopAll(ctx context.Context) []fescuelatch.VMID {
+	vms := f.Configuration.Inventory.VMs
+	clean := make([]bool, len(vms))
+	var wg sync.WaitGroup
+	for n, m := range vms {
+		clean[n] = true
+		if f.Running(m.ID) {
+			wg.Go(func() { clean[n] = f.Stop(ctx, m.ID) == nil })
+		}
+	}
+	wg.Wait()
+	var unclean []fescuelatch.VMID
+	for n, m := range vms {
+		if !clean[n] {
+			unclean = append(unclean, m.ID)
+		}
+	}
+	return unclean
+}
+
 // Restart starts the daemon of m again after Kill or Stop, as a new VM in the
 // place of the old one. It does not wait until the daemon is ready.
 func (f *Fleet) Restart(ctx context.Context, m fescuelatch.VMID) error {
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -204,8 +205,11 @@
 	r.mu.Unlock()
 	sort.SliceStable(e.Events, func(i, j int) bool { return e.Events[i].At.Before(e.Events[j].At) })
 	sort.SliceStable(e.Samples, func(i, j int) bool { return e.Samples[i].At.Before(e.Samples[j].At) })
-	report, err := r.settle(ctx, e)
-	if err != nil {
+	if err := r.settle(ctx, e); err != nil {
+		return nil, err
+	}
+	e.Stops = append(e.Stops, r.stopAll(ctx)...)
+	if err := r.observe(ctx, e); err != nil {
 		return nil, err
 	}
 	calls, err := r.Fleet.PlatformCalls(ctx)
@@ -213,34 +217,52 @@
 		return nil, &Error{"count calls", KindObserve, err}
 	}
 	return &Result{
-		Start: r.Start, Evidence: e, Summary: s, Report: report,
+		Start: r.Start, Evidence: e, Summary: s, Report: audit.Check(e),
 		Failures: failures, Crashed: r.Fleet.Crashed(), PlatformCalls: calls,
 	}, nil
 }
 
 // settle reads the records until the audit finds each bill in its place, or
 // for the settle timeout.
-func (r *Run) settle(ctx context.Context, e *audit.Evidence) (*audit.Report, error) {
+func (r *Run) settle(ctx context.Context, e *audit.Evidence) error {
 	end := time.Now().Add(settleTimeout)
 	for {
 		if err := r.observe(ctx, e); err != nil {
-			return nil, &Error{"read records", KindObserve, err}
+			return err
 		}
-		report := audit.Check(e)
-		if report.Finding(audit.PromiseBill).Violations == 0 || time.Now().After(end) {
-			return report, nil
+		if audit.Check(e).Finding(audit.PromiseBill).Violations == 0 || time.Now().After(end) {
+			return nil
 		}
 		if err := sleep(ctx, settleInterval); err != nil {
-			return nil, err
+			return err
+		}
+	}
+}
+
+// stopAll ends all daemons that run, as planned stops.
+func (r *Run) stopAll(ctx context.Context) []audit.Stop {
+	var stops []audit.Stop
+	for _, m := range r.Fleet.Configuration.Inventory.VMs {
+		if r.Fleet.Running(m.ID) {
+			stops = append(stops, audit.Stop{VM: m.ID, Caller: m.Caller.String(), From: time.Now(), Clean: true})
 		}
 	}
+	unclean := r.Fleet.StopAll(ctx)
+	for n := range stops {
+		stops[n].To = time.Now()
+		stops[n].Clean = !slices.Contains(unclean, stops[n].VM)
+	}
+	return stops
 }
 
 func (r *Run) observe(ctx context.Context, e *audit.Evidence) error {
+	const op = "read records"
 	var err error
 	if e.Endpoints, err = r.Fleet.EndpointLogs(ctx); err != nil {
-		return err
+		return &Error{op, KindObserve, err}
+	}
+	if e.Bills, err = r.Fleet.Bills(ctx); err != nil {
+		return &Error{op, KindObserve, err}
 	}
-	e.Bills, err = r.Fleet.Bills(ctx)
-	return err
+	return nil
 }
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -61,8 +61,12 @@
 		audit.EventDaemonStarted, audit.EventDomainIn, audit.EventDomainIn, audit.EventEndpointBack,
 		audit.EventVersionWithdrawn,
 	})
-	c.Assert(r.Evidence.Stops, qt.HasLen, 1)
-	c.Assert(r.Evidence.Stops[0].Clean, qt.IsTrue)
+	// The end of the fleet stops the daemon that runs still.
+	c.Assert(r.Evidence.Stops, qt.HasLen, 2)
+	for n, m := range []fescuelatch.VMID{"b-1", "a-1"} {
+		c.Assert(r.Evidence.Stops[n].VM, qt.Equals, m)
+		c.Assert(r.Evidence.Stops[n].Clean, qt.IsTrue)
+	}
 	c.Assert(len(r.Evidence.Samples) > 20, qt.IsTrue)
 	c.Assert(len(r.Evidence.Endpoints), qt.Equals, 3)
 	c.Assert(r.Summary.Outcomes[fescuelatch.OutcomeAnswered] > 0, qt.IsTrue, qt.Commentf("%s", r.Summary))
