--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -192,8 +192,8 @@
 	close(healed)
 	done := make(chan struct{})
 	go func() { defer close(done); r.Run(ctx) }()
-	for r.Stats().Released == 0 {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(5 * time.Second); r.Stats().Released == 0; time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("not released within 5s"))
 	}
 	cancel()
 	<-done
