Billing: a drop stops at the first unwritten batch, a keyed bill never changes

Two mutants passed the state machine: a drop up to the last sequence, and a keyed bill that the last writer replaces. A table test and a check of the first bill under a key find them now.

--- a/billing/machine_test.go
+++ b/billing/machine_test.go
@@ -39,6 +39,8 @@
 	waiting map[string]*pending
 	// safe are the bills of which that has been told.
 	safe map[string]bool
+	// keyed is the request whose bill was first seen under a key.
+	keyed map[string]fescuelatch.RequestID
 	// silent is set while copies fail.
 	silent bool
 }
@@ -48,6 +50,7 @@
 	m := &machine{
 		kv: kv, network: &memory.Network{KV: kv}, now: time.Date(2026, 11, 30, 12, 0, 0, 0, time.UTC),
 		waiting: make(map[string]*pending), safe: make(map[string]bool),
+		keyed: make(map[string]fescuelatch.RequestID),
 	}
 	m.submit = platform.Direct{Transactor: m.network}
 	if mutate != nil {
@@ -230,6 +233,10 @@
 			t.Fatal(err)
 		}
 		n[b.Key]++
+		if first, ok := m.keyed[b.Key]; ok && first != b.Request {
+			t.Fatalf("the bill of %s was of %s and is of %s", b.Key, first, b.Request)
+		}
+		m.keyed[b.Key] = b.Request
 	}
 	return n
 }
@@ -281,3 +288,34 @@
 func TestEachBillOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { newMachine(nil).run(t) })
 }
+
+// TestDropStopsAtTheFirstUnwritten writes a later batch before an earlier one,
+// whose copy must stay.
+func TestDropStopsAtTheFirstUnwritten(t *testing.T) {
+	m := newMachine(nil)
+	origin, holder := m.daemons[0], m.daemons[1]
+	add := func(request fescuelatch.RequestID) {
+		if _, err := origin.ledger.add(fescuelatch.Bill{Request: request, Account: "desk"}); err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range origin.ledger.uncopied() {
+			origin.ledger.copy(context.Background(), p)
+		}
+	}
+	add("first")
+	m.silent = true
+	add("second")
+	m.silent = false
+	if err := origin.ledger.writeRun(context.Background(), true); err != nil {
+		t.Fatal(err)
+	}
+	if n := holder.keeper.Stats().Waiting; n != 1 {
+		t.Fatalf("the holder has %d bills, want that of the first batch", n)
+	}
+	if err := origin.ledger.writeRun(context.Background(), false); err != nil {
+		t.Fatal(err)
+	}
+	if n := holder.keeper.Stats().Waiting; n != 0 {
+		t.Fatalf("the holder has %d bills, want none", n)
+	}
+}
