Cascade: overflow of a saturated version; quality: forwarded attempts

A version without spare capacity counted twice its cost. It now counts eight times, and a share of requests that falls with the queue still waits.

Attempts without an endpoint were made by another daemon for a forwarded request and would have been counted twice; they are ignored.

--- a/cascade/option.go
+++ b/cascade/option.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,8 +28,10 @@
 	latency   time.Duration
 }
 
-// newOption returns the option that candidate c is for request r.
-func newOption(r *fescuelatch.Request, c *fescuelatch.Candidate, s *Settings, u float64) option {
+// newOption returns the option that candidate c is for request r. The draw u
+// decides the quality that it is credited with, and patience is compared with
+// the share of requests that wait for a version.
+func newOption(r *fescuelatch.Request, c *fescuelatch.Candidate, s *Settings, u, patience float64) option {
 	o := option{
 		version: c.Version.ID,
 		quality: sample(&c.Estimate, s.Caution, u),
@@ -36,8 +39,8 @@
 		latency: c.Latency,
 	}
 	o.effective = o.cost
-	if c.Spare <= 0 {
-		o.effective *= saturation(r.Priority, s.SaturatedFactor)
+	if c.Spare <= 0 && patience >= waitShare(r.Priority, -c.Spare, s) {
+		o.effective *= s.SaturatedFactor
 	}
 	return o
 }
@@ -75,16 +78,18 @@
 	return (float64(v.PromptCost)*float64(prompt) + float64(v.OutputCost)*float64(output)) / 1000
 }
 
-// saturation returns the factor on the cost of a version without spare
-// capacity.
-func saturation(p fescuelatch.Priority, factor float64) float64 {
+// waitShare returns the share of requests that take a version without spare
+// capacity for what it costs, while others wait for it already. It falls with
+// their number, so that a queue settles where as many requests go elsewhere
+// as the version cannot bear.
+func waitShare(p fescuelatch.Priority, others int, s *Settings) float64 {
 	switch {
 	case p >= fescuelatch.PriorityHigh:
-		return factor * factor
+		return 0
 	case p <= fescuelatch.PriorityLow:
-		return 1
+		return math.Pow(s.WaitShare, float64(1+others)/2)
 	default:
-		return factor
+		return math.Pow(s.WaitShare, float64(1+others))
 	}
 }
 
--- a/cascade/policy.go
+++ b/cascade/policy.go
@@ -84,8 +84,9 @@
 // when there is no other version.
 func (g *goal) plan(r *fescuelatch.Request, list []fescuelatch.Candidate, s *Settings, random *uniforms) []fescuelatch.VersionID {
 	all := make([]option, len(list))
+	patience := random.next()
 	for i := range list {
-		all[i] = newOption(r, &list[i], s, random.next())
+		all[i] = newOption(r, &list[i], s, random.next(), patience)
 	}
 	options := among(all, draw(list, s, random))
 	best := g.search(options, s)
--- a/cascade/property_test.go
+++ b/cascade/property_test.go
@@ -99,7 +99,7 @@
 		g := goal{quality: r.Quality, steps: maxSteps}
 		options := make([]option, 0, len(list))
 		for i := range list {
-			options = append(options, newOption(&r, &list[i], &s, 0.5))
+			options = append(options, newOption(&r, &list[i], &s, 0.5, 0.5))
 		}
 		all := slices.Clone(options)
 		best := g.search(prune(options), &s)
--- a/cascade/settings.go
+++ b/cascade/settings.go
@@ -33,10 +33,14 @@
 	// SuspectShare is the share of requests for which a suspect version is
 	// considered although a good one is there. The default is 0.05.
 	SuspectShare float64
-	// SaturatedFactor multiplies the cost of a version without spare
-	// capacity when plans are compared: once for a request of normal
-	// priority, twice for high and not for low priority. The default is 2.
+	// SaturatedFactor multiplies the cost of a saturated version when plans
+	// are compared. The default is 8.
 	SaturatedFactor float64
+	// WaitShare is the share of requests of normal priority that take a
+	// version without spare capacity for what it costs, and wait. Each
+	// request that waits already lowers it by the same factor. The default
+	// is 0.5.
+	WaitShare float64
 }
 
 // Defaults of Settings.
@@ -49,7 +53,8 @@
 	defaultDirectShare     = 0.01
 	defaultCaution         = 0.1
 	defaultSuspectShare    = 0.05
-	defaultSaturatedFactor = 2
+	defaultSaturatedFactor = 8
+	defaultWaitShare       = 0.5
 )
 
 // Tokens assumed for a request that does not estimate them.
@@ -69,6 +74,7 @@
 	fill(&s.Caution, defaultCaution)
 	fill(&s.SuspectShare, defaultSuspectShare)
 	fill(&s.SaturatedFactor, defaultSaturatedFactor)
+	fill(&s.WaitShare, defaultWaitShare)
 	return s
 }
 
--- a/quality/model.go
+++ b/quality/model.go
@@ -85,12 +85,13 @@
 	r.step(now, &m.settings, &m.alarms)
 }
 
-// ObserveAttempt implements fescuelatch.QualityModel. A failure that follows
+// ObserveAttempt implements fescuelatch.QualityModel. An attempt without an
+// endpoint was made by another daemon, which observes it itself. A failure that follows
 // one of the same endpoint or of another version within a few seconds is
 // ignored, because the endpoint or the failure domain explains it.
 func (m *Model) ObserveAttempt(now time.Time, a fescuelatch.AttemptResult) {
 	r := m.records[a.Version]
-	if r == nil {
+	if r == nil || a.Endpoint == "" {
 		return
 	}
 	switch a.Status {
--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -99,6 +99,7 @@
 		{"failures of one version over time", []fescuelatch.AttemptResult{broken("triage@small", "e1")}, failureInterval, fescuelatch.HealthQuarantined},
 		{"burst at one endpoint", []fescuelatch.AttemptResult{broken("triage@small", "e1")}, time.Millisecond, fescuelatch.HealthGood},
 		{"all versions fail", both, failureInterval, fescuelatch.HealthGood},
+		{"made by another daemon", []fescuelatch.AttemptResult{broken("triage@small", "")}, failureInterval, fescuelatch.HealthGood},
 		{"not started", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptNotStarted}}, failureInterval, fescuelatch.HealthGood},
 		{"cancelled", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptCancelled}}, failureInterval, fescuelatch.HealthGood},
 	}
--- a/quality/property_test.go
+++ b/quality/property_test.go
@@ -79,7 +79,7 @@
 			case 1:
 				m.Merge(now, []fescuelatch.Evidence{drawEvidence(t)})
 			case 2:
-				m.ObserveAttempt(now, fescuelatch.AttemptResult{Version: "triage@small", Status: fescuelatch.AttemptBroken})
+				m.ObserveAttempt(now, fescuelatch.AttemptResult{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptBroken})
 			default:
 				m.ObserveRating(now, "triage@small", score.Draw(t, "score"))
 			}
