--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,11 +11,23 @@
 
 	"github.com/alexflint/go-arg"
 
+	"fescuelatch/cmd/standin/engine"
 	"fescuelatch/cmd/standin/kv"
+	"fescuelatch/cmd/standin/link"
+	"fescuelatch/cmd/standin/rating"
+	"fescuelatch/cmd/standin/service"
+	"fescuelatch/cmd/standin/vms"
+	"fescuelatch/cmd/standin/weights"
 )
 
 type commands struct {
-	Platform *kv.Settings `arg:"subcommand:platform" help:"key-value service"`
+	Platform *kv.Settings      `arg:"subcommand:platform" help:"key-value service"`
+	Engine   *engine.Settings  `arg:"subcommand:engine" help:"model engine"`
+	Service  *service.Settings `arg:"subcommand:service" help:"plain service"`
+	VMs      *vms.Settings     `arg:"subcommand:vms" help:"lagging list of VMs"`
+	Rating   *rating.Settings  `arg:"subcommand:rating" help:"rating service"`
+	Weights  *weights.Settings `arg:"subcommand:weights" help:"weight store"`
+	Link     *link.Settings    `arg:"subcommand:link" help:"TCP relay that can cut connections"`
 }
 
 // runner is a stand-in that runs until its context ends.
@@ -25,10 +37,7 @@
 
 func main() {
 	var c commands
-	p, err := arg.NewParser(arg.Config{Program: "standin", EnvPrefix: "FESCUELATCH_"}, &c)
-	if err != nil {
-		panic(err)
-	}
+	p := newParser(&c)
 	p.MustParse(os.Args[1:])
 	r, ok := p.Subcommand().(runner)
 	if !ok {
@@ -41,6 +50,15 @@
 	}
 }
 
+func newParser(c *commands) *arg.Parser {
+	p, err := arg.NewParser(arg.Config{Program: "standin", EnvPrefix: "FESCUELATCH_"}, c)
+	if err != nil {
+		// The definition of commands is wrong.
+		panic(err)
+	}
+	return p
+}
+
 func run(r runner, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- /dev/null
+++ b/daemon/configuration.go
@@ -0,0 +1,230 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/configstore"
+	"fescuelatch/decision"
+	"fescuelatch/ownership"
+	"fescuelatch/peer"
+)
+
+// This file defines how a configuration reaches a daemon and comes into
+// force.
+
+const (
+	// followers is the number of daemons of a failure domain that watch the
+	// platform; the others learn from them.
+	followers      = 2
+	followInterval = time.Second
+	fetchTimeout   = 2 * time.Second
+)
+
+// reachability is whether the platform could be reached last.
+type reachability struct {
+	mu    sync.Mutex
+	known bool
+	ok    bool
+	since time.Time
+}
+
+func (r *reachability) set(ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.known || r.ok != ok {
+		r.known = true
+		r.ok = ok
+		r.since = time.Now()
+	}
+}
+
+func (r *reachability) get() (ok bool, since time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ok, r.since
+}
+
+// follow watches the platform while this daemon is among the followers of
+// its failure domain.
+func (d *Daemon) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !d.isFollower() {
+			pause(ctx, followInterval)
+			continue
+		}
+		watching, cancel := context.WithCancel(ctx)
+		go d.resignWhenSuperseded(watching, cancel)
+		f := &configstore.Follower{
+			Store: d.store, Holder: d.holder,
+			Failed:  func(err error) { d.reach.set(false); d.log.Warn("platform", "error", err.Error()) },
+			Reached: func(fescuelatch.Generation) { d.reach.set(true); d.becomeLearned() },
+		}
+		f.Run(watching)
+		cancel()
+	}
+}
+
+func (d *Daemon) resignWhenSuperseded(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		pause(ctx, followInterval)
+		if !d.isFollower() {
+			cancel()
+		}
+	}
+}
+
+// isFollower reports whether fewer than followers live daemons of the own
+// failure domain precede this one. A daemon without a configuration follows.
+func (d *Daemon) isFollower() bool {
+	if d.holder.View() == nil {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := 0
+	for _, m := range d.table.Members(time.Now()) {
+		if m.State == ownership.StateAlive && m.VM < d.options.VM {
+			before++
+		}
+	}
+	return before < followers
+}
+
+// bringIntoForce hands each new configuration to the core and the ownership
+// table, and tells the daemons of the own failure domain of it.
+func (d *Daemon) bringIntoForce(ctx context.Context) {
+	select {
+	case <-d.learnedSignal:
+	case <-ctx.Done():
+		return
+	}
+	var g fescuelatch.Generation
+	for ctx.Err() == nil {
+		v, err := d.holder.Wait(ctx, g)
+		if err != nil {
+			return
+		}
+		g = v.Generation()
+		d.mu.Lock()
+		now := time.Now()
+		d.table.Configure(now, ownership.DomainOf(v, d.options.Domain))
+		d.deliver(now, d.core.Handle(now, decision.Configured{View: v}))
+		d.refreshOwned(now)
+		d.mu.Unlock()
+		d.metrics.generation.Update(float64(g))
+		d.log.Info("configuration in force", "generation", g, "digest", d.holder.Digest())
+		go d.announce()
+	}
+}
+
+// fetchFrom asks another daemon for what leads to its generation.
+func (d *Daemon) fetchFrom(ctx context.Context, vm fescuelatch.VMID) {
+	v := d.holder.View()
+	if v == nil {
+		return
+	}
+	if m, ok := v.VM(vm); ok {
+		d.fetch(ctx, m.Peer)
+	}
+}
+
+// fetch takes in what a daemon has in force and reports whether it answered.
+func (d *Daemon) fetch(ctx context.Context, from netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	after := d.holder.Generation()
+	err := d.fetchAfter(ctx, from, after)
+	if configstore.KindOf(err) == configstore.KindMismatch {
+		err = d.fetchAfter(ctx, from, 0)
+	}
+	if err != nil {
+		d.log.Debug("fetch configuration", "from", from.String(), "error", err.Error())
+	}
+	return err == nil
+}
+
+func (d *Daemon) fetchAfter(ctx context.Context, from netip.AddrPort, g fescuelatch.Generation) error {
+	u, err := d.changesAfter(ctx, from, g)
+	if err != nil {
+		return err
+	}
+	_, err = d.holder.Take(u)
+	return err
+}
+
+// changesAfter asks a daemon for what leads from generation g to its own.
+func (d *Daemon) changesAfter(ctx context.Context, from netip.AddrPort, g fescuelatch.Generation) (configstore.Update, error) {
+	var u configstore.Update
+	reply, err := d.peers.Changes(ctx, from, &peer.ChangesRequest{After: g})
+	if err != nil {
+		return u, err
+	}
+	return u, json.Unmarshal(reply.Update, &u)
+}
+
+// learn brings a daemon that holds nothing up to what the platform or its
+// failure domain has in force. It is not ready before.
+func (d *Daemon) learn(ctx context.Context) {
+	s := &configstore.Starter{
+		Store: d.store, Holder: d.holder, VM: d.options.VM, Domain: d.options.Domain,
+		Peers: d.teachers, Gone: d.isGone,
+		Failed: func(err error) { d.log.Info("no configuration yet", "error", err.Error()) },
+	}
+	basis, err := s.Run(ctx)
+	if err != nil {
+		return
+	}
+	d.log.Info("configuration learned", "basis", basis, "generation", d.holder.Generation())
+	d.becomeLearned()
+}
+
+// becomeLearned lets the configuration held come into force.
+func (d *Daemon) becomeLearned() {
+	if d.learned.CompareAndSwap(false, true) {
+		close(d.learnedSignal)
+	}
+}
+
+// teachers returns the daemons to learn from.
+func (d *Daemon) teachers(c *fescuelatch.Configuration) []configstore.Peer {
+	var ps []configstore.Peer
+	if c == nil {
+		for _, a := range d.options.Seeds {
+			ps = append(ps, d.teacher("", a))
+		}
+		return ps
+	}
+	for _, m := range c.Inventory.VMs {
+		if m.ID != d.options.VM {
+			ps = append(ps, d.teacher(m.ID, m.Peer))
+		}
+	}
+	return ps
+}
+
+func (d *Daemon) teacher(vm fescuelatch.VMID, a netip.AddrPort) configstore.Peer {
+	since := func(ctx context.Context, g fescuelatch.Generation) (configstore.Update, error) {
+		return d.changesAfter(ctx, a, g)
+	}
+	return configstore.Peer{VM: vm, Since: since}
+}
+
+// isGone reports whether the list of VMs has been read and lacks a VM.
+func (d *Daemon) isGone(vm fescuelatch.VMID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed != nil && !d.listed[string(vm)]
+}
+
+// pause waits for t or the end of ctx.
+func pause(ctx context.Context, t time.Duration) {
+	select {
+	case <-time.After(t):
+	case <-ctx.Done():
+	}
+}
--- a/decision/request.go
+++ b/decision/request.go
@@ -88,6 +88,19 @@
 	c.place(now, q)
 }
 
+// Pick returns the version that a request would begin with, or none. It
+// changes nothing.
+func (c *Core) Pick(now time.Time, r *fescuelatch.Request) fescuelatch.VersionID {
+	if c.view == nil {
+		return ""
+	}
+	plan, _ := c.planVersions(now, &request{Request: r})
+	if len(plan) == 0 {
+		return ""
+	}
+	return plan[0]
+}
+
 // planVersions returns the versions to try, or the reason for none.
 func (c *Core) planVersions(now time.Time, q *request) ([]fescuelatch.VersionID, Reason) {
 	candidates := c.candidates(now, q)
@@ -149,7 +162,18 @@
 	return cs
 }
 
+// refuse ends a request that can be placed nowhere: with the best answer so
+// far, as unknown when an earlier attempt was broken, and otherwise as not
+// run.
 func (c *Core) refuse(q *request, why Reason, after time.Duration) {
+	if q.best.id != "" {
+		c.accept(q, q.best, false)
+		return
+	}
+	if q.mayHaveRun {
+		c.giveUp(q, ReasonBroken)
+		return
+	}
 	c.end(q)
 	c.emit(Refuse{Request: q.ID, Reason: why, RetryAfter: max(after, q.retryAfter)})
 }
@@ -259,7 +283,7 @@
 	}
 	q.tried[q.current.vm] = true
 	if q.attempts >= maxAttempts || !c.budget.take() {
-		c.exhausted(q, refusalReason(r), defaultRetryAfter)
+		c.refuse(q, refusalReason(r), defaultRetryAfter)
 		return
 	}
 	c.place(now, q)
@@ -289,20 +313,6 @@
 	c.place(now, q)
 }
 
-// exhausted ends a request that can be placed nowhere: with the best answer
-// so far, as not run, or as unknown when an earlier attempt was broken.
-func (c *Core) exhausted(q *request, why Reason, after time.Duration) {
-	if q.best.id != "" {
-		c.accept(q, q.best, false)
-		return
-	}
-	if q.mayHaveRun {
-		c.giveUp(q, ReasonBroken)
-		return
-	}
-	c.refuse(q, why, after)
-}
-
 func (c *Core) cancelled(now time.Time, e Cancelled) {
 	q, ok := c.requests[e.Request]
 	if !ok {
