--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -118,7 +118,7 @@
 		d.mu.Unlock()
 		d.metrics.generation.Update(float64(g))
 		d.log.Info("configuration in force", "generation", g, "digest", d.holder.Digest())
-		go d.announce()
+		go d.announce(ctx)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -271,7 +271,7 @@
 	d.decideLocked(decision.Stopping{})
 	d.refreshOwned(time.Now())
 	d.mu.Unlock()
-	d.announce()
+	d.announce(context.Background())
 	done := make(chan struct{})
 	go func() {
 		d.work.Wait()
--- a/daemon/fronts.go
+++ b/daemon/fronts.go
@@ -58,7 +58,7 @@
 		{"caller", f.Caller, callers, nil, readTimeout},
 		{"operator", f.Operator, operators, nil, readTimeout},
 	} {
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", l.address.String())
 		if err != nil {
 			return errors.Wrapf(err, "listen for %ss", l.name)
 		}
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -189,8 +189,8 @@
 }
 
 // announce tells all daemons of the own failure domain at once.
-func (d *Daemon) announce() {
-	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+func (d *Daemon) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	g := new(errgroup.Group)
 	for _, m := range d.members() {
--- a/engine/client.go
+++ b/engine/client.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer drain(resp.Body)
+	defer closeBody(resp)
 	if r.Stream {
 		st := &stream{client: c, target: t, attempt: a, first: first, chunk: chunk}
 		return st.read(ctx, resp.Body)
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer drain(resp.Body)
+	defer closeBody(resp)
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, brokenOr(ctx, op, err)
@@ -134,7 +134,7 @@
 	if err != nil {
 		return r, &Error{Op: op, Kind: KindNotStarted, Err: err}
 	}
-	defer drain(resp.Body)
+	defer closeBody(resp)
 	if resp.StatusCode != http.StatusOK {
 		return r, &Error{Op: op, Kind: KindNotStarted, Err: errors.Errorf("status %d", resp.StatusCode)}
 	}
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	drain(resp.Body)
+	closeBody(resp)
 	return nil
 }
 
@@ -195,7 +195,7 @@
 	if resp.StatusCode/100 == 2 {
 		return resp, nil
 	}
-	defer drain(resp.Body)
+	defer closeBody(resp)
 	return nil, statusError(op, resp)
 }
 
@@ -233,8 +233,9 @@
 	return &Error{Op: op, Kind: KindBroken, Err: err}
 }
 
-// drain closes a body so that its connection can be used again.
-func drain(b io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxErrorBytes))
-	_ = b.Close()
+// closeBody closes the body of an answer so that its connection can be used
+// again.
+func closeBody(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+	_ = resp.Body.Close()
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	defer drain(resp.Body)
+	defer closeBody(resp)
 	if resp.StatusCode != http.StatusOK {
 		return errors.Wrapf(openai.ErrCut, "resume: status %d", resp.StatusCode)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -171,6 +171,8 @@
 	if err != nil {
 		return err
 	}
+	// The answer to a successful CONNECT has no body.
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", resp.StatusCode)
 	}
