Requests live by their chart

The core's own flag for 'may have run' is replaced by the states of chart/request.yaml: a refusal is only possible where the chart has one. The chart lost its claiming states, since a claim is part of the dispatch. A version that is asked for and withdrawn is now refused as such, with 409, in place of 403.

--- a/chart/names.go
+++ b/chart/names.go
@@ -6,7 +6,6 @@
 // States of the request chart.
 const (
 	RequestReceived        State = "received"
-	RequestClaiming        State = "claiming"
 	RequestPlanning        State = "planning"
 	RequestWaiting         State = "waiting"
 	RequestForwarded       State = "forwarded"
@@ -64,10 +63,6 @@
 
 // Events of all charts.
 const (
-	EventClaim      Event = "claim"
-	EventClaimed    Event = "claimed"
-	EventRecorded   Event = "recorded"
-	EventInProgress Event = "in-progress"
 	EventPlan       Event = "plan"
 	EventQueue      Event = "queue"
 	EventDispatch   Event = "dispatch"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -190,6 +190,9 @@
 		d.refreshOwned(now)
 	}
 	d.deliver(now, d.core.Handle(now, e))
+	for _, err := range d.core.Faults() {
+		d.log.Error("fault of the decision core", "error", err.Error())
+	}
 }
 
 func (d *Daemon) deliver(now time.Time, actions []decision.Action) {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -177,7 +177,7 @@
 }{
 	{decision.ReasonNoVersion, http.StatusForbidden, "no version that the account may use serves this model"},
 	{decision.ReasonQuality, http.StatusServiceUnavailable, "no version in service is expected to meet the quality asked for"},
-	{decision.ReasonWithdrawn, http.StatusConflict, "the version of this session has been withdrawn; begin a new session"},
+	{decision.ReasonWithdrawn, http.StatusConflict, "the version asked for, or that of this session, has been withdrawn; begin a new session"},
 	{decision.ReasonNoCapacity, http.StatusServiceUnavailable, "no capacity is free; the request was not run"},
 	{decision.ReasonDeadline, http.StatusServiceUnavailable, "the request cannot be answered before its deadline; it was not run"},
 	{decision.ReasonNoEndpoint, http.StatusServiceUnavailable, "no endpoint serves the request at present; it was not run"},
--- a/decision/action.go
+++ b/decision/action.go
@@ -73,7 +73,7 @@
 const (
 	ReasonNoVersion  Reason = "no-version-allowed"
 	ReasonQuality    Reason = "quality-not-available"
-	ReasonWithdrawn  Reason = "session-version-withdrawn"
+	ReasonWithdrawn  Reason = "version-withdrawn"
 	ReasonNoCapacity Reason = "no-capacity"
 	ReasonDeadline   Reason = "deadline"
 	ReasonNoEndpoint Reason = "no-endpoint"
--- a/decision/core.go
+++ b/decision/core.go
@@ -49,6 +49,7 @@
 	budget   retryBudget
 	stopping bool
 	out      []Action
+	faults   []error
 }
 
 // service is what endpoints are chosen by: a version or a plain service.
@@ -114,6 +115,14 @@
 // Open returns the number of requests that have not ended.
 func (c *Core) Open() int { return len(c.requests) }
 
+// Faults returns and forgets the faults of this package: events that the
+// chart of a request does not provide for.
+func (c *Core) Faults() []error {
+	fs := c.faults
+	c.faults = nil
+	return fs
+}
+
 // Summary returns what this daemon tells others of its owned endpoints.
 func (c *Core) Summary(now time.Time) ([]fescuelatch.Spare, []fescuelatch.Evidence) {
 	return c.options.Gate.Spare(now), c.options.Quality.Evidence(now)
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -144,6 +144,9 @@
 		}
 		m.check(t, q, a)
 	}
+	if fs := m.core.Faults(); len(fs) > 0 {
+		t.Fatalf("faults after %#v: %v", e, fs)
+	}
 }
 
 func (m *machine) check(t rapid.TB, q *tracked, a decision.Action) {
--- a/decision/place.go
+++ b/decision/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines the placement of attempts.
@@ -129,6 +130,7 @@
 		if w, ok := c.peers[s.VM].spares[q.service()]; ok {
 			w.sent++
 		}
+		c.fire(q, chart.EventForward)
 		c.emit(Forward{Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version})
 		return
 	}
@@ -150,11 +152,16 @@
 		switch a.Verdict {
 		case fescuelatch.AdmissionQueue:
 			q.current.queued = true
+			c.fire(q, chart.EventQueue)
 		case fescuelatch.AdmissionStart:
 			q.current.queued = false
+			c.fire(q, chart.EventDispatch)
 			c.emit(Start{Request: q.ID, Attempt: a.Attempt, Endpoint: a.Endpoint, Version: q.current.version})
 		case fescuelatch.AdmissionRefuse:
-			q.current.queued = false
+			if q.current.queued {
+				q.current.queued = false
+				c.fire(q, chart.EventPlan)
+			}
 			q.retryAfter = max(q.retryAfter, a.RetryAfter)
 			c.notStarted(now, q, fescuelatch.AttemptResult{
 				Attempt: a.Attempt, Status: fescuelatch.AttemptNotStarted, RetryAfter: a.RetryAfter, Overloaded: true,
--- a/decision/request.go
+++ b/decision/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines the life of one request in the core.
@@ -37,9 +38,8 @@
 	bestScore float64
 	// retryAfter is the longest advice that a refused attempt brought.
 	retryAfter time.Duration
-	// mayHaveRun reports that an attempt was broken, so that the request
-	// cannot be refused as not run.
-	mayHaveRun bool
+	// life says, by its state, whether any attempt may have run.
+	life *chart.Machine
 }
 
 // attempt is one attempt of a request.
@@ -59,7 +59,10 @@
 }
 
 func (c *Core) arrived(now time.Time, e Arrived) {
-	q := &request{Request: e.Request, share: e.Share, given: e.Attempt, tried: make(map[fescuelatch.VMID]bool)}
+	q := &request{
+		Request: e.Request, share: e.Share, given: e.Attempt, tried: make(map[fescuelatch.VMID]bool),
+		life: chart.Request().New(),
+	}
 	c.requests[q.ID] = q
 	c.budget.earn()
 	switch {
@@ -71,6 +74,7 @@
 		c.refuse(q, ReasonDeadline, defaultRetryAfter)
 	case q.IsService():
 		q.plan = []fescuelatch.VersionID{""}
+		c.fire(q, chart.EventPlan)
 		c.place(now, q)
 	default:
 		c.planAndPlace(now, q)
@@ -78,6 +82,7 @@
 }
 
 func (c *Core) planAndPlace(now time.Time, q *request) {
+	c.fire(q, chart.EventPlan)
 	plan, reason := c.planVersions(now, q)
 	if len(plan) == 0 {
 		c.refuse(q, reason, defaultRetryAfter)
@@ -120,11 +125,31 @@
 	return plan, ""
 }
 
+// noCandidate says why no version that the request asks for can be used.
 func (c *Core) noCandidate(q *request) Reason {
-	if q.Session != "" && c.view.Withdrawn(q.Session) {
-		return ReasonWithdrawn
+	account, ok := c.view.Account(q.Account)
+	if !ok {
+		return ReasonNoVersion
+	}
+	why := ReasonNoVersion
+	for _, v := range c.view.VersionsOf(q.Model) {
+		if !c.view.Allowed(account, v) || (q.pinned() != "" && v.ID != q.pinned()) {
+			continue
+		}
+		if !c.view.Withdrawn(v.ID) {
+			return ReasonQuality
+		}
+		why = ReasonWithdrawn
+	}
+	return why
+}
+
+// pinned returns the one version that the request may run on, or none.
+func (q *request) pinned() fescuelatch.VersionID {
+	if q.Version != "" {
+		return q.Version
 	}
-	return ReasonNoVersion
+	return q.Session
 }
 
 // candidates returns the versions that the request may run on. A session or
@@ -135,10 +160,7 @@
 	if !ok {
 		return nil
 	}
-	pinned := q.Version
-	if pinned == "" {
-		pinned = q.Session
-	}
+	pinned := q.pinned()
 	var cs []fescuelatch.Candidate
 	for _, v := range c.view.VersionsOf(q.Model) {
 		if pinned != "" && v.ID != pinned {
@@ -163,32 +185,39 @@
 }
 
 // refuse ends a request that can be placed nowhere: with the best answer so
-// far, as unknown when an earlier attempt was broken, and otherwise as not
-// run.
+// far, as unknown when an attempt may have run, and otherwise as not run.
 func (c *Core) refuse(q *request, why Reason, after time.Duration) {
-	if q.best.id != "" {
+	switch {
+	case q.best.id != "":
 		c.accept(q, q.best, false)
-		return
-	}
-	if q.mayHaveRun {
+	case !q.life.Can(chart.EventRefuse):
 		c.giveUp(q, ReasonBroken)
-		return
+	default:
+		c.end(q, chart.EventRefuse)
+		c.emit(Refuse{Request: q.ID, Reason: why, RetryAfter: max(after, q.retryAfter)})
 	}
-	c.end(q)
-	c.emit(Refuse{Request: q.ID, Reason: why, RetryAfter: max(after, q.retryAfter)})
 }
 
 func (c *Core) giveUp(q *request, why Reason) {
-	c.end(q)
+	c.end(q, chart.EventFail)
 	c.emit(GiveUp{Request: q.ID, Reason: why})
 }
 
 func (c *Core) accept(q *request, a attempt, sample bool) {
-	c.end(q)
+	c.end(q, chart.EventAnswer)
 	c.emit(Accept{Request: q.ID, Attempt: a.id, Version: a.version, Attempts: q.attempts, Sample: sample})
 }
 
-func (c *Core) end(q *request) {
+// fire moves the request along its chart. An event without a transition is
+// a fault of this package; it is kept for Faults.
+func (c *Core) fire(q *request, e chart.Event) {
+	if err := q.life.Fire(e); err != nil {
+		c.faults = append(c.faults, err)
+	}
+}
+
+func (c *Core) end(q *request, e chart.Event) {
+	c.fire(q, e)
 	delete(c.requests, q.ID)
 	delete(c.attempts, q.current.id)
 }
@@ -233,9 +262,10 @@
 		c.answered(now, q)
 	case fescuelatch.AttemptNotStarted:
 		q.retryAfter = max(q.retryAfter, r.RetryAfter)
+		c.fire(q, chart.EventNotStarted)
 		c.notStarted(now, q, r)
 	case fescuelatch.AttemptCancelled:
-		c.end(q)
+		c.end(q, chart.EventCancel)
 		c.emit(Drop{Request: q.ID})
 	default:
 		c.broken(now, q)
@@ -272,6 +302,7 @@
 	}
 	q.step++
 	clear(q.tried)
+	c.fire(q, chart.EventEscalate)
 	c.place(now, q)
 }
 
@@ -308,7 +339,7 @@
 		c.giveUp(q, ReasonBroken)
 		return
 	}
-	q.mayHaveRun = true
+	c.fire(q, chart.EventRetry)
 	q.tried[q.current.vm] = true
 	c.place(now, q)
 }
@@ -321,7 +352,7 @@
 	if q.current.queued {
 		c.withdraw(now, q)
 	}
-	c.end(q)
+	c.end(q, chart.EventCancel)
 	c.emit(Drop{Request: q.ID})
 }
 
