--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/ownership"
@@ -61,14 +62,26 @@
 		go d.resignWhenSuperseded(watching, cancel)
 		f := &configstore.Follower{
 			Store: d.store, Holder: d.holder,
-			Failed:  func(err error) { d.reach.set(false); d.log.Warn("platform", "error", err.Error()) },
-			Reached: func(fescuelatch.Generation) { d.reach.set(true); d.becomeLearned() },
+			Failed:  d.platformFailed,
+			Reached: d.platformReached,
 		}
 		f.Run(watching)
 		cancel()
 	}
 }
 
+func (d *Daemon) platformFailed(err error) {
+	d.log.Warn("platform", "error", err.Error())
+	d.reach.set(false)
+	d.life.fireIfPossible(chart.EventCut)
+}
+
+func (d *Daemon) platformReached(fescuelatch.Generation) {
+	d.reach.set(true)
+	d.becomeLearned()
+	d.life.fireIfPossible(chart.EventRejoin)
+}
+
 func (d *Daemon) resignWhenSuperseded(ctx context.Context, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		pause(ctx, followInterval)
@@ -186,6 +199,7 @@
 // becomeLearned lets the configuration held come into force.
 func (d *Daemon) becomeLearned() {
 	if d.learned.CompareAndSwap(false, true) {
+		d.life.fireIfPossible(chart.EventLearned)
 		close(d.learnedSignal)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"fescuelatch"
 	"fescuelatch/billing"
 	"fescuelatch/caller"
+	"fescuelatch/chart"
 	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
@@ -83,6 +84,7 @@
 	// claim is tried.
 	claimsAway atomic.Int64
 
+	life    *life
 	leaving atomic.Bool
 	learned atomic.Bool
 	// learnedSignal is closed when learned is set.
@@ -127,6 +129,7 @@
 		store:       &configstore.Store{KV: o.KV},
 		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer},
 		metrics:     newMetrics(o.Metrics),
+		life:        newLife(o.Log),
 		core:        decision.New(o.Core),
 		table:       t,
 		vmsOut:      make(map[string]bool),
@@ -249,6 +252,7 @@
 		_ = g.Wait()
 		return err
 	}
+	d.life.fire(chart.EventStarted)
 	d.loops(running, g)
 	g.Go(func() error {
 		select {
@@ -268,6 +272,7 @@
 // serves, at most for StopTimeout.
 func (d *Daemon) stop() {
 	d.log.Info("stopping", "open", d.open())
+	d.life.fire(chart.EventDrain)
 	d.leaving.Store(true)
 	d.mu.Lock()
 	d.table.Leave(time.Now())
@@ -286,6 +291,7 @@
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
 	d.handOn()
+	d.life.fire(chart.EventDrained)
 	d.log.Info("stopped")
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -10,6 +10,7 @@
 
 	"fescuelatch"
 	"fescuelatch/billing"
+	"fescuelatch/chart"
 	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
@@ -80,11 +81,9 @@
 func (o *operatorBackend) Ready() error {
 	d := (*Daemon)(o)
 	v := d.holder.View()
-	switch {
-	case d.leaving.Load():
-		return errors.New("stopping")
-	case !d.learned.Load():
-		return errors.New("learning the configuration")
+	switch state := d.life.state(); {
+	case state != chart.DaemonReady && state != chart.DaemonCutOff:
+		return errors.New(string(state))
 	case v == nil:
 		return errors.New("no configuration is in force")
 	case v.VMOut(d.options.VM):
@@ -197,13 +196,13 @@
 	Started     time.Time                   `json:"started"`
 	Generation  fescuelatch.Generation      `json:"generation"`
 	Digest      string                      `json:"digest"`
-	Learned     bool                        `json:"learned"`
-	Leaving     bool                        `json:"leaving"`
+	Life        chart.State                 `json:"state"`
 	Open        int                         `json:"open-requests"`
 	Members     []ownership.Member          `json:"members"`
 	Owned       []fescuelatch.OwnedEndpoint `json:"owned"`
 	Spares      []fescuelatch.Spare         `json:"spares"`
 	Versions    []decision.VersionState     `json:"versions"`
+	Domains     []decision.DomainState      `json:"failure-domains"`
 	Evidence    []fescuelatch.Evidence      `json:"evidence"`
 	Claims      claim.Stats                 `json:"claims"`
 	Bills       billing.Stats               `json:"bills"`
@@ -228,8 +227,9 @@
 	now := time.Now()
 	s := dump{
 		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation, Started: d.started,
-		Generation: d.holder.Generation(), Digest: d.holder.Digest(), Learned: d.learned.Load(), Leaving: d.leaving.Load(),
+		Generation: d.holder.Generation(), Digest: d.holder.Digest(),
 		Open: d.core.Open(), Members: d.table.Members(now), Owned: d.table.Owned(now), Versions: d.core.Versions(now),
+		Domains: d.core.Domains(), Life: d.life.state(),
 	}
 	s.Spares, s.Evidence = d.core.Summary(now)
 	s.Claims = d.claims.Stats()
--- a/decision/core.go
+++ b/decision/core.go
@@ -46,6 +46,7 @@
 	requests map[fescuelatch.RequestID]*request
 	attempts map[fescuelatch.AttemptID]*request
 	peers    map[fescuelatch.VMID]*peer
+	domains  map[fescuelatch.DomainID]*domainLife
 	budget   retryBudget
 	stopping bool
 	out      []Action
@@ -69,6 +70,7 @@
 		requests: make(map[fescuelatch.RequestID]*request),
 		attempts: make(map[fescuelatch.AttemptID]*request),
 		peers:    make(map[fescuelatch.VMID]*peer),
+		domains:  make(map[fescuelatch.DomainID]*domainLife),
 		budget:   retryBudget{tokens: retryBurst},
 	}
 }
@@ -104,6 +106,7 @@
 	case Stopping:
 		c.stopping = true
 	case Tick:
+		c.tickDomains(now)
 		c.admit(now, c.options.Gate.Poll(now))
 	}
 	return c.out
@@ -158,6 +161,7 @@
 func (c *Core) configured(now time.Time, e Configured) {
 	c.view = e.View
 	c.options.Quality.Configure(now, e.View.VersionsOf(""))
+	c.configureDomains(now)
 	c.replanWithdrawn(now)
 }
 
--- a/decision/place.go
+++ b/decision/place.go
@@ -116,7 +116,7 @@
 		}
 		spots = append(spots, fescuelatch.Spot{
 			VM: id, Domain: p.domain, Local: p.domain == c.options.Domain,
-			Spare: w.Free - w.Queued, Seen: p.at, Sent: w.sent,
+			Spare: c.returning(now, p.domain, w.Free-w.Queued), Seen: p.at, Sent: w.sent,
 		})
 	}
 	others := spots[own:]
