Quality: half-life of an hour, so that slow probations end

TestSlowProbation allows two hours, the longest quarantine.

Placement properties now cover the spot of the own gate.

--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -32,6 +32,7 @@
 	}{
 		{"no spot", fescuelatch.Request{}, nil, none},
 		{"own first", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 90), local("b", 50), own("e1", 1)}, 2},
+		{"own gate first", fescuelatch.Request{Prefix: 7}, []fescuelatch.Spot{local("b", 50), {VM: "a", Own: true, Local: true, Spare: 1, Seen: epoch}}, 1},
 		{"own domain next", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 90), local("b", 5), own("e1", 0)}, 1},
 		{"elsewhere last", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 90), local("b", 0), own("e1", 0)}, 0},
 		{"nothing spare queues at an own endpoint", fescuelatch.Request{}, []fescuelatch.Spot{remote("c", 0), own("e1", 0)}, 1},
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -18,9 +18,12 @@
 		Local: rapid.Bool().Draw(t, "local"),
 		Seen:  epoch.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond),
 	}
-	if rapid.Bool().Draw(t, "own") {
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
 		s.Endpoint, s.Local, s.Sent = fescuelatch.EndpointID(id), true, 0
-	} else {
+	case 1:
+		s.VM, s.Own, s.Local, s.Sent = fescuelatch.VMID(id), true, true, 0
+	default:
 		s.VM = fescuelatch.VMID(id)
 	}
 	return s
--- a/quality/experiment_test.go
+++ b/quality/experiment_test.go
@@ -191,6 +191,26 @@
 	}
 }
 
+// TestSlowProbation requires that a good version returns within two hours,
+// the longest quarantine, although a rating comes only every two minutes.
+func TestSlowProbation(t *testing.T) {
+	const interval, limit = 2 * time.Minute, 2 * time.Hour
+	for seed := range uint64(seeds) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		f := newFleet(1, Settings{})
+		for f.quarantined() == 0 {
+			f.round(r, 0)
+		}
+		m, start := f.models[0], f.now
+		for m.Health(f.now, "triage@small") != fescuelatch.HealthGood && f.now.Sub(start) <= limit {
+			f.now = f.now.Add(interval)
+			m.ObserveRating(f.now, "triage@small", draw(r, 0.9))
+		}
+		t.Logf("seed %d: good again after %v", seed, f.now.Sub(start))
+		qt.Check(t, f.now.Sub(start) <= limit, qt.IsTrue)
+	}
+}
+
 func BenchmarkObserveRating(b *testing.B) {
 	m := newFleet(1, Settings{}).models[0]
 	b.ReportAllocs()
--- a/quality/settings.go
+++ b/quality/settings.go
@@ -10,10 +10,10 @@
 	// quality counts as. The default is 50.
 	PriorWeight float64
 	// HalfLife is the time in which evidence loses half its weight in
-	// estimates. The default is 30 minutes.
+	// estimates. The default is one hour.
 	HalfLife time.Duration
 	// Expiry is the age at which another daemon's evidence is dropped. The
-	// default is two hours.
+	// default is four hours.
 	Expiry time.Duration
 	// MaxSkew is how far ahead of this clock another daemon's evidence may
 	// be dated. Evidence beyond it is ignored. The default is one minute.
@@ -54,8 +54,8 @@
 // Defaults of Settings.
 const (
 	defaultPriorWeight    = 50
-	defaultHalfLife       = 30 * time.Minute
-	defaultExpiry         = 2 * time.Hour
+	defaultHalfLife       = time.Hour
+	defaultExpiry         = 4 * time.Hour
 	defaultMaxSkew        = time.Minute
 	defaultMaxOrigins     = 2048
 	defaultConfidence     = 0.9
