--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -235,6 +235,28 @@
 	c.Check(billed(kv)["request-1"], qt.Equals, 1)
 }
 
+func TestCopyOn(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv := new(memory.KV)
+	kv.SetDown(true)
+	k, second := newKeeper(kv), newKeeper(kv)
+	p := &peer{name: "second", keeper: second}
+	k.Copier = p
+	c.Assert(k.Hold(billing.Batch{Origin: "gone", Sequence: 1, Bills: []fescuelatch.Bill{bill(1, "")}}), qt.IsNil)
+	c.Assert(k.Hold(billing.Batch{Origin: "alive", Sequence: 1, Bills: []fescuelatch.Bill{bill(2, "")}}), qt.IsNil)
+	p.setAway(true)
+	c.Check(billing.KindOf(k.CopyOn(ctx, "gone")), qt.Equals, billing.KindPending)
+	p.setAway(false)
+	c.Assert(k.CopyOn(ctx, "gone"), qt.IsNil)
+	c.Check(second.Stats().Waiting, qt.Equals, 1)
+	kv.SetDown(false)
+	// Both write it, and it stands there once.
+	c.Assert(second.Flush(ctx), qt.IsNil)
+	c.Assert(k.Flush(ctx), qt.IsNil)
+	c.Check(billed(kv), qt.DeepEquals, map[string]int{"request-1": 1, "request-2": 1})
+}
+
 func TestLostHolder(t *testing.T) {
 	c := qt.New(t)
 	kv := new(memory.KV)
--- a/billing/keeper.go
+++ b/billing/keeper.go
@@ -65,7 +65,10 @@
 	Origins int   `json:"origins"`
 }
 
-const opHold = "hold"
+const (
+	opHold   = "hold"
+	opCopyOn = "copy on"
+)
 
 // Hold keeps a copy of a batch.
 func (k *Keeper) Hold(b Batch) error {
@@ -244,6 +247,24 @@
 	return nil
 }
 
+// CopyOn copies what is held of an origin, which is gone, to another daemon as
+// well, so that an outage of the platform does not leave one copy only. The
+// copies stay here. It reports KindPending when some were not copied.
+func (k *Keeper) CopyOn(ctx context.Context, o fescuelatch.Incarnation) error {
+	if k.Copier == nil {
+		return &Error{Op: opCopyOn, Kind: KindPending, Err: errors.New("no copier")}
+	}
+	for _, b := range k.all() {
+		if b.Origin != o {
+			continue
+		}
+		if _, err := k.Copier.Hold(ctx, b); err != nil {
+			return &Error{Op: opCopyOn, Kind: KindPending, Err: err}
+		}
+	}
+	return nil
+}
+
 func (k *Keeper) all() []Batch {
 	k.mu.Lock()
 	defer k.mu.Unlock()
