--- a/decision/place.go
+++ b/decision/place.go
@@ -10,12 +10,14 @@
 
 // This file defines the placement of attempts.
 
-// spareOf returns the number of attempts on s that would start at once.
+// spareOf returns the number of attempts on s that would start at once, less
+// those that wait.
 func (c *Core) spareOf(now time.Time, s service) int {
-	n := c.ownSpare(now, s).Free
+	own := c.ownSpare(now, s)
+	n := own.Free - own.Queued
 	for _, p := range c.peers {
 		if w, ok := p.spares[s]; ok && !c.view.DomainOut(p.domain) {
-			n += max(0, w.Free-w.sent)
+			n += w.Free - w.Queued - w.sent
 		}
 	}
 	return n
--- a/decision/request.go
+++ b/decision/request.go
@@ -277,18 +277,31 @@
 func (c *Core) answered(now time.Time, q *request) {
 	left := q.Deadline.Sub(now)
 	if q.Streamed || q.step+1 >= len(q.plan) || left < 2*ratingTimeout {
-		sample := !q.IsService() && !q.Forwarded && c.options.Random.Float64() < c.options.SampleShare
-		c.accept(q, q.current, sample)
+		c.accept(q, q.current, c.sampled(now, q))
 		return
 	}
 	c.emit(Rate{Request: q.ID, Attempt: q.current.id, Version: q.current.version, Within: ratingTimeout})
 }
 
+// sampled reports whether the accepted answer of q is rated for learning.
+// All answers of a version in doubt are, so that the doubt ends soon.
+func (c *Core) sampled(now time.Time, q *request) bool {
+	if q.IsService() || q.Forwarded || q.step > 0 {
+		return false
+	}
+	if c.options.Quality.Health(now, q.current.version) != fescuelatch.HealthGood {
+		return true
+	}
+	return c.options.Random.Float64() < c.options.SampleShare
+}
+
 func (c *Core) rated(now time.Time, e Rated) {
-	if e.Rated {
+	q, ok := c.requests[e.Request]
+	// Later steps of a plan get the requests that an earlier version failed
+	// on, so that their ratings would make good versions look bad.
+	if e.Rated && (!ok || q.step == 0) {
 		c.options.Quality.ObserveRating(now, e.Version, e.Score)
 	}
-	q, ok := c.requests[e.Request]
 	if !ok || q.current.id != e.Attempt {
 		return
 	}
--- a/policy.go
+++ b/policy.go
@@ -69,7 +69,7 @@
 	Estimate Estimate
 	Health   Health
 	// Spare is the number of further requests that can start at once in
-	// reach of this daemon.
+	// reach of this daemon; it is negative when requests wait.
 	Spare int
 	// Latency is the expected time to the end of the answer.
 	Latency time.Duration
