--- a/chart/chart.go
+++ b/chart/chart.go
@@ -73,6 +73,9 @@
 // File returns the name of the file that the chart was read from.
 func (c *Chart) File() string { return c.file }
 
+// Definition returns the content of the chart's file. It must not be changed.
+func (c *Chart) Definition() *Definition { return &c.definition }
+
 // Initial returns the state in which a machine starts.
 func (c *Chart) Initial() State { return c.states[c.initial] }
 
