--- a/chart/chart_test.go
+++ b/chart/chart_test.go
@@ -1,6 +1,7 @@
 package chart_test
 
 import (
+	"fescuelatch/chart"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -12,8 +13,6 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
-
-	"fescuelatch/chart"
 )
 
 func TestFire(t *testing.T) {
--- a/chart/example_test.go
+++ b/chart/example_test.go
@@ -1,9 +1,8 @@
 package chart_test
 
 import (
-	"fmt"
-
 	"fescuelatch/chart"
+	"fmt"
 )
 
 func ExampleMachine_Fire() {
--- a/token/ring.go
+++ b/token/ring.go
@@ -3,14 +3,13 @@
 package token
 
 import (
+	"fescuelatch/internal/secret"
 	"fmt"
 	"log/slog"
 	"regexp"
 	"strings"
 
 	"github.com/pkg/errors"
-
-	"fescuelatch/internal/secret"
 )
 
 // This file defines Ring, the keys that sign and verify tokens, and how it is
--- a/token/token.go
+++ b/token/token.go
@@ -1,12 +1,11 @@
 package token
 
 import (
+	"fescuelatch"
 	"time"
 
 	"github.com/golang-jwt/jwt/v5"
 	"github.com/pkg/errors"
-
-	"fescuelatch"
 )
 
 // This file defines the claims of a session token, its signing and its
