--- a/chart/chart_test.go
+++ b/chart/chart_test.go
@@ -1,7 +1,6 @@
 package chart_test
 
 import (
-	"fescuelatch/chart"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -10,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"fescuelatch/chart"
+
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
--- a/chart/definition.go
+++ b/chart/definition.go
@@ -1,9 +1,10 @@
 package chart
 
 import (
-	"fescuelatch"
 	"fmt"
 	"regexp"
+
+	"fescuelatch"
 )
 
 // This file defines the content of a chart's file and its validation.
--- a/chart/example_test.go
+++ b/chart/example_test.go
@@ -1,8 +1,9 @@
 package chart_test
 
 import (
-	"fescuelatch/chart"
 	"fmt"
+
+	"fescuelatch/chart"
 )
 
 func ExampleMachine_Fire() {
--- a/fleetkey/keys.go
+++ b/fleetkey/keys.go
@@ -3,12 +3,13 @@
 package fleetkey
 
 import (
-	"fescuelatch/internal/secret"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
 
+	"fescuelatch/internal/secret"
+
 	"github.com/pkg/errors"
 )
 
--- a/fleetkey/keys_test.go
+++ b/fleetkey/keys_test.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fescuelatch/fleetkey"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
 	"testing"
 
+	"fescuelatch/fleetkey"
+
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 )
--- a/token/example_test.go
+++ b/token/example_test.go
@@ -1,9 +1,10 @@
 package token_test
 
 import (
-	"fescuelatch/token"
 	"fmt"
 	"time"
+
+	"fescuelatch/token"
 )
 
 func ExampleRing_Verify() {
--- a/token/ring.go
+++ b/token/ring.go
@@ -3,12 +3,13 @@
 package token
 
 import (
-	"fescuelatch/internal/secret"
 	"fmt"
 	"log/slog"
 	"regexp"
 	"strings"
 
+	"fescuelatch/internal/secret"
+
 	"github.com/pkg/errors"
 )
 
--- a/token/token.go
+++ b/token/token.go
@@ -1,9 +1,10 @@
 package token
 
 import (
-	"fescuelatch"
 	"time"
 
+	"fescuelatch"
+
 	"github.com/golang-jwt/jwt/v5"
 	"github.com/pkg/errors"
 )
--- a/token/token_test.go
+++ b/token/token_test.go
@@ -4,14 +4,15 @@
 	"bytes"
 	"encoding/base64"
 	"encoding/json"
-	"fescuelatch"
-	"fescuelatch/token"
 	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
 	"time"
 
+	"fescuelatch"
+	"fescuelatch/token"
+
 	qt "github.com/frankban/quicktest"
 	"github.com/golang-jwt/jwt/v5"
 	"github.com/pkg/errors"
