--- a/token/token.go
+++ b/token/token.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"fescuelatch"
+
 	"github.com/golang-jwt/jwt/v5"
 	"github.com/pkg/errors"
-
-	"fescuelatch"
 )
 
 // This file defines the claims of a session token, its signing and its
