--- a/cmd/fescuelatch-load/experiment/failures.go
+++ b/cmd/fescuelatch-load/experiment/failures.go
@@ -12,29 +12,38 @@
 // This file defines what happens in the experiments.
 
 const (
-	badQuality    = 0.2
-	coldFor       = 4 * time.Second
-	floodRate     = 90 // arrivals a second
-	outageRefuse  = "refuse"
-	noOutage      = ""
-	slowFirst     = "100ms"
-	slowBetween   = "12ms"
-	serviceOption = "--service-time"
-	slowService   = "40ms"
+	badQuality   = 0.2
+	coldFor      = 4 * time.Second
+	floodRate    = 90 // arrivals a second
+	serviceTime  = 40 * time.Millisecond
+	outageRefuse = "refuse"
+	noOutage     = ""
 )
 
-// slow returns the arguments that make an endpoint slow enough that a fleet
-// on one machine can be loaded to its limits.
-func slow(c *fescuelatch.Configuration) func(fescuelatch.Endpoint) []string {
+// speed is how fast a model engine is while it has one request.
+type speed struct {
+	firstToken, betweenTokens time.Duration
+}
+
+// Speeds of engines, slow enough that a fleet on one machine can be loaded to
+// a fair part of its limits.
+var (
+	slow    = speed{100 * time.Millisecond, 12 * time.Millisecond}
+	slower  = speed{150 * time.Millisecond, 20 * time.Millisecond}
+	slowest = speed{300 * time.Millisecond, 40 * time.Millisecond}
+)
+
+// options returns the arguments that give endpoints their speed.
+func (s speed) options(c *fescuelatch.Configuration) func(fescuelatch.Endpoint) []string {
 	service := make(map[fescuelatch.PoolID]bool)
 	for _, p := range c.Inventory.Pools {
 		service[p.ID] = p.Service != ""
 	}
 	return func(e fescuelatch.Endpoint) []string {
 		if service[e.Pool] {
-			return []string{serviceOption, slowService}
+			return []string{"--service-time", serviceTime.String()}
 		}
-		return []string{"--first-token", slowFirst, "--between-tokens", slowBetween}
+		return []string{"--first-token", s.firstToken.String(), "--between-tokens", s.betweenTokens.String()}
 	}
 }
 
--- a/cmd/fescuelatch-load/experiment/trial.go
+++ b/cmd/fescuelatch-load/experiment/trial.go
@@ -106,7 +106,7 @@
 		},
 	}
 	sc.Fleet.Daemon = append(append([]string(nil), s.Options.Daemon...), v.Daemon...)
-	sc.Fleet.Engine = slow(c)
+	sc.Fleet.Engine = e.speed.options(c)
 	if e.steps != nil && !v.Undisturbed {
 		sc.Steps = e.steps(c, w)
 	}
