Mutual TLS between daemons: the dialler names the server

Cause: net/rpc connections were opened by tls.Client without a server name, so that with TLS on no heartbeat ever passed and each daemon owned every endpoint; requests went on being answered, which hid it. The test with two daemons now waits until both name one owner: it fails without the name and passes with it. Errors of listeners go to the JSON log.

--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,289 @@
+package daemon_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"fescuelatch"
+	"fescuelatch/cascade"
+	"fescuelatch/configstore"
+	"fescuelatch/daemon"
+	"fescuelatch/decision"
+	"fescuelatch/gate"
+	"fescuelatch/operator"
+	"fescuelatch/peer"
+	"fescuelatch/placement"
+	"fescuelatch/platform/memory"
+	"fescuelatch/quality"
+	"fescuelatch/token"
+)
+
+// This file tests two daemons of one failure domain in one process: who gets
+// in, and that a request reaches the owner of its endpoint.
+
+const (
+	settleTime = 15 * time.Second
+	pollTime   = 50 * time.Millisecond
+)
+
+// nobody is a list of VMs that names none, and a rating service that is away.
+type nobody struct{}
+
+func (nobody) VMs(context.Context) ([]fescuelatch.ListedVM, error) { return nil, nil }
+
+func (nobody) Rate(context.Context, fescuelatch.VersionID, string, string) (float64, error) {
+	return 0, io.EOF
+}
+
+// authority signs the certificates of a test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pool        *x509.CertPool
+}
+
+func newAuthority(c *qt.C) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	a := &authority{key: key, pool: x509.NewCertPool()}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "fleet"}, IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	c.Assert(err, qt.IsNil)
+	a.certificate, err = x509.ParseCertificate(der)
+	c.Assert(err, qt.IsNil)
+	a.pool.AddCert(a.certificate)
+	return a
+}
+
+func (a *authority) config(c *qt.C) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "vm"}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	c.Assert(err, qt.IsNil)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: a.pool, ClientCAs: a.pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+}
+
+func freePort(c *qt.C) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// engineServer is a model engine that answers with the attempt.
+func engineServer(c *qt.C) netip.AddrPort {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			_ = json.NewEncoder(w).Encode(fescuelatch.LoadReport{
+				Incarnation: "i", State: fescuelatch.EndpointWarm, Slots: 4, Generated: time.Now(),
+			})
+			return
+		}
+		fmt.Fprintf(w, `{"id":%q,"model":"m@1","choices":[{"message":{"content":"x"},"finish_reason":"stop"}],"usage":{"prompt_tokens":1,"completion_tokens":1}}`,
+			r.Header.Get("X-Request-Id"))
+	}))
+	c.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+func twoVMs(c *qt.C) *fescuelatch.Configuration {
+	vm := func(id fescuelatch.VMID) fescuelatch.VM {
+		return fescuelatch.VM{ID: id, Domain: "d", Peer: freePort(c), Caller: freePort(c), Operator: freePort(c)}
+	}
+	return &fescuelatch.Configuration{
+		Inventory: fescuelatch.Inventory{
+			Domains:   []fescuelatch.FailureDomain{{ID: "d", Region: "r"}},
+			VMs:       []fescuelatch.VM{vm("vm-1"), vm("vm-2")},
+			Models:    []fescuelatch.Model{{ID: "m"}},
+			Versions:  []fescuelatch.Version{{ID: "m@1", Model: "m", Quality: 0.9, Weight: 1}},
+			Pools:     []fescuelatch.Pool{{ID: "p", Versions: []fescuelatch.VersionID{"m@1"}, Slots: 4, ColdSlots: 4}},
+			Endpoints: []fescuelatch.Endpoint{{ID: "e", Pool: "p", Domain: "d", Address: engineServer(c)}},
+		},
+		Rules: fescuelatch.Rules{Accounts: []fescuelatch.Account{
+			{ID: "a", KeyHashes: []string{fescuelatch.HashKey("key-a")}, Models: []fescuelatch.ModelID{"m"}},
+		}},
+	}
+}
+
+// start runs a daemon until the test ends.
+func start(c *qt.C, kv fescuelatch.KV, m fescuelatch.VM, t *tls.Config, key peer.FleetKey) {
+	ring, err := token.ParseRing("k1:0123456789abcdef0123456789abcdef")
+	c.Assert(err, qt.IsNil)
+	i := fescuelatch.Incarnation("incarnation-" + m.ID)
+	d, err := daemon.New(daemon.Options{
+		VM: m.ID, Domain: m.Domain, Incarnation: i, FleetKey: key, Sessions: ring,
+		Dialer: &peer.Dialer{TLS: t}, KV: kv, VMs: nobody{}, Rater: nobody{},
+		Core: decision.Options{
+			VM: m.ID, Domain: m.Domain, Random: decision.NewRandom(), Quality: quality.New(i, quality.Settings{}),
+			Versions: new(cascade.Policy), Placement: new(placement.Policy), Gate: gate.NewAdaptive(gate.Settings{}),
+		},
+		Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope, Scrape: http.NotFoundHandler(), StopTimeout: time.Second,
+	})
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- d.Run(ctx, daemon.Fronts{Caller: m.Caller, Operator: m.Operator, Peer: m.Peer, OperatorKey: "o", PeerTLS: t})
+	}()
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+}
+
+// ask sends a chat request and returns the outcome and the request.
+func ask(m fescuelatch.VM) (string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+m.Caller.String()+"/v1/chat/completions",
+		strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("Authorization", "Bearer key-a")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	return resp.Header.Get("Fescuelatch-Outcome"), nil
+}
+
+func eventuallyAnswered(c *qt.C, m fescuelatch.VM) {
+	var outcome string
+	var err error
+	for deadline := time.Now().Add(settleTime); time.Now().Before(deadline); time.Sleep(pollTime) {
+		if outcome, err = ask(m); err == nil && outcome == "answered" {
+			return
+		}
+	}
+	c.Fatalf("%s: outcome %q, error %v", m.ID, outcome, err)
+}
+
+// owner returns the VM that a daemon takes for the owner of the endpoint.
+func owner(c *qt.C, m fescuelatch.VM) fescuelatch.VMID {
+	k := &operator.Client{Addresses: []netip.AddrPort{m.Operator}, Key: "o"}
+	s, err := k.Status(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Endpoints, qt.HasLen, 1)
+	return s.Endpoints[0].Owner
+}
+
+// eventuallyOneOwner waits until both daemons name the same owner, so that
+// one of them must forward.
+func eventuallyOneOwner(c *qt.C, a, b fescuelatch.VM) {
+	var one, two fescuelatch.VMID
+	for deadline := time.Now().Add(settleTime); time.Now().Before(deadline); time.Sleep(pollTime) {
+		one, two = owner(c, a), owner(c, b)
+		if one == two && one != "" {
+			return
+		}
+	}
+	c.Fatalf("owners %q and %q", one, two)
+}
+
+// seed makes the configuration the first generation at the platform.
+func seed(c *qt.C, kv fescuelatch.KV, conf *fescuelatch.Configuration) {
+	change := fescuelatch.Diff(new(fescuelatch.Configuration), conf)
+	change.ID = "first"
+	change.Author = "test"
+	_, err := (&configstore.Store{KV: kv}).Propose(context.Background(), &change)
+	c.Assert(err, qt.IsNil)
+}
+
+// Each of two daemons answers, although only one owns the endpoint, over
+// mutual TLS; and a dialer without a certificate, or with TLS but without
+// the fleet key, is refused.
+func TestForwardingOverMutualTLS(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	conf := twoVMs(c)
+	seed(c, kv, conf)
+	ca := newAuthority(c)
+	for _, m := range conf.Inventory.VMs {
+		start(c, kv, m, ca.config(c), "fleet")
+	}
+	eventuallyOneOwner(c, conf.Inventory.VMs[0], conf.Inventory.VMs[1])
+	for _, m := range conf.Inventory.VMs {
+		eventuallyAnswered(c, m)
+	}
+	tests := []struct {
+		name string
+		key  peer.FleetKey
+		tls  *tls.Config
+		want peer.Kind // empty for an answer
+	}{
+		{"key and certificate", "fleet", ca.config(c), ""},
+		{"another key", "other", ca.config(c), peer.KindUnreachable},
+		{"no certificate", "fleet", &tls.Config{RootCAs: ca.pool, MinVersion: tls.VersionTLS13}, peer.KindUnreachable},
+		{"certificate of another authority", "fleet", newAuthority(c).config(c), peer.KindUnreachable},
+		{"no TLS", "fleet", nil, peer.KindUnreachable},
+	}
+	for _, test := range tests {
+		c.Run(test.name, func(c *qt.C) {
+			k := &peer.Client{Key: test.key, Dialer: &peer.Dialer{TLS: test.tls}}
+			defer k.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			_, err := k.Changes(ctx, conf.Inventory.VMs[0].Peer, &peer.ChangesRequest{})
+			if test.want == "" {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			c.Assert(err, qt.IsNotNil)
+			c.Check(err.(*peer.Error).Kind, qt.Equals, test.want)
+		})
+	}
+}
+
+// A message that does not say who sent it is refused and changes nothing.
+func TestHeartbeatWithoutSender(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	conf := twoVMs(c)
+	seed(c, kv, conf)
+	m := conf.Inventory.VMs[0]
+	start(c, kv, m, nil, "fleet")
+	k := &peer.Client{Key: "fleet", Dialer: new(peer.Dialer)}
+	defer k.Close()
+	var err error
+	for range 40 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err = k.Heartbeat(ctx, m.Peer, new(peer.Heartbeat))
+		cancel()
+		if err != nil && err.(*peer.Error).Kind == peer.KindRefused {
+			return
+		}
+		time.Sleep(pollTime)
+	}
+	c.Fatalf("error %v", err)
+}
--- a/daemon/fronts.go
+++ b/daemon/fronts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -68,6 +69,7 @@
 		s := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: l.read,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
 		}
 		d.serveFront(ctx, g, s, listener)
 		d.log.Info("listening", "front", l.name, "address", l.address.String())
--- a/peer/client.go
+++ b/peer/client.go
@@ -43,7 +43,9 @@
 	if err != nil || d.TLS == nil {
 		return conn, err
 	}
-	t := tls.Client(conn, d.TLS)
+	config := d.TLS.Clone()
+	config.ServerName = to.Addr().String()
+	t := tls.Client(conn, config)
 	if err := t.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, err
