--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -189,12 +189,14 @@
 	c.Fatalf("%s: outcome %q, error %v", m.ID, outcome, err)
 }
 
-// owner returns the VM that a daemon takes for the owner of the endpoint.
-func owner(c *qt.C, m fescuelatch.VM) fescuelatch.VMID {
+// owner returns the VM that a daemon takes for the owner of the endpoint, or
+// none while the daemon starts.
+func owner(m fescuelatch.VM) fescuelatch.VMID {
 	k := &operator.Client{Addresses: []netip.AddrPort{m.Operator}, Key: "o"}
 	s, err := k.Status(context.Background())
-	c.Assert(err, qt.IsNil)
-	c.Assert(s.Endpoints, qt.HasLen, 1)
+	if err != nil || len(s.Endpoints) != 1 {
+		return ""
+	}
 	return s.Endpoints[0].Owner
 }
 
@@ -203,7 +205,7 @@
 func eventuallyOneOwner(c *qt.C, a, b fescuelatch.VM) {
 	var one, two fescuelatch.VMID
 	for deadline := time.Now().Add(settleTime); time.Now().Before(deadline); time.Sleep(pollTime) {
-		one, two = owner(c, a), owner(c, b)
+		one, two = owner(a), owner(b)
 		if one == two && one != "" {
 			return
 		}
