Copies of bills follow their holders; transactions can be handed to one daemon of a domain

A holder that is lost or replaced has its copies made again elsewhere, and only daemons that were given copies are told when these are at the platform (before: every known daemon after every flush). Copies travel in the compact codec. The list of VMs is taken in whole, with the time at which it was asked for. Load reports of one endpoint no longer wait for those of another.

--- a/cmd/fescuelatchd/settings.go
+++ b/cmd/fescuelatchd/settings.go
@@ -45,6 +45,7 @@
 	Gate          string        `arg:"--gate,env:FESCUELATCH_GATE" default:"adaptive" help:"adaptive or fixed"`
 	Quality       string        `arg:"--quality,env:FESCUELATCH_QUALITY" default:"learned" help:"learned or static"`
 	SampleShare   float64       `arg:"--sample-share,env:FESCUELATCH_SAMPLE_SHARE" default:"0.2" help:"share of answers that are rated for learning, 0 to 1"`
+	Relay         bool          `arg:"--platform-relay,env:FESCUELATCH_PLATFORM_RELAY" help:"hand platform writes to one daemon of the failure domain, for failure domains of many VMs"`
 	StopTimeout   time.Duration `arg:"--stop-timeout,env:FESCUELATCH_STOP_TIMEOUT" default:"30s" help:"longest time of a graceful stop"`
 	LogLevel      string        `arg:"--log-level,env:FESCUELATCH_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 
--- a/daemon/bills.go
+++ b/daemon/bills.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,7 +72,7 @@
 // asked first, so that a copy outlives this one.
 func (c *copier) Hold(ctx context.Context, b billing.Batch) (fescuelatch.Incarnation, error) {
 	d := (*Daemon)(c)
-	body, err := json.Marshal(b)
+	body, err := d.codec.Encode(b)
 	if err != nil {
 		return "", err
 	}
@@ -84,6 +86,7 @@
 		err := d.peers.Hold(one, vm.Peer, &peer.BillBatch{Body: body})
 		cancel()
 		if err == nil {
+			d.told.add(h.hello.VM)
 			return h.hello.Incarnation, nil
 		}
 		last = err
@@ -112,18 +115,52 @@
 	return hs
 }
 
-// Drop implements billing.Copier. Every daemon that may hold a copy is told.
+// Drop implements billing.Copier. The daemons that were given copies since
+// the last call are told.
 func (c *copier) Drop(ctx context.Context, o fescuelatch.Incarnation, through uint64) error {
 	d := (*Daemon)(c)
-	for _, h := range d.holders() {
-		if vm, ok := d.holder.View().VM(h.hello.VM); ok {
+	for _, vm := range d.told.take() {
+		if m, ok := d.holder.View().VM(vm); ok {
 			// A copy that is not dropped is written again, to no effect.
-			_ = d.peers.Written(ctx, vm.Peer, &peer.BillsWritten{Origin: o, Through: through})
+			_ = d.peers.Written(ctx, m.Peer, &peer.BillsWritten{Origin: o, Through: through})
 		}
 	}
 	return nil
 }
 
+// vmSet is a set of VMs. It is safe for concurrent use.
+type vmSet struct {
+	mu  sync.Mutex
+	vms map[fescuelatch.VMID]bool
+}
+
+func (s *vmSet) add(vm fescuelatch.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.vms == nil {
+		s.vms = make(map[fescuelatch.VMID]bool)
+	}
+	s.vms[vm] = true
+}
+
+// take empties the set and returns what it held.
+func (s *vmSet) take() []fescuelatch.VMID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vms := slices.Collect(maps.Keys(s.vms))
+	s.vms = nil
+	return vms
+}
+
+// replaced tells the ledger and the keeper that a daemon is gone: copies of
+// which it was one of two holders are made again.
+func (d *Daemon) replaced(ctx context.Context, i fescuelatch.Incarnation) {
+	d.ledger.Lost(i)
+	if err := d.keeper.CopyOn(ctx, i); err != nil {
+		d.log.Warn("bills of a lost daemon have one copy", "incarnation", i, "error", err.Error())
+	}
+}
+
 // handOn writes, or hands to other daemons, what this daemon holds.
 func (d *Daemon) handOn() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOnTimeout)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,10 @@
 	Scrape   http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// Relay hands transactions to one daemon of the failure domain, which
+	// groups them. It suits failure domains of many daemons: while that
+	// daemon is silent and not yet known to be, claims are refused.
+	Relay bool
 	// FlushInterval is that of bills to the platform; zero means the
 	// default.
 	FlushInterval time.Duration
@@ -78,6 +82,8 @@
 	claims   *claim.Claimer
 	ledger   *billing.Ledger
 	keeper   *billing.Keeper
+	codec    billing.Codec
+	told     vmSet
 	bindings *session.Store
 
 	// claimsAway is the time, in nanoseconds since 1970, until which no
@@ -111,6 +117,8 @@
 	hello peer.Hello
 	at    time.Time
 	first time.Time
+	// lost reports that nothing is forwarded to it until it is heard again.
+	lost bool
 }
 
 // New returns a daemon that has not been started.
@@ -147,16 +155,20 @@
 
 // keep sets up what is kept at the platform.
 func (d *Daemon) keep(o Options) {
-	d.batcher = &platform.Batcher{KV: o.KV}
-	d.claims = &claim.Claimer{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
-	d.bindings = &session.Store{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.batcher = &platform.Batcher{KV: o.KV, Interval: batchInterval}
+	relay := &platform.Relay{Local: d.batcher, Remote: d.remote}
+	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
 	d.ledger = &billing.Ledger{
-		Origin: d.incarnation, Submitter: d.batcher, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
+		Origin: d.incarnation, Submitter: relay, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
 		Spread: func() float64 { return minSpread + rand.Float64() },
 	}
-	d.keeper = &billing.Keeper{Submitter: d.batcher, Now: time.Now, Copier: (*copier)(d)}
+	d.keeper = &billing.Keeper{Submitter: relay, Now: time.Now, Copier: (*copier)(d)}
 }
 
+// batchInterval is that of grouped calls to the platform.
+const batchInterval = 20 * time.Millisecond
+
 // minSpread is the least factor of a flush interval; the greatest is 1 more.
 const minSpread = 0.5
 
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -29,7 +29,7 @@
 	gossipInterval = 250 * time.Millisecond
 	// reportInterval is that of load reports of an owned endpoint.
 	reportInterval = 500 * time.Millisecond
-	reportTimeout  = 2 * time.Second
+	reportTimeout  = time.Second
 	listInterval   = 2 * time.Second
 	listTimeout    = 2 * time.Second
 	// lostAfter is the age of the last word from a daemon at which nothing
@@ -58,7 +58,7 @@
 	every(gossipInterval, d.gossip)
 	every(reportInterval, d.readReports)
 	every(listInterval, d.readList)
-	every(lostAfter/4, func(context.Context) { d.forgetLost() })
+	every(lostAfter/4, d.forgetLost)
 	g.Go(func() error { d.follow(ctx); return nil })
 	g.Go(func() error { d.bringIntoForce(ctx); return nil })
 	g.Go(func() error { d.learn(ctx); return nil })
@@ -161,8 +161,11 @@
 	d.mu.Lock()
 	was, ok := d.hellos[h.VM]
 	since := now
-	if ok && was.hello.Incarnation == h.Incarnation {
+	switch {
+	case ok && was.hello.Incarnation == h.Incarnation:
 		since = was.first
+	case ok && !was.lost:
+		go d.replaced(context.WithoutCancel(ctx), was.hello.Incarnation)
 	}
 	d.hellos[h.VM] = heard{hello: h, at: now, first: since}
 	if h.Leaving {
@@ -177,14 +180,18 @@
 }
 
 // forgetLost stops forwarding to daemons that have not been heard of.
-func (d *Daemon) forgetLost() {
+func (d *Daemon) forgetLost(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	for vm, h := range d.hellos {
-		if now.Sub(h.at) > lostAfter {
-			d.decideLocked(decision.Lost{VM: vm})
+		if h.lost || now.Sub(h.at) <= lostAfter {
+			continue
 		}
+		h.lost = true
+		d.hellos[vm] = h
+		d.decideLocked(decision.Lost{VM: vm})
+		go d.replaced(ctx, h.hello.Incarnation)
 	}
 }
 
@@ -205,11 +212,10 @@
 	owned := d.table.Owned(time.Now())
 	d.mu.Unlock()
 	d.metrics.owned.Update(float64(len(owned)))
-	g := new(errgroup.Group)
 	for _, o := range owned {
-		g.Go(func() error { d.readReport(ctx, o.Endpoint); return nil })
+		// An endpoint that answers late holds up no other.
+		go d.readReport(ctx, o.Endpoint)
 	}
-	_ = g.Wait()
 }
 
 func (d *Daemon) readReport(ctx context.Context, e fescuelatch.Endpoint) {
@@ -230,27 +236,25 @@
 func (d *Daemon) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	asked := time.Now()
 	vms, err := d.options.VMs.VMs(ctx)
 	if err != nil || len(vms) == 0 {
 		return
 	}
 	listed := make(map[string]bool, len(vms))
 	leaving := make(map[string]bool)
+	ids := make([]fescuelatch.VMID, 0, len(vms))
 	for _, m := range vms {
+		ids = append(ids, fescuelatch.VMID(m.ID))
 		listed[m.ID] = true
 		if m.State == fescuelatch.ListedLeaving {
 			leaving[m.ID] = true
 		}
 	}
-	members := d.members()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, m := range members {
-		if !listed[string(m.ID)] {
-			d.table.Gone(now, m.ID)
-		}
-	}
+	d.table.Listed(now, asked, ids)
 	d.listed = listed
 	d.vmsOut = leaving
 	d.refreshOwned(now)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -14,6 +14,7 @@
 	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
+	"fescuelatch/gate"
 	"fescuelatch/operator"
 	"fescuelatch/ownership"
 	"fescuelatch/platform"
@@ -205,6 +206,7 @@
 	Domains     []decision.DomainState      `json:"failure-domains"`
 	Evidence    []fescuelatch.Evidence      `json:"evidence"`
 	Claims      claim.Stats                 `json:"claims"`
+	Gate        any                         `json:"gate,omitempty"`
 	Bills       billing.Stats               `json:"bills"`
 	Copies      billing.KeeperStats         `json:"bill-copies"`
 	Batches     platform.BatcherStats       `json:"platform-batches"`
@@ -219,6 +221,13 @@
 	Spares     []fescuelatch.Spare    `json:"spares"`
 }
 
+// dumper is a gate that can say what it knows of its endpoints.
+type dumper interface {
+	Dump(now time.Time) []gate.EndpointDump
+}
+
+var _ dumper = (*gate.Adaptive)(nil)
+
 // Dump implements operator.Backend.
 func (o *operatorBackend) Dump(context.Context) (any, error) {
 	d := (*Daemon)(o)
@@ -232,6 +241,9 @@
 		Domains: d.core.Domains(), Life: d.life.state(),
 	}
 	s.Spares, s.Evidence = d.core.Summary(now)
+	if g, ok := d.options.Core.Gate.(dumper); ok {
+		s.Gate = g.Dump(now)
+	}
 	s.Claims = d.claims.Stats()
 	s.Bills = d.ledger.Stats()
 	s.Copies = d.keeper.Stats()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"fescuelatch/billing"
 	"fescuelatch/peer"
+	"fescuelatch/platform"
 )
 
 // This file defines what a daemon answers to other daemons.
@@ -48,11 +48,12 @@
 
 // Hold implements peer.Handler.
 func (p *peerHandler) Hold(b *peer.BillBatch, _ *peer.Ack) error {
-	var batch billing.Batch
-	if err := json.Unmarshal(b.Body, &batch); err != nil {
+	d := (*Daemon)(p)
+	batch, err := d.codec.Decode(b.Body)
+	if err != nil {
 		return err
 	}
-	return (*Daemon)(p).keeper.Hold(batch)
+	return d.keeper.Hold(batch)
 }
 
 // Written implements peer.Handler.
@@ -60,3 +61,11 @@
 	(*Daemon)(p).keeper.Drop(w.Origin, w.Through)
 	return nil
 }
+
+// Submit implements peer.Handler.
+func (p *peerHandler) Submit(r *peer.SubmitRequest, reply *platform.SubmitReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Within)
+	defer cancel()
+	*reply = platform.NewSubmitReply((*Daemon)(p).batcher.Submit(ctx, r.Txn))
+	return nil
+}
--- /dev/null
+++ b/daemon/relay.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/ownership"
+	"fescuelatch/peer"
+	"fescuelatch/platform"
+)
+
+// This file defines which daemon of a failure domain makes the calls to the
+// platform.
+
+// remote returns how to reach the daemon that makes the calls: the first live
+// one by identifier. It returns nil when that is this one.
+func (d *Daemon) remote() platform.Remote {
+	if !d.options.Relay || d.leaving.Load() {
+		return nil
+	}
+	v := d.holder.View()
+	if v == nil {
+		return nil
+	}
+	m, ok := v.VM(d.firstMember())
+	if !ok {
+		return nil
+	}
+	return func(ctx context.Context, t fescuelatch.KVTxn) (platform.SubmitReply, error) {
+		return d.submitTo(ctx, m, t)
+	}
+}
+
+// firstMember returns the first live daemon of the failure domain that
+// precedes this one, or none.
+func (d *Daemon) firstMember() fescuelatch.VMID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first := d.options.VM
+	for _, m := range d.table.Members(time.Now()) {
+		if m.State == ownership.StateAlive && m.VM < first {
+			first = m.VM
+		}
+	}
+	if first == d.options.VM {
+		return ""
+	}
+	return first
+}
+
+func (d *Daemon) submitTo(ctx context.Context, m fescuelatch.VM, t fescuelatch.KVTxn) (platform.SubmitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reply, err := d.peers.Submit(ctx, m.Peer, &peer.SubmitRequest{Txn: t, Within: claimTimeout})
+	if err == nil {
+		return *reply, nil
+	}
+	kind := platform.KindUnknown
+	var e *peer.Error
+	if errors.As(err, &e) && e.Op == peer.OpDial {
+		kind = platform.KindUnavailable
+	}
+	return platform.SubmitReply{}, &platform.Error{Op: "relay", Kind: kind, Err: err}
+}
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -68,7 +68,7 @@
 		daemon: d, call: c, reply: r, actions: make(chan timedAction, actionBuffer),
 		answers: make(map[fescuelatch.AttemptID]*answer), started: time.Now(),
 	}
-	if !s.resolveSession(ctx) {
+	if !s.billable() || !s.resolveSession(ctx) {
 		return
 	}
 	id := c.Request.ID
@@ -82,6 +82,23 @@
 	d.mu.Unlock()
 }
 
+// billable refuses a request while this daemon has no room for its bill, in a
+// long outage of the platform.
+func (s *serving) billable() bool {
+	if s.call.Request.Forwarded || !s.daemon.ledger.Full() {
+		return true
+	}
+	f := caller.Failure{
+		Status: http.StatusServiceUnavailable, Code: "bills-full", Outcome: fescuelatch.OutcomeNotRun,
+		Message: "this VM can hold no more bills until the platform is back; the request was not run", RetryAfter: billsRetryAfter,
+	}
+	s.daemon.ended(s, fescuelatch.OutcomeNotRun, f.Code, s.reply.Fail(s.meta(""), f))
+	return false
+}
+
+// billsRetryAfter is told to callers while there is no room for bills.
+const billsRetryAfter = 10 * time.Second
+
 // run carries out actions until the request has ended.
 func (s *serving) run(ctx context.Context) {
 	done := ctx.Done()
--- a/peer/client.go
+++ b/peer/client.go
@@ -13,10 +13,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"fescuelatch/platform"
 )
 
 // This file defines the client side of the calls.
 
+// OpDial is the operation of an Error that says that no connection could be
+// opened: nothing was sent.
+const OpDial = "dial"
+
 const dialTimeout = time.Second
 
 // Dialer opens connections from a VM's own address.
@@ -86,6 +92,11 @@
 	return err
 }
 
+// Submit has a daemon run a transaction at the platform.
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, r *SubmitRequest) (*platform.SubmitReply, error) {
+	return call(ctx, c, to, "Submit", r, new(platform.SubmitReply))
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -101,7 +112,7 @@
 func call[Q, R any](ctx context.Context, c *Client, to netip.AddrPort, method string, q *Q, r *R) (*R, error) {
 	conn, err := c.conn(ctx, to)
 	if err != nil {
-		return nil, &Error{method, KindUnreachable, err}
+		return nil, &Error{OpDial, KindUnreachable, err}
 	}
 	pending := conn.Go(serviceName+"."+method, q, r, make(chan *rpc.Call, 1))
 	select {
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"fescuelatch"
 	"fescuelatch/ownership"
 )
@@ -52,6 +54,13 @@
 	Through uint64
 }
 
+// SubmitRequest asks a daemon to run a transaction at the platform, together
+// with those of others, within a time.
+type SubmitRequest struct {
+	Txn    fescuelatch.KVTxn
+	Within time.Duration
+}
+
 // Ack is an empty reply.
 type Ack struct{}
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,8 @@
 	"net/rpc"
 
 	"github.com/gorilla/mux"
+
+	"fescuelatch/platform"
 )
 
 // This file defines the listener's handlers.
@@ -25,6 +27,7 @@
 	Changes(r *ChangesRequest, reply *ChangesReply) error
 	Hold(b *BillBatch, reply *Ack) error
 	Written(w *BillsWritten, reply *Ack) error
+	Submit(r *SubmitRequest, reply *platform.SubmitReply) error
 }
 
 // FleetKey proves that a connection comes from a daemon of the fleet.
