--- a/chart/chart_test.go
+++ b/chart/chart_test.go
@@ -1,6 +1,8 @@
 package chart_test
 
 import (
+	"flag"
+	"fmt"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -236,13 +238,35 @@
 
 const page = "../docs/design/charts.md"
 
-// The page holds each chart as it is drawn now.
+var update = flag.Bool("update", false, "write the sections of "+page)
+
+// section returns the part of the page that belongs to ch.
+func section(ch *chart.Chart) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "## %s\n\n```mermaid\n%s```\n\n| state | meaning |\n| --- | --- |\n", ch.Name(), ch.Mermaid())
+	for _, d := range ch.Definition().States {
+		fmt.Fprintf(&b, "| `%s` | %s |\n", d.State, d.Meaning)
+	}
+	return b.String()
+}
+
+// The page ends with the sections of the charts as the files are now.
 func TestPage(t *testing.T) {
 	c := qt.New(t)
 	b, err := os.ReadFile(page)
 	c.Assert(err, qt.IsNil)
+	head, _, found := strings.Cut(string(b), "\n## request\n")
+	c.Assert(found, qt.IsTrue)
+	want := head
 	for _, ch := range chart.All() {
-		c.Check(string(b), qt.Contains, "```mermaid\n"+ch.Mermaid()+"```\n", qt.Commentf("%s differs from %s", page, ch.File()))
+		want += "\n" + section(ch)
+	}
+	if *update {
+		c.Assert(os.WriteFile(page, []byte(want), 0o600), qt.IsNil)
+		return
+	}
+	if string(b) != want {
+		t.Fatalf("%s differs from the files; write it with go test ./chart -run TestPage -update", page)
 	}
 }
 
