Followers recheck the platform every 3 s; a conflict makes a daemon catch up

failure/configuration_test.go runs 5 daemons in 3 failure domains and shows that accepted changes come into force within 6 s.

Cause: a follower read the head again only every 30 s. When the watch had dropped an event and the daemon that wrote the change was gone, nobody knew of it for up to 30 s. A daemon that answered 409 knew of the later change and kept the old one, so that the next proposal began from a stale base too.

Cost: a read and a new watch a follower each 3 s, 14 a second each at 21 failure domains.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -22,7 +22,12 @@
 	// platform; the others learn from them.
 	followers      = 2
 	followInterval = time.Second
-	fetchTimeout   = 2 * time.Second
+	// recheckInterval is that of reads of the head by a follower. It bounds
+	// the time for which an event that a watch has dropped, or a connection
+	// that has silently broken, keeps an accepted change from coming into
+	// force.
+	recheckInterval = 3 * time.Second
+	fetchTimeout    = 2 * time.Second
 )
 
 // reachability is whether the platform could be reached last.
@@ -60,7 +65,7 @@
 		watching, cancel := context.WithCancel(ctx)
 		go d.resignWhenSuperseded(watching, cancel)
 		f := &configstore.Follower{
-			Store: d.store, Holder: d.holder,
+			Store: d.store, Holder: d.holder, Recheck: recheckInterval,
 			Failed:  func(err error) { d.reach.set(false); d.log.Warn("platform", "error", err.Error()) },
 			Reached: func(fescuelatch.Generation) { d.reach.set(true); d.becomeLearned() },
 		}
@@ -167,6 +172,14 @@
 	return u, json.Unmarshal(reply.Update, &u)
 }
 
+// catchUp reads what the platform has, after a sign that this daemon lacks it.
+func (d *Daemon) catchUp(ctx context.Context) {
+	f := &configstore.Follower{Store: d.store, Holder: d.holder}
+	if err := f.CatchUp(ctx); err != nil {
+		d.log.Warn("platform", "error", err.Error())
+	}
+}
+
 // learn brings a daemon that holds nothing up to what the platform or its
 // failure domain has in force. It is not ready before.
 func (d *Daemon) learn(ctx context.Context) {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -41,6 +41,10 @@
 func (o *operatorBackend) Propose(ctx context.Context, c *fescuelatch.Change) (operator.ProposeResult, error) {
 	d := (*Daemon)(o)
 	next, err := d.store.Propose(ctx, c)
+	if configstore.KindOf(err) == configstore.KindConflict {
+		// The operator's next change starts from what this daemon has.
+		d.catchUp(ctx)
+	}
 	if err != nil {
 		return operator.ProposeResult{}, proposeError(err)
 	}
--- /dev/null
+++ b/failure/configuration_test.go
@@ -0,0 +1,402 @@
+package failure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/configstore"
+	"fescuelatch/fleet"
+	"fescuelatch/inventory"
+	"fescuelatch/operator"
+	"fescuelatch/platform"
+)
+
+// This file tests that each accepted configuration comes into force
+// everywhere and never reverts, whatever fails.
+
+// Faults of the platform's stand-in.
+type (
+	chance struct {
+		Next        int     `json:"next"`
+		Probability float64 `json:"probability"`
+	}
+	lostAnswer struct {
+		Chance chance `json:"lost-answer"`
+		Mode   string `json:"lost-answer-mode"`
+	}
+	watchGap struct {
+		Chance chance `json:"watch-gap"`
+	}
+	outage struct {
+		Outage string `json:"outage"`
+	}
+)
+
+// changesAll are the VMs of changesConfiguration.
+var changesAll = []fescuelatch.VMID{"a-1", "a-2", "b-1", "b-2", "c-1"}
+
+func TestConfiguration(t *testing.T) {
+	r := startChanges(t)
+	w := r.watchGenerations()
+	tests := []struct {
+		name string
+		run  func(*changesRun, *qt.C)
+	}{
+		{"reachable", testReachable},
+		{"watch gap", testWatchGap},
+		{"lost answers", testLostAnswers},
+		{"racing operators", testRacingOperators},
+		{"cut off from the platform", testCutFromPlatform},
+		{"cut off from all", testCutFromAll},
+		{"replaced in an outage", testReplacedInOutage},
+		{"replaced alone", testReplacedAlone},
+		{"exit codes", testExitCodes},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			test.run(r, c)
+			c.Assert(r.Heal(r.ctx), qt.IsNil)
+			c.Assert(r.PlatformFaults(r.ctx, struct {
+				lostAnswer
+				watchGap
+				outage
+			}{}), qt.IsNil)
+		})
+	}
+	w.end(qt.New(t))
+	checkLoggedGenerations(qt.New(t), r)
+}
+
+// checkLoggedGenerations checks the generations that each daemon says it has
+// brought into force, those of its predecessors included.
+func checkLoggedGenerations(c *qt.C, r *changesRun) {
+	for _, m := range changesAll {
+		b, err := os.ReadFile(filepath.Join(r.dir, "daemon-"+string(m)+".log"))
+		c.Assert(err, qt.IsNil)
+		var last fescuelatch.Generation
+		for _, line := range bytes.Split(b, []byte("\n")) {
+			var l struct {
+				Message    string                 `json:"msg"`
+				Generation fescuelatch.Generation `json:"generation"`
+			}
+			if json.Unmarshal(line, &l) != nil || l.Message != "configuration in force" {
+				continue
+			}
+			c.Check(l.Generation >= last, qt.IsTrue, qt.Commentf("%s: %d after %d", m, l.Generation, last))
+			last = l.Generation
+		}
+		c.Check(last > 1, qt.IsTrue)
+	}
+}
+
+func testReachable(r *changesRun, c *qt.C) {
+	var last time.Duration
+	for n, m := range changesAll {
+		a := r.changeAt(c, weigh("triage@1", float64(n+2)), m)
+		last = max(last, r.inForce(c, a.Generation, a.At, changesAll...))
+	}
+	c.Logf("in force everywhere after %v", last)
+}
+
+// writeChange writes a change at the platform as a daemon does that then
+// ends at once.
+func (r *changesRun) writeChange(c *qt.C, edit func(*fescuelatch.Configuration)) fleet.Accepted {
+	s := configstore.Store{KV: &platform.Client{Server: r.Platform()}}
+	from, err := s.Load(r.ctx)
+	c.Assert(err, qt.IsNil)
+	change := changeOf(from, edit)
+	_, err = s.Propose(r.ctx, &change)
+	c.Assert(err, qt.IsNil)
+	return fleet.Accepted{Generation: change.Generation(), At: time.Now()}
+}
+
+// changeOf returns the change that an edit makes.
+func changeOf(from *fescuelatch.Configuration, edit func(*fescuelatch.Configuration)) fescuelatch.Change {
+	to := *from
+	to.Inventory.Versions = slices.Clone(from.Inventory.Versions)
+	edit(&to)
+	d := fescuelatch.Diff(from, &to)
+	d.ID = fescuelatch.ChangeID(uuid.NewString())
+	d.Author = "operator"
+	d.At = time.Now().UTC()
+	return d
+}
+
+func testWatchGap(r *changesRun, c *qt.C) {
+	c.Assert(r.PlatformFaults(r.ctx, watchGap{chance{Probability: 1}}), qt.IsNil)
+	a := r.changeAt(c, weigh("triage@1", 11), "b-1")
+	c.Logf("in force everywhere after %v", r.inForce(c, a.Generation, a.At, changesAll...))
+	a = r.writeChange(c, weigh("triage@1", 12))
+	c.Logf("in force everywhere without its daemon after %v", r.inForce(c, a.Generation, a.At, changesAll...))
+}
+
+func testLostAnswers(r *changesRun, c *qt.C) {
+	for n, mode := range []string{"cut", "hang", "timed-out"} {
+		c.Assert(r.PlatformFaults(r.ctx, lostAnswer{chance{Next: 1}, mode}), qt.IsNil)
+		before, err := r.Generation(r.ctx, "a-1")
+		c.Assert(err, qt.IsNil)
+		weight := float64(20 + n)
+		a := r.changeAt(c, weigh("triage@2", weight), "a-1")
+		c.Check(a.Generation, qt.Equals, before+1)
+		r.inForce(c, a.Generation, a.At, changesAll...)
+		f, err := r.InForce(r.ctx, "c-1")
+		c.Assert(err, qt.IsNil)
+		c.Check(weightOf(f, "triage@2"), qt.Equals, weight)
+	}
+}
+
+// toldProposal is what an operator was told of a change.
+type toldProposal struct {
+	change fescuelatch.Change
+	result operator.ProposeResult
+	err    error
+}
+
+// proposals makes n changes one after the other, each until it is accepted.
+func (r *changesRun) proposals(n int, v fescuelatch.VersionID, vms ...fescuelatch.VMID) []toldProposal {
+	client := r.Operator(vms...)
+	var ps []toldProposal
+	for i := range n {
+		for r.ctx.Err() == nil {
+			from, err := client.Configuration(r.ctx)
+			if err != nil {
+				continue
+			}
+			p := toldProposal{change: changeOf(from, weigh(v, float64(100+i)))}
+			p.result, p.err = client.Propose(r.ctx, &p.change)
+			ps = append(ps, p)
+			if p.err == nil {
+				break
+			}
+		}
+	}
+	return ps
+}
+
+func testRacingOperators(r *changesRun, c *qt.C) {
+	const changes = 8
+	c.Assert(r.PlatformFaults(r.ctx, lostAnswer{chance{Probability: 0.3}, "cut"}), qt.IsNil)
+	var one, two []toldProposal
+	var wg sync.WaitGroup
+	wg.Go(func() { one = r.proposals(changes, "triage@1", "a-1", "a-2") })
+	wg.Go(func() { two = r.proposals(changes, "triage@2", "b-1", "c-1") })
+	wg.Wait()
+	at := time.Now()
+	c.Assert(r.PlatformFaults(r.ctx, lostAnswer{}), qt.IsNil)
+	stored, err := r.Operator("a-1").History(r.ctx, 100)
+	c.Assert(err, qt.IsNil)
+	var accepted, conflicts int
+	for _, p := range slices.Concat(one, two) {
+		n := slices.IndexFunc(stored, func(s fescuelatch.Change) bool { return s.ID == p.change.ID })
+		if p.err == nil {
+			accepted++
+			c.Assert(n >= 0, qt.IsTrue, qt.Commentf("accepted change %s is not stored", p.change.ID))
+			c.Check(stored[n].Generation(), qt.Equals, p.result.Generation)
+			continue
+		}
+		var e *operator.Error
+		c.Assert(errors.As(p.err, &e), qt.IsTrue)
+		c.Check(e.Kind, qt.Equals, operator.KindConflict)
+		c.Check(e.Winner, qt.IsNotNil)
+		c.Check(n, qt.Equals, -1, qt.Commentf("refused change %s is stored", p.change.ID))
+		conflicts++
+	}
+	c.Check(accepted, qt.Equals, 2*changes)
+	c.Check(conflicts > 0, qt.IsTrue)
+	r.inForce(c, stored[0].Generation(), at, changesAll...)
+	for _, m := range changesAll {
+		f, err := r.InForce(r.ctx, m)
+		c.Assert(err, qt.IsNil)
+		c.Check(weightOf(f, "triage@1"), qt.Equals, 99.0+changes)
+		c.Check(weightOf(f, "triage@2"), qt.Equals, 99.0+changes)
+	}
+	c.Logf("%d accepted, %d conflicts", accepted, conflicts)
+}
+
+func testCutFromPlatform(r *changesRun, c *qt.C) {
+	c.Assert(r.CutPlatform(r.ctx, "a"), qt.IsNil)
+	c.Assert(r.CutPlatform(r.ctx, "c"), qt.IsNil)
+	var last time.Duration
+	for n := range 3 {
+		a := r.changeAt(c, weigh("triage@1", float64(30+n)), "b-2")
+		last = max(last, r.inForce(c, a.Generation, a.At, changesAll...))
+	}
+	c.Logf("in force in what is cut off from the platform after %v", last)
+}
+
+func testCutFromAll(r *changesRun, c *qt.C) {
+	before, err := r.Generation(r.ctx, "a-2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Isolate(r.ctx, "a"), qt.IsNil)
+	a := r.changeAt(c, weigh("triage@1", 41), "b-1")
+	r.inForce(c, a.Generation, a.At, "b-1", "b-2", "c-1")
+	c.Check(r.answers("a-1"), qt.IsTrue)
+	c.Check(r.answers("a-2"), qt.IsTrue)
+
+	// The only other daemon of the failure domain cannot be asked.
+	c.Assert(r.Pause("a-2"), qt.IsNil)
+	r.replace(c, "a-1")
+	c.Check(changesWithin(3*time.Second, func() bool { return r.ready("a-1") }), qt.IsFalse)
+	c.Assert(r.Resume("a-2"), qt.IsNil)
+	c.Check(changesWithin(changeBound, func() bool { return r.ready("a-1") }), qt.IsTrue)
+	for _, m := range []fescuelatch.VMID{"a-1", "a-2"} {
+		g, err := r.Generation(r.ctx, m)
+		c.Assert(err, qt.IsNil)
+		c.Check(g, qt.Equals, before)
+	}
+	c.Check(changesWithin(changeBound, func() bool { return r.answers("a-1") }), qt.IsTrue)
+
+	c.Assert(r.Heal(r.ctx), qt.IsNil)
+	healed := time.Now()
+	c.Logf("in force after healing after %v", r.inForce(c, a.Generation, healed, "a-1", "a-2"))
+}
+
+func testReplacedInOutage(r *changesRun, c *qt.C) {
+	for _, kind := range []string{"refuse", "hang"} {
+		a := r.changeAt(c, weigh("triage@1", float64(50+len(kind))), "a-1")
+		r.inForce(c, a.Generation, a.At, changesAll...)
+		c.Assert(r.PlatformFaults(r.ctx, outage{kind}), qt.IsNil)
+		for _, m := range []fescuelatch.VMID{"b-1", "c-1"} {
+			r.replace(c, m)
+			// The platform's time-out precedes the question to others.
+			c.Assert(changesWithin(2*changeBound, func() bool { return r.ready(m) }), qt.IsTrue)
+			g, err := r.Generation(r.ctx, m)
+			c.Assert(err, qt.IsNil)
+			c.Check(g, qt.Equals, a.Generation)
+		}
+		c.Assert(r.PlatformFaults(r.ctx, outage{}), qt.IsNil)
+	}
+}
+
+func testReplacedAlone(r *changesRun, c *qt.C) {
+	before, err := r.Generation(r.ctx, "c-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Isolate(r.ctx, "c"), qt.IsNil)
+	r.replace(c, "c-1")
+	c.Check(changesWithin(3*time.Second, func() bool { return r.ready("c-1") }), qt.IsFalse)
+	c.Assert(r.Heal(r.ctx), qt.IsNil)
+	healed := time.Now()
+	c.Check(changesWithin(changeBound, func() bool { return r.ready("c-1") }), qt.IsTrue)
+	c.Logf("ready %v after healing", time.Since(healed))
+	r.inForce(c, before, healed, "c-1")
+}
+
+// command runs the operators' command line and returns its exit code.
+func (r *changesRun) command(c *qt.C, vms []fescuelatch.VMID, args ...string) (int, string) {
+	c.Helper()
+	bin, err := changesBin()
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(r.ctx, 20*time.Second)
+	defer cancel()
+	k := exec.CommandContext(ctx, filepath.Join(bin, "fescuelatch"), args...)
+	var as []string
+	for _, m := range vms {
+		as = append(as, r.vm(m).Operator.String())
+	}
+	k.Env = append(os.Environ(), "FESCUELATCH_OPERATOR_KEY="+r.OperatorKey, "FESCUELATCH_OPERATOR_ADDRESSES="+strings.Join(as, ","))
+	out, err := k.CombinedOutput()
+	var e *exec.ExitError
+	if err != nil && !errors.As(err, &e) {
+		c.Fatalf("%v: %s", err, out)
+	}
+	return k.ProcessState.ExitCode(), string(out)
+}
+
+// inventoryFile writes the inventory in force with another weight.
+func (r *changesRun) inventoryFile(c *qt.C, weight float64) string {
+	f, err := r.Operator("b-1", "c-1").Configuration(r.ctx)
+	c.Assert(err, qt.IsNil)
+	f.Inventory.Versions = slices.Clone(f.Inventory.Versions)
+	weigh("triage@1", weight)(f)
+	name := filepath.Join(c.TempDir(), "inventory.yaml")
+	var b bytes.Buffer
+	c.Assert(inventory.WriteInventory(&b, &f.Inventory), qt.IsNil)
+	c.Assert(os.WriteFile(name, b.Bytes(), 0o600), qt.IsNil)
+	return name
+}
+
+// Exit codes of the command line, see docs/OPERATIONS.md. All but the unknown
+// outcome say whether the change is stored.
+const (
+	exitDone        = 0
+	exitConflict    = 3
+	exitNotInForce  = 4
+	exitUnavailable = 5
+	exitUnknown     = 6
+)
+
+// refuseAfter has the platform refuse all calls once it has stored a weight.
+func (r *changesRun) refuseAfter(weight float64) {
+	s := configstore.Store{KV: &platform.Client{Server: r.Platform()}}
+	_ = changesWithin(changeBound, func() bool {
+		f, err := s.Load(r.ctx)
+		return err == nil && weightOf(f, "triage@1") == weight
+	})
+	_ = r.PlatformFaults(r.ctx, outage{"refuse"})
+}
+
+func testExitCodes(r *changesRun, c *qt.C) {
+	tests := []struct {
+		name    string
+		prepare func(weight float64) error
+		vms     []fescuelatch.VMID
+		args    []string
+		code    int
+	}{
+		{"in force", func(float64) error { return nil }, changesAll, nil, exitDone},
+		{"answer lost", func(float64) error {
+			return r.PlatformFaults(r.ctx, lostAnswer{chance{Next: 1}, "cut"})
+		}, changesAll, nil, exitDone},
+		{"stale base", func(float64) error { return nil }, changesAll, []string{"--base", "1"}, exitConflict},
+		{"a failure domain is cut off", func(float64) error {
+			return r.Isolate(r.ctx, "a")
+		}, []fescuelatch.VMID{"b-1", "c-1"}, []string{"--wait", "2s"}, exitNotInForce},
+		{"platform away", func(float64) error {
+			return r.PlatformFaults(r.ctx, outage{"refuse"})
+		}, changesAll, []string{"--timeout", "3s"}, exitUnavailable},
+		{"platform hangs", func(float64) error {
+			return r.PlatformFaults(r.ctx, outage{"hang"})
+		}, changesAll, []string{"--timeout", "3s"}, exitUnknown},
+		{"outcome unknown", func(weight float64) error {
+			go r.refuseAfter(weight)
+			return r.PlatformFaults(r.ctx, lostAnswer{chance{Next: 1}, "hang"})
+		}, changesAll, []string{"--timeout", "4s"}, exitUnknown},
+	}
+	for n, test := range tests {
+		weight := float64(60 + n)
+		name := r.inventoryFile(c, weight)
+		c.Assert(test.prepare(weight), qt.IsNil)
+		args := append([]string{"inventory", "apply", name, "--yes"}, test.args...)
+		code, out := r.command(c, test.vms, args...)
+		c.Check(code, qt.Equals, test.code, qt.Commentf("%s: %s", test.name, out))
+		c.Assert(r.Heal(r.ctx), qt.IsNil)
+		c.Assert(r.PlatformFaults(r.ctx, struct {
+			lostAnswer
+			outage
+		}{}), qt.IsNil)
+		s := configstore.Store{KV: &platform.Client{Server: r.Platform()}}
+		f, err := s.Load(r.ctx)
+		c.Assert(err, qt.IsNil)
+		stored := weightOf(f, "triage@1") == weight
+		if code != exitUnknown {
+			c.Check(stored, qt.Equals, code == exitDone || code == exitNotInForce, qt.Commentf("%s", test.name))
+		}
+		c.Logf("%s: exit code %d, stored %v", test.name, code, stored)
+		r.inForce(c, f.Generation, time.Now(), changesAll...)
+	}
+}
