--- a/failure/once_test.go
+++ b/failure/once_test.go
@@ -55,7 +55,7 @@
 		faults{"lost-answer": faults{"probability": 0}})
 }
 
-func outage(mode string) onceFault {
+func outageFault(mode string) onceFault {
 	return platformFault("platform: "+mode, faults{"outage": mode}, faults{"outage": ""})
 }
 
@@ -103,13 +103,13 @@
 	kill("b-2"),
 	lostAnswers("cut"),
 	{"cut a from b", func(ctx context.Context, f *fleet.Fleet) error { return f.Cut(ctx, "a", "b") }, heal},
-	outage("refuse"),
+	outageFault("refuse"),
 	pause("b-1"),
 	lostAnswers("timed-out"),
 	{"desks break", deskFaults(false), deskFaults(true)},
 	{"cut a from the platform", func(ctx context.Context, f *fleet.Fleet) error { return f.CutPlatform(ctx, "a") }, heal},
 	platformFault("slow platform", faults{"slowness": 400 * time.Millisecond}, faults{"slowness": 0}),
-	outage("hang"),
+	outageFault("hang"),
 }
 
 // refusalBound is the longest time of a refusal while the platform is away:
@@ -127,7 +127,7 @@
 	warmUp(ctx, c, f)
 	for _, mode := range []string{"refuse", "unavailable", "hang"} {
 		c.Run(mode, func(c *qt.C) {
-			o := outage(mode)
+			o := outageFault(mode)
 			c.Assert(o.begin(ctx, f), qt.IsNil)
 			checkRefusals(ctx, c, f, mode)
 			c.Assert(o.end(ctx, f), qt.IsNil)
