--- a/decision/core.go
+++ b/decision/core.go
@@ -45,12 +45,16 @@
 	serves   map[service]int
 	requests map[fescuelatch.RequestID]*request
 	attempts map[fescuelatch.AttemptID]*request
-	peers    map[fescuelatch.VMID]*peer
+	peers    peers
 	domains  map[fescuelatch.DomainID]*domainLife
 	budget   retryBudget
 	stopping bool
 	out      []Action
 	faults   []error
+
+	// spares is the free capacity of the own endpoints, while sparesKnown.
+	spares      map[service]fescuelatch.Spare
+	sparesKnown bool
 }
 
 // service is what endpoints are chosen by: a version or a plain service.
@@ -59,6 +63,8 @@
 	plain   fescuelatch.ServiceID
 }
 
+func serviceOf(s fescuelatch.Spare) service { return service{version: s.Version, plain: s.Service} }
+
 // New returns a core without a configuration: it refuses all requests until
 // Configured.
 func New(o Options) *Core {
@@ -69,9 +75,10 @@
 		serves:   make(map[service]int),
 		requests: make(map[fescuelatch.RequestID]*request),
 		attempts: make(map[fescuelatch.AttemptID]*request),
-		peers:    make(map[fescuelatch.VMID]*peer),
+		peers:    newPeers(),
 		domains:  make(map[fescuelatch.DomainID]*domainLife),
 		budget:   retryBudget{tokens: retryBurst},
+		spares:   make(map[service]fescuelatch.Spare),
 	}
 }
 
@@ -82,6 +89,7 @@
 // order. Times must not decrease. The result is valid until the next call.
 func (c *Core) Handle(now time.Time, e Event) []Action {
 	c.out = c.out[:0]
+	c.sparesKnown = false
 	switch v := e.(type) {
 	case Configured:
 		c.configured(now, v)
@@ -98,16 +106,16 @@
 	case Cancelled:
 		c.cancelled(now, v)
 	case Reported:
-		c.admit(now, c.options.Gate.Report(now, v.Report))
+		c.admit(now, c.gate().Report(now, v.Report))
 	case Summarised:
 		c.summarised(now, v)
 	case Lost:
-		delete(c.peers, v.VM)
+		c.peers.remove(v.VM)
 	case Stopping:
 		c.stopping = true
 	case Tick:
 		c.tickDomains(now)
-		c.admit(now, c.options.Gate.Poll(now))
+		c.admit(now, c.gate().Poll(now))
 	}
 	return c.out
 }
@@ -162,6 +170,7 @@
 	c.view = e.View
 	c.options.Quality.Configure(now, e.View.VersionsOf(""))
 	c.configureDomains(now)
+	c.peers.configure(e.View)
 	c.replanWithdrawn(now)
 }
 
@@ -181,28 +190,11 @@
 			c.serves[service{plain: o.Pool.Service}]++
 		}
 	}
-	c.options.Gate.Own(now, e.Endpoints)
-	c.admit(now, c.options.Gate.Poll(now))
+	c.gate().Own(now, e.Endpoints)
+	c.admit(now, c.gate().Poll(now))
 }
 
 func (c *Core) summarised(now time.Time, e Summarised) {
 	c.options.Quality.Merge(now, e.Evidence)
-	p := &peer{domain: e.Domain, at: e.At, spares: make(map[service]*spare, len(e.Spares))}
-	for _, s := range e.Spares {
-		p.spares[service{version: s.Version, plain: s.Service}] = &spare{Spare: s}
-	}
-	c.peers[e.VM] = p
-}
-
-// peer is what another daemon last said of the endpoints that it owns.
-type peer struct {
-	domain fescuelatch.DomainID
-	at     time.Time
-	spares map[service]*spare
-}
-
-// spare is a peer's free capacity and what was sent there since.
-type spare struct {
-	fescuelatch.Spare
-	sent int
+	c.peers.put(newPeer(e), c.view)
 }
--- a/decision/domain.go
+++ b/decision/domain.go
@@ -101,7 +101,7 @@
 	if id == c.options.Domain && !idle(c.options.Gate.Spare(now)) {
 		return false
 	}
-	for _, p := range c.peers {
+	for _, p := range c.peers.sorted {
 		if p.domain != id {
 			continue
 		}
--- /dev/null
+++ b/decision/peer_test.go
@@ -0,0 +1,88 @@
+package decision
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fescuelatch"
+)
+
+// This file tests that the sums over other daemons are those of what each of
+// them said last.
+
+func viewOut(out ...fescuelatch.DomainID) *fescuelatch.View {
+	v, err := fescuelatch.NewView(&fescuelatch.Configuration{
+		Inventory: fescuelatch.Inventory{Domains: []fescuelatch.FailureDomain{{ID: "d0"}, {ID: "d1"}}},
+		Overrides: fescuelatch.Overrides{DomainsOut: out},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// recount sums from what the daemons said.
+func recount(ps *peers) map[service]int {
+	free := make(map[service]int)
+	for _, p := range ps.byVM {
+		for s, w := range p.spares {
+			if !p.out && w.free() > 0 {
+				free[s] += w.free()
+			}
+		}
+	}
+	return free
+}
+
+func TestPeerSums(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		ps := newPeers()
+		view := viewOut()
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			vm := fescuelatch.VMID(fmt.Sprint("vm-", rapid.IntRange(0, 4).Draw(r, "vm")))
+			version := fescuelatch.VersionID(fmt.Sprint("m@", rapid.IntRange(0, 2).Draw(r, "version")))
+			switch rapid.IntRange(0, 4).Draw(r, "step") {
+			case 0, 1:
+				e := Summarised{VM: vm, Domain: fescuelatch.DomainID(fmt.Sprint("d", rapid.IntRange(0, 1).Draw(r, "domain")))}
+				e.Spares = []fescuelatch.Spare{{Version: version, Free: rapid.IntRange(0, 3).Draw(r, "free")}, {Service: "desk", Free: 1}}
+				ps.put(newPeer(e), view)
+			case 2:
+				ps.remove(vm)
+			case 3:
+				ps.sent(vm, service{version: version})
+			case 4:
+				view = viewOut([][]fescuelatch.DomainID{nil, {"d0"}, {"d1"}, {"d0", "d1"}}[rapid.IntRange(0, 3).Draw(r, "out")]...)
+				ps.configure(view)
+			}
+			for _, p := range ps.sorted {
+				if p.out != view.DomainOut(p.domain) || ps.byVM[p.vm] != p {
+					r.Fatalf("peer %+v is out of date", p)
+				}
+			}
+			got := maps.Clone(ps.free)
+			maps.DeleteFunc(got, func(_ service, n int) bool { return n == 0 })
+			if want := recount(&ps); !maps.Equal(got, want) {
+				r.Fatalf("free %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+func TestPeersAreOrdered(t *testing.T) {
+	c := qt.New(t)
+	ps := newPeers()
+	for _, vm := range []fescuelatch.VMID{"c", "a", "b", "a"} {
+		ps.put(newPeer(Summarised{VM: vm}), nil)
+	}
+	ps.remove("b")
+	ps.remove("absent")
+	var vms []fescuelatch.VMID
+	for _, p := range ps.sorted {
+		vms = append(vms, p.vm)
+	}
+	c.Assert(vms, qt.DeepEquals, []fescuelatch.VMID{"a", "c"})
+}
--- a/decision/place.go
+++ b/decision/place.go
@@ -1,7 +1,6 @@
 package decision
 
 import (
-	"sort"
 	"time"
 
 	"fescuelatch"
@@ -12,25 +11,30 @@
 
 // spareOf returns the number of attempts on s that would start at once.
 func (c *Core) spareOf(now time.Time, s service) int {
-	n := c.ownSpare(now, s).Free
-	for _, p := range c.peers {
-		if w, ok := p.spares[s]; ok && !c.view.DomainOut(p.domain) {
-			n += max(0, w.Free-w.sent)
-		}
-	}
-	return n
+	return c.ownSpare(now, s).Free + c.peers.free[s]
 }
 
+// ownSpare returns the free capacity of the own endpoints for s. The gate
+// sums it over all endpoints and versions, so its answer is kept until the
+// gate changes or the event ends: a request asks once for each version.
 func (c *Core) ownSpare(now time.Time, s service) fescuelatch.Spare {
 	if c.serves[s] == 0 {
 		return fescuelatch.Spare{}
 	}
-	for _, w := range c.options.Gate.Spare(now) {
-		if w.Version == s.version && w.Service == s.plain {
-			return w
+	if !c.sparesKnown {
+		c.sparesKnown = true
+		clear(c.spares)
+		for _, w := range c.options.Gate.Spare(now) {
+			c.spares[serviceOf(w)] = w
 		}
 	}
-	return fescuelatch.Spare{}
+	return c.spares[s]
+}
+
+// gate returns the gate for a call that may change what it has free.
+func (c *Core) gate() fescuelatch.Gate {
+	c.sparesKnown = false
+	return c.options.Gate
 }
 
 // place makes the next attempt of q at the best spot, or ends the request.
@@ -108,28 +112,23 @@
 	if q.Forwarded {
 		return spots
 	}
-	own := len(spots)
-	for id, p := range c.peers {
+	for _, p := range c.peers.sorted {
 		w, ok := p.spares[s]
-		if !ok || q.tried[id] || c.view.DomainOut(p.domain) {
+		if !ok || q.tried[p.vm] || p.out {
 			continue
 		}
 		spots = append(spots, fescuelatch.Spot{
-			VM: id, Domain: p.domain, Local: p.domain == c.options.Domain,
+			VM: p.vm, Domain: p.domain, Local: p.domain == c.options.Domain,
 			Spare: c.returning(now, p.domain, w.Free-w.Queued), Seen: p.at, Sent: w.sent,
 		})
 	}
-	others := spots[own:]
-	sort.Slice(others, func(i, j int) bool { return others[i].VM < others[j].VM })
 	return spots
 }
 
 func (c *Core) attempt(now time.Time, q *request, s fescuelatch.Spot) {
 	c.newAttempt(q, s.VM)
 	if s.VM != c.options.VM {
-		if w, ok := c.peers[s.VM].spares[q.service()]; ok {
-			w.sent++
-		}
+		c.peers.sent(s.VM, q.service())
 		c.fire(q, chart.EventForward)
 		c.emit(Forward{Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version})
 		return
@@ -138,7 +137,7 @@
 		Attempt: q.current.id, Request: q.Request, Version: q.current.version,
 		Endpoint: s.Endpoint, Share: q.share,
 	}
-	c.admit(now, []fescuelatch.Admission{c.options.Gate.Offer(now, w)})
+	c.admit(now, []fescuelatch.Admission{c.gate().Offer(now, w)})
 }
 
 // admit carries out the gate's decisions.
@@ -177,5 +176,5 @@
 		return
 	}
 	r := fescuelatch.AttemptResult{Attempt: a.Attempt, Endpoint: a.Endpoint, Status: fescuelatch.AttemptCancelled}
-	c.admit(now, c.options.Gate.End(now, r))
+	c.admit(now, c.gate().End(now, r))
 }
--- a/decision/request.go
+++ b/decision/request.go
@@ -241,7 +241,7 @@
 	}
 	q.current.first = true
 	if q.current.vm == c.options.VM {
-		c.options.Gate.First(now, e.Attempt)
+		c.gate().First(now, e.Attempt)
 	}
 }
 
@@ -252,7 +252,7 @@
 	current := ok && q.current.id == r.Attempt
 	if r.Endpoint != "" {
 		// The slot is free; others may start.
-		defer func(as []fescuelatch.Admission) { c.admit(now, as) }(c.options.Gate.End(now, r))
+		defer func(as []fescuelatch.Admission) { c.admit(now, as) }(c.gate().End(now, r))
 	}
 	if !current {
 		return
@@ -360,7 +360,7 @@
 func (c *Core) withdraw(now time.Time, q *request) {
 	r := fescuelatch.AttemptResult{Attempt: q.current.id, Version: q.current.version, Status: fescuelatch.AttemptCancelled}
 	q.current.queued = false
-	c.admit(now, c.options.Gate.End(now, r))
+	c.admit(now, c.gate().End(now, r))
 }
 
 // replanWithdrawn takes queued attempts on withdrawn versions back.
--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -337,9 +337,7 @@
 		}
 	}
 	for k, q := range g.queues {
-		if r := t.rows[k]; r != nil {
-			r.Queued = q.length
-		}
+		t.addQueued(k, q.length)
 	}
 	return t.list()
 }
--- a/gate/fixed.go
+++ b/gate/fixed.go
@@ -87,7 +87,7 @@
 		}
 	}
 	for _, w := range f.queue {
-		t.addQueued(w)
+		t.addQueued(targetOf(w), 1)
 	}
 	return t.list()
 }
--- a/gate/spare.go
+++ b/gate/spare.go
@@ -35,47 +35,68 @@
 	return ts
 }
 
-// spareTable sums capacity for each target. The zero value is empty.
+// spareTable sums capacity for each target. The zero value is empty. What is
+// known of endpoints is summed by pool first, because the endpoints of a pool
+// serve the same targets.
 type spareTable struct {
-	rows map[target]*fescuelatch.Spare
+	pools  []poolSpare
+	queued map[target]int
 }
 
-func (t *spareTable) row(k target) *fescuelatch.Spare {
-	if t.rows == nil {
-		t.rows = make(map[target]*fescuelatch.Spare)
-	}
-	r := t.rows[k]
-	if r == nil {
-		r = &fescuelatch.Spare{Version: k.version, Service: k.service}
-		t.rows[k] = r
-	}
-	return r
+// poolSpare is the capacity of the endpoints of one pool.
+type poolSpare struct {
+	pool        fescuelatch.Pool
+	slots, free int
 }
 
-// addSlots adds the slots of one endpoint of pool p to all that p serves.
+// addSlots adds the slots of one endpoint of pool p.
 func (t *spareTable) addSlots(p fescuelatch.Pool, slots, free int) {
-	for _, k := range targetsOf(p) {
-		r := t.row(k)
-		r.Slots += slots
-		r.Free += max(free, 0)
+	i := slices.IndexFunc(t.pools, func(o poolSpare) bool { return o.pool.ID == p.ID })
+	if i < 0 {
+		i = len(t.pools)
+		t.pools = append(t.pools, poolSpare{pool: p})
 	}
+	t.pools[i].slots += slots
+	t.pools[i].free += max(free, 0)
 }
 
-// addQueued counts w as waiting when its target has a row.
-func (t *spareTable) addQueued(w fescuelatch.Work) {
-	if r := t.rows[targetOf(w)]; r != nil {
-		r.Queued++
+// addQueued counts n attempts that wait for k. They are listed when an
+// endpoint serves k.
+func (t *spareTable) addQueued(k target, n int) {
+	if t.queued == nil {
+		t.queued = make(map[target]int)
 	}
+	t.queued[k] += n
 }
 
 // list returns the rows ordered by version, then service.
 func (t *spareTable) list() []fescuelatch.Spare {
-	ss := make([]fescuelatch.Spare, 0, len(t.rows))
-	for _, r := range t.rows {
-		ss = append(ss, *r)
+	ss := make([]fescuelatch.Spare, 0, len(t.pools))
+	for _, o := range t.pools {
+		for _, k := range targetsOf(o.pool) {
+			ss = append(ss, fescuelatch.Spare{
+				Version: k.version, Service: k.service, Free: o.free, Slots: o.slots, Queued: t.queued[k],
+			})
+		}
 	}
 	slices.SortFunc(ss, func(a, b fescuelatch.Spare) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Service, b.Service))
 	})
-	return ss
+	return merge(ss)
+}
+
+// merge joins adjacent rows of the same target: a target may be served by
+// several pools.
+func merge(ss []fescuelatch.Spare) []fescuelatch.Spare {
+	merged := ss[:0]
+	for _, s := range ss {
+		last := len(merged) - 1
+		if last >= 0 && merged[last].Version == s.Version && merged[last].Service == s.Service {
+			merged[last].Free += s.Free
+			merged[last].Slots += s.Slots
+			continue
+		}
+		merged = append(merged, s)
+	}
+	return merged
 }
