--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -66,11 +66,10 @@
 	if err != nil {
 		return err
 	}
-	o, err := s.options(log, tlsConfig)
+	o, err := s.options(log, tlsConfig, scope)
 	if err != nil {
 		return err
 	}
-	o.Metrics = scope
 	o.Scrape = reporter.HTTPHandler()
 	d, err := daemon.New(*o)
 	if err != nil {
@@ -85,22 +84,25 @@
 func closeScope(c io.Closer) { _ = c.Close() }
 
 // options assembles what the daemon works with.
-func (s *settings) options(log *slog.Logger, tlsConfig *tls.Config) (*daemon.Options, error) {
+func (s *settings) options(log *slog.Logger, tlsConfig *tls.Config, scope tally.Scope) (*daemon.Options, error) {
 	server, err := addressOf(s.Platform)
 	if err != nil {
 		return nil, errors.Wrap(err, "--platform")
 	}
 	dialer := &peer.Dialer{From: s.DialFrom, TLS: tlsConfig}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	client := func(k daemon.TrafficKind) *http.Client {
+		counting := dialer.Counting(daemon.ControlTraffic(scope, k))
+		return &http.Client{Transport: &http.Transport{DialContext: counting.DialContext}}
+	}
 	incarnation := fescuelatch.Incarnation(uuid.NewString())
 	vm := fescuelatch.VMID(s.VM)
 	domain := fescuelatch.DomainID(s.Domain)
 	return &daemon.Options{
 		VM: vm, Domain: domain, Incarnation: incarnation, Seeds: s.Seeds,
 		FleetKey: peer.FleetKey(s.FleetKey), Sessions: s.sessions, Dialer: dialer,
-		KV:    &platform.Client{Server: server, HTTP: client, Timeout: platformTimeout},
-		VMs:   &vmlist.Client{HTTP: client, URL: s.VMs},
-		Rater: &rating.Client{HTTP: client, URL: s.Rating},
+		KV:    &platform.Client{Server: server, HTTP: client(daemon.TrafficPlatform), Timeout: platformTimeout},
+		VMs:   &vmlist.Client{HTTP: client(daemon.TrafficList), URL: s.VMs},
+		Rater: &rating.Client{HTTP: client(daemon.TrafficRating), URL: s.Rating},
 		Core: decision.Options{
 			VM: vm, Domain: domain, Random: decision.NewRandom(), SampleShare: s.SampleShare,
 			Quality:   find(qualityModels, s.Quality)(incarnation),
@@ -108,7 +110,7 @@
 			Placement: find(placementPolicies, s.Placement)(incarnation),
 			Gate:      find(gates, s.Gate)(incarnation),
 		},
-		Log: log, StopTimeout: s.StopTimeout,
+		Log: log, Metrics: scope, StopTimeout: s.StopTimeout,
 	}, nil
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,6 +72,8 @@
 	peers       *peer.Client
 	engines     *engine.Client
 	services    *engine.Client
+	// reporters reads load reports, over connections of their own.
+	reporters *engine.Client
 	metrics     *metrics
 
 	batcher  *platform.Batcher
@@ -127,7 +129,7 @@
 		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
 		holder:      new(configstore.Holder),
 		store:       &configstore.Store{KV: o.KV},
-		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer},
+		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
 		metrics:     newMetrics(o.Metrics),
 		life:        newLife(o.Log),
 		core:        decision.New(o.Core),
@@ -140,8 +142,11 @@
 		hellos:        make(map[fescuelatch.VMID]heard),
 	}
 	d.keep(o)
-	d.engines = &engine.Client{HTTP: d.httpClient(false), Now: time.Now}
-	d.services = &engine.Client{HTTP: d.httpClient(true), Now: time.Now}
+	data := o.Dialer.Counting(DataTraffic(o.Metrics))
+	d.engines = &engine.Client{HTTP: httpClient(data, false), Now: time.Now}
+	d.services = &engine.Client{HTTP: httpClient(data, true), Now: time.Now}
+	reports := o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficReport))
+	d.reporters = &engine.Client{HTTP: httpClient(reports, false), Now: time.Now}
 	return d, nil
 }
 
@@ -166,10 +171,10 @@
 // are forwarded to. With fresh set, each request has a connection of its
 // own, so that a connection that has silently broken cannot make the outcome
 // of a request unknown.
-func (d *Daemon) httpClient(fresh bool) *http.Client {
+func httpClient(d *peer.Dialer, fresh bool) *http.Client {
 	t := &http.Transport{
-		DialContext:         d.options.Dialer.DialContext,
-		TLSClientConfig:     d.options.Dialer.TLS,
+		DialContext:         d.DialContext,
+		TLSClientConfig:     d.TLS,
 		MaxIdleConnsPerHost: idlePerHost,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -215,7 +215,7 @@
 func (d *Daemon) readReport(ctx context.Context, e fescuelatch.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	r, err := d.engines.Load(ctx, engine.Target{URL: "http://" + e.Address.String()})
+	r, err := d.reporters.Load(ctx, engine.Target{URL: "http://" + e.Address.String()})
 	if err != nil {
 		return
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -26,6 +26,15 @@
 	From netip.Addr
 	// TLS makes connections mutual TLS when it is set.
 	TLS *tls.Config
+	// Traffic counts the bytes of all connections.
+	Traffic Traffic
+}
+
+// Counting returns a dialer that counts the bytes of its connections with t.
+func (d *Dialer) Counting(t Traffic) *Dialer {
+	c := *d
+	c.Traffic = t
+	return &c
 }
 
 // DialContext opens a connection.
@@ -34,7 +43,11 @@
 	if d.From.IsValid() {
 		n.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.From, 0))
 	}
-	return n.DialContext(ctx, network, address)
+	conn, err := n.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return d.Traffic.Count(conn), nil
 }
 
 // dialPeer opens a connection to a daemon, with TLS when that is set.
--- a/peer/server.go
+++ b/peer/server.go
@@ -38,15 +38,16 @@
 }
 
 // NewHandler returns the peers' front: net/rpc calls go to h, forwarded
-// requests below /v1/forward to forward with that prefix taken off.
-func NewHandler(key FleetKey, h Handler, forward http.Handler) (http.Handler, error) {
+// requests below /v1/forward to forward with that prefix taken off. The bytes
+// of calls are counted with t, those of forwarded requests are not.
+func NewHandler(key FleetKey, h Handler, forward http.Handler, t Traffic) (http.Handler, error) {
 	s := rpc.NewServer()
 	if err := s.RegisterName(serviceName, h); err != nil {
 		return nil, &Error{"register", KindInvalid, err}
 	}
 	m := mux.NewRouter()
 	m.Methods(http.MethodConnect).Path(rpcPath).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		serveConn(s, w)
+		serveConn(s, w, t)
 	})
 	m.PathPrefix(ForwardPath).Handler(http.StripPrefix(ForwardPath, forward))
 	m.Use(func(next http.Handler) http.Handler {
@@ -62,7 +63,7 @@
 }
 
 // serveConn runs the calls of one connection until it breaks.
-func serveConn(s *rpc.Server, w http.ResponseWriter) {
+func serveConn(s *rpc.Server, w http.ResponseWriter, t Traffic) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -72,5 +73,5 @@
 		_ = conn.Close()
 		return
 	}
-	s.ServeConn(conn)
+	s.ServeConn(t.Count(conn))
 }
--- /dev/null
+++ b/peer/traffic_test.go
@@ -0,0 +1,76 @@
+package peer_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/peer"
+)
+
+// This file tests that calls are counted at both ends and that forwarded
+// requests are not counted with them.
+
+// total is a Counter.
+type total struct{ atomic.Int64 }
+
+// Inc implements peer.Counter.
+func (t *total) Inc(n int64) { t.Add(n) }
+
+// handler answers heartbeats only.
+type handler struct{ echo }
+
+// Changes implements peer.Handler.
+func (handler) Changes(*peer.ChangesRequest, *peer.ChangesReply) error { return nil }
+
+// Hold implements peer.Handler.
+func (handler) Hold(*peer.BillBatch, *peer.Ack) error { return nil }
+
+// Written implements peer.Handler.
+func (handler) Written(*peer.BillsWritten, *peer.Ack) error { return nil }
+
+func TestTrafficIsCounted(t *testing.T) {
+	c := qt.New(t)
+	var near, far [2]total
+	forward := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 10000))
+	})
+	h, err := peer.NewHandler("key", handler{}, forward, peer.Traffic{Sent: &far[0], Received: &far[1]})
+	c.Assert(err, qt.IsNil)
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+
+	d := new(peer.Dialer)
+	client := &peer.Client{Key: "key", Dialer: d.Counting(peer.Traffic{Sent: &near[0], Received: &near[1]})}
+	t.Cleanup(client.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	_, err = client.Heartbeat(ctx, address, heartbeat(4, 4))
+	c.Assert(err, qt.IsNil)
+	calls := far[1].Load()
+	c.Assert(calls > 500, qt.IsTrue)
+	// The near end also counts how the connection is opened.
+	c.Assert(near[0].Load() > calls, qt.IsTrue)
+	c.Assert(near[1].Load() > far[0].Load(), qt.IsTrue)
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL+peer.ForwardPath+"/x", nil)
+	c.Assert(err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer key")
+	resp, err := http.DefaultClient.Do(r)
+	c.Assert(err, qt.IsNil)
+	b, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Body.Close(), qt.IsNil)
+	c.Assert(len(b), qt.Equals, 10000)
+	c.Assert(far[0].Load() < 5000, qt.IsTrue)
+	c.Assert(d.Traffic.Sent, qt.IsNil)
+}
