--- a/failure/answers_test.go
+++ b/failure/answers_test.go
@@ -14,22 +14,22 @@
 
 // This file tests that each caller gets its own whole answer, or is told.
 
-// chance is a fault's number of occasions.
-type chance struct {
+// answerChance is a fault's number of occasions.
+type answerChance struct {
 	Next int `json:"next"`
 }
 
 // answerFaults are the faults of the answers of an engine. Without a fault,
 // none is left over from before.
 type answerFaults struct {
-	Late         chance        `json:"late"`
+	Late         answerChance  `json:"late"`
 	LateBy       time.Duration `json:"late-by"`
-	Twice        chance        `json:"twice"`
-	Crossed      chance        `json:"crossed"`
+	Twice        answerChance  `json:"twice"`
+	Crossed      answerChance  `json:"crossed"`
 	CrossedAfter int           `json:"crossed-after"`
-	Cut          chance        `json:"cut"`
+	Cut          answerChance  `json:"cut"`
 	CutAfter     int           `json:"cut-after"`
-	ErrorAfter   chance        `json:"error-after"`
+	ErrorAfter   answerChance  `json:"error-after"`
 }
 
 // manyOccasions exceeds the answers of any test.
@@ -81,18 +81,18 @@
 		want verdict
 	}{
 		{"no fault", answerFaults{}, true, 4 * time.Second, verdictWhole},
-		{"stream cut", answerFaults{Cut: chance{manyOccasions}, CutAfter: 3}, true, 4 * time.Second, verdictWhole},
-		{"some streams cut before text", answerFaults{Cut: chance{1}}, true, 4 * time.Second, verdictWhole},
-		{"answer cut", answerFaults{Cut: chance{manyOccasions}}, false, 4 * time.Second, verdictFailed},
-		{"stream crossed", answerFaults{Crossed: chance{manyOccasions}, CrossedAfter: 3}, true, 4 * time.Second, verdictCut},
-		{"stream crossed from the start", answerFaults{Crossed: chance{manyOccasions}}, true, 4 * time.Second, verdictFailed},
-		{"answer crossed", answerFaults{Crossed: chance{manyOccasions}}, false, 4 * time.Second, verdictFailed},
-		{"some answers crossed", answerFaults{Crossed: chance{2}}, false, 4 * time.Second, verdictWhole},
-		{"stream twice", answerFaults{Twice: chance{manyOccasions}}, true, 4 * time.Second, verdictWhole},
-		{"answer twice", answerFaults{Twice: chance{manyOccasions}}, false, 4 * time.Second, verdictWhole},
-		{"stream late", answerFaults{Late: chance{manyOccasions}, LateBy: 2 * time.Second}, true, time.Second, verdictFailed},
-		{"answer late", answerFaults{Late: chance{manyOccasions}, LateBy: 2 * time.Second}, false, time.Second, verdictFailed},
-		{"error after the run", answerFaults{ErrorAfter: chance{manyOccasions}}, true, 4 * time.Second, verdictFailed},
+		{"stream cut", answerFaults{Cut: answerChance{manyOccasions}, CutAfter: 3}, true, 4 * time.Second, verdictWhole},
+		{"some streams cut before text", answerFaults{Cut: answerChance{1}}, true, 4 * time.Second, verdictWhole},
+		{"answer cut", answerFaults{Cut: answerChance{manyOccasions}}, false, 4 * time.Second, verdictFailed},
+		{"stream crossed", answerFaults{Crossed: answerChance{manyOccasions}, CrossedAfter: 3}, true, 4 * time.Second, verdictCut},
+		{"stream crossed from the start", answerFaults{Crossed: answerChance{manyOccasions}}, true, 4 * time.Second, verdictFailed},
+		{"answer crossed", answerFaults{Crossed: answerChance{manyOccasions}}, false, 4 * time.Second, verdictFailed},
+		{"some answers crossed", answerFaults{Crossed: answerChance{2}}, false, 4 * time.Second, verdictWhole},
+		{"stream twice", answerFaults{Twice: answerChance{manyOccasions}}, true, 4 * time.Second, verdictWhole},
+		{"answer twice", answerFaults{Twice: answerChance{manyOccasions}}, false, 4 * time.Second, verdictWhole},
+		{"stream late", answerFaults{Late: answerChance{manyOccasions}, LateBy: 2 * time.Second}, true, time.Second, verdictFailed},
+		{"answer late", answerFaults{Late: answerChance{manyOccasions}, LateBy: 2 * time.Second}, false, time.Second, verdictFailed},
+		{"error after the run", answerFaults{ErrorAfter: answerChance{manyOccasions}}, true, 4 * time.Second, verdictFailed},
 		{"no fault any more", answerFaults{}, false, 4 * time.Second, verdictWhole},
 	}
 	for _, test := range tests {
--- a/failure/call_test.go
+++ b/failure/call_test.go
@@ -39,9 +39,9 @@
 
 const callTokens = 6
 
-// reply is what the caller of a call saw. Without an outcome the connection
+// callReply is what the caller of a call saw. Without an outcome the connection
 // broke or nothing answered.
-type reply struct {
+type callReply struct {
 	call
 	sent       time.Time
 	total      time.Duration
@@ -55,7 +55,7 @@
 	err   error
 }
 
-func (r *reply) String() string {
+func (r *callReply) String() string {
 	return fmt.Sprintf("%s %s key %q nonce %q: status %d outcome %q code %q after %v: %v",
 		r.vm, r.request, r.key, r.nonce, r.status, r.outcome, r.code, r.total.Round(time.Millisecond), r.err)
 }
@@ -67,7 +67,7 @@
 
 	wg      sync.WaitGroup
 	mu      sync.Mutex
-	replies []*reply
+	replies []*callReply
 }
 
 func newCallers(c *qt.C, f *fleet.Fleet) *callers {
@@ -80,11 +80,11 @@
 func (u *callers) start(c call) { u.wg.Go(func() { u.send(c) }) }
 
 // send sends a call once and returns what its caller saw.
-func (u *callers) send(c call) *reply {
+func (u *callers) send(c call) *callReply {
 	if c.timeout == 0 {
 		c.timeout = 3 * time.Second
 	}
-	r := &reply{call: c, sent: time.Now()}
+	r := &callReply{call: c, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout+callGrace)
 	defer cancel()
 	resp, err := u.client.Do(u.request(ctx, &c))
@@ -126,7 +126,7 @@
 	return req
 }
 
-func (r *reply) read(resp *http.Response) error {
+func (r *callReply) read(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	r.status = resp.StatusCode
@@ -154,7 +154,7 @@
 }
 
 // isWhole reports whether a body is a complete answer to this call.
-func (r *reply) isWhole(body string) bool {
+func (r *callReply) isWhole(body string) bool {
 	if r.operation != "" {
 		var a struct{ Nonce string }
 		return json.Unmarshal([]byte(body), &a) == nil && a.Nonce == r.nonce
@@ -202,11 +202,11 @@
 }
 
 // all waits for all calls and returns what their callers saw.
-func (u *callers) all() []*reply {
+func (u *callers) all() []*callReply {
 	u.wg.Wait()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return append([]*reply(nil), u.replies...)
+	return append([]*callReply(nil), u.replies...)
 }
 
 // executions returns the executions of plain services by idempotency key.
@@ -238,7 +238,7 @@
 }
 
 // tally counts replies by outcome; those without one are "none".
-func tally(rs []*reply) map[string]int {
+func tally(rs []*callReply) map[string]int {
 	m := make(map[string]int)
 	for _, r := range rs {
 		o := string(r.outcome)
--- a/failure/once_test.go
+++ b/failure/once_test.go
@@ -245,7 +245,7 @@
 // request; when all repeats of a key were not run, the key has no execution
 // at all. A reply of "answered" is true when the key has one execution and
 // the answer is its own.
-func checkOnce(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*reply) {
+func checkOnce(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*callReply) {
 	c.Helper()
 	done := executions(ctx, c, f)
 	ran := make(map[string]bool)
@@ -287,11 +287,11 @@
 // an engine of its own; a daemon takes over from a lost one in a few seconds.
 const besideWindow = 5 * time.Second
 
-func checkBeside(c *qt.C, rs []*reply, began, ended time.Time) {
+func checkBeside(c *qt.C, rs []*callReply, began, ended time.Time) {
 	c.Helper()
 	last := map[string]time.Time{"a": began, "b": began}
 	longest := make(map[string]time.Duration)
-	answered := make([]*reply, 0, len(rs))
+	answered := make([]*callReply, 0, len(rs))
 	for _, r := range rs {
 		if r.outcome == fescuelatch.OutcomeAnswered {
 			c.Check(r.whole, qt.IsTrue, qt.Commentf("%s", r))
@@ -316,7 +316,7 @@
 
 // checkLateRepeats repeats every key after the faults. What ran must not run
 // again, and a repeat must not say that it did not run for good.
-func checkLateRepeats(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*reply) {
+func checkLateRepeats(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*callReply) {
 	c.Helper()
 	for _, m := range onceVMs {
 		c.Assert(f.WaitReady(ctx, m), qt.IsNil)
