Refuse requests that need a claim at once while the platform is away

Cause: every request that came after the pause of a second made a claim of its own and waited a second for it; it had waited for a slot before, which it held meanwhile; and the end of an attempt that had not been sent counted against the endpoint in the gate, so that three of them made it count as cold. Ruled out: the claim itself, which gave up in time.

Conclusion: one claim at a time tests the platform, others are tried only elsewhere, and unsent attempts tell the gate nothing.

--- /dev/null
+++ b/daemon/breaker_test.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestBreaker(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
+	after := now.Add(claimPause)
+	var b breaker
+	c.Assert(b.allow(now), qt.IsTrue)
+	c.Assert(b.allow(now), qt.IsTrue)
+	b.failed(now)
+	c.Assert(b.allow(now), qt.IsFalse)
+	c.Assert(b.refuses(now), qt.IsTrue)
+	c.Assert(b.refuses(after), qt.IsFalse)
+	// One claim tests the platform; the others do not wait for it.
+	c.Assert(b.allow(after), qt.IsTrue)
+	c.Assert(b.allow(after), qt.IsFalse)
+	b.undecided()
+	c.Assert(b.allow(after), qt.IsTrue)
+	b.failed(after)
+	c.Assert(b.allow(after), qt.IsFalse)
+	c.Assert(b.allow(after.Add(claimPause)), qt.IsTrue)
+	b.succeeded()
+	c.Assert(b.allow(after), qt.IsTrue)
+	c.Assert(b.allow(after), qt.IsTrue)
+}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -28,7 +28,8 @@
 
 // attemptClaimed makes an attempt once the request has been claimed.
 func (s *serving) attemptClaimed(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
-	if !s.daemon.claimsTried() {
+	r.Unsent = true // until it is sent
+	if !s.daemon.breaker.allow(time.Now()) {
 		s.conclude(r, &answer{}, &engine.Error{
 			Op: "claim", Kind: engine.KindNotStarted, RetryAfter: claimPause, Err: errors.New("the platform is away"),
 		})
@@ -40,10 +41,8 @@
 		Fingerprint: claim.Fingerprint([]byte(string(q.Service) + "/" + string(q.Operation) + "\n" + string(s.call.Body))),
 		Claimant:    string(s.daemon.incarnation) + "/" + string(r.Attempt), Deadline: q.Deadline,
 	})
+	s.daemon.noteClaim(err)
 	if err != nil {
-		if claim.KindOf(err) == claim.KindNotMade {
-			s.daemon.claimsAway.Store(time.Now().Add(claimPause).UnixNano())
-		}
 		s.conclude(r, &answer{}, claimError(err))
 		return
 	}
@@ -56,13 +55,23 @@
 		s.notStarted(r, errors.New("too late after the decision to start"))
 		return
 	}
+	r.Unsent = false
 	v, err := s.send(ctx, t, &r)
 	s.daemon.work.Go(func() { s.finish(ctx, l, v, err) })
 	s.conclude(r, v, err)
 }
 
-// claimsTried reports whether claims are made at present.
-func (d *Daemon) claimsTried() bool { return time.Now().UnixNano() >= d.claimsAway.Load() }
+// noteClaim tells the breaker how a claim ended.
+func (d *Daemon) noteClaim(err error) {
+	switch {
+	case err == nil, claim.KindOf(err) == claim.KindMismatch:
+		d.breaker.succeeded()
+	case claim.KindOf(err) == claim.KindNotMade:
+		d.breaker.failed(time.Now())
+	default:
+		d.breaker.undecided()
+	}
+}
 
 // repeat ends an attempt whose request is claimed elsewhere.
 func (s *serving) repeat(r fescuelatch.AttemptResult, l *claim.Claim) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -78,10 +78,7 @@
 	ledger   *billing.Ledger
 	keeper   *billing.Keeper
 	bindings *session.Store
-
-	// claimsAway is the time, in nanoseconds since 1970, until which no
-	// claim is tried.
-	claimsAway atomic.Int64
+	breaker  breaker
 
 	leaving atomic.Bool
 	learned atomic.Bool
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -180,6 +180,7 @@
 
 // notStarted tells the core that nothing was sent.
 func (s *serving) notStarted(r fescuelatch.AttemptResult, err error) {
+	r.Unsent = true
 	s.conclude(r, &answer{}, &engine.Error{Op: "start", Kind: engine.KindNotStarted, Err: err})
 }
 
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -74,7 +74,11 @@
 	id := c.Request.ID
 	d.mu.Lock()
 	d.servings[id] = s
-	d.decideLocked(decision.Arrived{Request: c.Request, Share: c.Share, Attempt: c.Attempt})
+	d.decideLocked(decision.Arrived{
+		Request: c.Request, Share: c.Share, Attempt: c.Attempt,
+		// Without a claim it would wait for a slot only to be refused.
+		Elsewhere: !c.Request.Idempotent && d.breaker.refuses(time.Now()),
+	})
 	d.mu.Unlock()
 	s.run(ctx)
 	d.mu.Lock()
--- a/decision/event.go
+++ b/decision/event.go
@@ -32,6 +32,9 @@
 	// Attempt is the forwarding daemon's attempt when the request is
 	// forwarded, and empty otherwise.
 	Attempt fescuelatch.AttemptID
+	// Elsewhere reports that the request cannot start at an endpoint of this
+	// daemon.
+	Elsewhere bool
 }
 
 // FirstToken says that an attempt has delivered its first token. A streamed
--- a/decision/request.go
+++ b/decision/request.go
@@ -60,6 +60,9 @@
 
 func (c *Core) arrived(now time.Time, e Arrived) {
 	q := &request{Request: e.Request, share: e.Share, given: e.Attempt, tried: make(map[fescuelatch.VMID]bool)}
+	if e.Elsewhere {
+		q.tried[c.options.VM] = true
+	}
 	c.requests[q.ID] = q
 	c.budget.earn()
 	switch {
--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -228,7 +228,7 @@
 	p.end(now, a, r)
 	g.latency.observe(r)
 	t := targetOf(fescuelatch.Work{Request: a.request, Version: a.version})
-	if r.Status == fescuelatch.AttemptNotStarted || r.Status == fescuelatch.AttemptBroken {
+	if !r.Unsent && (r.Status == fescuelatch.AttemptNotStarted || r.Status == fescuelatch.AttemptBroken) {
 		g.budget.fail(now, retryKey{a.request.ID, t})
 	}
 	if !p.held && len(p.running) == 0 {
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -135,6 +135,14 @@
 			}
 			return now
 		}, cold},
+		{"attempts that were not sent", func(g *gate.Adaptive, now time.Time) time.Time {
+			for i := range 3 {
+				w := work(fmt.Sprint("unsent-", i), "large")
+				g.Offer(now, w)
+				g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptNotStarted, Unsent: true})
+			}
+			return now
+		}, slots},
 		{"it leaves", func(g *gate.Adaptive, now time.Time) time.Time {
 			now = now.Add(time.Second)
 			r := warmReport(now, 0)
--- a/gate/place.go
+++ b/gate/place.go
@@ -207,6 +207,7 @@
 		p.first(now, a, r.FirstToken)
 	}
 	switch {
+	case r.Unsent:
 	case r.Overloaded:
 		p.limit.decrease(now, p.floor())
 		p.next = later(p.next, now.Add(max(r.RetryAfter, jittered(a.id))))
--- a/request.go
+++ b/request.go
@@ -95,6 +95,9 @@
 	// Overloaded reports that the endpoint, or its owner's gate, refused the
 	// attempt for want of capacity.
 	Overloaded bool `json:"overloaded,omitempty"`
+	// Unsent reports that the attempt ended before anything was sent to the
+	// endpoint, so that it tells nothing about it.
+	Unsent bool `json:"unsent,omitempty"`
 }
 
 // LoadReport is what an endpoint says of itself. It arrives with a lag.
