--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,10 +87,7 @@
 	codec    billing.Codec
 	told     vmSet
 	bindings *session.Store
-
-	// claimsAway is the time, in nanoseconds since 1970, until which no
-	// claim is tried.
-	claimsAway atomic.Int64
+	breaker  breaker
 
 	life    *life
 	leaving atomic.Bool
--- a/decision/request.go
+++ b/decision/request.go
@@ -63,6 +63,9 @@
 		Request: e.Request, share: e.Share, given: e.Attempt, tried: make(map[fescuelatch.VMID]bool),
 		life: chart.Request().New(),
 	}
+	if e.Elsewhere {
+		q.tried[c.options.VM] = true
+	}
 	c.requests[q.ID] = q
 	c.budget.earn()
 	switch {
