A daemon that was paused asks for a later configuration before new work

failure/withdrawal_test.go takes versions, failure domains, VMs and endpoints out under 40 calls a second, with daemons paused or cut off, and looks at what endpoints have received.

Cause: a daemon that ran again after a pause had the configuration of before until the next heartbeat. It started calls that had waited in its listener on a version that had been withdrawn during the pause. In a failure domain of one VM no lease of another daemon ends ownership meanwhile.

Withdrawal is looked at again right before each dispatch.

Conclusion: what remains is a pause between that look and the write to the connection; the sender cannot rule it out.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -172,12 +172,15 @@
 	return u, json.Unmarshal(reply.Update, &u)
 }
 
-// catchUp reads what the platform has, after a sign that this daemon lacks it.
-func (d *Daemon) catchUp(ctx context.Context) {
+// catchUp reads what the platform has, after a sign that this daemon may lack
+// it, and reports whether that was possible.
+func (d *Daemon) catchUp(ctx context.Context) bool {
 	f := &configstore.Follower{Store: d.store, Holder: d.holder}
-	if err := f.CatchUp(ctx); err != nil {
+	err := f.CatchUp(ctx)
+	if err != nil {
 		d.log.Warn("platform", "error", err.Error())
 	}
+	return err == nil
 }
 
 // learn brings a daemon that holds nothing up to what the platform or its
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,6 +88,7 @@
 	// learnedSignal is closed when learned is set.
 	learnedSignal chan struct{}
 	reach         reachability
+	fresh         freshness
 
 	// mu guards the fields below it, which make up the decisions.
 	mu       sync.Mutex
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -35,6 +35,7 @@
 // forward makes an attempt through the daemon that owns the endpoints.
 func (s *serving) forward(ctx context.Context, a decision.Forward) {
 	r := fescuelatch.AttemptResult{Attempt: a.Attempt, Version: a.Version}
+	s.daemon.awaitFresh(ctx)
 	vm, ok := s.daemon.holder.View().VM(a.VM)
 	if !ok {
 		s.notStarted(r, errors.New("the VM has left the configuration"))
@@ -56,7 +57,7 @@
 
 // attempt sends the request to t and tells the core how it ended.
 func (s *serving) attempt(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
-	if !s.daemon.mayStart(r, decided) {
+	if !s.daemon.mayStart(ctx, r, decided) {
 		s.notStarted(r, errors.New("too late after the decision to start"))
 		return
 	}
@@ -87,20 +88,26 @@
 }
 
 // mayStart reports whether an attempt may still be sent. The process may
-// have been paused, or a claim may have taken long, since the decision.
-func (d *Daemon) mayStart(r fescuelatch.AttemptResult, decided time.Time) bool {
-	now := time.Now()
-	if now.Sub(decided) <= startWithin {
-		return true
+// have been paused, a claim may have taken long, or a configuration may have
+// come into force since the decision.
+func (d *Daemon) mayStart(ctx context.Context, r fescuelatch.AttemptResult, decided time.Time) bool {
+	d.awaitFresh(ctx)
+	v := d.holder.View()
+	if v.Withdrawn(r.Version) {
+		return false
 	}
+	now := time.Now()
+	late := now.Sub(decided) > startWithin
 	if r.Endpoint == "" {
-		return false
+		return !late
 	}
-	v := d.holder.View()
 	e, ok := v.Endpoint(r.Endpoint)
-	if !ok || v.EndpointOut(e) || v.Withdrawn(r.Version) {
+	if !ok || v.EndpointOut(e) {
 		return false
 	}
+	if !late {
+		return true
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, o := range d.table.Owned(now) {
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -53,7 +53,7 @@
 			}
 		})
 	}
-	every(tickInterval, func(context.Context) { d.decide(decision.Tick{}) })
+	every(tickInterval, func(context.Context) { d.touch(); d.decide(decision.Tick{}) })
 	every(heartbeatInterval, d.heartbeatDomain)
 	every(gossipInterval, d.gossip)
 	every(reportInterval, d.readReports)
--- /dev/null
+++ b/failure/withdrawal_test.go
@@ -0,0 +1,294 @@
+package failure
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+)
+
+// This file tests that what is withdrawn, taken out or leaving gets no new
+// work after the bound, as the endpoints have recorded it, and that work
+// comes back gradually.
+
+const (
+	withdrawalRate = 40 // calls a second
+	// recent is the time before a change in which work is looked for.
+	recent = 2 * time.Second
+)
+
+// work is one piece of work that an endpoint received.
+type work struct {
+	at       time.Time
+	endpoint fescuelatch.Endpoint
+	version  fescuelatch.VersionID
+	attempt  fescuelatch.AttemptID
+}
+
+// received returns what all endpoints have received, in order of time.
+func (r *changesRun) received(c *qt.C) []work {
+	c.Helper()
+	logs, err := r.EndpointLogs(r.ctx)
+	c.Assert(err, qt.IsNil)
+	var ws []work
+	for _, l := range logs {
+		for _, s := range l.Starts {
+			ws = append(ws, work{s.At, l.Endpoint, s.Version, s.Attempt})
+		}
+		for _, e := range l.Executions {
+			ws = append(ws, work{e.At, l.Endpoint, "", e.Attempt})
+		}
+	}
+	slices.SortFunc(ws, func(a, b work) int { return a.at.Compare(b.at) })
+	return ws
+}
+
+// between returns the work that matches in (from, to].
+func between(ws []work, from, to time.Time, match func(work) bool) []work {
+	var out []work
+	for _, w := range ws {
+		if w.at.After(from) && !w.at.After(to) && match(w) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// stops checks that work that matches was received before a change and none
+// later than the bound after it, and returns the time to the last.
+func stops(c *qt.C, ws []work, changed, until time.Time, match func(work) bool) time.Duration {
+	c.Helper()
+	c.Assert(until.After(changed.Add(changeBound)), qt.IsTrue)
+	c.Check(len(between(ws, changed.Add(-recent), changed, match)) > 0, qt.IsTrue, qt.Commentf("nothing before"))
+	late := between(ws, changed.Add(changeBound), until, match)
+	for _, w := range late {
+		c.Errorf("%s received %s of %s %v after the change", w.endpoint.ID, w.attempt, w.version, w.at.Sub(changed))
+	}
+	after := between(ws, changed, until, match)
+	if len(after) == 0 {
+		return 0
+	}
+	return after[len(after)-1].at.Sub(changed)
+}
+
+func byVersion(v fescuelatch.VersionID, outside ...fescuelatch.DomainID) func(work) bool {
+	return func(w work) bool { return w.version == v && !slices.Contains(outside, w.endpoint.Domain) }
+}
+
+func byVersionIn(v fescuelatch.VersionID, d fescuelatch.DomainID) func(work) bool {
+	return func(w work) bool { return w.version == v && w.endpoint.Domain == d }
+}
+
+func byDomain(d fescuelatch.DomainID) func(work) bool {
+	return func(w work) bool { return w.endpoint.Domain == d }
+}
+
+func byEndpoint(e fescuelatch.EndpointID) func(work) bool {
+	return func(w work) bool { return w.endpoint.ID == e }
+}
+
+func withdraw(v fescuelatch.VersionID) func(*fescuelatch.Configuration) {
+	return func(c *fescuelatch.Configuration) { c.Overrides.Withdrawn = append(c.Overrides.Withdrawn, v) }
+}
+
+// acceptedBy matches the work of requests that callers sent to a VM.
+func (l *changesLoad) acceptedBy(m fescuelatch.VM) func(work) bool {
+	requests := make(map[fescuelatch.RequestID]bool)
+	for _, r := range l.records {
+		if r.Target == m.Caller.String() {
+			requests[r.RequestID] = true
+		}
+	}
+	return func(w work) bool {
+		id, _, _ := strings.Cut(string(w.attempt), ".")
+		return requests[fescuelatch.RequestID(id)]
+	}
+}
+
+// owners returns who owns endpoints of the failure domain of a VM, as its
+// daemon says.
+func (r *changesRun) owners(c *qt.C, m fescuelatch.VMID) []fescuelatch.VMID {
+	c.Helper()
+	s, err := r.Operator(m).Status(r.ctx)
+	c.Assert(err, qt.IsNil)
+	var vms []fescuelatch.VMID
+	for _, e := range s.Endpoints {
+		if e.Domain == r.vm(m).Domain && !slices.Contains(vms, e.Owner) {
+			vms = append(vms, e.Owner)
+		}
+	}
+	return vms
+}
+
+// burst sends calls to daemons at once and returns what waits for their end.
+func (r *changesRun) burst(each int, vms ...fescuelatch.VMID) func() {
+	var calls sync.WaitGroup
+	for _, m := range vms {
+		for range each {
+			calls.Go(func() { r.answersWithin(m, 2*changeBound) })
+		}
+	}
+	return calls.Wait
+}
+
+// serving waits until all endpoints get work and the version that is
+// withdrawn gets some, as they do some time after the
+// start of a fleet and after a return.
+func (r *changesRun) serving(c *qt.C) {
+	c.Helper()
+	began := time.Now()
+	var missing []fescuelatch.EndpointID
+	ok := changesWithin(4*changeBound, func() bool {
+		missing = nil
+		now := time.Now()
+		ws := r.received(c)
+		for _, e := range r.Configuration.Inventory.Endpoints {
+			if len(between(ws, now.Add(-recent), now, byEndpoint(e.ID))) == 0 {
+				missing = append(missing, e.ID)
+			}
+		}
+		return len(missing) == 0 && len(between(ws, now.Add(-recent), now, byVersion("triage@1"))) > 0
+	})
+	c.Assert(ok, qt.IsTrue, qt.Commentf("no work at %v", missing))
+	c.Logf("all endpoints had work after %v", time.Since(began))
+}
+
+// pastBound waits until some time after the bound has passed since t.
+func pastBound(t time.Time) { time.Sleep(time.Until(t.Add(changeBound + time.Second/2))) }
+
+// TestWithdrawal takes things out under steady load. What endpoints have
+// received is looked at for each.
+func TestWithdrawal(t *testing.T) {
+	r := startChanges(t)
+	l := r.steadyLoad(qt.New(t), withdrawalRate, 1)
+	tests := []struct {
+		name string
+		run  func(*changesRun, *qt.C)
+	}{
+		{"leaving endpoints", testLeavingEndpoints},
+		{"withdrawn version and paused daemons", testWithdrawnPaused},
+		{"failure domain out and another cut off", testDomainOut},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r.serving(c)
+			test.run(r, c)
+		})
+	}
+	t.Run("VM out", func(t *testing.T) { testVMOut(r, l, qt.New(t)) })
+	l.end()
+	t.Log(l.summary)
+	qt.Check(t, l.summary.Faults, qt.HasLen, 0)
+}
+
+// testLeavingEndpoints has one endpoint leave by the list of VMs alone and
+// another by its load reports alone.
+func testLeavingEndpoints(r *changesRun, c *qt.C) {
+	type leaving struct {
+		Leaving bool `json:"leaving"`
+	}
+	left := time.Now()
+	c.Assert(r.ListLeaving(r.ctx, "a-model"), qt.IsNil)
+	c.Assert(r.Faults(r.ctx, "c-model", leaving{true}), qt.IsNil)
+	pastBound(left)
+	until := time.Now()
+	c.Assert(r.Return(r.ctx, "a-model"), qt.IsNil)
+	c.Assert(r.Return(r.ctx, "c-model"), qt.IsNil)
+	ws := r.received(c)
+	c.Logf("last new work %v after the list said leaving", stops(c, ws, left, until, byEndpoint("a-model")))
+	c.Logf("last new work %v after the reports said leaving", stops(c, ws, left, until, byEndpoint("c-model")))
+	c.Check(len(between(ws, left.Add(changeBound), until, byEndpoint("a-other"))) > 0, qt.IsTrue)
+}
+
+// testWithdrawnPaused withdraws a version while daemons are paused and a
+// failure domain is cut off from the platform. The paused daemons run again
+// after the bound; callers' calls and their own queue have waited there.
+func testWithdrawnPaused(r *changesRun, c *qt.C) {
+	c.Assert(r.CutPlatform(r.ctx, "b"), qt.IsNil)
+	c.Assert(r.Pause("a-1"), qt.IsNil)
+	c.Assert(r.Pause("c-1"), qt.IsNil)
+	a := r.changeAt(c, withdraw("triage@1"), "a-2", "b-1")
+	reachable := r.inForce(c, a.Generation, a.At, "a-2", "b-1", "b-2")
+	wait := r.burst(20, "a-1", "c-1")
+	pastBound(a.At)
+	resumed := time.Now()
+	c.Assert(r.Resume("a-1"), qt.IsNil)
+	c.Assert(r.Resume("c-1"), qt.IsNil)
+	late := r.inForce(c, a.Generation, resumed, "a-1", "c-1")
+	wait()
+	ws := r.received(c)
+	last := stops(c, ws, a.At, time.Now(), byVersion("triage@1"))
+	c.Logf("in force after %v, at the paused daemons %v after they ran again; last new work after %v", reachable, late, last)
+	c.Assert(r.Heal(r.ctx), qt.IsNil)
+	r.changeAt(c, restore, "a-2")
+}
+
+func restore(c *fescuelatch.Configuration) { c.Overrides = fescuelatch.Overrides{} }
+
+// testDomainOut takes a failure domain out and withdraws a version while
+// another failure domain is cut off from all. That one cannot know, and stops
+// once it learns.
+func testDomainOut(r *changesRun, c *qt.C) {
+	c.Assert(r.Isolate(r.ctx, "b"), qt.IsNil)
+	out := r.changeAt(c, func(c *fescuelatch.Configuration) {
+		c.Overrides.DomainsOut = []fescuelatch.DomainID{"a"}
+		c.Overrides.Withdrawn = []fescuelatch.VersionID{"triage@1"}
+	}, "a-1", "c-1")
+	pastBound(out.At)
+	healed := time.Now()
+	c.Assert(r.Heal(r.ctx), qt.IsNil)
+	asked := time.Now()
+	in := r.changeAt(c, func(c *fescuelatch.Configuration) { c.Overrides.DomainsOut = nil }, "c-1")
+	wait := r.burst(30, "a-2", "c-1")
+	pastBound(in.At)
+	wait()
+	until := time.Now()
+	ws := r.received(c)
+	c.Logf("last new work of the failure domain after %v", stops(c, ws, out.At, asked, byDomain("a")))
+	c.Logf("last new work of the version after %v", stops(c, ws, out.At, until, byVersion("triage@1", "b")))
+	inside := stops(c, ws, healed, until, byVersionIn("triage@1", "b"))
+	c.Logf("last new work of the version in what was cut off %v after healing", inside)
+	checkReturn(c, ws, asked, until)
+	r.changeAt(c, restore, "a-2")
+}
+
+// checkReturn checks that work comes back to failure domain "a" gradually:
+// an endpoint gets no more in half a second than it can run at once, although
+// many calls wait for its return.
+func checkReturn(c *qt.C, ws []work, in, until time.Time) {
+	c.Helper()
+	const step = time.Second / 2
+	for _, e := range []fescuelatch.EndpointID{"a-model", "a-other"} {
+		var counts []int
+		for t := in; t.Add(step).Before(until); t = t.Add(step) {
+			counts = append(counts, len(between(ws, t, t.Add(step), byEndpoint(e))))
+		}
+		c.Logf("work at %s in half seconds after the return: %v", e, counts)
+		c.Check(slices.Max(counts) <= modelSlots, qt.IsTrue)
+		c.Check(slices.Max(counts) > 0, qt.IsTrue)
+	}
+}
+
+// modelSlots is the number of slots of a model engine of fleettest.Small.
+const modelSlots = 8
+
+// testVMOut takes a VM out. Callers that come all the same are refused, and
+// its endpoints pass to the other daemon.
+func testVMOut(r *changesRun, l *changesLoad, c *qt.C) {
+	r.serving(c)
+	a := r.changeAt(c, func(c *fescuelatch.Configuration) { c.Overrides.VMsOut = []fescuelatch.VMID{"a-1"} }, "b-1")
+	pastBound(a.At)
+	c.Check(r.answers("a-1"), qt.IsFalse)
+	c.Check(r.owners(c, "a-2"), qt.DeepEquals, []fescuelatch.VMID{"a-2"})
+	l.end()
+	ws := r.received(c)
+	until := time.Now()
+	c.Logf("last new work of the VM after %v", stops(c, ws, a.At, until, l.acceptedBy(r.vm("a-1"))))
+	c.Check(len(between(ws, a.At.Add(changeBound), until, byDomain("a"))) > 0, qt.IsTrue)
+}
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -106,6 +106,11 @@
 	return f.list(ctx, string(e), fescuelatch.ListedLeaving)
 }
 
+// ListLeaving lists an endpoint as leaving. Its load reports do not say so.
+func (f *Fleet) ListLeaving(ctx context.Context, e fescuelatch.EndpointID) error {
+	return f.list(ctx, string(e), fescuelatch.ListedLeaving)
+}
+
 // Return ends what Leave began.
 func (f *Fleet) Return(ctx context.Context, e fescuelatch.EndpointID) error {
 	if err := f.Faults(ctx, e, leaving{false}); err != nil {
