A bare session that has moved off a withdrawn version is told so everywhere

Cause: a daemon serves a cached binding without a call. When a session left a withdrawn version at one daemon, another with the old binding in its cache went on refusing it with 409; had the version been reinstated meanwhile, it would have served the session with the old version again. Ruled out: the token path (it carries the new version), and Rebind itself (it reads the platform when its swap fails). A cached binding to a withdrawn version is read again, and those not in use are dropped when the withdrawal comes into force. A daemon that learns of a withdrawal and its end in one step drops nothing; that is not covered.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -116,6 +116,7 @@
 		d.deliver(now, d.core.Handle(now, decision.Configured{View: v}))
 		d.refreshOwned(now)
 		d.mu.Unlock()
+		d.bindings.Forget(v.Withdrawn)
 		d.metrics.generation.Update(float64(g))
 		d.log.Info("configuration in force", "generation", g, "digest", d.holder.Digest())
 		go d.announce(ctx)
--- a/daemon/sessions.go
+++ b/daemon/sessions.go
@@ -49,8 +49,12 @@
 // moved reports whether the session goes on with another version because its
 // own has been withdrawn and the caller allows it.
 func (s *serving) moved(v fescuelatch.VersionID) bool {
+	return s.call.SessionMove && s.withdrawn(v)
+}
+
+func (s *serving) withdrawn(v fescuelatch.VersionID) bool {
 	view := s.daemon.View()
-	return s.call.SessionMove && view != nil && view.Withdrawn(v)
+	return view != nil && view.Withdrawn(v)
 }
 
 // pin binds the request to the version of its session, if that is one of the
@@ -73,6 +77,9 @@
 	q := s.call.Request
 	id := session.Session{Account: q.Account, ID: string(q.Model) + "/" + text}
 	bound, err := s.daemon.bindings.Lookup(ctx, id)
+	if err == nil && s.withdrawn(bound) {
+		bound, err = s.daemon.bindings.Reread(ctx, id)
+	}
 	if err == nil && bound == "" {
 		bound, err = s.bind(ctx, id, "")
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -80,7 +80,9 @@
 // It is safe for concurrent use.
 //
 // A binding changes only by Rebind, for which the caller has a withdrawn
-// version as its reason, so that a cached one is served without a call.
+// version as its reason, so that a cached one is served without a call until
+// its version is withdrawn: then the caller must Reread it, and Forget those
+// that are not in use.
 type Store struct {
 	Submitter platform.Submitter
 	Granter   platform.Granter
@@ -120,6 +122,28 @@
 	return e.Version, err
 }
 
+// Reread returns the version that a session is bound to at the platform now,
+// when the one that Lookup told is withdrawn: another daemon may have rebound
+// the session. It caches nothing, since that may change at any time.
+func (s *Store) Reread(ctx context.Context, id Session) (fescuelatch.VersionID, error) {
+	s.init()
+	s.cache.Remove(id.key())
+	e, err := s.lookup(ctx, opLookup, id)
+	s.cache.Remove(id.key())
+	return e.Version, err
+}
+
+// Forget drops the cached bindings to versions that are withdrawn, and that
+// other daemons may rebind.
+func (s *Store) Forget(withdrawn func(fescuelatch.VersionID) bool) {
+	s.init()
+	for _, k := range s.cache.Keys() {
+		if e, ok := s.cache.Peek(k); ok && withdrawn(e.Version) {
+			s.cache.Remove(k)
+		}
+	}
+}
+
 func (s *Store) lookup(ctx context.Context, op string, id Session) (entry, error) {
 	s.init()
 	if id.Account == "" || id.ID == "" {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -116,6 +116,56 @@
 	c.Check(v, qt.Equals, fescuelatch.VersionID("m@2"))
 }
 
+func TestBindingToAWithdrawnVersionIsReadAgain(t *testing.T) {
+	withdrawn := func(v fescuelatch.VersionID) bool { return v == "m@1" }
+	tests := []struct {
+		name  string
+		again func(ctx context.Context, s *session.Store) error
+	}{
+		{"used while it is withdrawn", func(ctx context.Context, s *session.Store) error {
+			v, err := s.Reread(ctx, talk)
+			if err == nil && v != "m@2" {
+				err = fmt.Errorf("bound to %s", v)
+			}
+			return err
+		}},
+		{"not used while it is withdrawn", func(_ context.Context, s *session.Store) error {
+			s.Forget(withdrawn)
+			return nil
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			kv, now := new(memory.KV), start
+			a, b := newStore(kv, &now), newStore(kv, &now)
+			_, err := a.Bind(ctx, talk, "m@1")
+			c.Assert(err, qt.IsNil)
+			_, err = b.Lookup(ctx, talk)
+			c.Assert(err, qt.IsNil)
+			_, err = a.Rebind(ctx, talk, "m@1", "m@2")
+			c.Assert(err, qt.IsNil)
+			c.Assert(test.again(ctx, b), qt.IsNil)
+			v, err := b.Lookup(ctx, talk)
+			c.Assert(err, qt.IsNil)
+			c.Check(v, qt.Equals, fescuelatch.VersionID("m@2"))
+		})
+	}
+}
+
+func TestRereadDuringAnOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv, now := new(memory.KV), start
+	a := newStore(kv, &now)
+	_, err := a.Bind(ctx, talk, "m@1")
+	c.Assert(err, qt.IsNil)
+	kv.SetDown(true)
+	_, err = a.Reread(ctx, talk)
+	c.Assert(session.KindOf(err), qt.Equals, session.KindUnavailable)
+}
+
 func TestUsedSessionOutlivesItsFirstLease(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
