Gate: a failed attempt makes an endpoint doubtful, and quick answers do not refute it

Cause: a restarted endpoint whose load report says warm all along was cold by suspicion after three broken attempts, but one quick first token refuted that, and after the report lag the ramp let through more than it bears: an endpoint that bears its load when cold answers quickly. Besides, one or two broken attempts did not count at all, so that a restart under light load let a burst through until the next report. Ruled out: ownership (one owner throughout) and queued work (starts were spaced). One failure bounds new work by the cold slots until a report comes that would show a restart, or an attempt from before it shows that the endpoint goes on.

--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -80,8 +80,18 @@
 	return n
 }
 
+// breakAttempts makes n attempts that break.
+func breakAttempts(g *gate.Adaptive, now time.Time, n int) {
+	for i := range n {
+		w := work(fmt.Sprint("broken-", i), "large")
+		g.Offer(now, w)
+		g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptBroken})
+	}
+}
+
 func TestColdInference(t *testing.T) {
-	const slots, cold = 8, 2
+	// A failure lowers the limit of a warm endpoint.
+	const slots, lowered, cold = 8, 5, 2
 	for _, test := range []struct {
 		name  string
 		chill func(g *gate.Adaptive, now time.Time) time.Time
@@ -128,13 +138,41 @@
 			return now
 		}, cold},
 		{"failures in a row", func(g *gate.Adaptive, now time.Time) time.Time {
-			for i := range 3 {
-				w := work(fmt.Sprint("broken-", i), "large")
-				g.Offer(now, w)
-				g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptBroken})
+			breakAttempts(g, now, 3)
+			return now
+		}, cold},
+		{"failures in a row, then quick answers", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			breakAttempts(g, now, 3)
+			for range 4 {
+				now = answer(g, now.Add(settings.ReportLag), 1, 200*time.Millisecond)
+				g.Report(now, warmReport(now, 0))
 			}
 			return now
 		}, cold},
+		{"one failure", func(g *gate.Adaptive, now time.Time) time.Time {
+			breakAttempts(g, now, 1)
+			return now
+		}, cold},
+		{"one failure, then a report that is too old to show it", func(g *gate.Adaptive, now time.Time) time.Time {
+			breakAttempts(g, now, 1)
+			now = now.Add(settings.ReportLag / 2)
+			g.Report(now, warmReport(now, 0))
+			return now
+		}, cold},
+		{"one failure, then a report that would show it", func(g *gate.Adaptive, now time.Time) time.Time {
+			breakAttempts(g, now, 1)
+			now = now.Add(settings.ReportLag)
+			g.Report(now, warmReport(now, 0))
+			return now
+		}, lowered},
+		{"one failure beside an attempt that goes on", func(g *gate.Adaptive, now time.Time) time.Time {
+			w := work("goes-on", "large")
+			g.Offer(now, w)
+			breakAttempts(g, now, 1)
+			g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
+			return now
+		}, lowered},
 		{"it leaves", func(g *gate.Adaptive, now time.Time) time.Time {
 			now = now.Add(time.Second)
 			r := warmReport(now, 0)
--- a/gate/place.go
+++ b/gate/place.go
@@ -46,8 +46,11 @@
 	share, target float64
 	changed       time.Time
 	resumed       time.Time // after a pause of this process
-	slots         int       // that the endpoint reports, or zero
-	next          time.Time
+	// broken is when an attempt last broke, while nothing has shown that the
+	// endpoint has not been restarted.
+	broken time.Time
+	slots  int // that the endpoint reports, or zero
+	next   time.Time
 }
 
 // own takes in that the daemon owns o.
@@ -115,10 +118,29 @@
 	if !p.open(now) {
 		return 0
 	}
+	cold := int(math.Floor(p.share * float64(p.owned.Pool.ColdSlots)))
 	if !p.warmth.warm {
-		return int(math.Floor(p.share * float64(p.owned.Pool.ColdSlots)))
+		return cold
+	}
+	warm := min(int(p.limit.value), p.ramp(now), p.ceiling())
+	if p.doubted() {
+		return min(warm, cold)
+	}
+	return warm
+}
+
+// doubted reports whether an attempt broke lately, so that the endpoint may
+// have been restarted. That lasts until a report comes that would show it, or
+// an attempt from before shows that it goes on.
+func (p *place) doubted() bool {
+	return !p.broken.IsZero() && p.warmth.reported.Before(p.broken.Add(p.settings.ReportLag))
+}
+
+// goesOn takes in a sign of life of a.
+func (p *place) goesOn(a *attempt) {
+	if !a.started.After(p.broken) {
+		p.broken = time.Time{}
 	}
-	return min(int(p.limit.value), p.ramp(now), p.ceiling())
 }
 
 // ceiling returns the slots of a warm endpoint.
@@ -212,15 +234,18 @@
 		p.next = later(p.next, now.Add(max(r.RetryAfter, jittered(a.id))))
 	case r.Status == fescuelatch.AttemptAnswered:
 		p.limit.increase(p.owned.Pool.Slots)
+		p.goesOn(a)
 	case r.Status == fescuelatch.AttemptNotStarted, r.Status == fescuelatch.AttemptBroken:
 		p.limit.decrease(now, p.floor())
-		p.warmth.strike(now)
+		p.warmth.fail(now)
+		p.broken = now
 	}
 }
 
 // first takes in the latency to the first token of a.
 func (p *place) first(now time.Time, a *attempt, d time.Duration) {
 	a.first = true
+	p.goesOn(a)
 	if a.struck {
 		p.limit.decrease(now, p.floor())
 	} else if p.warmth.first(now, d) {
--- a/gate/warmth.go
+++ b/gate/warmth.go
@@ -29,7 +29,11 @@
 	since time.Time
 	// suspected reports that the endpoint is cold against its own word.
 	suspected bool
-	strikes   int
+	// failed reports that the suspicion came with a failed attempt. A cold
+	// endpoint that bears its load answers the first attempts quickly, so
+	// that quick answers do not refute it.
+	failed  bool
+	strikes int
 	// usual is the latency to the first token when warm.
 	usual       average
 	incarnation fescuelatch.Incarnation
@@ -42,7 +46,7 @@
 	if w.warm {
 		w.since = now
 	}
-	w.warm, w.suspected, w.strikes = false, suspected, 0
+	w.warm, w.suspected, w.failed, w.strikes = false, suspected, false, 0
 }
 
 // report takes in a load report. It reports whether it was a new one.
@@ -54,13 +58,13 @@
 	w.incarnation, w.generated, w.reported = r.Incarnation, r.Generated, now
 	w.leaving = r.State == fescuelatch.EndpointLeaving
 	if replaced {
-		w.warm, w.since, w.suspected, w.strikes = false, now, false, 0
+		w.warm, w.since, w.suspected, w.failed, w.strikes = false, now, false, false, 0
 	}
 	switch {
 	case r.State == fescuelatch.EndpointCold:
 		w.chill(now, false)
 	case r.State == fescuelatch.EndpointWarm && w.credible(now, lag):
-		w.warm, w.since, w.suspected, w.strikes = true, now, false, 0
+		w.warm, w.since, w.suspected, w.failed, w.strikes = true, now, false, false, 0
 	}
 	return true
 }
@@ -102,7 +106,7 @@
 	if w.warm || w.suspected {
 		w.usual.observe(d)
 	}
-	w.suspected = false
+	w.suspected = w.failed
 	return false
 }
 
@@ -113,3 +117,9 @@
 		w.chill(now, true)
 	}
 }
+
+// fail counts one failed attempt.
+func (w *warmth) fail(now time.Time) {
+	w.strike(now)
+	w.failed = w.failed || w.suspected
+}
