--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"fescuelatch"
 	"fescuelatch/billing"
 	"fescuelatch/caller"
+	"fescuelatch/chart"
 	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
@@ -55,6 +56,10 @@
 	Scrape   http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// Relay hands transactions to one daemon of the failure domain, which
+	// groups them. It suits failure domains of many daemons: while that
+	// daemon is silent and not yet known to be, claims are refused.
+	Relay bool
 	// FlushInterval is that of bills to the platform; zero means the
 	// default.
 	FlushInterval time.Duration
@@ -71,18 +76,23 @@
 	peers       *peer.Client
 	engines     *engine.Client
 	services    *engine.Client
+	// reporters reads load reports, over connections of their own.
+	reporters *engine.Client
 	metrics     *metrics
 
 	batcher  *platform.Batcher
 	claims   *claim.Claimer
 	ledger   *billing.Ledger
 	keeper   *billing.Keeper
+	codec    billing.Codec
+	told     vmSet
 	bindings *session.Store
 
 	// claimsAway is the time, in nanoseconds since 1970, until which no
 	// claim is tried.
 	claimsAway atomic.Int64
 
+	life    *life
 	leaving atomic.Bool
 	learned atomic.Bool
 	// learnedSignal is closed when learned is set.
@@ -109,6 +119,8 @@
 	hello peer.Hello
 	at    time.Time
 	first time.Time
+	// lost reports that nothing is forwarded to it until it is heard again.
+	lost bool
 }
 
 // New returns a daemon that has not been started.
@@ -125,8 +137,9 @@
 		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
 		holder:      new(configstore.Holder),
 		store:       &configstore.Store{KV: o.KV},
-		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer},
+		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
 		metrics:     newMetrics(o.Metrics),
+		life:        newLife(o.Log),
 		core:        decision.New(o.Core),
 		table:       t,
 		vmsOut:      make(map[string]bool),
@@ -137,23 +150,30 @@
 		hellos:        make(map[fescuelatch.VMID]heard),
 	}
 	d.keep(o)
-	d.engines = &engine.Client{HTTP: d.httpClient(false), Now: time.Now}
-	d.services = &engine.Client{HTTP: d.httpClient(true), Now: time.Now}
+	data := o.Dialer.Counting(DataTraffic(o.Metrics))
+	d.engines = &engine.Client{HTTP: httpClient(data, false), Now: time.Now}
+	d.services = &engine.Client{HTTP: httpClient(data, true), Now: time.Now}
+	reports := o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficReport))
+	d.reporters = &engine.Client{HTTP: httpClient(reports, false), Now: time.Now}
 	return d, nil
 }
 
 // keep sets up what is kept at the platform.
 func (d *Daemon) keep(o Options) {
-	d.batcher = &platform.Batcher{KV: o.KV}
-	d.claims = &claim.Claimer{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
-	d.bindings = &session.Store{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.batcher = &platform.Batcher{KV: o.KV, Interval: batchInterval}
+	relay := &platform.Relay{Local: d.batcher, Remote: d.remote}
+	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
 	d.ledger = &billing.Ledger{
-		Origin: d.incarnation, Submitter: d.batcher, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
+		Origin: d.incarnation, Submitter: relay, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
 		Spread: func() float64 { return minSpread + rand.Float64() },
 	}
-	d.keeper = &billing.Keeper{Submitter: d.batcher, Now: time.Now, Copier: (*copier)(d)}
+	d.keeper = &billing.Keeper{Submitter: relay, Now: time.Now, Copier: (*copier)(d)}
 }
 
+// batchInterval is that of grouped calls to the platform.
+const batchInterval = 20 * time.Millisecond
+
 // minSpread is the least factor of a flush interval; the greatest is 1 more.
 const minSpread = 0.5
 
@@ -163,10 +183,10 @@
 // are forwarded to. With fresh set, each request has a connection of its
 // own, so that a connection that has silently broken cannot make the outcome
 // of a request unknown.
-func (d *Daemon) httpClient(fresh bool) *http.Client {
+func httpClient(d *peer.Dialer, fresh bool) *http.Client {
 	t := &http.Transport{
-		DialContext:         d.options.Dialer.DialContext,
-		TLSClientConfig:     d.options.Dialer.TLS,
+		DialContext:         d.DialContext,
+		TLSClientConfig:     d.TLS,
 		MaxIdleConnsPerHost: idlePerHost,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
@@ -190,6 +210,9 @@
 		d.refreshOwned(now)
 	}
 	d.deliver(now, d.core.Handle(now, e))
+	for _, err := range d.core.Faults() {
+		d.log.Error("fault of the decision core", "error", err.Error())
+	}
 }
 
 func (d *Daemon) deliver(now time.Time, actions []decision.Action) {
@@ -246,6 +269,7 @@
 		_ = g.Wait()
 		return err
 	}
+	d.life.fire(chart.EventStarted)
 	d.loops(running, g)
 	g.Go(func() error {
 		select {
@@ -265,6 +289,7 @@
 // serves, at most for StopTimeout.
 func (d *Daemon) stop() {
 	d.log.Info("stopping", "open", d.open())
+	d.life.fire(chart.EventDrain)
 	d.leaving.Store(true)
 	d.mu.Lock()
 	d.table.Leave(time.Now())
@@ -283,6 +308,7 @@
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
 	d.handOn()
+	d.life.fire(chart.EventDrained)
 	d.log.Info("stopped")
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -10,9 +10,11 @@
 
 	"fescuelatch"
 	"fescuelatch/billing"
+	"fescuelatch/chart"
 	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
+	"fescuelatch/gate"
 	"fescuelatch/operator"
 	"fescuelatch/ownership"
 	"fescuelatch/platform"
@@ -41,6 +43,10 @@
 func (o *operatorBackend) Propose(ctx context.Context, c *fescuelatch.Change) (operator.ProposeResult, error) {
 	d := (*Daemon)(o)
 	next, err := d.store.Propose(ctx, c)
+	if configstore.KindOf(err) == configstore.KindConflict {
+		// The operator's next change starts from what this daemon has.
+		d.catchUp(ctx)
+	}
 	if err != nil {
 		return operator.ProposeResult{}, proposeError(err)
 	}
@@ -80,11 +86,9 @@
 func (o *operatorBackend) Ready() error {
 	d := (*Daemon)(o)
 	v := d.holder.View()
-	switch {
-	case d.leaving.Load():
-		return errors.New("stopping")
-	case !d.learned.Load():
-		return errors.New("learning the configuration")
+	switch state := d.life.state(); {
+	case state != chart.DaemonReady && state != chart.DaemonCutOff:
+		return errors.New(string(state))
 	case v == nil:
 		return errors.New("no configuration is in force")
 	case v.VMOut(d.options.VM):
@@ -197,15 +201,16 @@
 	Started     time.Time                   `json:"started"`
 	Generation  fescuelatch.Generation      `json:"generation"`
 	Digest      string                      `json:"digest"`
-	Learned     bool                        `json:"learned"`
-	Leaving     bool                        `json:"leaving"`
+	Life        chart.State                 `json:"state"`
 	Open        int                         `json:"open-requests"`
 	Members     []ownership.Member          `json:"members"`
 	Owned       []fescuelatch.OwnedEndpoint `json:"owned"`
 	Spares      []fescuelatch.Spare         `json:"spares"`
 	Versions    []decision.VersionState     `json:"versions"`
+	Domains     []decision.DomainState      `json:"failure-domains"`
 	Evidence    []fescuelatch.Evidence      `json:"evidence"`
 	Claims      claim.Stats                 `json:"claims"`
+	Gate        any                         `json:"gate,omitempty"`
 	Bills       billing.Stats               `json:"bills"`
 	Copies      billing.KeeperStats         `json:"bill-copies"`
 	Batches     platform.BatcherStats       `json:"platform-batches"`
@@ -220,6 +225,13 @@
 	Spares     []fescuelatch.Spare    `json:"spares"`
 }
 
+// dumper is a gate that can say what it knows of its endpoints.
+type dumper interface {
+	Dump(now time.Time) []gate.EndpointDump
+}
+
+var _ dumper = (*gate.Adaptive)(nil)
+
 // Dump implements operator.Backend.
 func (o *operatorBackend) Dump(context.Context) (any, error) {
 	d := (*Daemon)(o)
@@ -228,10 +240,14 @@
 	now := time.Now()
 	s := dump{
 		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation, Started: d.started,
-		Generation: d.holder.Generation(), Digest: d.holder.Digest(), Learned: d.learned.Load(), Leaving: d.leaving.Load(),
+		Generation: d.holder.Generation(), Digest: d.holder.Digest(),
 		Open: d.core.Open(), Members: d.table.Members(now), Owned: d.table.Owned(now), Versions: d.core.Versions(now),
+		Domains: d.core.Domains(), Life: d.life.state(),
 	}
 	s.Spares, s.Evidence = d.core.Summary(now)
+	if g, ok := d.options.Core.Gate.(dumper); ok {
+		s.Gate = g.Dump(now)
+	}
 	s.Claims = d.claims.Stats()
 	s.Bills = d.ledger.Stats()
 	s.Copies = d.keeper.Stats()
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -78,6 +80,28 @@
 	return nil
 }
 
+const (
+	stopTimeout = 2 * time.Second
+	stopPoll    = time.Millisecond
+)
+
+// awaitStopped waits until the kernel says that the process is stopped.
+func (p *process) awaitStopped() error {
+	op := "pause " + p.command.name
+	for deadline := time.Now().Add(stopTimeout); time.Now().Before(deadline); time.Sleep(stopPoll) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		if err != nil {
+			return &Error{op, KindProcess, errors.WithStack(err)}
+		}
+		// The state follows the name, which is in parentheses and may hold
+		// any character.
+		if after := stat[bytes.LastIndexByte(stat, ')')+1:]; bytes.HasPrefix(after, []byte(" T")) {
+			return nil
+		}
+	}
+	return &Error{Op: op, Kind: KindTimeout}
+}
+
 // end sends s, as something that the fleet expects to end the process, and
 // waits for the end. It kills a process that has not ended after grace.
 // It reports whether the process ended by itself with exit status 0.
--- a/peer/client.go
+++ b/peer/client.go
@@ -13,10 +13,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"fescuelatch/platform"
 )
 
 // This file defines the client side of the calls.
 
+// OpDial is the operation of an Error that says that no connection could be
+// opened: nothing was sent.
+const OpDial = "dial"
+
 const dialTimeout = time.Second
 
 // Dialer opens connections from a VM's own address.
@@ -26,6 +32,15 @@
 	From netip.Addr
 	// TLS makes connections mutual TLS when it is set.
 	TLS *tls.Config
+	// Traffic counts the bytes of all connections.
+	Traffic Traffic
+}
+
+// Counting returns a dialer that counts the bytes of its connections with t.
+func (d *Dialer) Counting(t Traffic) *Dialer {
+	c := *d
+	c.Traffic = t
+	return &c
 }
 
 // DialContext opens a connection.
@@ -34,7 +49,11 @@
 	if d.From.IsValid() {
 		n.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.From, 0))
 	}
-	return n.DialContext(ctx, network, address)
+	conn, err := n.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return d.Traffic.Count(conn), nil
 }
 
 // dialPeer opens a connection to a daemon, with TLS when that is set.
@@ -43,7 +62,9 @@
 	if err != nil || d.TLS == nil {
 		return conn, err
 	}
-	t := tls.Client(conn, d.TLS)
+	config := d.TLS.Clone()
+	config.ServerName = to.Addr().String()
+	t := tls.Client(conn, config)
 	if err := t.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -84,6 +105,11 @@
 	return err
 }
 
+// Submit has a daemon run a transaction at the platform.
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, r *SubmitRequest) (*platform.SubmitReply, error) {
+	return call(ctx, c, to, "Submit", r, new(platform.SubmitReply))
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -99,7 +125,7 @@
 func call[Q, R any](ctx context.Context, c *Client, to netip.AddrPort, method string, q *Q, r *R) (*R, error) {
 	conn, err := c.conn(ctx, to)
 	if err != nil {
-		return nil, &Error{method, KindUnreachable, err}
+		return nil, &Error{OpDial, KindUnreachable, err}
 	}
 	pending := conn.Go(serviceName+"."+method, q, r, make(chan *rpc.Call, 1))
 	select {
