Gate: long whole answers no longer make a warm endpoint count as cold

Cause: a whole answer shows its first token at its end, and was compared with the usual latency to the first token of streams. Ruled out: reports (in time, warm), ownership (one owner throughout). Before: TestColdInference, whole answers beside quick first tokens: 2 of 8 slots. The usual latencies of streams and of whole answers are kept apart.

--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -123,6 +123,18 @@
 			now = answer(g, now, 4, 200*time.Millisecond)
 			return answer(g, now, 3, 2*time.Second)
 		}, cold},
+		{"whole answers beside quick first tokens", func(g *gate.Adaptive, now time.Time) time.Time {
+			for i := range 4 {
+				w := work(fmt.Sprint("streamed-", i), "large")
+				w.Request.Streamed = true
+				g.Offer(now, w)
+				now = now.Add(50 * time.Millisecond)
+				g.First(now, w.Attempt)
+				g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
+			}
+			now = answer(g, now, 4, 600*time.Millisecond)
+			return now
+		}, slots},
 		{"no first tokens", func(g *gate.Adaptive, now time.Time) time.Time {
 			now = answer(g, now, 4, 200*time.Millisecond)
 			as := make([]fescuelatch.Work, 3)
--- a/gate/dump.go
+++ b/gate/dump.go
@@ -23,8 +23,10 @@
 	Bound    int       `json:"bound"`
 	Running  int       `json:"running"`
 	Others   int       `json:"others"`
-	// FirstToken is the usual latency to the first token when warm.
-	FirstToken time.Duration `json:"first-token"`
+	// FirstToken is the usual latency to the first token of streams when
+	// warm, WholeAnswer that of whole answers to their end.
+	FirstToken  time.Duration `json:"first-token"`
+	WholeAnswer time.Duration `json:"whole-answer"`
 }
 
 // Dump returns the state of all owned endpoints, ordered by endpoint.
@@ -32,18 +34,19 @@
 	ds := make([]EndpointDump, len(g.sorted))
 	for i, p := range g.sorted {
 		ds[i] = EndpointDump{
-			Endpoint:   p.owned.Endpoint.ID,
-			Warm:       p.warmth.warm,
-			Suspected:  p.warmth.suspected,
-			Leaving:    p.warmth.leaving,
-			Out:        p.owned.Out,
-			Since:      p.warmth.since,
-			Reported:   p.warmth.reported,
-			Share:      p.share,
-			Bound:      p.bound(now),
-			Running:    len(p.running),
-			Others:     p.others,
-			FirstToken: p.warmth.usual.mean,
+			Endpoint:    p.owned.Endpoint.ID,
+			Warm:        p.warmth.warm,
+			Suspected:   p.warmth.suspected,
+			Leaving:     p.warmth.leaving,
+			Out:         p.owned.Out,
+			Since:       p.warmth.since,
+			Reported:    p.warmth.reported,
+			Share:       p.share,
+			Bound:       p.bound(now),
+			Running:     len(p.running),
+			Others:      p.others,
+			FirstToken:  p.warmth.usual.streamed.mean,
+			WholeAnswer: p.warmth.usual.whole.mean,
 		}
 	}
 	return ds
--- a/gate/place.go
+++ b/gate/place.go
@@ -97,7 +97,7 @@
 // suspect looks for attempts that are slow to give their first token.
 func (p *place) suspect(now time.Time) {
 	for _, a := range p.running {
-		if !a.first && !a.struck && p.warmth.slow(now.Sub(a.started)) {
+		if !a.first && !a.struck && p.warmth.slow(now.Sub(a.started), a.request.Streamed) {
 			a.struck = true
 			p.warmth.strike(now)
 		}
@@ -248,7 +248,7 @@
 	p.goesOn(a)
 	if a.struck {
 		p.limit.decrease(now, p.floor())
-	} else if p.warmth.first(now, d) {
+	} else if p.warmth.first(now, d, a.request.Streamed) {
 		p.limit.decrease(now, p.floor())
 	}
 }
--- a/gate/warmth.go
+++ b/gate/warmth.go
@@ -34,8 +34,9 @@
 	// that quick answers do not refute it.
 	failed  bool
 	strikes int
-	// usual is the latency to the first token when warm.
-	usual       average
+	// usual is the latency to the first token when warm, of whole answers
+	// and of streams. A whole answer shows its first token at its end.
+	usual       struct{ whole, streamed average }
 	incarnation fescuelatch.Incarnation
 	generated   time.Time
 	reported    time.Time
@@ -85,26 +86,37 @@
 	}
 }
 
+// usualOf returns the usual latency to the first token of streams, or of
+// whole answers.
+func (w *warmth) usualOf(streamed bool) *average {
+	if streamed {
+		return &w.usual.streamed
+	}
+	return &w.usual.whole
+}
+
 // slow reports whether d is far above the usual latency to the first token.
-func (w *warmth) slow(d time.Duration) bool {
-	return w.usual.mean > 0 && d > max(slowMin, slowFactor*w.usual.mean)
+func (w *warmth) slow(d time.Duration, streamed bool) bool {
+	usual := w.usualOf(streamed).mean
+	return usual > 0 && d > max(slowMin, slowFactor*usual)
 }
 
 // first takes in a latency to the first token. It reports whether it was
 // slow.
-func (w *warmth) first(now time.Time, d time.Duration) bool {
-	if w.slow(d) {
+func (w *warmth) first(now time.Time, d time.Duration, streamed bool) bool {
+	usual := w.usualOf(streamed)
+	if w.slow(d, streamed) {
 		w.strike(now)
 		if w.suspected {
 			// The endpoint says that it is warm; it may have become slower
 			// for good.
-			w.usual.observe(min(d, slowFactor*w.usual.mean))
+			usual.observe(min(d, slowFactor*usual.mean))
 		}
 		return true
 	}
 	w.strikes = 0
 	if w.warm || w.suspected {
-		w.usual.observe(d)
+		usual.observe(d)
 	}
 	w.suspected = w.failed
 	return false
