--- a/failure/withdrawal_test.go
+++ b/failure/withdrawal_test.go
@@ -254,14 +254,14 @@
 	c.Logf("last new work of the version after %v", stops(c, ws, out.At, until, byVersion("triage@1", "b")))
 	inside := stops(c, ws, healed, until, byVersionIn("triage@1", "b"))
 	c.Logf("last new work of the version in what was cut off %v after healing", inside)
-	checkReturn(c, ws, asked, until)
+	checkDomainReturn(c, ws, asked, until)
 	r.changeAt(c, restore, "a-2")
 }
 
-// checkReturn checks that work comes back to failure domain "a" gradually:
+// checkDomainReturn checks that work comes back to failure domain "a" gradually:
 // an endpoint gets no more in half a second than it can run at once, although
 // many calls wait for its return.
-func checkReturn(c *qt.C, ws []work, in, until time.Time) {
+func checkDomainReturn(c *qt.C, ws []work, in, until time.Time) {
 	c.Helper()
 	const step = time.Second / 2
 	for _, e := range []fescuelatch.EndpointID{"a-model", "a-other"} {
--- a/gate/warmth.go
+++ b/gate/warmth.go
@@ -29,9 +29,14 @@
 	since time.Time
 	// suspected reports that the endpoint is cold against its own word.
 	suspected bool
-	strikes   int
-	// usual is the latency to the first token when warm.
-	usual       average
+	// failed reports that the suspicion came with a failed attempt. A cold
+	// endpoint that bears its load answers the first attempts quickly, so
+	// that quick answers do not refute it.
+	failed  bool
+	strikes int
+	// usual is the latency to the first token when warm, of whole answers
+	// and of streams. A whole answer shows its first token at its end.
+	usual       struct{ whole, streamed average }
 	incarnation fescuelatch.Incarnation
 	generated   time.Time
 	reported    time.Time
@@ -42,7 +47,7 @@
 	if w.warm {
 		w.since = now
 	}
-	w.warm, w.suspected, w.strikes = false, suspected, 0
+	w.warm, w.suspected, w.failed, w.strikes = false, suspected, false, 0
 }
 
 // report takes in a load report. It reports whether it was a new one.
@@ -54,13 +59,13 @@
 	w.incarnation, w.generated, w.reported = r.Incarnation, r.Generated, now
 	w.leaving = r.State == fescuelatch.EndpointLeaving
 	if replaced {
-		w.warm, w.since, w.suspected, w.strikes = false, now, false, 0
+		w.warm, w.since, w.suspected, w.failed, w.strikes = false, now, false, false, 0
 	}
 	switch {
 	case r.State == fescuelatch.EndpointCold:
 		w.chill(now, false)
 	case r.State == fescuelatch.EndpointWarm && w.credible(now, lag):
-		w.warm, w.since, w.suspected, w.strikes = true, now, false, 0
+		w.warm, w.since, w.suspected, w.failed, w.strikes = true, now, false, false, 0
 	}
 	return true
 }
@@ -81,28 +86,39 @@
 	}
 }
 
+// usualOf returns the usual latency to the first token of streams, or of
+// whole answers.
+func (w *warmth) usualOf(streamed bool) *average {
+	if streamed {
+		return &w.usual.streamed
+	}
+	return &w.usual.whole
+}
+
 // slow reports whether d is far above the usual latency to the first token.
-func (w *warmth) slow(d time.Duration) bool {
-	return w.usual.mean > 0 && d > max(slowMin, slowFactor*w.usual.mean)
+func (w *warmth) slow(d time.Duration, streamed bool) bool {
+	usual := w.usualOf(streamed).mean
+	return usual > 0 && d > max(slowMin, slowFactor*usual)
 }
 
 // first takes in a latency to the first token. It reports whether it was
 // slow.
-func (w *warmth) first(now time.Time, d time.Duration) bool {
-	if w.slow(d) {
+func (w *warmth) first(now time.Time, d time.Duration, streamed bool) bool {
+	usual := w.usualOf(streamed)
+	if w.slow(d, streamed) {
 		w.strike(now)
 		if w.suspected {
 			// The endpoint says that it is warm; it may have become slower
 			// for good.
-			w.usual.observe(min(d, slowFactor*w.usual.mean))
+			usual.observe(min(d, slowFactor*usual.mean))
 		}
 		return true
 	}
 	w.strikes = 0
 	if w.warm || w.suspected {
-		w.usual.observe(d)
+		usual.observe(d)
 	}
-	w.suspected = false
+	w.suspected = w.failed
 	return false
 }
 
@@ -113,3 +129,9 @@
 		w.chill(now, true)
 	}
 }
+
+// fail counts one failed attempt.
+func (w *warmth) fail(now time.Time) {
+	w.strike(now)
+	w.failed = w.failed || w.suspected
+}
