--- /dev/null
+++ b/cmd/fescuelatch-load/cost.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"fescuelatch/cmd/fescuelatch-load/cost"
+)
+
+// This file defines the subcommand cost.
+
+type costCommand struct {
+	Bin    string        `arg:"--bin" help:"directory of fescuelatchd and standin [default: that of this program]"`
+	Out    string        `arg:"--out" default:"out" help:"directory for logs"`
+	Slopes string        `arg:"--slopes" default:"docs/capacity/slopes.json" help:"file for the result"`
+	Window time.Duration `arg:"--window" default:"8s" help:"time of each measurement"`
+	Rate   float64       `arg:"--rate" default:"6" help:"requests a second for each daemon under load"`
+	Seed   uint64        `arg:"--seed" default:"1"`
+	Few    bool          `arg:"--few" help:"measure the base size only"`
+}
+
+// Tokens of an answer.
+const (
+	shortAnswer = 16
+	longAnswer  = 96
+)
+
+func (c *costCommand) run(ctx context.Context) (int, error) {
+	settings := fleetSettings{Bin: c.Bin, Out: c.Out}
+	bin, err := settings.bin()
+	if err != nil {
+		return exitFailed, err
+	}
+	s := &cost.Settings{
+		Window: c.Window, Rate: c.Rate, Seed: c.Seed, Short: shortAnswer, Long: longAnswer,
+		Note: func(size string) { fmt.Println(time.Now().Format(time.TimeOnly), size) },
+	}
+	s.Options.Bin = bin
+	s.Options.Dir = filepath.Join(c.Out, "cost", "logs")
+	sizes := cost.Plan()
+	if c.Few {
+		sizes = sizes[:1]
+	}
+	r, err := cost.Run(ctx, s, sizes)
+	if err != nil {
+		return exitFailed, err
+	}
+	if !c.Few {
+		r.Fit()
+	}
+	return exitGood, writeJSON(c.Slopes, r)
+}
--- /dev/null
+++ b/cmd/fescuelatch-load/cost/result.go
@@ -0,0 +1,11 @@
+package cost
+
+// This file defines the result of a run.
+
+// Result is the result of a run, as it is kept in docs/capacity/slopes.json.
+type Result struct {
+	Settings Settings `json:"settings"`
+	Latency  Latency  `json:"latency"`
+	Points   []Point  `json:"points"`
+	Slopes   Slopes   `json:"slopes"`
+}
--- /dev/null
+++ b/cmd/fescuelatch-load/cost/slopes.go
@@ -0,0 +1,123 @@
+package cost
+
+import "gonum.org/v1/gonum/stat"
+
+// This file defines the slopes: straight lines through the points that
+// differ in one dimension.
+
+// Slopes are the costs of one more of something. All are for one daemon and
+// a second unless they say otherwise.
+type Slopes struct {
+	// Processor is in cores.
+	ProcessorBase         float64 `json:"processor-base"`
+	ProcessorPerHeartbeat float64 `json:"processor-per-heartbeat"`
+	ProcessorPerEndpoint  float64 `json:"processor-per-owned-endpoint"`
+	ProcessorPerRequest   float64 `json:"processor-per-request"`
+	ProcessorPerToken     float64 `json:"processor-per-token"`
+	// Memory is in bytes.
+	MemoryBase        float64 `json:"memory-base"`
+	MemoryPerMember   float64 `json:"memory-per-daemon-of-the-failure-domain"`
+	MemoryPerEndpoint float64 `json:"memory-per-endpoint-of-the-failure-domain"`
+	MemoryPerVersion  float64 `json:"memory-per-version"`
+	MemoryPerAccount  float64 `json:"memory-per-account"`
+	// A heartbeat is one exchange, sent or received, with its reply.
+	HeartbeatBytes           float64 `json:"heartbeat-bytes"`
+	HeartbeatBytesPerVersion float64 `json:"heartbeat-bytes-per-version"`
+	// LoadedBytesPerVersion is that under load, when evidence changes.
+	LoadedBytesPerVersion float64 `json:"heartbeat-bytes-per-version-loaded"`
+	ReportBytes           float64 `json:"report-bytes-per-owned-endpoint"`
+	ListBytes             float64 `json:"list-bytes-base"`
+	ListBytesPerVM        float64 `json:"list-bytes-per-listed-vm"`
+	PlatformBytes         float64 `json:"platform-bytes"`
+	// Platform calls are those of the whole fleet.
+	WatchesPerDomain      float64 `json:"platform-calls-per-failure-domain"`
+	WritesPerLoadedDaemon float64 `json:"platform-writes-per-loaded-daemon"`
+}
+
+// heartbeatsOf returns the heartbeats a second that a daemon takes part in,
+// as sender or receiver: two a second with each other daemon of its failure
+// domain in both roles, and four a second with daemons of others.
+func heartbeatsOf(s Size) float64 {
+	n := 4 * float64(s.Daemons-1)
+	if s.Domains > 1 {
+		n += 8
+	}
+	return n
+}
+
+// fit returns the line y = at0 + slope*x through the points that differ from
+// the base in dimension d only.
+func (r *Result) fit(d Dimension, x, y func(*Point) float64) (at0, slope float64) {
+	var xs, ys []float64
+	for n := range r.Points {
+		if p := &r.Points[n]; p.Size.differsOnly(d) {
+			xs, ys = append(xs, x(p)), append(ys, y(p))
+		}
+	}
+	return stat.LinearRegression(xs, ys, nil, false)
+}
+
+// Fit computes the slopes from the points.
+func (r *Result) Fit() {
+	size := func(d Dimension) func(*Point) float64 {
+		return func(p *Point) float64 { return float64(p.Size.value(d)) }
+	}
+	beats := func(p *Point) float64 { return heartbeatsOf(p.Size) }
+	owned := func(p *Point) float64 { return float64(p.Size.Endpoints) / float64(p.Size.Daemons) }
+	listed := func(p *Point) float64 { return float64(p.Size.Domains * (p.Size.Daemons + p.Size.Endpoints)) }
+	processor := func(p *Point) float64 { return p.Idle.Processor }
+	memory := func(p *Point) float64 { return p.Loaded.Resident }
+	control := func(kind string) func(*Point) float64 {
+		return func(p *Point) float64 { return p.Idle.Control[kind] }
+	}
+	perBeat := func(phase func(*Point) *Phase) func(*Point) float64 {
+		return func(p *Point) float64 { return phase(p).Control["peer"] / heartbeatsOf(p.Size) }
+	}
+	s := &r.Slopes
+	*s = Slopes{}
+	s.ProcessorBase, s.ProcessorPerHeartbeat = r.fit(Members, beats, processor)
+	_, s.ProcessorPerEndpoint = r.fit(Endpoints, owned, processor)
+	s.ProcessorBase = max(0, s.ProcessorBase-s.ProcessorPerEndpoint*owned(&r.Points[0]))
+	_, s.MemoryPerMember = r.fit(Members, size(Members), memory)
+	_, s.MemoryPerEndpoint = r.fit(Endpoints, size(Endpoints), memory)
+	_, s.MemoryPerVersion = r.fit(Versions, size(Versions), memory)
+	_, s.MemoryPerAccount = r.fit(Accounts, size(Accounts), memory)
+	s.MemoryBase = r.Points[0].Loaded.Resident
+	s.HeartbeatBytes, s.HeartbeatBytesPerVersion = r.fit(Versions, size(Versions), perBeat(func(p *Point) *Phase { return &p.Idle }))
+	_, s.LoadedBytesPerVersion = r.fit(Versions, size(Versions), perBeat(func(p *Point) *Phase { return &p.Loaded }))
+	_, s.ReportBytes = r.fit(Endpoints, owned, control("report"))
+	s.ListBytes, s.ListBytesPerVM = r.fit(Endpoints, listed, control("list"))
+	s.PlatformBytes = r.Points[0].Idle.Control["platform"]
+	r.fitRequests()
+	r.fitPlatform(size)
+}
+
+// fitRequests compares the phases of the base size.
+func (r *Result) fitRequests() {
+	p := &r.Points[0]
+	s := &r.Slopes
+	if p.Long == nil {
+		return
+	}
+	tokens := float64(r.Settings.Long - r.Settings.Short)
+	long := (p.Long.Processor - p.Idle.Processor) / p.Long.Answered
+	short := (p.Loaded.Processor - p.Idle.Processor) / p.Loaded.Answered
+	s.ProcessorPerToken = (long - short) / tokens
+	s.ProcessorPerRequest = short - s.ProcessorPerToken*float64(r.Settings.Short)
+}
+
+func (r *Result) fitPlatform(size func(Dimension) func(*Point) float64) {
+	s := &r.Slopes
+	_, s.WatchesPerDomain = r.fit(Domains, size(Domains), func(p *Point) float64 { return sum(p.Idle.Platform) })
+	_, s.WritesPerLoadedDaemon = r.fit(Members, size(Members), func(p *Point) float64 {
+		return sum(p.Loaded.Platform) - sum(p.Idle.Platform)
+	})
+}
+
+func sum(m map[string]float64) float64 {
+	var t float64
+	for _, v := range m {
+		t += v
+	}
+	return t
+}
--- a/cmd/fescuelatch-load/fleet.go
+++ b/cmd/fescuelatch-load/fleet.go
@@ -34,17 +34,22 @@
 	if err != nil {
 		return fleet.Options{}, err
 	}
-	bin := s.Bin
-	if bin == "" {
-		exe, err := os.Executable()
-		if err != nil {
-			return fleet.Options{}, errors.WithStack(err)
-		}
-		bin = filepath.Dir(exe)
+	bin, err := s.bin()
+	if err != nil {
+		return fleet.Options{}, err
 	}
 	return fleet.Options{Configuration: c, Bin: bin, Dir: filepath.Join(s.Out, name, "logs")}, nil
 }
 
+// bin returns the directory of the programs.
+func (s *fleetSettings) bin() (string, error) {
+	if s.Bin != "" {
+		return s.Bin, nil
+	}
+	exe, err := os.Executable()
+	return filepath.Dir(exe), errors.WithStack(err)
+}
+
 // start starts the fleet of o and returns it with the accounts of callers.
 func start(ctx context.Context, o fleet.Options) (*fleet.Fleet, []load.Account, error) {
 	f, err := fleet.Start(ctx, o)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,7 +74,7 @@
 	services    *engine.Client
 	// reporters reads load reports, over connections of their own.
 	reporters *engine.Client
-	metrics     *metrics
+	metrics   *metrics
 
 	batcher  *platform.Batcher
 	claims   *claim.Claimer
