Tell other daemons only the evidence that has changed

Each heartbeat and its reply carried the evidence of all versions. A daemon now remembers what it told and what it holds of each other daemon, and both directions carry what changed since; all is told again to a new incarnation, after a change of the configuration, and every 30 s.

--- a/cmd/fescuelatch-load/cost.go
+++ b/cmd/fescuelatch-load/cost.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuelatch/cmd/fescuelatch-load/cost"
 )
 
@@ -18,7 +20,7 @@
 	Window time.Duration `arg:"--window" default:"8s" help:"time of each measurement"`
 	Rate   float64       `arg:"--rate" default:"6" help:"requests a second for each daemon under load"`
 	Seed   uint64        `arg:"--seed" default:"1"`
-	Few    bool          `arg:"--few" help:"measure the base size only"`
+	Only   []int         `arg:"--only" help:"positions of the sizes to measure, without slopes [default: all]"`
 }
 
 // Tokens of an answer.
@@ -40,14 +42,21 @@
 	s.Options.Bin = bin
 	s.Options.Dir = filepath.Join(c.Out, "cost", "logs")
 	sizes := cost.Plan()
-	if c.Few {
-		sizes = sizes[:1]
+	if len(c.Only) > 0 {
+		all := sizes
+		sizes = nil
+		for _, n := range c.Only {
+			if n < 0 || n >= len(all) {
+				return exitFailed, errors.Errorf("no size at position %d", n)
+			}
+			sizes = append(sizes, all[n])
+		}
 	}
 	r, err := cost.Run(ctx, s, sizes)
 	if err != nil {
 		return exitFailed, err
 	}
-	if !c.Few {
+	if len(c.Only) == 0 {
 		r.Fit()
 	}
 	return exitGood, writeJSON(c.Slopes, r)
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -124,6 +124,11 @@
 	defer cancel()
 	h := &peer.Heartbeat{Hello: d.hello()}
 	sent := time.Now()
+	told, known := d.untold(sent, to.ID, h.Generation)
+	h.Evidence = changedSince(h.Evidence, told)
+	if !known.Through.IsZero() {
+		h.Known = known
+	}
 	if to.Domain == d.options.Domain {
 		d.mu.Lock()
 		o := d.table.Heartbeat(sent)
@@ -140,6 +145,27 @@
 		d.acknowledged(sent, *reply.Ownership)
 	}
 	d.heard(ctx, reply.Hello)
+	if reply.Generation == h.Generation {
+		d.exchanged(sent, h, reply, told)
+	}
+}
+
+// untold returns from when on changes of evidence are still to be told to a
+// daemon, and what is known of that daemon's.
+func (d *Daemon) untold(now time.Time, to fescuelatch.VMID, g fescuelatch.Generation) (time.Time, peer.Known) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := d.hellos[to].hello.Incarnation
+	return d.told[to].since(now, i, g), peer.Known{Incarnation: i, Through: d.known[to].since(now, i, g)}
+}
+
+// exchanged records the evidence that a heartbeat and its reply told.
+func (d *Daemon) exchanged(sent time.Time, h *peer.Heartbeat, reply *peer.HeartbeatReply, told time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	to := reply.VM
+	d.told[to] = d.told[to].next(sent, told, reply.Incarnation, h.Generation, h.Evidence)
+	d.known[to] = d.known[to].next(sent, h.Known.Through, reply.Incarnation, h.Generation, reply.Evidence)
 }
 
 func (d *Daemon) acknowledged(sent time.Time, a ownership.Ack) {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -36,6 +36,9 @@
 	// for the configuration that the sender may have.
 	go d.heard(context.Background(), h.Hello)
 	reply.Hello = d.hello()
+	if h.Known.Incarnation == d.incarnation {
+		reply.Evidence = changedSince(reply.Evidence, h.Known.Through)
+	}
 	return nil
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"fescuelatch"
 	"fescuelatch/ownership"
 )
@@ -18,7 +20,8 @@
 	Leaving bool
 	// Spares is what the daemon's owned endpoints can take at once.
 	Spares []fescuelatch.Spare
-	// Evidence is what the daemon has seen of versions.
+	// Evidence is what the daemon has seen of versions, as far as it has
+	// changed since the receiver was told.
 	Evidence []fescuelatch.Evidence
 }
 
@@ -27,6 +30,16 @@
 type Heartbeat struct {
 	Hello
 	Ownership *ownership.Heartbeat
+	// Known is what the sender holds of the receiver's evidence. The reply
+	// has what changed since.
+	Known Known
+}
+
+// Known says that all evidence of a daemon that changed up to Through is
+// held. It is void for any other incarnation.
+type Known struct {
+	Incarnation fescuelatch.Incarnation
+	Through     time.Time
 }
 
 // HeartbeatReply answers a heartbeat.
