--- /dev/null
+++ b/cmd/fescuelatch-load/cost/page.go
@@ -0,0 +1,190 @@
+package cost
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// This file defines the tables of docs/CAPACITY.md, which are written from
+// the slopes.
+
+// tableNames are the tables, in the order of the page.
+var tableNames = []string{"points", "slopes", "bytes", "processor", "memory", "platform", "limits"}
+
+// row is a line of a table.
+type row []string
+
+func rows(header row, body ...row) string {
+	var b strings.Builder
+	line := func(r row) { fmt.Fprintf(&b, "| %s |\n", strings.Join(r, " | ")) }
+	line(header)
+	rule := make(row, len(header))
+	for n := range rule {
+		rule[n] = "---"
+	}
+	line(rule)
+	for _, r := range body {
+		line(r)
+	}
+	return b.String()
+}
+
+func number(v float64) string {
+	switch {
+	case v >= 1000 || v <= -1000:
+		return fmt.Sprintf("%.0f", v)
+	case v >= 10 || v <= -10:
+		return fmt.Sprintf("%.1f", v)
+	default:
+		return fmt.Sprintf("%.2f", v)
+	}
+}
+
+func kilobytes(v float64) string { return number(v/1e3) + " KB" }
+func megabytes(v float64) string { return number(v/1e6) + " MB" }
+func percent(v float64) string   { return number(v*100) + " %" }
+func micros(v float64) string    { return number(v*1e6) + " us" }
+
+// Tables returns the tables of the page by name.
+func (r *Result) Tables() map[string]string {
+	e := r.Slopes.At(LongRun)
+	return map[string]string{
+		"points":    r.pointTable(),
+		"slopes":    r.slopeTable(),
+		"bytes":     bytesTable(&e),
+		"processor": r.processorTable(&e),
+		"memory":    r.memoryTable(&e),
+		"platform":  platformTable(&e),
+		"limits":    limitsTable(&e),
+	}
+}
+
+func (r *Result) pointTable() string {
+	var body []row
+	for n := range r.Points {
+		p := &r.Points[n]
+		s := p.Size
+		body = append(body, row{
+			fmt.Sprintf("%d x %d", s.Domains, s.Daemons), fmt.Sprint(s.Endpoints), fmt.Sprint(s.Versions), fmt.Sprint(s.Accounts),
+			percent(p.Idle.Processor), percent(p.Loaded.Processor), megabytes(p.Loaded.Resident),
+			number(p.Idle.Control["peer"]), number(p.Loaded.Control["peer"]), number(p.Idle.Control["report"]), number(p.Idle.Control["list"]),
+			number(sum(p.Idle.Platform)), number(sum(p.Loaded.Platform)), number(p.Loaded.Answered),
+		})
+	}
+	return rows(row{
+		"domains x daemons", "endpoints each", "versions", "accounts", "core idle", "core loaded", "memory",
+		"peer B/s idle", "peer B/s loaded", "report B/s", "list B/s", "platform calls/s idle", "loaded", "answers/s",
+	}, body...)
+}
+
+func (r *Result) slopeTable() string {
+	s := &r.Slopes
+	return rows(
+		row{"one more", "costs a daemon"},
+		row{"heartbeat (sent or received, with its reply)", fmt.Sprintf("%s of a core, %s B and %s B for each version, %s B for each under load",
+			micros(s.ProcessorPerHeartbeat), number(s.HeartbeatBytes), number(s.HeartbeatBytesPerVersion), number(s.LoadedBytesPerVersion))},
+		row{"owned endpoint", fmt.Sprintf("%s of a core and %s B in a second for its load reports", micros(s.ProcessorPerEndpoint), number(s.ReportBytes))},
+		row{"request", fmt.Sprintf("%s of a core, %s B for the copy of its bill, %s B for ratings", micros(s.ProcessorPerRequest), number(s.CopyBytesPerRequest), number(s.RatingBytesPerRequest))},
+		row{"token", micros(s.ProcessorPerToken) + " of a core"},
+		row{"line of the list of VMs", number(s.ListBytesPerVM) + " B in a second"},
+		row{"daemon of the failure domain", kilobytes(s.MemoryPerMember) + " of memory"},
+		row{"endpoint of the failure domain", kilobytes(s.MemoryPerEndpoint) + " of memory"},
+		row{"version", kilobytes(s.MemoryPerVersion) + " of memory"},
+		row{"client account", kilobytes(s.MemoryPerAccount) + " of memory"},
+		row{"nothing more", fmt.Sprintf("%s of a core, %s of memory, %s B/s for the list", percent(s.ProcessorBase), megabytes(s.MemoryBase), number(s.ListBytes))},
+	)
+}
+
+func bytesTable(e *Estimate) string {
+	return rows(
+		row{"control traffic of one daemon, today's code at the target", "B/s"},
+		row{fmt.Sprintf("heartbeats, %s a second", number(e.Beats)), number(e.BeatBytes)},
+		row{"changed evidence in them", number(e.LoadedBytes)},
+		row{"copies of bills", number(e.CopyBytes)},
+		row{"ratings", number(e.RatingBytes)},
+		row{"load reports", number(e.ReportBytes)},
+		row{"list of VMs", number(e.ListBytes)},
+		row{"all", number(e.ControlBytes)},
+		row{"budget", number(LongRun.Bytes)},
+		row{fmt.Sprintf("heartbeats in cells of %.0f, one a second and pair, same messages", cellSize), number(e.CellBeatBytes)},
+		row{fmt.Sprintf("the same with messages of %.0f B (by design, not measured)", compactBeat), number(e.CompactBytes)},
+	)
+}
+
+func (r *Result) processorTable(e *Estimate) string {
+	return rows(
+		row{"processor time of one daemon, today's code at the target", "core"},
+		row{"without load or others", percent(r.Slopes.ProcessorBase)},
+		row{"heartbeats", percent(e.BeatProcessor)},
+		row{"load reports", percent(e.Owned * r.Slopes.ProcessorPerEndpoint)},
+		row{"control in all", percent(e.ControlProcessor)},
+		row{"budget of control", percent(LongRun.Processor)},
+		row{fmt.Sprintf("%s requests a second", number(e.Requests)), percent(e.RequestProcessor)},
+		row{fmt.Sprintf("%s tokens a second", number(e.Tokens)), percent(e.TokenProcessor)},
+	)
+}
+
+func (r *Result) memoryTable(e *Estimate) string {
+	return rows(
+		row{"memory of one daemon, today's code at the target", "bytes"},
+		row{"base", megabytes(r.Slopes.MemoryBase)},
+		row{fmt.Sprintf("%.0f daemons", LongRun.Daemons), megabytes(e.MemberMemory)},
+		row{fmt.Sprintf("%.0f endpoints", LongRun.Endpoints), megabytes(e.EndpointMemory)},
+		row{fmt.Sprintf("%.0f versions", LongRun.Versions), megabytes(e.VersionMemory)},
+		row{fmt.Sprintf("%.0f client accounts (assumed)", LongRun.Accounts), megabytes(e.AccountMemory)},
+		row{"all", megabytes(e.Memory)},
+		row{"budget", megabytes(LongRun.Memory)},
+	)
+}
+
+func platformTable(e *Estimate) string {
+	return rows(
+		row{"calls to the platform, today's code at the target", "a second"},
+		row{"waiting watches of followers, a call each", number(e.Followers)},
+		row{"watches opened again and heads read", number(e.Checks)},
+		row{"writes of bills, one daemon at a time", number(e.BillWrites)},
+		row{"changes of the configuration", number(e.ChangeCalls)},
+		row{"starts of daemons", number(e.StartCalls)},
+		row{"leases", number(e.LeaseCalls)},
+		row{"all but claims", number(e.PlatformCalls)},
+		row{"writes of claims, if 1 % of requests need one", number(e.FirstClaimWrites)},
+		row{fmt.Sprintf("writes of claims and bills grouped by failure domain over %.0f ms (not built)", groupInterval*1e3), "at most " + number(e.GroupedWrites)},
+	)
+}
+
+func limitsTable(e *Estimate) string {
+	return rows(
+		row{"what ends first, today's code", "at"},
+		row{"budget of bytes by heartbeats alone, 20 versions", number(e.BytesMembers) + " daemons in a failure domain"},
+		row{"budget of processor time by heartbeats", number(e.ProcessorMembers) + " daemons in a failure domain"},
+		row{"budget of bytes by the list of VMs alone", number(LongRun.Bytes/max(1e-9, (e.ListBytes/(LongRun.Daemons+LongRun.Endpoints)))) + " listed VMs"},
+		row{"several hundred (300) writes a second by bills", number(300/(e.BillWrites/LongRun.Daemons)) + " daemons"},
+		row{"300 writes a second by claims, ungrouped", number(300/callsOfClaim) + " claims a second in the fleet"},
+		row{"daemons of other failure domains remembered within 3 s", number(3 * gossipBeats)},
+	)
+}
+
+const (
+	tableBegin = "<!-- table %s -->\n"
+	tableEnd   = "<!-- end -->\n"
+)
+
+// Fill returns the page with its tables written anew.
+func (r *Result) Fill(page string) (string, error) {
+	tables := r.Tables()
+	for _, name := range tableNames {
+		begin := fmt.Sprintf(tableBegin, name)
+		before, rest, ok := strings.Cut(page, begin)
+		if !ok {
+			return "", errors.Errorf("the page has no table %s", name)
+		}
+		_, after, ok := strings.Cut(rest, tableEnd)
+		if !ok {
+			return "", errors.Errorf("table %s has no end", name)
+		}
+		page = before + begin + tables[name] + tableEnd + after
+	}
+	return page, nil
+}
--- /dev/null
+++ b/cmd/fescuelatch-load/cost/page_test.go
@@ -0,0 +1,116 @@
+package cost_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/cmd/fescuelatch-load/cost"
+)
+
+// This file tests that the committed page says what its measurements give.
+
+var docs = filepath.Join("..", "..", "..", "docs")
+
+func readResult(c *qt.C) (*cost.Result, string) {
+	b, err := os.ReadFile(filepath.Join(docs, "capacity", "slopes.json"))
+	c.Assert(err, qt.IsNil)
+	r := new(cost.Result)
+	c.Assert(json.Unmarshal(b, r), qt.IsNil)
+	return r, string(b)
+}
+
+func TestSlopesAreThoseOfThePoints(t *testing.T) {
+	c := qt.New(t)
+	r, text := readResult(c)
+	r.Fit()
+	b, err := json.MarshalIndent(r, "", "  ")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(b)+"\n", qt.Equals, text)
+}
+
+func TestPageIsUpToDate(t *testing.T) {
+	c := qt.New(t)
+	r, _ := readResult(c)
+	b, err := os.ReadFile(filepath.Join(docs, "CAPACITY.md"))
+	c.Assert(err, qt.IsNil)
+	filled, err := r.Fill(string(b))
+	c.Assert(err, qt.IsNil)
+	c.Assert(filled, qt.Equals, string(b), qt.Commentf("run: fescuelatch-load capacity"))
+}
+
+func TestFillNeedsEveryTable(t *testing.T) {
+	c := qt.New(t)
+	r, _ := readResult(c)
+	_, err := r.Fill("no tables")
+	c.Assert(err, qt.ErrorMatches, "the page has no table points")
+	_, err = r.Fill("<!-- table points -->\n")
+	c.Assert(err, qt.ErrorMatches, "table points has no end")
+}
+
+func TestPlannedConfigurationsAreValid(t *testing.T) {
+	c := qt.New(t)
+	for _, s := range cost.Plan() {
+		configuration := s.Configuration()
+		configuration.Generation = 1
+		_, err := fescuelatch.NewView(configuration)
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", s))
+	}
+}
+
+// TestFit checks the slopes against points made from known ones.
+func TestFit(t *testing.T) {
+	c := qt.New(t)
+	const beat, version, endpoint, member = 400, 60, 700, 1000
+	r := &cost.Result{Settings: cost.Settings{Short: 10, Long: 110}}
+	for n, s := range cost.Plan() {
+		beats := 4 * float64(s.Daemons-1)
+		if s.Domains > 1 {
+			beats += 8
+		}
+		owned := float64(s.Endpoints) / float64(s.Daemons)
+		p := cost.Point{Size: s}
+		p.Idle = cost.Phase{
+			Processor: 0.002 + 0.0001*beats + 0.001*owned,
+			Control: map[string]float64{
+				"peer": beats * (beat + version*float64(s.Versions)), "report": endpoint * owned,
+				"list": 100 + 10*float64(s.Domains*(s.Daemons+s.Endpoints)),
+			},
+		}
+		p.Loaded = p.Idle
+		p.Loaded.Answered = 5
+		p.Loaded.Processor = p.Idle.Processor + 5*(0.002+10*0.00001)
+		p.Loaded.Resident = 1e7 + member*float64(s.Daemons)
+		p.Loaded.Platform = map[string]float64{"txn": 0.1 * float64(s.Domains*s.Daemons)}
+		if n == 0 {
+			long := p.Loaded
+			long.Processor = p.Idle.Processor + 5*(0.002+110*0.00001)
+			p.Long = &long
+		}
+		r.Points = append(r.Points, p)
+	}
+	r.Fit()
+	near := func(got, want float64) {
+		c.Assert(got/want > 0.999 && got/want < 1.001, qt.IsTrue, qt.Commentf("%v, want %v", got, want))
+	}
+	s := r.Slopes
+	near(s.HeartbeatBytes, beat)
+	near(s.HeartbeatBytesPerVersion, version)
+	near(s.ReportBytes, endpoint)
+	near(s.ListBytesPerVM, 10)
+	near(s.MemoryPerMember, member)
+	near(s.ProcessorPerEndpoint, 0.001)
+	near(s.ProcessorPerRequest, 0.002)
+	near(s.ProcessorPerToken, 0.00001)
+	near(s.BillInterval, 10)
+	e := s.At(cost.LongRun)
+	near(e.Members, 1100.0/21)
+	near(e.BillWrites, 110)
+	near(e.ControlBytes, e.BeatBytes+e.LoadedBytes+e.CopyBytes+e.RatingBytes+e.ReportBytes+e.ListBytes)
+	c.Assert(strings.Contains(r.Tables()["platform"], "| 110.0 |"), qt.IsTrue)
+}
--- a/cmd/fescuelatch-load/cost/slopes.go
+++ b/cmd/fescuelatch-load/cost/slopes.go
@@ -28,10 +28,11 @@
 	ReportBytes           float64 `json:"report-bytes-per-owned-endpoint"`
 	ListBytes             float64 `json:"list-bytes-base"`
 	ListBytesPerVM        float64 `json:"list-bytes-per-listed-vm"`
-	PlatformBytes         float64 `json:"platform-bytes"`
-	// Platform calls are those of the whole fleet.
-	WatchesPerDomain      float64 `json:"platform-calls-per-failure-domain"`
-	WritesPerLoadedDaemon float64 `json:"platform-writes-per-loaded-daemon"`
+	CopyBytesPerRequest   float64 `json:"peer-bytes-per-request"`
+	RatingBytesPerRequest float64 `json:"rating-bytes-per-request"`
+	// BillInterval is the seconds between writes of bills by one loaded
+	// daemon.
+	BillInterval float64 `json:"seconds-between-bill-writes"`
 }
 
 // heartbeatsOf returns the heartbeats a second that a daemon takes part in,
@@ -84,12 +85,15 @@
 	_, s.MemoryPerAccount = r.fit(Accounts, size(Accounts), memory)
 	s.MemoryBase = r.Points[0].Loaded.Resident
 	s.HeartbeatBytes, s.HeartbeatBytesPerVersion = r.fit(Versions, size(Versions), perBeat(func(p *Point) *Phase { return &p.Idle }))
-	_, s.LoadedBytesPerVersion = r.fit(Versions, size(Versions), perBeat(func(p *Point) *Phase { return &p.Loaded }))
+	loaded, perVersion := r.fit(Versions, size(Versions), perBeat(func(p *Point) *Phase { return &p.Loaded }))
+	s.LoadedBytesPerVersion = perVersion
 	_, s.ReportBytes = r.fit(Endpoints, owned, control("report"))
 	s.ListBytes, s.ListBytesPerVM = r.fit(Endpoints, listed, control("list"))
-	s.PlatformBytes = r.Points[0].Idle.Control["platform"]
+	b := &r.Points[0]
+	s.CopyBytesPerRequest = (loaded - s.HeartbeatBytes) * heartbeatsOf(b.Size) / b.Loaded.Answered
+	s.RatingBytesPerRequest = b.Loaded.Control["rating"] / b.Loaded.Answered
+	s.BillInterval = r.billInterval()
 	r.fitRequests()
-	r.fitPlatform(size)
 }
 
 // fitRequests compares the phases of the base size.
@@ -106,12 +110,16 @@
 	s.ProcessorPerRequest = short - s.ProcessorPerToken*float64(r.Settings.Short)
 }
 
-func (r *Result) fitPlatform(size func(Dimension) func(*Point) float64) {
-	s := &r.Slopes
-	_, s.WatchesPerDomain = r.fit(Domains, size(Domains), func(p *Point) float64 { return sum(p.Idle.Platform) })
-	_, s.WritesPerLoadedDaemon = r.fit(Members, size(Members), func(p *Point) float64 {
-		return sum(p.Loaded.Platform) - sum(p.Idle.Platform)
-	})
+// billInterval returns the seconds between transactions of a loaded daemon,
+// over all points, because a window has few.
+func (r *Result) billInterval() float64 {
+	var daemons, writes float64
+	for n := range r.Points {
+		p := &r.Points[n]
+		daemons += float64(p.Size.Domains * p.Size.Daemons)
+		writes += p.Loaded.Platform["txn"]
+	}
+	return daemons / writes
 }
 
 func sum(m map[string]float64) float64 {
--- a/cmd/fescuelatch-load/main.go
+++ b/cmd/fescuelatch-load/main.go
@@ -19,6 +19,7 @@
 	Up         *upCommand         `arg:"subcommand:up" help:"run a fleet on this machine until interrupted"`
 	Demo       *demoCommand       `arg:"subcommand:demo" help:"run a fleet under load and failures, and audit it"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"measure the policies against baselines"`
+	Capacity   *capacityCommand   `arg:"subcommand:capacity" help:"write the tables of docs/CAPACITY.md from measured costs"`
 	Cost       *costCommand       `arg:"subcommand:cost" help:"measure what a daemon costs as fleets grow"`
 }
 
