--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -110,7 +110,7 @@
 			Placement: find(placementPolicies, s.Placement)(incarnation),
 			Gate:      find(gates, s.Gate)(incarnation),
 		},
-		Log: log, Metrics: scope, StopTimeout: s.StopTimeout,
+		Relay: s.Relay, Log: log, Metrics: scope, StopTimeout: s.StopTimeout,
 	}, nil
 }
 
--- a/decision/peer.go
+++ b/decision/peer.go
@@ -34,7 +34,8 @@
 	sent int
 }
 
-func (s *spare) free() int { return max(0, s.Free-s.sent) }
+// free is negative when attempts wait.
+func (s *spare) free() int { return s.Free - s.Queued - s.sent }
 
 // peers are the other daemons that were heard of.
 type peers struct {
@@ -93,7 +94,7 @@
 		before := w.free()
 		w.sent++
 		if !p.out {
-			ps.free[s] += w.free() - before
+			ps.sum(s, w.free()-before)
 		}
 	}
 }
@@ -104,9 +105,13 @@
 		return
 	}
 	for s, w := range p.spares {
-		ps.free[s] += sign * w.free()
-		if ps.free[s] == 0 {
-			delete(ps.free, s)
-		}
+		ps.sum(s, sign*w.free())
+	}
+}
+
+func (ps *peers) sum(s service, n int) {
+	ps.free[s] += n
+	if ps.free[s] == 0 {
+		delete(ps.free, s)
 	}
 }
--- a/decision/peer_test.go
+++ b/decision/peer_test.go
@@ -30,11 +30,12 @@
 	free := make(map[service]int)
 	for _, p := range ps.byVM {
 		for s, w := range p.spares {
-			if !p.out && w.free() > 0 {
+			if !p.out {
 				free[s] += w.free()
 			}
 		}
 	}
+	maps.DeleteFunc(free, func(_ service, n int) bool { return n == 0 })
 	return free
 }
 
@@ -48,7 +49,7 @@
 			switch rapid.IntRange(0, 4).Draw(r, "step") {
 			case 0, 1:
 				e := Summarised{VM: vm, Domain: fescuelatch.DomainID(fmt.Sprint("d", rapid.IntRange(0, 1).Draw(r, "domain")))}
-				e.Spares = []fescuelatch.Spare{{Version: version, Free: rapid.IntRange(0, 3).Draw(r, "free")}, {Service: "desk", Free: 1}}
+				e.Spares = []fescuelatch.Spare{{Version: version, Free: rapid.IntRange(0, 3).Draw(r, "free"), Queued: rapid.IntRange(0, 2).Draw(r, "queued")}, {Service: "desk", Free: 1}}
 				ps.put(newPeer(e), view)
 			case 2:
 				ps.remove(vm)
--- a/decision/place.go
+++ b/decision/place.go
@@ -9,9 +9,11 @@
 
 // This file defines the placement of attempts.
 
-// spareOf returns the number of attempts on s that would start at once.
+// spareOf returns the number of attempts on s that would start at once, less
+// those that wait.
 func (c *Core) spareOf(now time.Time, s service) int {
-	return c.ownSpare(now, s).Free + c.peers.free[s]
+	own := c.ownSpare(now, s)
+	return own.Free - own.Queued + c.peers.free[s]
 }
 
 // ownSpare returns the free capacity of the own endpoints for s. The gate
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -27,8 +27,18 @@
 	return f.unlist(ctx, string(m))
 }
 
-// Pause keeps the daemon of m from running until Resume.
-func (f *Fleet) Pause(m fescuelatch.VMID) error { return f.signal(daemonName(m), syscall.SIGSTOP) }
+// Pause keeps the daemon of m from running until Resume. It returns once the
+// process has stopped: the signal takes effect some time after it is sent.
+func (f *Fleet) Pause(m fescuelatch.VMID) error {
+	p, err := f.process(daemonName(m))
+	if err != nil {
+		return err
+	}
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return p.awaitStopped()
+}
 
 // Resume lets a paused daemon run again.
 func (f *Fleet) Resume(m fescuelatch.VMID) error { return f.signal(daemonName(m), syscall.SIGCONT) }
--- a/peer/message.go
+++ b/peer/message.go
@@ -65,6 +65,13 @@
 	Through uint64
 }
 
+// SubmitRequest asks a daemon to run a transaction at the platform, together
+// with those of others, within a time.
+type SubmitRequest struct {
+	Txn    fescuelatch.KVTxn
+	Within time.Duration
+}
+
 // Ack is an empty reply.
 type Ack struct{}
 
--- a/peer/traffic_test.go
+++ b/peer/traffic_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch/peer"
+	"fescuelatch/platform"
 )
 
 // This file tests that calls are counted at both ends and that forwarded
@@ -37,6 +38,9 @@
 // Written implements peer.Handler.
 func (handler) Written(*peer.BillsWritten, *peer.Ack) error { return nil }
 
+// Submit implements peer.Handler.
+func (handler) Submit(*peer.SubmitRequest, *platform.SubmitReply) error { return nil }
+
 func TestTrafficIsCounted(t *testing.T) {
 	c := qt.New(t)
 	var near, far [2]total
