--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,9 +109,10 @@
 	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
 	servings map[fescuelatch.RequestID]*serving
 	hellos   map[fescuelatch.VMID]heard
-	// told and known are the exchanges of evidence to and by other daemons.
-	told  map[fescuelatch.VMID]exchange
-	known map[fescuelatch.VMID]exchange
+	// evidenceTold and evidenceKnown are the exchanges of evidence to and by
+	// other daemons.
+	evidenceTold  map[fescuelatch.VMID]exchange
+	evidenceKnown map[fescuelatch.VMID]exchange
 
 	// work counts requests that are being served.
 	work sync.WaitGroup
@@ -151,8 +152,8 @@
 		reports:       make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
 		servings:      make(map[fescuelatch.RequestID]*serving),
 		hellos:        make(map[fescuelatch.VMID]heard),
-		told:          make(map[fescuelatch.VMID]exchange),
-		known:         make(map[fescuelatch.VMID]exchange),
+		evidenceTold:  make(map[fescuelatch.VMID]exchange),
+		evidenceKnown: make(map[fescuelatch.VMID]exchange),
 	}
 	d.keep(o)
 	data := o.Dialer.Counting(DataTraffic(o.Metrics))
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -156,7 +156,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	i := d.hellos[to].hello.Incarnation
-	return d.told[to].since(now, i, g), peer.Known{Incarnation: i, Through: d.known[to].since(now, i, g)}
+	return d.evidenceTold[to].since(now, i, g), peer.Known{Incarnation: i, Through: d.evidenceKnown[to].since(now, i, g)}
 }
 
 // exchanged records the evidence that a heartbeat and its reply told.
@@ -164,8 +164,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	to := reply.VM
-	d.told[to] = d.told[to].next(sent, told, reply.Incarnation, h.Generation, h.Evidence)
-	d.known[to] = d.known[to].next(sent, h.Known.Through, reply.Incarnation, h.Generation, reply.Evidence)
+	d.evidenceTold[to] = d.evidenceTold[to].next(sent, told, reply.Incarnation, h.Generation, h.Evidence)
+	d.evidenceKnown[to] = d.evidenceKnown[to].next(sent, h.Known.Through, reply.Incarnation, h.Generation, reply.Evidence)
 }
 
 func (d *Daemon) acknowledged(sent time.Time, a ownership.Ack) {
