--- a/cmd/fescuelatch-load/cost/page.go
+++ b/cmd/fescuelatch-load/cost/page.go
@@ -71,11 +71,12 @@
 			percent(p.Idle.Processor), percent(p.Loaded.Processor), megabytes(p.Loaded.Resident),
 			number(p.Idle.Control["peer"]), number(p.Loaded.Control["peer"]), number(p.Idle.Control["report"]), number(p.Idle.Control["list"]),
 			number(sum(p.Idle.Platform)), number(sum(p.Loaded.Platform)), number(p.Loaded.Answered),
+			number((p.Loaded.Processor - p.Idle.Processor) / p.Loaded.Answered * 1e3),
 		})
 	}
 	return rows(row{
 		"domains x daemons", "endpoints each", "versions", "accounts", "core idle", "core loaded", "memory",
-		"peer B/s idle", "peer B/s loaded", "report B/s", "list B/s", "platform calls/s idle", "loaded", "answers/s",
+		"peer B/s idle", "peer B/s loaded", "report B/s", "list B/s", "platform calls/s idle", "loaded", "answers/s", "core ms an answer",
 	}, body...)
 }
 
@@ -93,6 +94,8 @@
 		row{"endpoint of the failure domain", kilobytes(s.MemoryPerEndpoint) + " of memory"},
 		row{"version", kilobytes(s.MemoryPerVersion) + " of memory"},
 		row{"client account", kilobytes(s.MemoryPerAccount) + " of memory"},
+		row{"added latency", fmt.Sprintf("%s ms straight to an engine, %s ms through a daemon: %s times (medians of %d calls each in turn)",
+			number(r.Latency.Direct.Seconds()*1e3), number(r.Latency.Through.Seconds()*1e3), number(r.Latency.Ratio), r.Latency.Calls)},
 		row{"nothing more", fmt.Sprintf("%s of a core, %s of memory, %s B/s for the list", percent(s.ProcessorBase), megabytes(s.MemoryBase), number(s.ListBytes))},
 	)
 }
@@ -150,7 +153,7 @@
 		row{"leases", number(e.LeaseCalls)},
 		row{"all but claims", number(e.PlatformCalls)},
 		row{"writes of claims, if 1 % of requests need one", number(e.FirstClaimWrites)},
-		row{fmt.Sprintf("writes of claims and bills grouped by failure domain over %.0f ms (not built)", groupInterval*1e3), "at most " + number(e.GroupedWrites)},
+		row{fmt.Sprintf("writes of claims and bills through a relay of each failure domain that groups over %.0f ms (the interval is not built)", groupInterval*1e3), "at most " + number(e.GroupedWrites)},
 	)
 }
 
--- a/cmd/fescuelatch-load/cost/target.go
+++ b/cmd/fescuelatch-load/cost/target.go
@@ -35,7 +35,7 @@
 	// the platform, and recheckEvery the seconds after which each opens its
 	// watch and reads the head again.
 	followersEach = 2.0
-	recheckEvery  = 30.0
+	recheckEvery  = 3.0
 	callsOfCheck  = 2.0
 	// callsOfChange are those of a proposal, and callsOfStart those of a
 	// daemon that learns the configuration and opens its leases.
--- a/decision/request.go
+++ b/decision/request.go
@@ -99,6 +99,7 @@
 	if c.view == nil {
 		return ""
 	}
+	c.sparesKnown = false
 	plan, _ := c.planVersions(now, &request{Request: r})
 	if len(plan) == 0 {
 		return ""
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -52,11 +52,11 @@
 
 func usageOf(pid int) (Usage, error) {
 	dir := filepath.Join("/proc", strconv.Itoa(pid))
-	stat, err := os.ReadFile(filepath.Join(dir, "stat"))
+	stat, err := os.ReadFile(filepath.Join(dir, "stat")) //nolint:gosec // The path is made from a number.
 	if err != nil {
 		return Usage{}, errors.WithStack(err)
 	}
-	status, err := os.ReadFile(filepath.Join(dir, "status"))
+	status, err := os.ReadFile(filepath.Join(dir, "status")) //nolint:gosec // The path is made from a number.
 	if err != nil {
 		return Usage{}, errors.WithStack(err)
 	}
