--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -74,7 +74,7 @@
 	d.mu.Unlock()
 	return peer.Hello{
 		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation,
-		Generation: d.holder.Generation(), Digest: d.holder.Digest(), Leaving: d.leaving.Load(),
+		Generation: d.holder.Generation(), Leaving: d.leaving.Load(),
 		Spares: spares, Evidence: evidence,
 	}
 }
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -54,7 +54,6 @@
 	h := &peer.Heartbeat{
 		Hello: peer.Hello{
 			VM: "kgl-a-entry-01", Domain: "kgl-a", Incarnation: incarnation, Generation: 5500,
-			Digest: "4ea5c508a6566e76240543f8feb06fd457777be39549c4016436afda65d2330e",
 		},
 		Ownership: &ownership.Heartbeat{From: "kgl-a-entry-01", Incarnation: incarnation, Sequence: 100000, Joined: true},
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -15,7 +15,6 @@
 	Domain      fescuelatch.DomainID
 	Incarnation fescuelatch.Incarnation
 	Generation  fescuelatch.Generation
-	Digest      string
 	// Leaving reports that the daemon is stopping.
 	Leaving bool
 	// Spares is what the daemon's owned endpoints can take at once.
