--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -78,7 +78,7 @@
 	services    *engine.Client
 	// reporters reads load reports, over connections of their own.
 	reporters *engine.Client
-	metrics     *metrics
+	metrics   *metrics
 
 	batcher  *platform.Batcher
 	claims   *claim.Claimer
@@ -107,6 +107,10 @@
 	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
 	servings map[fescuelatch.RequestID]*serving
 	hellos   map[fescuelatch.VMID]heard
+	// evidenceTold and evidenceKnown are the exchanges of evidence to and by
+	// other daemons.
+	evidenceTold  map[fescuelatch.VMID]exchange
+	evidenceKnown map[fescuelatch.VMID]exchange
 
 	// work counts requests that are being served.
 	work sync.WaitGroup
@@ -146,6 +150,8 @@
 		reports:       make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
 		servings:      make(map[fescuelatch.RequestID]*serving),
 		hellos:        make(map[fescuelatch.VMID]heard),
+		evidenceTold:  make(map[fescuelatch.VMID]exchange),
+		evidenceKnown: make(map[fescuelatch.VMID]exchange),
 	}
 	d.keep(o)
 	data := o.Dialer.Counting(DataTraffic(o.Metrics))
