Fleet keys and mutual TLS from one package

Key and TLS handling stood in peer, daemon and fescuelatchd and again in fleetkey. Daemons now accept several fleet keys and present the first, so that they can be changed under traffic; TLS may name one DNS name for all daemons.

--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
 	"log/slog"
@@ -62,7 +61,7 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	defer closeScope(closer)
-	tlsConfig, err := s.tlsConfig()
+	tlsConfig, err := s.tls().Config()
 	if err != nil {
 		return err
 	}
@@ -99,7 +98,7 @@
 	domain := fescuelatch.DomainID(s.Domain)
 	return &daemon.Options{
 		VM: vm, Domain: domain, Incarnation: incarnation, Seeds: s.Seeds,
-		FleetKey: peer.FleetKey(s.FleetKey), Sessions: s.sessions, Dialer: dialer,
+		FleetKeys: s.fleet, Sessions: s.sessions, Dialer: dialer,
 		KV:    &platform.Client{Server: server, HTTP: client(daemon.TrafficPlatform), Timeout: platformTimeout},
 		VMs:   &vmlist.Client{HTTP: client(daemon.TrafficList), URL: s.VMs},
 		Rater: &rating.Client{HTTP: client(daemon.TrafficRating), URL: s.Rating},
@@ -123,26 +122,3 @@
 	a, err := netip.ParseAddrPort(u.Host)
 	return a, errors.WithStack(err)
 }
-
-// tlsConfig returns the mutual TLS between daemons, or nil when it is off.
-func (s *settings) tlsConfig() (*tls.Config, error) {
-	if s.TLSCertificate == "" {
-		return nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
-	if err != nil {
-		return nil, errors.Wrap(err, "--tls-certificate")
-	}
-	authority, err := os.ReadFile(s.TLSAuthority)
-	if err != nil {
-		return nil, errors.Wrap(err, "--tls-authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return nil, errors.New("--tls-authority holds no certificate")
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{certificate}, RootCAs: pool, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}, nil
-}
--- a/cmd/fescuelatchd/settings.go
+++ b/cmd/fescuelatchd/settings.go
@@ -10,6 +10,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
 
+	"fescuelatch/fleetkey"
 	"fescuelatch/token"
 )
 
@@ -30,7 +31,7 @@
 	Seeds          addresses      `arg:"--seeds,env:FESCUELATCH_SEEDS" help:"peer addresses to learn from while the platform is away, separated by commas"`
 
 	FleetKey        string `arg:"--,env:FESCUELATCH_FLEET_KEY"`
-	FleetKeyFile    string `arg:"--fleet-key-file,env:FESCUELATCH_FLEET_KEY_FILE" help:"file with the key that daemons prove to each other"`
+	FleetKeyFile    string `arg:"--fleet-key-file,env:FESCUELATCH_FLEET_KEY_FILE" help:"file with the keys that daemons prove to each other: key,key; the first is presented"`
 	OperatorKey     string `arg:"--,env:FESCUELATCH_OPERATOR_KEY"`
 	OperatorKeyFile string `arg:"--operator-key-file,env:FESCUELATCH_OPERATOR_KEY_FILE" help:"file with the operator key"`
 	SessionKeys     string `arg:"--,env:FESCUELATCH_SESSION_KEYS"`
@@ -38,6 +39,7 @@
 
 	TLSCertificate string `arg:"--tls-certificate,env:FESCUELATCH_TLS_CERTIFICATE" help:"certificate file for mutual TLS between daemons"`
 	TLSKey         string `arg:"--tls-key,env:FESCUELATCH_TLS_KEY" help:"key file for mutual TLS between daemons"`
+	TLSServerName  string `arg:"--tls-server-name,env:FESCUELATCH_TLS_SERVER_NAME" help:"DNS name that the certificates of daemons carry; without it they carry the IP number"`
 	TLSAuthority   string `arg:"--tls-authority,env:FESCUELATCH_TLS_AUTHORITY" help:"file of the authority that signs the certificates of daemons"`
 
 	VersionPolicy string        `arg:"--version-policy,env:FESCUELATCH_VERSION_POLICY" default:"cascade" help:"cascade, always-best or always-cheapest"`
@@ -50,6 +52,7 @@
 	LogLevel      string        `arg:"--log-level,env:FESCUELATCH_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 
 	sessions token.Ring
+	fleet    fleetkey.Keys
 	level    slog.Level
 }
 
@@ -93,6 +96,11 @@
 	return s, nil
 }
 
+// tls names the files of mutual TLS between daemons.
+func (s *settings) tls() fleetkey.Files {
+	return fleetkey.Files{Certificate: s.TLSCertificate, Key: s.TLSKey, Authorities: s.TLSAuthority, ServerName: s.TLSServerName}
+}
+
 func keyFromFile(key *string, name string) error {
 	if name == "" {
 		return nil
@@ -120,15 +128,15 @@
 	require(s.Platform != "", "--platform is missing")
 	require(s.VMs != "", "--vms is missing")
 	require(s.Rating != "", "--rating is missing")
-	require(s.FleetKey != "", "the fleet key is missing")
 	require(s.OperatorKey != "", "the operator key is missing")
 	require(s.SampleShare >= 0 && s.SampleShare <= 1, "--sample-share is not within 0 to 1")
 	require(s.StopTimeout > 0, "--stop-timeout is not positive")
 	require(s.level.UnmarshalText([]byte(s.LogLevel)) == nil, "--log-level is unknown")
-	tls := s.TLSCertificate != "" || s.TLSKey != "" || s.TLSAuthority != ""
-	require(!tls || (s.TLSCertificate != "" && s.TLSKey != "" && s.TLSAuthority != ""),
+	require(!s.tls().Enabled() || (s.TLSCertificate != "" && s.TLSKey != "" && s.TLSAuthority != ""),
 		"--tls-certificate, --tls-key and --tls-authority go together")
 	var err error
+	s.fleet, err = fleetkey.ParseKeys(s.FleetKey)
+	require(err == nil, "the fleet keys are missing or malformed")
 	s.sessions, err = token.ParseRing(s.SessionKeys)
 	require(err == nil, "the session keys are missing or malformed")
 	faults = append(faults, s.checkPolicies()...)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/engine"
+	"fescuelatch/fleetkey"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
 	"fescuelatch/platform"
@@ -43,17 +44,17 @@
 	Incarnation fescuelatch.Incarnation
 	// Seeds are peer addresses to learn a configuration from when the
 	// platform is away.
-	Seeds    []netip.AddrPort
-	FleetKey peer.FleetKey
-	Sessions token.Ring
-	Dialer   *peer.Dialer
-	KV       fescuelatch.KV
-	VMs      fescuelatch.VMList
-	Rater    fescuelatch.Rater
-	Core     decision.Options
-	Log      *slog.Logger
-	Metrics  tally.Scope
-	Scrape   http.Handler
+	Seeds     []netip.AddrPort
+	FleetKeys fleetkey.Keys
+	Sessions  token.Ring
+	Dialer    *peer.Dialer
+	KV        fescuelatch.KV
+	VMs       fescuelatch.VMList
+	Rater     fescuelatch.Rater
+	Core      decision.Options
+	Log       *slog.Logger
+	Metrics   tally.Scope
+	Scrape    http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	// Relay hands transactions to one daemon of the failure domain, which
@@ -139,7 +140,7 @@
 		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
 		holder:      new(configstore.Holder),
 		store:       &configstore.Store{KV: o.KV},
-		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
+		peers:       &peer.Client{Keys: o.FleetKeys, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
 		metrics:     newMetrics(o.Metrics),
 		life:        newLife(o.Log),
 		core:        decision.New(o.Core),
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -29,6 +30,7 @@
 	"fescuelatch/configstore"
 	"fescuelatch/daemon"
 	"fescuelatch/decision"
+	"fescuelatch/fleetkey"
 	"fescuelatch/gate"
 	"fescuelatch/operator"
 	"fescuelatch/peer"
@@ -46,6 +48,14 @@
 	pollTime   = 50 * time.Millisecond
 )
 
+const fleetKey = "fleet-key-of-a-test"
+
+func keys(c *qt.C, s string) fleetkey.Keys {
+	k, err := fleetkey.ParseKeys(s)
+	c.Assert(err, qt.IsNil)
+	return k
+}
+
 // nobody is a list of VMs that names none, and a rating service that is away.
 type nobody struct{}
 
@@ -137,12 +147,12 @@
 }
 
 // start runs a daemon until the test ends.
-func start(c *qt.C, kv fescuelatch.KV, m fescuelatch.VM, t *tls.Config, key peer.FleetKey) {
+func start(c *qt.C, kv fescuelatch.KV, m fescuelatch.VM, t *tls.Config) {
 	ring, err := token.ParseRing("k1:0123456789abcdef0123456789abcdef")
 	c.Assert(err, qt.IsNil)
 	i := fescuelatch.Incarnation("incarnation-" + m.ID)
 	d, err := daemon.New(daemon.Options{
-		VM: m.ID, Domain: m.Domain, Incarnation: i, FleetKey: key, Sessions: ring,
+		VM: m.ID, Domain: m.Domain, Incarnation: i, FleetKeys: keys(c, fleetKey), Sessions: ring,
 		Dialer: &peer.Dialer{TLS: t}, KV: kv, VMs: nobody{}, Rater: nobody{},
 		Core: decision.Options{
 			VM: m.ID, Domain: m.Domain, Random: decision.NewRandom(), Quality: quality.New(i, quality.Settings{}),
@@ -232,7 +242,7 @@
 	seed(c, kv, conf)
 	ca := newAuthority(c)
 	for _, m := range conf.Inventory.VMs {
-		start(c, kv, m, ca.config(c), "fleet")
+		start(c, kv, m, ca.config(c))
 	}
 	eventuallyOneOwner(c, conf.Inventory.VMs[0], conf.Inventory.VMs[1])
 	for _, m := range conf.Inventory.VMs {
@@ -240,19 +250,19 @@
 	}
 	tests := []struct {
 		name string
-		key  peer.FleetKey
+		key  string
 		tls  *tls.Config
 		want peer.Kind // empty for an answer
 	}{
-		{"key and certificate", "fleet", ca.config(c), ""},
-		{"another key", "other", ca.config(c), peer.KindUnreachable},
-		{"no certificate", "fleet", &tls.Config{RootCAs: ca.pool, MinVersion: tls.VersionTLS13}, peer.KindUnreachable},
-		{"certificate of another authority", "fleet", newAuthority(c).config(c), peer.KindUnreachable},
-		{"no TLS", "fleet", nil, peer.KindUnreachable},
+		{"key and certificate", fleetKey, ca.config(c), ""},
+		{"another key", "another-key-of-16", ca.config(c), peer.KindUnreachable},
+		{"no certificate", fleetKey, &tls.Config{RootCAs: ca.pool, MinVersion: tls.VersionTLS13}, peer.KindUnreachable},
+		{"certificate of another authority", fleetKey, newAuthority(c).config(c), peer.KindUnreachable},
+		{"no TLS", fleetKey, nil, peer.KindUnreachable},
 	}
 	for _, test := range tests {
 		c.Run(test.name, func(c *qt.C) {
-			k := &peer.Client{Key: test.key, Dialer: &peer.Dialer{TLS: test.tls}}
+			k := &peer.Client{Keys: keys(c, test.key), Dialer: &peer.Dialer{TLS: test.tls}}
 			defer k.Close()
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
@@ -262,11 +272,20 @@
 				return
 			}
 			c.Assert(err, qt.IsNotNil)
-			c.Check(err.(*peer.Error).Kind, qt.Equals, test.want)
+			c.Check(kindOf(err), qt.Equals, test.want)
 		})
 	}
 }
 
+// kindOf returns the kind of a peer error, or none.
+func kindOf(err error) peer.Kind {
+	var e *peer.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
 // A message that does not say who sent it is refused and changes nothing.
 func TestHeartbeatWithoutSender(t *testing.T) {
 	c := qt.New(t)
@@ -274,15 +293,15 @@
 	conf := twoVMs(c)
 	seed(c, kv, conf)
 	m := conf.Inventory.VMs[0]
-	start(c, kv, m, nil, "fleet")
-	k := &peer.Client{Key: "fleet", Dialer: new(peer.Dialer)}
+	start(c, kv, m, nil)
+	k := &peer.Client{Keys: keys(c, fleetKey), Dialer: new(peer.Dialer)}
 	defer k.Close()
 	var err error
 	for range 40 {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		_, err = k.Heartbeat(ctx, m.Peer, new(peer.Heartbeat))
 		cancel()
-		if err != nil && err.(*peer.Error).Kind == peer.KindRefused {
+		if kindOf(err) == peer.KindRefused {
 			return
 		}
 		time.Sleep(pollTime)
--- a/daemon/fronts.go
+++ b/daemon/fronts.go
@@ -41,7 +41,7 @@
 }
 
 func (d *Daemon) serveFronts(ctx context.Context, g *errgroup.Group, f Fronts) error {
-	peers, err := peer.NewHandler(d.options.FleetKey, (*peerHandler)(d), peer.NewForwardHandler(d, time.Now), ControlTraffic(d.options.Metrics, TrafficPeer))
+	peers, err := peer.NewHandler(d.options.FleetKeys, (*peerHandler)(d), peer.NewForwardHandler(d, time.Now), ControlTraffic(d.options.Metrics, TrafficPeer))
 	if err != nil {
 		return err
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -4,16 +4,17 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/rpc"
+	"net/url"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"fescuelatch/fleetkey"
 	"fescuelatch/platform"
 )
 
@@ -63,7 +64,9 @@
 		return conn, err
 	}
 	config := d.TLS.Clone()
-	config.ServerName = to.Addr().String()
+	if config.ServerName == "" {
+		config.ServerName = to.Addr().String()
+	}
 	t := tls.Client(conn, config)
 	if err := t.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
@@ -76,7 +79,7 @@
 // for concurrent use. Connections that break are opened again by the next
 // call.
 type Client struct {
-	Key    FleetKey
+	Keys   fleetkey.Keys
 	Dialer *Dialer
 
 	mu    sync.Mutex
@@ -177,7 +180,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
-	if err := connect(conn, c.Key); err != nil {
+	if err := connect(conn, c.Keys); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -186,14 +189,17 @@
 }
 
 // connect switches a fresh connection to net/rpc.
-func connect(conn net.Conn, key FleetKey) error {
-	_, err := io.WriteString(conn, "CONNECT "+rpcPath+" HTTP/1.1\r\nHost: peer\r\nAuthorization: "+bearerPrefix+string(key)+"\r\n\r\n")
-	if err != nil {
+func connect(conn net.Conn, keys fleetkey.Keys) error {
+	req := &http.Request{
+		Method: http.MethodConnect, URL: &url.URL{Path: rpcPath}, Host: "peer", Header: make(http.Header),
+	}
+	keys.Present(req.Header)
+	if err := req.Write(conn); err != nil {
 		return err
 	}
 	// The server says nothing more until it is called, so that no byte of a
 	// reply is lost in the reader's buffer.
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
 	if err != nil {
 		return err
 	}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -12,6 +12,7 @@
 	"fescuelatch"
 	"fescuelatch/caller"
 	"fescuelatch/engine"
+	"fescuelatch/fleetkey"
 	"fescuelatch/openai"
 )
 
@@ -37,7 +38,7 @@
 }
 
 // ForwardHeader returns the headers that carry a request to another daemon.
-func ForwardHeader(key FleetKey, c *caller.Call, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
+func ForwardHeader(keys fleetkey.Keys, c *caller.Call, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
 	q := *c.Request
 	q.Forwarded = true
 	q.Version = v
@@ -46,7 +47,7 @@
 		return nil, &Error{"encode request", KindInvalid, err}
 	}
 	h := make(http.Header)
-	h.Set("Authorization", bearerPrefix+string(key))
+	keys.Present(h)
 	h.Set(headerForward, string(b))
 	return h, nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -1,13 +1,13 @@
 package peer
 
 import (
-	"crypto/subtle"
 	"io"
 	"net/http"
 	"net/rpc"
 
 	"github.com/gorilla/mux"
 
+	"fescuelatch/fleetkey"
 	"fescuelatch/platform"
 )
 
@@ -17,7 +17,6 @@
 	rpcPath      = "/rpc"
 	rpcConnected = "HTTP/1.0 200 connected\r\n\r\n"
 	serviceName  = "Peer"
-	bearerPrefix = "Bearer "
 )
 
 // Handler takes the calls of other daemons. Its methods are safe for
@@ -30,20 +29,10 @@
 	Submit(r *SubmitRequest, reply *platform.SubmitReply) error
 }
 
-// FleetKey proves that a connection comes from a daemon of the fleet.
-type FleetKey string
-
-// Matches reports whether the header proves the key, in constant time.
-func (k FleetKey) Matches(h http.Header) bool {
-	got := h.Get("Authorization")
-	want := bearerPrefix + string(k)
-	return k != "" && subtle.ConstantTimeCompare([]byte(got), []byte(want)) == 1
-}
-
 // NewHandler returns the peers' front: net/rpc calls go to h, forwarded
 // requests below /v1/forward to forward with that prefix taken off. The bytes
 // of calls are counted with t, those of forwarded requests are not.
-func NewHandler(key FleetKey, h Handler, forward http.Handler, t Traffic) (http.Handler, error) {
+func NewHandler(keys fleetkey.Keys, h Handler, forward http.Handler, t Traffic) (http.Handler, error) {
 	s := rpc.NewServer()
 	if err := s.RegisterName(serviceName, h); err != nil {
 		return nil, &Error{"register", KindInvalid, err}
@@ -55,7 +44,7 @@
 	m.PathPrefix(ForwardPath).Handler(http.StripPrefix(ForwardPath, forward))
 	m.Use(func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !key.Matches(r.Header) {
+			if err := keys.Check(r.Header); err != nil {
 				http.Error(w, "fleet key required", http.StatusUnauthorized)
 				return
 			}
--- a/peer/traffic_test.go
+++ b/peer/traffic_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"fescuelatch/fleetkey"
 	"fescuelatch/peer"
 	"fescuelatch/platform"
 )
@@ -47,14 +48,16 @@
 	forward := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, strings.Repeat("x", 10000))
 	})
-	h, err := peer.NewHandler("key", handler{}, forward, peer.Traffic{Sent: &far[0], Received: &far[1]})
+	keys, err := fleetkey.ParseKeys("a-key-of-16-bytes")
+	c.Assert(err, qt.IsNil)
+	h, err := peer.NewHandler(keys, handler{}, forward, peer.Traffic{Sent: &far[0], Received: &far[1]})
 	c.Assert(err, qt.IsNil)
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 
 	d := new(peer.Dialer)
-	client := &peer.Client{Key: "key", Dialer: d.Counting(peer.Traffic{Sent: &near[0], Received: &near[1]})}
+	client := &peer.Client{Keys: keys, Dialer: d.Counting(peer.Traffic{Sent: &near[0], Received: &near[1]})}
 	t.Cleanup(client.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
@@ -68,7 +71,7 @@
 
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL+peer.ForwardPath+"/x", nil)
 	c.Assert(err, qt.IsNil)
-	r.Header.Set("Authorization", "Bearer key")
+	r.Header.Set("Authorization", "Bearer a-key-of-16-bytes")
 	resp, err := http.DefaultClient.Do(r)
 	c.Assert(err, qt.IsNil)
 	b, err := io.ReadAll(resp.Body)
