Endpoints and model versions live by their charts

The gate kept warm, suspected and leaving as flags and the quality model had a chart of its own, while the charts of both in package chart were interpreted by nothing. The endpoint chart now says what the gate does and the gate interprets it; the quality model's chart is the one of package chart. An endpoint that was leaving and stays begins cold, so that work returns gradually.

--- a/chart/names.go
+++ b/chart/names.go
@@ -22,23 +22,19 @@
 
 // States of the endpoint chart.
 const (
-	EndpointUnknown State = "unknown"
 	EndpointCold    State = "cold"
-	EndpointRamping State = "ramping"
-	EndpointWarm    State = "warm"
 	EndpointSuspect State = "suspect"
-	EndpointOut     State = "out"
+	EndpointWarm    State = "warm"
 	EndpointLeaving State = "leaving"
 	EndpointGone    State = "gone"
 )
 
 // States of the model version chart.
 const (
-	ModelVersionLoading     State = "loading"
-	ModelVersionActive      State = "active"
+	ModelVersionGood        State = "good"
 	ModelVersionSuspect     State = "suspect"
 	ModelVersionQuarantined State = "quarantined"
-	ModelVersionWithdrawn   State = "withdrawn"
+	ModelVersionProbation   State = "probation"
 	ModelVersionRemoved     State = "removed"
 )
 
@@ -76,21 +72,19 @@
 	EventCancel     Event = "cancel"
 	EventReportCold Event = "report-cold"
 	EventReportWarm Event = "report-warm"
-	EventWarmed     Event = "warmed"
 	EventDoubt      Event = "doubt"
+	EventRefute     Event = "refute"
+	EventStay       Event = "stay"
+	EventPass       Event = "pass"
 	EventSilent     Event = "silent"
 	EventRestart    Event = "restart"
 	EventTakeOut    Event = "take-out"
 	EventBringBack  Event = "bring-back"
 	EventLeave      Event = "leave"
 	EventRemove     Event = "remove"
-	EventLoaded     Event = "loaded"
-	EventUnloaded   Event = "unloaded"
 	EventClear      Event = "clear"
 	EventQuarantine Event = "quarantine"
 	EventRelease    Event = "release"
-	EventWithdraw   Event = "withdraw"
-	EventReinstate  Event = "reinstate"
 	EventStarted    Event = "started"
 	EventLearned    Event = "learned"
 	EventCut        Event = "cut"
--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines Adaptive, the gate in use.
@@ -66,7 +67,7 @@
 		held[o.Endpoint.ID] = true
 		p := g.places[o.Endpoint.ID]
 		if p == nil {
-			p = &place{settings: g.settings}
+			p = &place{settings: g.settings, warmth: newWarmth()}
 			g.places[o.Endpoint.ID] = p
 		}
 		p.own(now, o)
@@ -74,6 +75,7 @@
 	for id, p := range g.places {
 		p.held = held[id]
 		if !p.held && len(p.running) == 0 {
+			p.warmth.enter(now, chart.EventRemove)
 			delete(g.places, id)
 		}
 	}
@@ -175,7 +177,7 @@
 // serves reports whether an endpoint that may get new work could run w.
 func (g *Adaptive) serves(t target, w fescuelatch.Work) bool {
 	for _, p := range g.serving[t] {
-		if !p.owned.Out && !p.warmth.leaving && (w.Endpoint == "" || w.Endpoint == p.owned.Endpoint.ID) {
+		if !p.owned.Out && !p.warmth.leaving() && (w.Endpoint == "" || w.Endpoint == p.owned.Endpoint.ID) {
 			return true
 		}
 	}
@@ -232,6 +234,7 @@
 		g.budget.fail(now, retryKey{a.request.ID, t})
 	}
 	if !p.held && len(p.running) == 0 {
+		p.warmth.enter(now, chart.EventRemove)
 		delete(g.places, p.owned.Endpoint.ID)
 	}
 	return g.drainPool(now, nil, p.owned.Pool)
--- a/gate/dump.go
+++ b/gate/dump.go
@@ -35,9 +35,9 @@
 	for i, p := range g.sorted {
 		ds[i] = EndpointDump{
 			Endpoint:    p.owned.Endpoint.ID,
-			Warm:        p.warmth.warm,
-			Suspected:   p.warmth.suspected,
-			Leaving:     p.warmth.leaving,
+			Warm:        p.warmth.warm(),
+			Suspected:   p.warmth.suspected(),
+			Leaving:     p.warmth.leaving(),
 			Out:         p.owned.Out,
 			Since:       p.warmth.since,
 			Reported:    p.warmth.reported,
--- a/gate/place.go
+++ b/gate/place.go
@@ -57,8 +57,7 @@
 func (p *place) own(now time.Time, o fescuelatch.OwnedEndpoint) {
 	if !p.held {
 		p.held, p.counted = true, false
-		p.warmth.chill(now, false)
-		p.warmth.since = now
+		p.warmth.begin(now)
 		p.limit.value = float64(o.Pool.Slots)
 		p.share = o.Share
 	}
@@ -107,7 +106,7 @@
 // open reports whether new work may be sent at all. A new owner waits for a
 // report that shows what a former owner sent.
 func (p *place) open(now time.Time) bool {
-	if !p.held || p.owned.Out || p.warmth.leaving || now.Before(p.owned.After) {
+	if !p.held || p.owned.Out || p.warmth.leaving() || now.Before(p.owned.After) {
 		return false
 	}
 	return p.informed(now, p.owned.After)
@@ -119,7 +118,7 @@
 		return 0
 	}
 	cold := int(math.Floor(p.share * float64(p.owned.Pool.ColdSlots)))
-	if !p.warmth.warm {
+	if !p.warmth.warm() {
 		return cold
 	}
 	warm := min(int(p.limit.value), p.ramp(now), p.ceiling())
@@ -167,7 +166,7 @@
 
 // ramping reports whether starts are spaced out.
 func (p *place) ramping(now time.Time) bool {
-	return !p.warmth.warm || now.Sub(p.warmth.since) < p.settings.RampFor
+	return !p.warmth.warm() || now.Sub(p.warmth.since) < p.settings.RampFor
 }
 
 // free returns the number of attempts that may start now.
--- a/gate/warmth.go
+++ b/gate/warmth.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines what a gate infers of an endpoint's warmth. Doubt counts
@@ -22,13 +23,11 @@
 	coldHold = 10 * time.Second
 )
 
-// warmth is the inferred warmth of one endpoint. The zero value is cold.
+// warmth is the inferred warmth of one endpoint, after the endpoint chart.
 type warmth struct {
-	warm bool
+	machine *chart.Machine
 	// since is when the endpoint became cold or warm, or came back.
 	since time.Time
-	// suspected reports that the endpoint is cold against its own word.
-	suspected bool
 	// failed reports that the suspicion came with a failed attempt. A cold
 	// endpoint that bears its load answers the first attempts quickly, so
 	// that quick answers do not refute it.
@@ -40,14 +39,35 @@
 	incarnation fescuelatch.Incarnation
 	generated   time.Time
 	reported    time.Time
-	leaving     bool
 }
 
-func (w *warmth) chill(now time.Time, suspected bool) {
-	if w.warm {
+// begin forgets the state, as nothing is known of an endpoint that this
+// daemon has just come to own. Its usual latencies are kept.
+func (w *warmth) begin(now time.Time) {
+	w.machine = chart.Endpoint().New()
+	w.since, w.failed, w.strikes = now, false, 0
+}
+
+func newWarmth() warmth { return warmth{machine: chart.Endpoint().New()} }
+
+func (w *warmth) warm() bool { return w.machine.State() == chart.EndpointWarm }
+
+// suspected reports that the endpoint counts as cold against its own word.
+func (w *warmth) suspected() bool { return w.machine.State() == chart.EndpointSuspect }
+
+func (w *warmth) leaving() bool { return w.machine.State() == chart.EndpointLeaving }
+
+// enter makes the transition of e, if the present state has one, and begins
+// the new state afresh.
+func (w *warmth) enter(now time.Time, e chart.Event) {
+	was := w.machine.State()
+	if !w.machine.Can(e) || w.machine.Fire(e) != nil {
+		return
+	}
+	w.failed, w.strikes = false, 0
+	if was != w.machine.State() && !(was == chart.EndpointSuspect && e == chart.EventReportCold) {
 		w.since = now
 	}
-	w.warm, w.suspected, w.failed, w.strikes = false, suspected, false, 0
 }
 
 // report takes in a load report. It reports whether it was a new one.
@@ -57,15 +77,19 @@
 		return false
 	}
 	w.incarnation, w.generated, w.reported = r.Incarnation, r.Generated, now
-	w.leaving = r.State == fescuelatch.EndpointLeaving
 	if replaced {
-		w.warm, w.since, w.suspected, w.failed, w.strikes = false, now, false, false, 0
+		w.enter(now, chart.EventRestart)
+		w.since = now
 	}
 	switch {
+	case r.State == fescuelatch.EndpointLeaving:
+		w.enter(now, chart.EventLeave)
 	case r.State == fescuelatch.EndpointCold:
-		w.chill(now, false)
+		w.enter(now, chart.EventReportCold)
+	case r.State == fescuelatch.EndpointWarm && w.leaving():
+		w.enter(now, chart.EventStay)
 	case r.State == fescuelatch.EndpointWarm && w.credible(now, lag):
-		w.warm, w.since, w.suspected, w.failed, w.strikes = true, now, false, false, 0
+		w.enter(now, chart.EventReportWarm)
 	}
 	return true
 }
@@ -73,16 +97,16 @@
 // credible reports whether a cold endpoint that says it is warm is believed:
 // the word is newer than the doubt, and suspicion has been refuted or is old.
 func (w *warmth) credible(now time.Time, lag time.Duration) bool {
-	if w.warm || now.Before(w.since.Add(lag)) {
+	if w.warm() || now.Before(w.since.Add(lag)) {
 		return false
 	}
-	return !w.suspected || !now.Before(w.since.Add(coldHold))
+	return !w.suspected() || !now.Before(w.since.Add(coldHold))
 }
 
 // lapse makes the endpoint cold when it has not reported for too long.
 func (w *warmth) lapse(now time.Time, timeout time.Duration) {
-	if w.warm && now.Sub(w.reported) > timeout {
-		w.chill(now, false)
+	if w.warm() && now.Sub(w.reported) > timeout {
+		w.enter(now, chart.EventSilent)
 	}
 }
 
@@ -107,7 +131,7 @@
 	usual := w.usualOf(streamed)
 	if w.slow(d, streamed) {
 		w.strike(now)
-		if w.suspected {
+		if w.suspected() {
 			// The endpoint says that it is warm; it may have become slower
 			// for good.
 			usual.observe(min(d, slowFactor*usual.mean))
@@ -115,23 +139,27 @@
 		return true
 	}
 	w.strikes = 0
-	if w.warm || w.suspected {
+	if w.warm() || w.suspected() {
 		usual.observe(d)
 	}
-	w.suspected = w.failed
+	if w.suspected() && !w.failed {
+		since := w.since
+		w.enter(now, chart.EventRefute)
+		w.since = since
+	}
 	return false
 }
 
 // strike counts one slow or failed attempt.
 func (w *warmth) strike(now time.Time) {
 	w.strikes++
-	if w.strikes >= suspicions && w.warm {
-		w.chill(now, true)
+	if w.strikes >= suspicions && w.warm() {
+		w.enter(now, chart.EventDoubt)
 	}
 }
 
 // fail counts one failed attempt.
 func (w *warmth) fail(now time.Time) {
 	w.strike(now)
-	w.failed = w.failed || w.suspected
+	w.failed = w.failed || w.suspected()
 }
--- a/quality/model.go
+++ b/quality/model.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines Model.
@@ -66,7 +67,7 @@
 	}
 	for id, r := range m.records {
 		if records[id] == nil {
-			r.verdict.fire(eventRemove)
+			r.verdict.fire(chart.EventRemove)
 		}
 	}
 	slices.Sort(m.order)
@@ -143,7 +144,7 @@
 	for _, v := range m.order {
 		r := m.records[v]
 		r.step(now, &m.settings, &m.alarms)
-		if r.verdict.machine.State() == stateQuarantined {
+		if r.verdict.machine.State() == chart.ModelVersionQuarantined {
 			age(&r.own, now, m.settings.HalfLife)
 		}
 		list = append(list, r.own)
--- a/quality/record.go
+++ b/quality/record.go
@@ -6,6 +6,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines what a Model keeps of one version.
@@ -50,7 +51,7 @@
 func newRecord(now time.Time, origin fescuelatch.Incarnation, v fescuelatch.VersionID) *record {
 	return &record{
 		own:     fescuelatch.Evidence{Origin: origin, Version: v, Since: now, Updated: now},
-		verdict: verdict{machine: verdictChart().New()},
+		verdict: verdict{machine: chart.ModelVersion().New()},
 	}
 }
 
@@ -85,7 +86,7 @@
 // test adds a ratio to one of the statistics. During a quarantine they stand
 // still, so that a daemon that starts meanwhile sees why.
 func (r *record) test(c *cusum, ratio float64) {
-	if r.verdict.machine.State() == stateQuarantined {
+	if r.verdict.machine.State() == chart.ModelVersionQuarantined {
 		return
 	}
 	c.add(ratio)
--- a/quality/verdict.go
+++ b/quality/verdict.go
@@ -1,9 +1,7 @@
 package quality
 
 import (
-	_ "embed" // for the chart
 	"math"
-	"sync"
 	"time"
 
 	"fescuelatch"
@@ -12,37 +10,6 @@
 
 // This file defines the verdict on a version and the rules that change it.
 
-//go:embed verdict.yaml
-var verdictFile []byte
-
-// verdictChart returns the chart of verdicts, which is part of the program.
-var verdictChart = sync.OnceValue(func() *chart.Chart {
-	c, err := chart.Parse("verdict.yaml", verdictFile)
-	if err != nil {
-		panic(err)
-	}
-	return c
-})
-
-// States of the chart of verdicts.
-const (
-	stateGood        chart.State = "good"
-	stateSuspect     chart.State = "suspect"
-	stateQuarantined chart.State = "quarantined"
-	stateProbation   chart.State = "probation"
-	stateRemoved     chart.State = "removed"
-)
-
-// Events of the chart of verdicts.
-const (
-	eventDoubt      chart.Event = "doubt"
-	eventClear      chart.Event = "clear"
-	eventQuarantine chart.Event = "quarantine"
-	eventRelease    chart.Event = "release"
-	eventPass       chart.Event = "pass"
-	eventRemove     chart.Event = "remove"
-)
-
 // verdict is the state of a version with what its rules need.
 type verdict struct {
 	machine *chart.Machine
@@ -61,9 +28,9 @@
 // health returns what callers see of the verdict.
 func (v *verdict) health() fescuelatch.Health {
 	switch v.machine.State() {
-	case stateQuarantined, stateRemoved:
+	case chart.ModelVersionQuarantined, chart.ModelVersionRemoved:
 		return fescuelatch.HealthQuarantined
-	case stateSuspect, stateProbation:
+	case chart.ModelVersionSuspect, chart.ModelVersionProbation:
 		return fescuelatch.HealthSuspect
 	default:
 		return fescuelatch.HealthGood
@@ -101,11 +68,11 @@
 // step applies the rules that hold at now.
 func (r *record) step(now time.Time, s *Settings, a *alarms) {
 	switch r.verdict.machine.State() {
-	case stateGood, stateSuspect:
+	case chart.ModelVersionGood, chart.ModelVersionSuspect:
 		r.watch(now, s, a)
-	case stateQuarantined:
+	case chart.ModelVersionQuarantined:
 		r.release(now)
-	case stateProbation:
+	case chart.ModelVersionProbation:
 		r.probe(now, s, a)
 	}
 }
@@ -117,9 +84,9 @@
 	case a.quarantine.raised(r.own.Alarm, c):
 		r.quarantine(now, s)
 	case a.suspect.raised(r.own.Alarm, c):
-		r.verdict.fire(eventDoubt)
+		r.verdict.fire(chart.EventDoubt)
 	default:
-		r.verdict.fire(eventClear)
+		r.verdict.fire(chart.EventClear)
 	}
 }
 
@@ -128,11 +95,11 @@
 func (r *record) quarantine(now time.Time, s *Settings) {
 	v := &r.verdict
 	length := s.Quarantine
-	relapse := v.length > 0 && (v.machine.State() == stateProbation || now.Sub(v.cleared) < s.MaxQuarantine)
+	relapse := v.length > 0 && (v.machine.State() == chart.ModelVersionProbation || now.Sub(v.cleared) < s.MaxQuarantine)
 	if relapse {
 		length = min(2*v.length, s.MaxQuarantine)
 	}
-	v.fire(eventQuarantine)
+	v.fire(chart.EventQuarantine)
 	v.epoch, v.until, v.length = now, now.Add(length), length
 }
 
@@ -141,7 +108,7 @@
 	if now.Before(r.verdict.until) {
 		return
 	}
-	r.verdict.fire(eventRelease)
+	r.verdict.fire(chart.EventRelease)
 	r.reset(now)
 }
 
@@ -153,7 +120,7 @@
 	case a.probation.raised(r.own.Alarm, c):
 		r.quarantine(now, s)
 	case r.passes(c, s):
-		r.verdict.fire(eventPass)
+		r.verdict.fire(chart.EventPass)
 		r.verdict.cleared = now
 		r.verdict.epoch = time.Time{}
 		r.refresh()
