Copy bills again when the holder of their copies is lost

Cause: nothing told the ledger that a daemon was gone, so that bills stayed marked as safe whose only copy had gone with its holder. When the origin was killed too before its next write, they were lost.

--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -161,8 +161,11 @@
 	d.mu.Lock()
 	was, ok := d.hellos[h.VM]
 	since := now
-	if ok && was.hello.Incarnation == h.Incarnation {
+	switch {
+	case ok && was.hello.Incarnation == h.Incarnation:
 		since = was.first
+	case ok:
+		d.ledger.Lost(was.hello.Incarnation)
 	}
 	d.hellos[h.VM] = heard{hello: h, at: now, first: since}
 	if h.Leaving {
@@ -176,7 +179,8 @@
 	}
 }
 
-// forgetLost stops forwarding to daemons that have not been heard of.
+// forgetLost stops forwarding to daemons that have not been heard of, and has
+// the bills of which they hold copies copied to others.
 func (d *Daemon) forgetLost() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -184,6 +188,7 @@
 	for vm, h := range d.hellos {
 		if now.Sub(h.at) > lostAfter {
 			d.decideLocked(decision.Lost{VM: vm})
+			d.ledger.Lost(h.hello.Incarnation)
 		}
 	}
 }
