Stop without a panic, and refuse at the deadline in time

A stopping daemon waited with a sync.WaitGroup while requests went on beginning, which panics when one begins as the wait ends. After: TestTrackerWhileWorkBegins passes.

The owner of an endpoint got a forwarded request's whole time, so that its refusal at the deadline came after the forwarding daemon had given up, as unknown.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -57,7 +57,7 @@
 	}
 	r.Unsent = false
 	v, err := s.send(ctx, t, &r)
-	s.daemon.work.Go(func() { s.finish(ctx, l, v, err) })
+	s.daemon.work.run(func() { s.finish(ctx, l, v, err) })
 	s.conclude(r, v, err)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -98,7 +98,7 @@
 	hellos   map[fescuelatch.VMID]heard
 
 	// work counts requests that are being served.
-	work sync.WaitGroup
+	work tracker
 }
 
 // heard is the last hello of another daemon.
@@ -269,13 +269,8 @@
 	d.refreshOwned(time.Now())
 	d.mu.Unlock()
 	d.announce()
-	done := make(chan struct{})
-	go func() {
-		d.work.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-d.work.done():
 	case <-time.After(d.options.StopTimeout):
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -186,9 +186,7 @@
 
 // sample has an answer rated for learning, in the background.
 func (d *Daemon) sample(v fescuelatch.VersionID, prompt, text string) {
-	d.work.Add(1)
-	go func() {
-		defer d.work.Done()
+	d.work.run(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 		defer cancel()
 		score, err := d.options.Rater.Rate(ctx, v, prompt, text)
@@ -197,7 +195,7 @@
 			return
 		}
 		d.decide(decision.Rated{Version: v, Score: score, Rated: true})
-	}()
+	})
 }
 
 // sampleTimeout bounds a rating that nobody waits for.
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -60,8 +60,8 @@
 
 // Serve implements caller.Backend.
 func (d *Daemon) Serve(ctx context.Context, c *caller.Call, r *caller.Reply) {
-	d.work.Add(1)
-	defer d.work.Done()
+	d.work.begin()
+	defer d.work.end()
 	ctx, cancel := context.WithDeadline(ctx, c.Request.Deadline)
 	defer cancel()
 	s := &serving{
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -22,6 +22,10 @@
 // ForwardPath is the path prefix of forwarded requests.
 const ForwardPath = "/v1/forward"
 
+// returnMargin is the part of the time left that the owner does not get, so
+// that its refusal is back before the deadline.
+const returnMargin = 50 * time.Millisecond
+
 const (
 	headerForward = "Fescuelatch-Forward"
 	maxBodyBytes  = 4 << 20
@@ -41,7 +45,7 @@
 	q := *c.Request
 	q.Forwarded = true
 	q.Version = v
-	b, err := json.Marshal(forwarded{Request: q, Share: c.Share, ClaimKey: c.ClaimKey, Remaining: q.Deadline.Sub(now)})
+	b, err := json.Marshal(forwarded{Request: q, Share: c.Share, ClaimKey: c.ClaimKey, Remaining: q.Deadline.Sub(now) - returnMargin})
 	if err != nil {
 		return nil, &Error{"encode request", KindInvalid, err}
 	}
