--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,7 +114,7 @@
 	evidenceKnown map[fescuelatch.VMID]exchange
 
 	// work counts requests that are being served.
-	work sync.WaitGroup
+	work tracker
 }
 
 // heard is the last hello of another daemon.
@@ -302,13 +302,8 @@
 	d.refreshOwned(time.Now())
 	d.mu.Unlock()
 	d.announce(context.Background())
-	done := make(chan struct{})
-	go func() {
-		d.work.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-d.work.done():
 	case <-time.After(d.options.StopTimeout):
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -205,7 +205,8 @@
 	}
 }
 
-// forgetLost stops forwarding to daemons that have not been heard of.
+// forgetLost stops forwarding to daemons that have not been heard of, and has
+// the bills of which they hold copies copied to others.
 func (d *Daemon) forgetLost(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
