--- /dev/null
+++ b/decision/outcome.go
@@ -0,0 +1,134 @@
+package decision
+
+import (
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/chart"
+)
+
+// This file defines what follows from the end of an attempt and from the
+// rating of its answer.
+
+func (c *Core) firstToken(now time.Time, e FirstToken) {
+	q, ok := c.requests[e.Request]
+	if !ok || q.current.id != e.Attempt {
+		return
+	}
+	q.current.first = true
+	if q.current.vm == c.options.VM {
+		c.gate().First(now, e.Attempt)
+	}
+}
+
+func (c *Core) ended(now time.Time, e Ended) {
+	r := e.Result
+	c.options.Quality.ObserveAttempt(now, r)
+	q, ok := c.requests[e.Request]
+	current := ok && q.current.id == r.Attempt
+	if r.Endpoint != "" {
+		// The slot is free; others may start.
+		defer func(as []fescuelatch.Admission) { c.admit(now, as) }(c.gate().End(now, r))
+	}
+	if !current {
+		return
+	}
+	switch r.Status {
+	case fescuelatch.AttemptAnswered:
+		c.answered(now, q)
+	case fescuelatch.AttemptNotStarted:
+		q.retryAfter = max(q.retryAfter, r.RetryAfter)
+		c.fire(q, chart.EventNotStarted)
+		c.notStarted(now, q, r)
+	case fescuelatch.AttemptCancelled:
+		c.end(q, chart.EventCancel)
+		c.emit(Drop{Request: q.ID})
+	default:
+		c.broken(now, q)
+	}
+}
+
+// answered accepts an answer, or asks for a rating when a later version of
+// the plan could do better.
+func (c *Core) answered(now time.Time, q *request) {
+	left := q.Deadline.Sub(now)
+	if q.Streamed || q.step+1 >= len(q.plan) || left < 2*ratingTimeout {
+		c.accept(q, q.current, c.sampled(now, q))
+		return
+	}
+	c.emit(Rate{Request: q.ID, Attempt: q.current.id, Version: q.current.version, Within: ratingTimeout})
+}
+
+// sampled reports whether the accepted answer of q is rated for learning.
+// All answers of a version in doubt are, so that the doubt ends soon.
+func (c *Core) sampled(now time.Time, q *request) bool {
+	if q.IsService() || q.Forwarded || q.step > 0 {
+		return false
+	}
+	if c.options.Quality.Health(now, q.current.version) != fescuelatch.HealthGood {
+		return true
+	}
+	return c.options.Random.Float64() < c.options.SampleShare
+}
+
+func (c *Core) rated(now time.Time, e Rated) {
+	q, ok := c.requests[e.Request]
+	// Later steps of a plan get the requests that an earlier version failed
+	// on, so that their ratings would make good versions look bad.
+	if e.Rated && (!ok || q.step == 0) {
+		c.options.Quality.ObserveRating(now, e.Version, e.Score)
+	}
+	if !ok || q.current.id != e.Attempt {
+		return
+	}
+	if !e.Rated || e.Score >= goodScore || q.step+1 >= len(q.plan) {
+		c.accept(q, q.current, false)
+		return
+	}
+	if q.best.id == "" || e.Score > q.bestScore {
+		q.best = q.current
+		q.bestScore = e.Score
+	}
+	q.step++
+	clear(q.tried)
+	c.fire(q, chart.EventEscalate)
+	c.place(now, q)
+}
+
+// notStarted tries the request elsewhere, or refuses it.
+func (c *Core) notStarted(now time.Time, q *request, r fescuelatch.AttemptResult) {
+	if q.Forwarded {
+		c.refuse(q, refusalReason(r), r.RetryAfter)
+		return
+	}
+	q.tried[q.current.vm] = true
+	if q.attempts >= maxAttempts || !c.budget.take() {
+		c.refuse(q, refusalReason(r), defaultRetryAfter)
+		return
+	}
+	c.place(now, q)
+}
+
+func refusalReason(r fescuelatch.AttemptResult) Reason {
+	if r.Overloaded {
+		return ReasonNoCapacity
+	}
+	return ReasonNotStarted
+}
+
+// broken repeats an idempotent request unless part of its answer has been
+// streamed to the caller.
+func (c *Core) broken(now time.Time, q *request) {
+	streamed := q.Streamed && q.current.first
+	if !q.Idempotent || streamed || q.Forwarded || q.attempts >= maxAttempts || !c.budget.take() {
+		if q.best.id != "" {
+			c.accept(q, q.best, false)
+			return
+		}
+		c.giveUp(q, ReasonBroken)
+		return
+	}
+	c.fire(q, chart.EventRetry)
+	q.tried[q.current.vm] = true
+	c.place(now, q)
+}
--- /dev/null
+++ b/decision/plan.go
@@ -0,0 +1,114 @@
+package decision
+
+import (
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/chart"
+)
+
+// This file defines the choice of the versions that a request is tried on.
+
+func (c *Core) planAndPlace(now time.Time, q *request) {
+	c.fire(q, chart.EventPlan)
+	plan, reason := c.planVersions(now, q)
+	if len(plan) == 0 {
+		c.refuse(q, reason, defaultRetryAfter)
+		return
+	}
+	q.plan = plan
+	q.step = 0
+	c.place(now, q)
+}
+
+// Pick returns the version that a request would begin with, or none. It
+// changes nothing.
+func (c *Core) Pick(now time.Time, r *fescuelatch.Request) fescuelatch.VersionID {
+	if c.view == nil {
+		return ""
+	}
+	c.sparesKnown = false
+	plan, _ := c.planVersions(now, &request{Request: r})
+	if len(plan) == 0 {
+		return ""
+	}
+	return plan[0]
+}
+
+// planVersions returns the versions to try, or the reason for none.
+func (c *Core) planVersions(now time.Time, q *request) ([]fescuelatch.VersionID, Reason) {
+	candidates := c.candidates(now, q)
+	if q.Forwarded || q.Version != "" {
+		if len(candidates) == 0 {
+			return nil, c.noCandidate(q)
+		}
+		return []fescuelatch.VersionID{q.Version}, ""
+	}
+	if len(candidates) == 0 {
+		return nil, c.noCandidate(q)
+	}
+	plan := c.options.Versions.Plan(now, q.Request, candidates, c.options.Random.Float64())
+	if len(plan) == 0 {
+		return nil, ReasonQuality
+	}
+	return plan, ""
+}
+
+// noCandidate says why no version that the request asks for can be used.
+func (c *Core) noCandidate(q *request) Reason {
+	account, ok := c.view.Account(q.Account)
+	if !ok {
+		return ReasonNoVersion
+	}
+	why := ReasonNoVersion
+	for _, v := range c.view.VersionsOf(q.Model) {
+		if !c.view.Allowed(account, v) || (q.pinned() != "" && v.ID != q.pinned()) {
+			continue
+		}
+		if !c.view.Withdrawn(v.ID) {
+			return ReasonQuality
+		}
+		why = ReasonWithdrawn
+	}
+	return why
+}
+
+// pinned returns the one version that the request may run on, or none.
+func (q *request) pinned() fescuelatch.VersionID {
+	if q.Version != "" {
+		return q.Version
+	}
+	return q.Session
+}
+
+// candidates returns the versions that the request may run on. A session or
+// a pinned version leaves at most that one. A quarantined version remains
+// for its own sessions and for requests that pin it.
+func (c *Core) candidates(now time.Time, q *request) []fescuelatch.Candidate {
+	account, ok := c.view.Account(q.Account)
+	if !ok {
+		return nil
+	}
+	pinned := q.pinned()
+	var cs []fescuelatch.Candidate
+	for _, v := range c.view.VersionsOf(q.Model) {
+		if pinned != "" && v.ID != pinned {
+			continue
+		}
+		if !c.view.Allowed(account, v) || c.view.Withdrawn(v.ID) {
+			continue
+		}
+		health := c.options.Quality.Health(now, v.ID)
+		if health == fescuelatch.HealthQuarantined && pinned == "" {
+			continue
+		}
+		cs = append(cs, fescuelatch.Candidate{
+			Version:  v,
+			Estimate: c.options.Quality.Estimate(now, v.ID),
+			Health:   health,
+			Spare:    c.spareOf(now, service{version: v.ID}),
+			Latency:  c.options.Gate.Latency(v.ID),
+		})
+	}
+	return cs
+}
