--- a/cmd/fescuelatch-load/experiment/experiment.go
+++ b/cmd/fescuelatch-load/experiment/experiment.go
@@ -118,7 +118,7 @@
 			Name:     PlatformOutage,
 			Question: "What do callers notice of an outage of the platform's key-value service?",
 			Variants: []Variant{router, {Name: "no-outage", Undisturbed: true}},
-			Primary:  FailedInWindow, Rate: 30, speed: slow, steps: platformOutage, measure: measureWindow,
+			Primary:  FailedOpen, Rate: 30, speed: slow, steps: platformOutage, measure: measureWindow,
 		},
 	}
 }
