Gate: work started by the very end of a broken attempt is no sign of life

Cause: the end of a broken attempt starts waiting work at the same instant, and an attempt started at that instant counted as one from before, so that its first token ended the doubt. Ruled out: the suspicion after three failures (unit test holds) and quick answers (they do not refute it any more).

The bound on starts after a cold start is checked where the owners stay as well: without a ramp, a trial with changing owners passed, because nobody owned the engines when their cold start ended.

--- a/failure/cold_test.go
+++ b/failure/cold_test.go
@@ -161,8 +161,10 @@
 			end = at
 		}
 	}
-	time.Sleep(time.Until(end))
+	// The owners stay, so that a wave on return would show.
+	time.Sleep(time.Until(end.Add(3 * time.Second)))
 	stop()
+	checkReturn(c, f.log("e-1"), end)
 	for _, test := range tests {
 		c.Run(test.name, func(c *qt.C) {
 			l := f.log(test.endpoint)
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -181,10 +181,29 @@
 		{"one failure beside an attempt that goes on", func(g *gate.Adaptive, now time.Time) time.Time {
 			w := work("goes-on", "large")
 			g.Offer(now, w)
+			now = now.Add(100 * time.Millisecond)
 			breakAttempts(g, now, 1)
 			g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
 			return now
 		}, lowered},
+		{"one failure, then a first token of work that waited", func(g *gate.Adaptive, now time.Time) time.Time {
+			ws := make([]fescuelatch.Work, slots+1)
+			for i := range ws {
+				ws[i] = work(fmt.Sprint("waits-", i), "large")
+				g.Offer(now, ws[i])
+			}
+			now = now.Add(100 * time.Millisecond)
+			g.End(now, fescuelatch.AttemptResult{Attempt: ws[0].Attempt, Status: fescuelatch.AttemptBroken})
+			for _, w := range ws[1:] {
+				g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptCancelled})
+			}
+			w := work("next", "large")
+			g.Offer(now, w)
+			g.First(now.Add(100*time.Millisecond), w.Attempt)
+			now = now.Add(200 * time.Millisecond)
+			g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
+			return now
+		}, cold},
 		{"it leaves", func(g *gate.Adaptive, now time.Time) time.Time {
 			now = now.Add(time.Second)
 			r := warmReport(now, 0)
--- a/gate/place.go
+++ b/gate/place.go
@@ -138,7 +138,7 @@
 
 // goesOn takes in a sign of life of a.
 func (p *place) goesOn(a *attempt) {
-	if !a.started.After(p.broken) {
+	if a.started.Before(p.broken) {
 		p.broken = time.Time{}
 	}
 }
