--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/engine"
+	"fescuelatch/fleetkey"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
 	"fescuelatch/platform"
@@ -43,17 +44,17 @@
 	Incarnation fescuelatch.Incarnation
 	// Seeds are peer addresses to learn a configuration from when the
 	// platform is away.
-	Seeds    []netip.AddrPort
-	FleetKey peer.FleetKey
-	Sessions token.Ring
-	Dialer   *peer.Dialer
-	KV       fescuelatch.KV
-	VMs      fescuelatch.VMList
-	Rater    fescuelatch.Rater
-	Core     decision.Options
-	Log      *slog.Logger
-	Metrics  tally.Scope
-	Scrape   http.Handler
+	Seeds     []netip.AddrPort
+	FleetKeys fleetkey.Keys
+	Sessions  token.Ring
+	Dialer    *peer.Dialer
+	KV        fescuelatch.KV
+	VMs       fescuelatch.VMList
+	Rater     fescuelatch.Rater
+	Core      decision.Options
+	Log       *slog.Logger
+	Metrics   tally.Scope
+	Scrape    http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	// Relay hands transactions to one daemon of the failure domain, which
@@ -78,7 +79,7 @@
 	services    *engine.Client
 	// reporters reads load reports, over connections of their own.
 	reporters *engine.Client
-	metrics     *metrics
+	metrics   *metrics
 
 	batcher  *platform.Batcher
 	claims   *claim.Claimer
@@ -87,10 +88,7 @@
 	codec    billing.Codec
 	told     vmSet
 	bindings *session.Store
-
-	// claimsAway is the time, in nanoseconds since 1970, until which no
-	// claim is tried.
-	claimsAway atomic.Int64
+	breaker  breaker
 
 	life    *life
 	leaving atomic.Bool
@@ -98,6 +96,7 @@
 	// learnedSignal is closed when learned is set.
 	learnedSignal chan struct{}
 	reach         reachability
+	fresh         freshness
 
 	// mu guards the fields below it, which make up the decisions.
 	mu       sync.Mutex
@@ -109,9 +108,13 @@
 	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
 	servings map[fescuelatch.RequestID]*serving
 	hellos   map[fescuelatch.VMID]heard
+	// evidenceTold and evidenceKnown are the exchanges of evidence to and by
+	// other daemons.
+	evidenceTold  map[fescuelatch.VMID]exchange
+	evidenceKnown map[fescuelatch.VMID]exchange
 
 	// work counts requests that are being served.
-	work sync.WaitGroup
+	work tracker
 }
 
 // heard is the last hello of another daemon.
@@ -137,7 +140,7 @@
 		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
 		holder:      new(configstore.Holder),
 		store:       &configstore.Store{KV: o.KV},
-		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
+		peers:       &peer.Client{Keys: o.FleetKeys, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
 		metrics:     newMetrics(o.Metrics),
 		life:        newLife(o.Log),
 		core:        decision.New(o.Core),
@@ -148,6 +151,8 @@
 		reports:       make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
 		servings:      make(map[fescuelatch.RequestID]*serving),
 		hellos:        make(map[fescuelatch.VMID]heard),
+		evidenceTold:  make(map[fescuelatch.VMID]exchange),
+		evidenceKnown: make(map[fescuelatch.VMID]exchange),
 	}
 	d.keep(o)
 	data := o.Dialer.Counting(DataTraffic(o.Metrics))
@@ -297,13 +302,8 @@
 	d.refreshOwned(time.Now())
 	d.mu.Unlock()
 	d.announce(context.Background())
-	done := make(chan struct{})
-	go func() {
-		d.work.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-d.work.done():
 	case <-time.After(d.options.StopTimeout):
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -35,13 +35,14 @@
 // forward makes an attempt through the daemon that owns the endpoints.
 func (s *serving) forward(ctx context.Context, a decision.Forward) {
 	r := fescuelatch.AttemptResult{Attempt: a.Attempt, Version: a.Version}
+	s.daemon.awaitFresh(ctx)
 	vm, ok := s.daemon.holder.View().VM(a.VM)
 	if !ok {
 		s.notStarted(r, errors.New("the VM has left the configuration"))
 		return
 	}
 	now := time.Now()
-	h, err := peer.ForwardHeader(s.daemon.options.FleetKey, s.call, a.Version, now)
+	h, err := peer.ForwardHeader(s.daemon.options.FleetKeys, s.call, a.Version, now)
 	if err != nil {
 		s.notStarted(r, err)
 		return
@@ -56,7 +57,7 @@
 
 // attempt sends the request to t and tells the core how it ended.
 func (s *serving) attempt(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
-	if !s.daemon.mayStart(r, decided) {
+	if !s.daemon.mayStart(ctx, r, decided) {
 		s.notStarted(r, errors.New("too late after the decision to start"))
 		return
 	}
@@ -87,20 +88,26 @@
 }
 
 // mayStart reports whether an attempt may still be sent. The process may
-// have been paused, or a claim may have taken long, since the decision.
-func (d *Daemon) mayStart(r fescuelatch.AttemptResult, decided time.Time) bool {
-	now := time.Now()
-	if now.Sub(decided) <= startWithin {
-		return true
+// have been paused, a claim may have taken long, or a configuration may have
+// come into force since the decision.
+func (d *Daemon) mayStart(ctx context.Context, r fescuelatch.AttemptResult, decided time.Time) bool {
+	d.awaitFresh(ctx)
+	v := d.holder.View()
+	if v.Withdrawn(r.Version) {
+		return false
 	}
+	now := time.Now()
+	late := now.Sub(decided) > startWithin
 	if r.Endpoint == "" {
-		return false
+		return !late
 	}
-	v := d.holder.View()
 	e, ok := v.Endpoint(r.Endpoint)
-	if !ok || v.EndpointOut(e) || v.Withdrawn(r.Version) {
+	if !ok || v.EndpointOut(e) {
 		return false
 	}
+	if !late {
+		return true
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, o := range d.table.Owned(now) {
@@ -180,14 +187,13 @@
 
 // notStarted tells the core that nothing was sent.
 func (s *serving) notStarted(r fescuelatch.AttemptResult, err error) {
+	r.Unsent = true
 	s.conclude(r, &answer{}, &engine.Error{Op: "start", Kind: engine.KindNotStarted, Err: err})
 }
 
 // sample has an answer rated for learning, in the background.
 func (d *Daemon) sample(v fescuelatch.VersionID, prompt, text string) {
-	d.work.Add(1)
-	go func() {
-		defer d.work.Done()
+	d.work.run(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 		defer cancel()
 		score, err := d.options.Rater.Rate(ctx, v, prompt, text)
@@ -196,7 +202,7 @@
 			return
 		}
 		d.decide(decision.Rated{Version: v, Score: score, Rated: true})
-	}()
+	})
 }
 
 // sampleTimeout bounds a rating that nobody waits for.
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -60,8 +60,8 @@
 
 // Serve implements caller.Backend.
 func (d *Daemon) Serve(ctx context.Context, c *caller.Call, r *caller.Reply) {
-	d.work.Add(1)
-	defer d.work.Done()
+	d.work.begin()
+	defer d.work.end()
 	ctx, cancel := context.WithDeadline(ctx, c.Request.Deadline)
 	defer cancel()
 	s := &serving{
@@ -74,7 +74,11 @@
 	id := c.Request.ID
 	d.mu.Lock()
 	d.servings[id] = s
-	d.decideLocked(decision.Arrived{Request: c.Request, Share: c.Share, Attempt: c.Attempt})
+	d.decideLocked(decision.Arrived{
+		Request: c.Request, Share: c.Share, Attempt: c.Attempt,
+		// Without a claim it would wait for a slot only to be refused.
+		Elsewhere: !c.Request.Idempotent && d.breaker.refuses(time.Now()),
+	})
 	d.mu.Unlock()
 	s.run(ctx)
 	d.mu.Lock()
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -162,6 +162,14 @@
 			}
 			return now
 		}, cold},
+		{"attempts that were not sent", func(g *gate.Adaptive, now time.Time) time.Time {
+			for i := range 3 {
+				w := work(fmt.Sprint("unsent-", i), "large")
+				g.Offer(now, w)
+				g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptNotStarted, Unsent: true})
+			}
+			return now
+		}, slots},
 		{"one failure", func(g *gate.Adaptive, now time.Time) time.Time {
 			breakAttempts(g, now, 1)
 			return now
