--- a/cmd/fescuelatch-load/cost/latency.go
+++ b/cmd/fescuelatch-load/cost/latency.go
@@ -26,34 +26,48 @@
 	latencyTokens = 4
 )
 
-// Latency compares the times to the end of short answers, taken in turn.
+// Latency compares calls that are made in turn.
 type Latency struct {
-	Calls int `json:"calls-each"`
-	// Direct and Through are medians.
+	Calls  int        `json:"calls-each"`
+	Tokens int        `json:"tokens"`
+	First  Comparison `json:"first-token"`
+	End    Comparison `json:"end"`
+}
+
+// Comparison has medians.
+type Comparison struct {
 	Direct  time.Duration `json:"direct"`
 	Through time.Duration `json:"through-daemon"`
 	Ratio   float64       `json:"ratio"`
 }
 
+// times are those of the calls to one side.
+type times struct{ first, end []time.Duration }
+
 // compareLatency calls an engine and a daemon in turn.
 func compareLatency(ctx context.Context, f *fleet.Fleet) (Latency, error) {
 	i := &f.Configuration.Inventory
 	a := f.Configuration.Rules.Accounts[0].ID
-	var direct, through []time.Duration
+	var direct, through times
 	for n := range latencyCalls {
-		d, err := timeCall(ctx, i.Endpoints[0].Address, string(i.Versions[0].ID), http.Header{engine.HeaderAttempt: {fmt.Sprint("direct.", n)}})
+		err := direct.add(ctx, i.Endpoints[0].Address, string(i.Versions[0].ID), http.Header{engine.HeaderAttempt: {fmt.Sprint("direct.", n)}})
 		if err != nil {
 			return Latency{}, err
 		}
-		t, err := timeCall(ctx, i.VMs[0].Caller, string(model), http.Header{"Authorization": {"Bearer " + f.Keys[a]}})
-		if err != nil {
+		if err := through.add(ctx, i.VMs[0].Caller, string(model), http.Header{"Authorization": {"Bearer " + f.Keys[a]}}); err != nil {
 			return Latency{}, err
 		}
-		direct, through = append(direct, d), append(through, t)
 	}
-	l := Latency{Calls: latencyCalls, Direct: median(direct), Through: median(through)}
-	l.Ratio = l.Through.Seconds() / l.Direct.Seconds()
-	return l, nil
+	return Latency{
+		Calls: latencyCalls, Tokens: latencyTokens,
+		First: compare(direct.first, through.first), End: compare(direct.end, through.end),
+	}, nil
+}
+
+func compare(direct, through []time.Duration) Comparison {
+	c := Comparison{Direct: median(direct), Through: median(through)}
+	c.Ratio = c.Through.Seconds() / c.Direct.Seconds()
+	return c
 }
 
 func median(ds []time.Duration) time.Duration {
@@ -61,32 +75,46 @@
 	return ds[len(ds)/2]
 }
 
-// timeCall returns the time to the end of an answer.
-func timeCall(ctx context.Context, to netip.AddrPort, model string, h http.Header) (time.Duration, error) {
+// add makes one call.
+func (t *times) add(ctx context.Context, to netip.AddrPort, model string, h http.Header) error {
 	body, err := json.Marshal(openai.ChatRequest{
 		Model: model, MaxTokens: latencyTokens, Stream: true,
 		Messages: []openai.Message{{Role: "user", Content: json.RawMessage(`"nonce:latency compare"`)}},
 	})
 	if err != nil {
-		return 0, errors.WithStack(err)
+		return errors.WithStack(err)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
-		return 0, errors.WithStack(err)
+		return errors.WithStack(err)
 	}
 	r.Header = h
 	r.Header.Set("Content-Type", "application/json")
 	start := time.Now()
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, errors.WithStack(err)
+		return errors.WithStack(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0, errors.WithStack(err)
-	}
 	if resp.StatusCode != http.StatusOK {
-		return 0, errors.Errorf("%s answered %s", to, resp.Status)
+		return errors.Errorf("%s answered %s", to, resp.Status)
+	}
+	return t.read(resp.Body, start)
+}
+
+// read reads a streamed answer that was asked for at start.
+func (t *times) read(body io.Reader, start time.Time) error {
+	var first time.Duration
+	err := openai.ReadStream(body, func(c *openai.Chunk) error {
+		if first == 0 && c.Text() != "" {
+			first = time.Since(start)
+		}
+		return nil
+	})
+	if err != nil {
+		return errors.WithStack(err)
 	}
-	return time.Since(start), nil
+	t.first = append(t.first, first)
+	t.end = append(t.end, time.Since(start))
+	return nil
 }
--- a/cmd/fescuelatch-load/cost/page.go
+++ b/cmd/fescuelatch-load/cost/page.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -11,7 +12,7 @@
 // the slopes.
 
 // tableNames are the tables, in the order of the page.
-var tableNames = []string{"points", "slopes", "bytes", "processor", "memory", "platform", "limits"}
+var tableNames = []string{"points", "slopes", "latency", "bytes", "processor", "memory", "platform", "limits"}
 
 // row is a line of a table.
 type row []string
@@ -53,6 +54,7 @@
 	return map[string]string{
 		"points":    r.pointTable(),
 		"slopes":    r.slopeTable(),
+		"latency":   r.latencyTable(),
 		"bytes":     bytesTable(&e),
 		"processor": r.processorTable(&e),
 		"memory":    r.memoryTable(&e),
@@ -92,14 +94,32 @@
 		row{"line of the list of VMs", number(s.ListBytesPerVM) + " B in a second"},
 		row{"daemon of the failure domain", kilobytes(s.MemoryPerMember) + " of memory"},
 		row{"endpoint of the failure domain", kilobytes(s.MemoryPerEndpoint) + " of memory"},
-		row{"version", kilobytes(s.MemoryPerVersion) + " of memory"},
+		row{"version", seen(s.MemoryPerVersion) + " of memory"},
 		row{"client account", kilobytes(s.MemoryPerAccount) + " of memory"},
-		row{"added latency", fmt.Sprintf("%s ms straight to an engine, %s ms through a daemon: %s times (medians of %d calls each in turn)",
-			number(r.Latency.Direct.Seconds()*1e3), number(r.Latency.Through.Seconds()*1e3), number(r.Latency.Ratio), r.Latency.Calls)},
 		row{"nothing more", fmt.Sprintf("%s of a core, %s of memory, %s B/s for the list", percent(s.ProcessorBase), megabytes(s.MemoryBase), number(s.ListBytes))},
 	)
 }
 
+// seen returns an amount of memory, or that the noise hides it.
+func seen(v float64) string {
+	if v <= 0 {
+		return "nothing that can be seen"
+	}
+	return kilobytes(v)
+}
+
+func (r *Result) latencyTable() string {
+	line := func(name string, c Comparison) row {
+		ms := func(d time.Duration) string { return number(d.Seconds()*1e3) + " ms" }
+		return row{name, ms(c.Direct), ms(c.Through), number(c.Ratio)}
+	}
+	return rows(
+		row{fmt.Sprintf("answers of %d tokens, medians of %d calls each, in turn", r.Latency.Tokens, r.Latency.Calls), "straight to an engine", "through a daemon", "ratio"},
+		line("first token", r.Latency.First),
+		line("end", r.Latency.End),
+	)
+}
+
 func bytesTable(e *Estimate) string {
 	return rows(
 		row{"control traffic of one daemon, today's code at the target", "B/s"},
@@ -133,10 +153,10 @@
 	return rows(
 		row{"memory of one daemon, today's code at the target", "bytes"},
 		row{"base", megabytes(r.Slopes.MemoryBase)},
-		row{fmt.Sprintf("%.0f daemons", LongRun.Daemons), megabytes(e.MemberMemory)},
-		row{fmt.Sprintf("%.0f endpoints", LongRun.Endpoints), megabytes(e.EndpointMemory)},
+		row{fmt.Sprintf("connections with %.0f daemons, and what is known of each", LongRun.Daemons), megabytes(e.MemberMemory)},
+		row{fmt.Sprintf("%s endpoints of the failure domain", number(LongRun.Endpoints/LongRun.Domains)), megabytes(e.EndpointMemory)},
 		row{fmt.Sprintf("%.0f versions", LongRun.Versions), megabytes(e.VersionMemory)},
-		row{fmt.Sprintf("%.0f client accounts (assumed)", LongRun.Accounts), megabytes(e.AccountMemory)},
+		row{fmt.Sprintf("entries of the configuration, %.0f client accounts among them (assumed)", LongRun.Accounts), megabytes(e.EntryMemory)},
 		row{"all", megabytes(e.Memory)},
 		row{"budget", megabytes(LongRun.Memory)},
 	)
--- a/cmd/fescuelatch-load/cost/target.go
+++ b/cmd/fescuelatch-load/cost/target.go
@@ -63,7 +63,7 @@
 	MemberMemory             float64
 	EndpointMemory           float64
 	VersionMemory            float64
-	AccountMemory            float64
+	EntryMemory              float64
 	Memory                   float64
 	Followers, Checks        float64 // of the fleet, as all below
 	BillWrites               float64
@@ -129,13 +129,15 @@
 	e.TokenProcessor = e.Tokens * s.ProcessorPerToken
 	rest := t.Processor - s.ProcessorBase - e.Owned*s.ProcessorPerEndpoint
 	e.ProcessorMembers = 1 + max(0, rest)/memberBeats/s.ProcessorPerHeartbeat
-	// The configuration lists all VMs and endpoints, so that the slopes are
-	// taken over the whole fleet, which is too much rather than too little.
+	// Connections to daemons are never closed, so that each daemon has one
+	// with every other in the end. Endpoints cost the daemons of their own
+	// failure domain; elsewhere they are entries of the configuration, taken
+	// as large as client accounts.
 	e.MemberMemory = s.MemoryPerMember * t.Daemons
-	e.EndpointMemory = s.MemoryPerEndpoint * t.Endpoints
-	e.VersionMemory = s.MemoryPerVersion * t.Versions
-	e.AccountMemory = s.MemoryPerAccount * t.Accounts
-	e.Memory = s.MemoryBase + e.MemberMemory + e.EndpointMemory + e.VersionMemory + e.AccountMemory
+	e.EndpointMemory = s.MemoryPerEndpoint * t.Endpoints / t.Domains
+	e.VersionMemory = max(0, s.MemoryPerVersion) * t.Versions
+	e.EntryMemory = s.MemoryPerAccount * (t.Accounts + t.Daemons + t.Endpoints)
+	e.Memory = s.MemoryBase + e.MemberMemory + e.EndpointMemory + e.VersionMemory + e.EntryMemory
 }
 
 func (s *Slopes) platform(t Target, e *Estimate) {
