A stopping daemon refuses for a second before it closes; refusals for want of the platform say so

Requests that need a claim while the platform is away were refused as no-capacity; the code is now platform-away.

--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -109,7 +109,7 @@
 			Placement: find(placementPolicies, s.Placement)(incarnation),
 			Gate:      find(gates, s.Gate)(incarnation),
 		},
-		Relay: s.Relay, Log: log, Metrics: scope, StopTimeout: s.StopTimeout,
+		Relay: s.Relay, DrainDelay: s.DrainDelay, Log: log, Metrics: scope, StopTimeout: s.StopTimeout,
 	}, nil
 }
 
--- a/cmd/fescuelatchd/settings.go
+++ b/cmd/fescuelatchd/settings.go
@@ -48,6 +48,7 @@
 	Quality       string        `arg:"--quality,env:FESCUELATCH_QUALITY" default:"learned" help:"learned or static"`
 	SampleShare   float64       `arg:"--sample-share,env:FESCUELATCH_SAMPLE_SHARE" default:"0.2" help:"share of answers that are rated for learning, 0 to 1"`
 	Relay         bool          `arg:"--platform-relay,env:FESCUELATCH_PLATFORM_RELAY" help:"hand platform writes to one daemon of the failure domain, for failure domains of many VMs"`
+	DrainDelay    time.Duration `arg:"--drain-delay,env:FESCUELATCH_DRAIN_DELAY" default:"1s" help:"how long a stopping daemon refuses requests before it closes; above the balancer's interval of checks"`
 	StopTimeout   time.Duration `arg:"--stop-timeout,env:FESCUELATCH_STOP_TIMEOUT" default:"30s" help:"longest time of a graceful stop"`
 	LogLevel      string        `arg:"--log-level,env:FESCUELATCH_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 
@@ -130,6 +131,7 @@
 	require(s.Rating != "", "--rating is missing")
 	require(s.OperatorKey != "", "the operator key is missing")
 	require(s.SampleShare >= 0 && s.SampleShare <= 1, "--sample-share is not within 0 to 1")
+	require(s.DrainDelay >= 0, "--drain-delay is negative")
 	require(s.StopTimeout > 0, "--stop-timeout is not positive")
 	require(s.level.UnmarshalText([]byte(s.LogLevel)) == nil, "--log-level is unknown")
 	require(!s.tls().Enabled() || (s.TLSCertificate != "" && s.TLSKey != "" && s.TLSAuthority != ""),
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -31,7 +31,7 @@
 	r.Unsent = true // until it is sent
 	if !s.daemon.breaker.allow(time.Now()) {
 		s.conclude(r, &answer{}, &engine.Error{
-			Op: "claim", Kind: engine.KindNotStarted, RetryAfter: claimPause, Err: errors.New("the platform is away"),
+			Op: "claim", Kind: engine.KindNotStarted, Code: engine.CodePlatformAway, RetryAfter: claimPause, Err: errors.New("the platform is away"),
 		})
 		return
 	}
@@ -127,7 +127,9 @@
 	var c *claim.Error
 	if errors.As(err, &c) {
 		e.RetryAfter = c.RetryAfter
-		if c.Kind != claim.KindNotMade {
+		if c.Kind == claim.KindNotMade {
+			e.Code = engine.CodePlatformAway
+		} else {
 			e.Kind = engine.KindRejected
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,6 +57,10 @@
 	Scrape    http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// DrainDelay is how long a stopping daemon goes on to refuse requests
+	// before it closes its listeners; it exceeds the interval at which the
+	// balancer asks whether it is ready.
+	DrainDelay time.Duration
 	// Relay hands transactions to one daemon of the failure domain, which
 	// groups them. It suits failure domains of many daemons: while that
 	// daemon is silent and not yet known to be, claims are refused.
@@ -302,6 +306,9 @@
 	d.refreshOwned(time.Now())
 	d.mu.Unlock()
 	d.announce(context.Background())
+	// Requests that arrive before the balancer has noticed are refused, not
+	// met with a closed door.
+	time.Sleep(d.options.DrainDelay)
 	select {
 	case <-d.work.done():
 	case <-time.After(d.options.StopTimeout):
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -218,6 +218,10 @@
 			f.Message = r.message
 		}
 	}
+	if s.last != nil && s.last.Code == engine.CodePlatformAway {
+		f.Code = s.last.Code
+		f.Message = "the request needs a claim and the platform is away; it was not run"
+	}
 	if s.last != nil && s.last.Kind == engine.KindRejected {
 		f.Status = http.StatusBadRequest
 		f.Code = string(engine.KindRejected)
@@ -227,7 +231,7 @@
 		f.RetryAfter = 0
 	}
 	err := s.reply.Fail(s.meta(""), f)
-	s.daemon.ended(s, fescuelatch.OutcomeNotRun, string(a.Reason), err)
+	s.daemon.ended(s, fescuelatch.OutcomeNotRun, f.Code, err)
 }
 
 func (s *serving) giveUp(a decision.GiveUp) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -204,7 +204,7 @@
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	var v openai.ErrorBody
 	_ = json.Unmarshal(b, &v)
-	e := &Error{Op: op, Kind: KindBroken, Err: errors.Errorf("status %d: %s", resp.StatusCode, v.Error.Message)}
+	e := &Error{Op: op, Kind: KindBroken, Code: v.Error.Code, Err: errors.Errorf("status %d: %s", resp.StatusCode, v.Error.Message)}
 	if n, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 		e.RetryAfter = time.Duration(n) * time.Second
 	}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -31,11 +31,16 @@
 	KindClaimUnknown Kind = "claim-unknown"
 )
 
+// CodePlatformAway is the code of an error for a request that needs a claim
+// while the platform cannot be reached.
+const CodePlatformAway = "platform-away"
+
 // Error reports that operation Op failed. RetryAfter is the endpoint's
-// advice, or zero.
+// advice, or zero, and Code its error code, or empty.
 type Error struct {
 	Op         string
 	Kind       Kind
+	Code       string
 	RetryAfter time.Duration
 	Err        error
 }
