--- a/decision/core.go
+++ b/decision/core.go
@@ -48,6 +48,7 @@
 	peers    peers
 	domains  map[fescuelatch.DomainID]*domainLife
 	budget   retryBudget
+	nextMove time.Time
 	stopping bool
 	out      []Action
 	faults   []error
@@ -115,6 +116,7 @@
 		c.stopping = true
 	case Tick:
 		c.tickDomains(now)
+		c.moveQueued(now)
 		c.admit(now, c.gate().Poll(now))
 	}
 	return c.out
