--- a/cmd/fescuelatch-load/experiment/measure_test.go
+++ b/cmd/fescuelatch-load/experiment/measure_test.go
@@ -168,6 +168,20 @@
 	}
 }
 
+func TestFailedCalls(t *testing.T) {
+	refused := record("q1", 4, "", fescuelatch.OutcomeNotRun)
+	refused.Code = "platform-away"
+	early := record("q3", 1, "", fescuelatch.OutcomeNotRun)
+	got := failedCalls(newOutcome([]load.Record{
+		record("q0", 4, "", fescuelatch.OutcomeUnknown), refused, refused, early,
+		record("q4", 4, "triage@1", fescuelatch.OutcomeAnswered),
+	}))
+	qt.Assert(t, got, qt.DeepEquals, []FailedCalls{
+		{Code: "platform-away", Idempotent: true, Count: 2},
+		{Idempotent: true, Count: 1},
+	})
+}
+
 func TestMeasureCold(t *testing.T) {
 	o := newOutcome(nil)
 	o.result.Evidence.Endpoints = []fleet.EndpointLog{
--- a/cmd/fescuelatch-load/experiment/trial.go
+++ b/cmd/fescuelatch-load/experiment/trial.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"sort"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"fescuelatch"
 	"fescuelatch/fleet"
 	"fescuelatch/load"
 	"fescuelatch/scenario"
@@ -42,6 +44,40 @@
 	Failures []string `json:"failures,omitempty"`
 	// FailedShare is the share of failed calls in each second.
 	FailedShare []float64 `json:"failed-share-by-second"`
+	// Failed counts the calls of the window that were not answered.
+	Failed []FailedCalls `json:"failed-calls,omitempty"`
+}
+
+// FailedCalls counts calls that failed in the same way.
+type FailedCalls struct {
+	Code       string `json:"code"`
+	Service    bool   `json:"service"`
+	Idempotent bool   `json:"idempotent"`
+	Keyed      bool   `json:"keyed"`
+	Session    bool   `json:"session"`
+	Count      int    `json:"count"`
+}
+
+// failedCalls counts the calls of the window that were not answered, the most
+// frequent first.
+func failedCalls(o *outcome) []FailedCalls {
+	counts := make(map[FailedCalls]int)
+	for n := range o.result.Evidence.Records {
+		r := &o.result.Evidence.Records[n]
+		if r.Outcome == fescuelatch.OutcomeAnswered || !o.window.holds(o.result.Start, r.Sent) {
+			continue
+		}
+		counts[FailedCalls{
+			Code: r.Code, Service: r.IsService(), Idempotent: r.Idempotent, Keyed: r.Key != "", Session: r.Session != "",
+		}]++
+	}
+	var fs []FailedCalls
+	for f, n := range counts {
+		f.Count = n
+		fs = append(fs, f)
+	}
+	sort.Slice(fs, func(i, j int) bool { return fs[i].Count > fs[j].Count })
+	return fs
 }
 
 // Value returns a measure of t.
@@ -131,6 +167,7 @@
 	for _, c := range r.Crashed {
 		t.Failures = append(t.Failures, errors.Errorf("%s ended unexpectedly", c).Error())
 	}
+	t.Failed = failedCalls(o)
 	for _, s := range seconds(o, func(*load.Record) bool { return true }) {
 		t.FailedShare = append(t.FailedShare, ratio(s.failed, s.calls))
 	}
