--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
 	"log/slog"
@@ -62,15 +61,14 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	defer closeScope(closer)
-	tlsConfig, err := s.tlsConfig()
+	tlsConfig, err := s.tls().Config()
 	if err != nil {
 		return err
 	}
-	o, err := s.options(log, tlsConfig)
+	o, err := s.options(log, tlsConfig, scope)
 	if err != nil {
 		return err
 	}
-	o.Metrics = scope
 	o.Scrape = reporter.HTTPHandler()
 	d, err := daemon.New(*o)
 	if err != nil {
@@ -85,22 +83,25 @@
 func closeScope(c io.Closer) { _ = c.Close() }
 
 // options assembles what the daemon works with.
-func (s *settings) options(log *slog.Logger, tlsConfig *tls.Config) (*daemon.Options, error) {
+func (s *settings) options(log *slog.Logger, tlsConfig *tls.Config, scope tally.Scope) (*daemon.Options, error) {
 	server, err := addressOf(s.Platform)
 	if err != nil {
 		return nil, errors.Wrap(err, "--platform")
 	}
 	dialer := &peer.Dialer{From: s.DialFrom, TLS: tlsConfig}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	client := func(k daemon.TrafficKind) *http.Client {
+		counting := dialer.Counting(daemon.ControlTraffic(scope, k))
+		return &http.Client{Transport: &http.Transport{DialContext: counting.DialContext}}
+	}
 	incarnation := fescuelatch.Incarnation(uuid.NewString())
 	vm := fescuelatch.VMID(s.VM)
 	domain := fescuelatch.DomainID(s.Domain)
 	return &daemon.Options{
 		VM: vm, Domain: domain, Incarnation: incarnation, Seeds: s.Seeds,
-		FleetKey: peer.FleetKey(s.FleetKey), Sessions: s.sessions, Dialer: dialer,
-		KV:    &platform.Client{Server: server, HTTP: client, Timeout: platformTimeout},
-		VMs:   &vmlist.Client{HTTP: client, URL: s.VMs},
-		Rater: &rating.Client{HTTP: client, URL: s.Rating},
+		FleetKeys: s.fleet, Sessions: s.sessions, Dialer: dialer,
+		KV:    &platform.Client{Server: server, HTTP: client(daemon.TrafficPlatform), Timeout: platformTimeout},
+		VMs:   &vmlist.Client{HTTP: client(daemon.TrafficList), URL: s.VMs},
+		Rater: &rating.Client{HTTP: client(daemon.TrafficRating), URL: s.Rating},
 		Core: decision.Options{
 			VM: vm, Domain: domain, Random: decision.NewRandom(), SampleShare: s.SampleShare,
 			Quality:   find(qualityModels, s.Quality)(incarnation),
@@ -108,7 +109,8 @@
 			Placement: find(placementPolicies, s.Placement)(incarnation),
 			Gate:      find(gates, s.Gate)(incarnation),
 		},
-		Log: log, StopTimeout: s.StopTimeout, HoldTime: s.BillHoldTime,
+		Relay: s.Relay, Log: log, Metrics: scope, StopTimeout: s.StopTimeout,
+		HoldTime: s.BillHoldTime,
 	}, nil
 }
 
@@ -121,26 +123,3 @@
 	a, err := netip.ParseAddrPort(u.Host)
 	return a, errors.WithStack(err)
 }
-
-// tlsConfig returns the mutual TLS between daemons, or nil when it is off.
-func (s *settings) tlsConfig() (*tls.Config, error) {
-	if s.TLSCertificate == "" {
-		return nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
-	if err != nil {
-		return nil, errors.Wrap(err, "--tls-certificate")
-	}
-	authority, err := os.ReadFile(s.TLSAuthority)
-	if err != nil {
-		return nil, errors.Wrap(err, "--tls-authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return nil, errors.New("--tls-authority holds no certificate")
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{certificate}, RootCAs: pool, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}, nil
-}
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/ownership"
@@ -22,7 +23,12 @@
 	// platform; the others learn from them.
 	followers      = 2
 	followInterval = time.Second
-	fetchTimeout   = 2 * time.Second
+	// recheckInterval is that of reads of the head by a follower. It bounds
+	// the time for which an event that a watch has dropped, or a connection
+	// that has silently broken, keeps an accepted change from coming into
+	// force.
+	recheckInterval = 3 * time.Second
+	fetchTimeout    = 2 * time.Second
 )
 
 // reachability is whether the platform could be reached last.
@@ -60,15 +66,26 @@
 		watching, cancel := context.WithCancel(ctx)
 		go d.resignWhenSuperseded(watching, cancel)
 		f := &configstore.Follower{
-			Store: d.store, Holder: d.holder,
-			Failed:  func(err error) { d.reach.set(false); d.log.Warn("platform", "error", err.Error()) },
-			Reached: func(fescuelatch.Generation) { d.reach.set(true); d.becomeLearned() },
+			Store: d.store, Holder: d.holder, Recheck: recheckInterval,
+			Failed: d.platformFailed, Reached: d.platformReached,
 		}
 		f.Run(watching)
 		cancel()
 	}
 }
 
+func (d *Daemon) platformFailed(err error) {
+	d.log.Warn("platform", "error", err.Error())
+	d.reach.set(false)
+	d.life.fireIfPossible(chart.EventCut)
+}
+
+func (d *Daemon) platformReached(fescuelatch.Generation) {
+	d.reach.set(true)
+	d.becomeLearned()
+	d.life.fireIfPossible(chart.EventRejoin)
+}
+
 func (d *Daemon) resignWhenSuperseded(ctx context.Context, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
 		pause(ctx, followInterval)
@@ -116,9 +133,10 @@
 		d.deliver(now, d.core.Handle(now, decision.Configured{View: v}))
 		d.refreshOwned(now)
 		d.mu.Unlock()
+		d.bindings.Forget(v.Withdrawn)
 		d.metrics.generation.Update(float64(g))
 		d.log.Info("configuration in force", "generation", g, "digest", d.holder.Digest())
-		go d.announce()
+		go d.announce(ctx)
 	}
 }
 
@@ -167,6 +185,17 @@
 	return u, json.Unmarshal(reply.Update, &u)
 }
 
+// catchUp reads what the platform has, after a sign that this daemon may lack
+// it, and reports whether that was possible.
+func (d *Daemon) catchUp(ctx context.Context) bool {
+	f := &configstore.Follower{Store: d.store, Holder: d.holder}
+	err := f.CatchUp(ctx)
+	if err != nil {
+		d.log.Warn("platform", "error", err.Error())
+	}
+	return err == nil
+}
+
 // learn brings a daemon that holds nothing up to what the platform or its
 // failure domain has in force. It is not ready before.
 func (d *Daemon) learn(ctx context.Context) {
@@ -186,6 +215,7 @@
 // becomeLearned lets the configuration held come into force.
 func (d *Daemon) becomeLearned() {
 	if d.learned.CompareAndSwap(false, true) {
+		d.life.fireIfPossible(chart.EventLearned)
 		close(d.learnedSignal)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,10 +22,12 @@
 	"fescuelatch"
 	"fescuelatch/billing"
 	"fescuelatch/caller"
+	"fescuelatch/chart"
 	"fescuelatch/claim"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/engine"
+	"fescuelatch/fleetkey"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
 	"fescuelatch/platform"
@@ -42,19 +44,23 @@
 	Incarnation fescuelatch.Incarnation
 	// Seeds are peer addresses to learn a configuration from when the
 	// platform is away.
-	Seeds    []netip.AddrPort
-	FleetKey peer.FleetKey
-	Sessions token.Ring
-	Dialer   *peer.Dialer
-	KV       fescuelatch.KV
-	VMs      fescuelatch.VMList
-	Rater    fescuelatch.Rater
-	Core     decision.Options
-	Log      *slog.Logger
-	Metrics  tally.Scope
-	Scrape   http.Handler
+	Seeds     []netip.AddrPort
+	FleetKeys fleetkey.Keys
+	Sessions  token.Ring
+	Dialer    *peer.Dialer
+	KV        fescuelatch.KV
+	VMs       fescuelatch.VMList
+	Rater     fescuelatch.Rater
+	Core      decision.Options
+	Log       *slog.Logger
+	Metrics   tally.Scope
+	Scrape    http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// Relay hands transactions to one daemon of the failure domain, which
+	// groups them. It suits failure domains of many daemons: while that
+	// daemon is silent and not yet known to be, claims are refused.
+	Relay bool
 	// FlushInterval is that of bills to the platform; zero means the
 	// default.
 	FlushInterval time.Duration
@@ -74,20 +80,26 @@
 	peers       *peer.Client
 	engines     *engine.Client
 	services    *engine.Client
-	metrics     *metrics
+	// reporters reads load reports, over connections of their own.
+	reporters *engine.Client
+	metrics   *metrics
 
 	batcher  *platform.Batcher
 	claims   *claim.Claimer
 	ledger   *billing.Ledger
 	keeper   *billing.Keeper
+	codec    billing.Codec
+	told     vmSet
 	bindings *session.Store
 	breaker  breaker
 
+	life    *life
 	leaving atomic.Bool
 	learned atomic.Bool
 	// learnedSignal is closed when learned is set.
 	learnedSignal chan struct{}
 	reach         reachability
+	fresh         freshness
 
 	// mu guards the fields below it, which make up the decisions.
 	mu       sync.Mutex
@@ -99,6 +111,10 @@
 	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
 	servings map[fescuelatch.RequestID]*serving
 	hellos   map[fescuelatch.VMID]heard
+	// evidenceTold and evidenceKnown are the exchanges of evidence to and by
+	// other daemons.
+	evidenceTold  map[fescuelatch.VMID]exchange
+	evidenceKnown map[fescuelatch.VMID]exchange
 
 	// work counts requests that are being served.
 	work tracker
@@ -109,6 +125,8 @@
 	hello peer.Hello
 	at    time.Time
 	first time.Time
+	// lost reports that nothing is forwarded to it until it is heard again.
+	lost bool
 }
 
 // New returns a daemon that has not been started.
@@ -125,8 +143,9 @@
 		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
 		holder:      new(configstore.Holder),
 		store:       &configstore.Store{KV: o.KV},
-		peers:       &peer.Client{Key: o.FleetKey, Dialer: o.Dialer},
+		peers:       &peer.Client{Keys: o.FleetKeys, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
 		metrics:     newMetrics(o.Metrics),
+		life:        newLife(o.Log),
 		core:        decision.New(o.Core),
 		table:       t,
 		vmsOut:      make(map[string]bool),
@@ -135,25 +154,34 @@
 		reports:       make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
 		servings:      make(map[fescuelatch.RequestID]*serving),
 		hellos:        make(map[fescuelatch.VMID]heard),
+		evidenceTold:  make(map[fescuelatch.VMID]exchange),
+		evidenceKnown: make(map[fescuelatch.VMID]exchange),
 	}
 	d.keep(o)
-	d.engines = &engine.Client{HTTP: d.httpClient(false), Now: time.Now}
-	d.services = &engine.Client{HTTP: d.httpClient(true), Now: time.Now}
+	data := o.Dialer.Counting(DataTraffic(o.Metrics))
+	d.engines = &engine.Client{HTTP: httpClient(data, false), Now: time.Now}
+	d.services = &engine.Client{HTTP: httpClient(data, true), Now: time.Now}
+	reports := o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficReport))
+	d.reporters = &engine.Client{HTTP: httpClient(reports, false), Now: time.Now}
 	return d, nil
 }
 
 // keep sets up what is kept at the platform.
 func (d *Daemon) keep(o Options) {
-	d.batcher = &platform.Batcher{KV: o.KV}
-	d.claims = &claim.Claimer{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
-	d.bindings = &session.Store{Submitter: d.batcher, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.batcher = &platform.Batcher{KV: o.KV, Interval: batchInterval}
+	relay := &platform.Relay{Local: d.batcher, Remote: d.remote}
+	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
 	d.ledger = &billing.Ledger{
-		Origin: d.incarnation, Submitter: d.batcher, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
+		Origin: d.incarnation, Submitter: relay, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
 		Spread: func() float64 { return minSpread + rand.Float64() },
 	}
-	d.keeper = &billing.Keeper{Submitter: d.batcher, Now: time.Now, Copier: (*copier)(d), HoldTime: o.HoldTime}
+	d.keeper = &billing.Keeper{Submitter: relay, Now: time.Now, Copier: (*copier)(d), HoldTime: o.HoldTime}
 }
 
+// batchInterval is that of grouped calls to the platform.
+const batchInterval = 20 * time.Millisecond
+
 // minSpread is the least factor of a flush interval; the greatest is 1 more.
 const minSpread = 0.5
 
@@ -163,10 +191,10 @@
 // are forwarded to. With fresh set, each request has a connection of its
 // own, so that a connection that has silently broken cannot make the outcome
 // of a request unknown.
-func (d *Daemon) httpClient(fresh bool) *http.Client {
+func httpClient(d *peer.Dialer, fresh bool) *http.Client {
 	t := &http.Transport{
-		DialContext:         d.options.Dialer.DialContext,
-		TLSClientConfig:     d.options.Dialer.TLS,
+		DialContext:         d.DialContext,
+		TLSClientConfig:     d.TLS,
 		MaxIdleConnsPerHost: idlePerHost,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
@@ -190,6 +218,9 @@
 		d.refreshOwned(now)
 	}
 	d.deliver(now, d.core.Handle(now, e))
+	for _, err := range d.core.Faults() {
+		d.log.Error("fault of the decision core", "error", err.Error())
+	}
 }
 
 func (d *Daemon) deliver(now time.Time, actions []decision.Action) {
@@ -246,6 +277,7 @@
 		_ = g.Wait()
 		return err
 	}
+	d.life.fire(chart.EventStarted)
 	d.loops(running, g)
 	g.Go(func() error {
 		select {
@@ -265,19 +297,21 @@
 // serves, at most for StopTimeout.
 func (d *Daemon) stop() {
 	d.log.Info("stopping", "open", d.open())
+	d.life.fire(chart.EventDrain)
 	d.leaving.Store(true)
 	d.mu.Lock()
 	d.table.Leave(time.Now())
 	d.decideLocked(decision.Stopping{})
 	d.refreshOwned(time.Now())
 	d.mu.Unlock()
-	d.announce()
+	d.announce(context.Background())
 	select {
 	case <-d.work.done():
 	case <-time.After(d.options.StopTimeout):
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
 	d.handOn()
+	d.life.fire(chart.EventDrained)
 	d.log.Info("stopped")
 }
 
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -29,7 +29,7 @@
 	gossipInterval = 250 * time.Millisecond
 	// reportInterval is that of load reports of an owned endpoint.
 	reportInterval = 500 * time.Millisecond
-	reportTimeout  = 2 * time.Second
+	reportTimeout  = time.Second
 	listInterval   = 2 * time.Second
 	listTimeout    = 2 * time.Second
 	// lostAfter is the age of the last word from a daemon at which nothing
@@ -53,12 +53,12 @@
 			}
 		})
 	}
-	every(tickInterval, func(context.Context) { d.decide(decision.Tick{}) })
+	every(tickInterval, func(context.Context) { d.touch(); d.decide(decision.Tick{}) })
 	every(heartbeatInterval, d.heartbeatDomain)
 	every(gossipInterval, d.gossip)
 	every(reportInterval, d.readReports)
 	every(listInterval, d.readList)
-	every(lostAfter/4, func(context.Context) { d.forgetLost() })
+	every(lostAfter/4, d.forgetLost)
 	g.Go(func() error { d.follow(ctx); return nil })
 	g.Go(func() error { d.bringIntoForce(ctx); return nil })
 	g.Go(func() error { d.learn(ctx); return nil })
@@ -74,7 +74,7 @@
 	d.mu.Unlock()
 	return peer.Hello{
 		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation,
-		Generation: d.holder.Generation(), Digest: d.holder.Digest(), Leaving: d.leaving.Load(),
+		Generation: d.holder.Generation(), Leaving: d.leaving.Load(),
 		Spares: spares, Evidence: evidence,
 	}
 }
@@ -124,6 +124,11 @@
 	defer cancel()
 	h := &peer.Heartbeat{Hello: d.hello()}
 	sent := time.Now()
+	told, known := d.untold(sent, to.ID, h.Generation)
+	h.Evidence = changedSince(h.Evidence, told)
+	if !known.Through.IsZero() {
+		h.Known = known
+	}
 	if to.Domain == d.options.Domain {
 		d.mu.Lock()
 		o := d.table.Heartbeat(sent)
@@ -140,6 +145,27 @@
 		d.acknowledged(sent, *reply.Ownership)
 	}
 	d.heard(ctx, reply.Hello)
+	if reply.Generation == h.Generation {
+		d.exchanged(sent, h, reply, told)
+	}
+}
+
+// untold returns from when on changes of evidence are still to be told to a
+// daemon, and what is known of that daemon's.
+func (d *Daemon) untold(now time.Time, to fescuelatch.VMID, g fescuelatch.Generation) (time.Time, peer.Known) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := d.hellos[to].hello.Incarnation
+	return d.evidenceTold[to].since(now, i, g), peer.Known{Incarnation: i, Through: d.evidenceKnown[to].since(now, i, g)}
+}
+
+// exchanged records the evidence that a heartbeat and its reply told.
+func (d *Daemon) exchanged(sent time.Time, h *peer.Heartbeat, reply *peer.HeartbeatReply, told time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	to := reply.VM
+	d.evidenceTold[to] = d.evidenceTold[to].next(sent, told, reply.Incarnation, h.Generation, h.Evidence)
+	d.evidenceKnown[to] = d.evidenceKnown[to].next(sent, h.Known.Through, reply.Incarnation, h.Generation, reply.Evidence)
 }
 
 func (d *Daemon) acknowledged(sent time.Time, a ownership.Ack) {
@@ -164,8 +190,8 @@
 	switch {
 	case ok && was.hello.Incarnation == h.Incarnation:
 		since = was.first
-	case ok:
-		d.ledger.Lost(was.hello.Incarnation)
+	case ok && !was.lost:
+		go d.replaced(context.WithoutCancel(ctx), was.hello.Incarnation)
 	}
 	d.hellos[h.VM] = heard{hello: h, at: now, first: since}
 	if h.Leaving {
@@ -181,21 +207,24 @@
 
 // forgetLost stops forwarding to daemons that have not been heard of, and has
 // the bills of which they hold copies copied to others.
-func (d *Daemon) forgetLost() {
+func (d *Daemon) forgetLost(ctx context.Context) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	for vm, h := range d.hellos {
-		if now.Sub(h.at) > lostAfter {
-			d.decideLocked(decision.Lost{VM: vm})
-			d.ledger.Lost(h.hello.Incarnation)
+		if h.lost || now.Sub(h.at) <= lostAfter {
+			continue
 		}
+		h.lost = true
+		d.hellos[vm] = h
+		d.decideLocked(decision.Lost{VM: vm})
+		go d.replaced(ctx, h.hello.Incarnation)
 	}
 }
 
 // announce tells all daemons of the own failure domain at once.
-func (d *Daemon) announce() {
-	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+func (d *Daemon) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	g := new(errgroup.Group)
 	for _, m := range d.members() {
@@ -210,17 +239,16 @@
 	owned := d.table.Owned(time.Now())
 	d.mu.Unlock()
 	d.metrics.owned.Update(float64(len(owned)))
-	g := new(errgroup.Group)
 	for _, o := range owned {
-		g.Go(func() error { d.readReport(ctx, o.Endpoint); return nil })
+		// An endpoint that answers late holds up no other.
+		go d.readReport(ctx, o.Endpoint)
 	}
-	_ = g.Wait()
 }
 
 func (d *Daemon) readReport(ctx context.Context, e fescuelatch.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	r, err := d.engines.Load(ctx, engine.Target{URL: "http://" + e.Address.String()})
+	r, err := d.reporters.Load(ctx, engine.Target{URL: "http://" + e.Address.String()})
 	if err != nil {
 		return
 	}
@@ -235,27 +263,25 @@
 func (d *Daemon) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	asked := time.Now()
 	vms, err := d.options.VMs.VMs(ctx)
 	if err != nil || len(vms) == 0 {
 		return
 	}
 	listed := make(map[string]bool, len(vms))
 	leaving := make(map[string]bool)
+	ids := make([]fescuelatch.VMID, 0, len(vms))
 	for _, m := range vms {
+		ids = append(ids, fescuelatch.VMID(m.ID))
 		listed[m.ID] = true
 		if m.State == fescuelatch.ListedLeaving {
 			leaving[m.ID] = true
 		}
 	}
-	members := d.members()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, m := range members {
-		if !listed[string(m.ID)] {
-			d.table.Gone(now, m.ID)
-		}
-	}
+	d.table.Listed(now, asked, ids)
 	d.listed = listed
 	d.vmsOut = leaving
 	d.refreshOwned(now)
--- a/failure/bills_test.go
+++ b/failure/bills_test.go
@@ -66,7 +66,7 @@
 // away, so that the bills are nowhere but in copies.
 func killAfterAnswers(ctx context.Context, c *qt.C, f *fleet.Fleet, u *callers) {
 	c.Helper()
-	o := outage("refuse")
+	o := outageFault("refuse")
 	c.Assert(o.begin(ctx, f), qt.IsNil)
 	for n := range 5 {
 		r := u.send(call{vm: "b-1", nonce: fmt.Sprintf("last-%d", n)})
@@ -81,7 +81,7 @@
 // daemon itself. The platform is away.
 func killHolderThenOrigin(ctx context.Context, c *qt.C, f *fleet.Fleet, u *callers) {
 	c.Helper()
-	o := outage("refuse")
+	o := outageFault("refuse")
 	c.Assert(o.begin(ctx, f), qt.IsNil)
 	for n := range 5 {
 		r := u.send(call{vm: "a-1", nonce: fmt.Sprintf("twice-%d", n)})
@@ -100,7 +100,7 @@
 // platform is away.
 func stopAfterHolders(ctx context.Context, c *qt.C, f *fleet.Fleet, u *callers) {
 	c.Helper()
-	o := outage("refuse")
+	o := outageFault("refuse")
 	c.Assert(o.begin(ctx, f), qt.IsNil)
 	for n := range 5 {
 		r := u.send(call{vm: "a-2", nonce: fmt.Sprintf("stopped-%d", n)})
@@ -129,7 +129,7 @@
 func billFaults(ctx context.Context, c *qt.C, f *fleet.Fleet, u *callers) {
 	c.Helper()
 	for n, o := range []onceFault{
-		{"desks break", deskFaults(false), deskFaults(true)}, lostAnswers("cut"), outage("unavailable"), lostAnswers("timed-out"),
+		{"desks break", deskFaults(false), deskFaults(true)}, lostAnswers("cut"), outageFault("unavailable"), lostAnswers("timed-out"),
 	} {
 		c.Assert(o.begin(ctx, f), qt.IsNil)
 		sendMix(u, fmt.Sprintf("a-%d", n), "a-1", "b-2", 8)
@@ -141,7 +141,7 @@
 // checkBills waits until all answered requests have been billed, and then
 // asks for exactly one bill of each, none of those that were not run, and at
 // most one of the others. The repeats of a key count as one request.
-func checkBills(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*reply) {
+func checkBills(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*callReply) {
 	c.Helper()
 	began := time.Now()
 	var bills map[string]int
@@ -194,7 +194,7 @@
 }
 
 // billed is what a bill of r stands for: its key, or else the request.
-func billed(r *reply) string {
+func billed(r *callReply) string {
 	if r.key != "" {
 		return r.key
 	}
@@ -217,7 +217,7 @@
 	return m
 }
 
-func unbilled(rs []*reply, bills map[string]int) int {
+func unbilled(rs []*callReply, bills map[string]int) int {
 	n := 0
 	for _, r := range rs {
 		if r.outcome == fescuelatch.OutcomeAnswered && bills[billed(r)] == 0 {
--- a/failure/once_test.go
+++ b/failure/once_test.go
@@ -55,7 +55,7 @@
 		faults{"lost-answer": faults{"probability": 0}})
 }
 
-func outage(mode string) onceFault {
+func outageFault(mode string) onceFault {
 	return platformFault("platform: "+mode, faults{"outage": mode}, faults{"outage": ""})
 }
 
@@ -103,13 +103,13 @@
 	kill("b-2"),
 	lostAnswers("cut"),
 	{"cut a from b", func(ctx context.Context, f *fleet.Fleet) error { return f.Cut(ctx, "a", "b") }, heal},
-	outage("refuse"),
+	outageFault("refuse"),
 	pause("b-1"),
 	lostAnswers("timed-out"),
 	{"desks break", deskFaults(false), deskFaults(true)},
 	{"cut a from the platform", func(ctx context.Context, f *fleet.Fleet) error { return f.CutPlatform(ctx, "a") }, heal},
 	platformFault("slow platform", faults{"slowness": 400 * time.Millisecond}, faults{"slowness": 0}),
-	outage("hang"),
+	outageFault("hang"),
 }
 
 // Bounds of refusals while the platform is away. A daemon finds that out by
@@ -134,7 +134,7 @@
 	warmUp(ctx, c, f)
 	for _, mode := range []string{"refuse", "unavailable", "hang"} {
 		c.Run(mode, func(c *qt.C) {
-			o := outage(mode)
+			o := outageFault(mode)
 			c.Assert(o.begin(ctx, f), qt.IsNil)
 			checkRefusals(ctx, c, f, mode)
 			c.Assert(o.end(ctx, f), qt.IsNil)
@@ -262,7 +262,7 @@
 // request; when all repeats of a key were not run, the key has no execution
 // at all. A reply of "answered" is true when the key has one execution and
 // the answer is its own.
-func checkOnce(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*reply) {
+func checkOnce(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*callReply) {
 	c.Helper()
 	done := executions(ctx, c, f)
 	delete(done, warmUpNonce)
@@ -307,11 +307,11 @@
 // a request that was caught by one waits for its timeout of 2 s.
 const besideWindow = 7500 * time.Millisecond
 
-func checkBeside(c *qt.C, rs []*reply, began, ended time.Time) {
+func checkBeside(c *qt.C, rs []*callReply, began, ended time.Time) {
 	c.Helper()
 	last := map[string]time.Time{"a": began, "b": began}
 	longest := make(map[string]time.Duration)
-	answered := make([]*reply, 0, len(rs))
+	answered := make([]*callReply, 0, len(rs))
 	for _, r := range rs {
 		if r.outcome == fescuelatch.OutcomeAnswered {
 			c.Check(r.whole, qt.IsTrue, qt.Commentf("%s", r))
@@ -336,7 +336,7 @@
 
 // checkLateRepeats repeats every key after the faults. What ran must not run
 // again, and a repeat must not say that it did not run for good.
-func checkLateRepeats(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*reply) {
+func checkLateRepeats(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*callReply) {
 	c.Helper()
 	for _, m := range onceVMs {
 		c.Assert(f.WaitReady(ctx, m), qt.IsNil)
--- a/failure/stop_test.go
+++ b/failure/stop_test.go
@@ -97,7 +97,7 @@
 func checkBilledBy(ctx context.Context, c *qt.C, f *fleet.Fleet, u *callers, m fescuelatch.VMID) {
 	c.Helper()
 	u.mu.Lock()
-	var rs []*reply
+	var rs []*callReply
 	for _, r := range u.replies {
 		if r.vm == m {
 			rs = append(rs, r)
@@ -114,7 +114,7 @@
 // checkNothingLost checks that every call was answered as a whole or refused
 // as not run, unless nothing listened, and that the daemons that stop took
 // no new work after the grace.
-func checkNothingLost(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*reply, began map[fescuelatch.VMID]time.Time) {
+func checkNothingLost(ctx context.Context, c *qt.C, f *fleet.Fleet, rs []*callReply, began map[fescuelatch.VMID]time.Time) {
 	c.Helper()
 	done := executions(ctx, c, f)
 	refused := 0
--- a/gate/place.go
+++ b/gate/place.go
@@ -46,16 +46,18 @@
 	share, target float64
 	changed       time.Time
 	resumed       time.Time // after a pause of this process
-	slots         int       // that the endpoint reports, or zero
-	next          time.Time
+	// broken is when an attempt last broke, while nothing has shown that the
+	// endpoint has not been restarted.
+	broken time.Time
+	slots  int // that the endpoint reports, or zero
+	next   time.Time
 }
 
 // own takes in that the daemon owns o.
 func (p *place) own(now time.Time, o fescuelatch.OwnedEndpoint) {
 	if !p.held {
 		p.held, p.counted = true, false
-		p.warmth.chill(now, false)
-		p.warmth.since = now
+		p.warmth.begin(now)
 		p.limit.value = float64(o.Pool.Slots)
 		p.share = o.Share
 	}
@@ -94,7 +96,7 @@
 // suspect looks for attempts that are slow to give their first token.
 func (p *place) suspect(now time.Time) {
 	for _, a := range p.running {
-		if !a.first && !a.struck && p.warmth.slow(now.Sub(a.started)) {
+		if !a.first && !a.struck && p.warmth.slow(now.Sub(a.started), a.request.Streamed) {
 			a.struck = true
 			p.warmth.strike(now)
 		}
@@ -104,7 +106,7 @@
 // open reports whether new work may be sent at all. A new owner waits for a
 // report that shows what a former owner sent.
 func (p *place) open(now time.Time) bool {
-	if !p.held || p.owned.Out || p.warmth.leaving || now.Before(p.owned.After) {
+	if !p.held || p.owned.Out || p.warmth.leaving() || now.Before(p.owned.After) {
 		return false
 	}
 	return p.informed(now, p.owned.After)
@@ -115,10 +117,29 @@
 	if !p.open(now) {
 		return 0
 	}
-	if !p.warmth.warm {
-		return int(math.Floor(p.share * float64(p.owned.Pool.ColdSlots)))
+	cold := int(math.Floor(p.share * float64(p.owned.Pool.ColdSlots)))
+	if !p.warmth.warm() {
+		return cold
+	}
+	warm := min(int(p.limit.value), p.ramp(now), p.ceiling())
+	if p.doubted() {
+		return min(warm, cold)
+	}
+	return warm
+}
+
+// doubted reports whether an attempt broke lately, so that the endpoint may
+// have been restarted. That lasts until a report comes that would show it, or
+// an attempt from before shows that it goes on.
+func (p *place) doubted() bool {
+	return !p.broken.IsZero() && p.warmth.reported.Before(p.broken.Add(p.settings.ReportLag))
+}
+
+// goesOn takes in a sign of life of a.
+func (p *place) goesOn(a *attempt) {
+	if a.started.Before(p.broken) {
+		p.broken = time.Time{}
 	}
-	return min(int(p.limit.value), p.ramp(now), p.ceiling())
 }
 
 // ceiling returns the slots of a warm endpoint.
@@ -145,7 +166,7 @@
 
 // ramping reports whether starts are spaced out.
 func (p *place) ramping(now time.Time) bool {
-	return !p.warmth.warm || now.Sub(p.warmth.since) < p.settings.RampFor
+	return !p.warmth.warm() || now.Sub(p.warmth.since) < p.settings.RampFor
 }
 
 // free returns the number of attempts that may start now.
@@ -213,18 +234,21 @@
 		p.next = later(p.next, now.Add(max(r.RetryAfter, jittered(a.id))))
 	case r.Status == fescuelatch.AttemptAnswered:
 		p.limit.increase(p.owned.Pool.Slots)
+		p.goesOn(a)
 	case r.Status == fescuelatch.AttemptNotStarted, r.Status == fescuelatch.AttemptBroken:
 		p.limit.decrease(now, p.floor())
-		p.warmth.strike(now)
+		p.warmth.fail(now)
+		p.broken = now
 	}
 }
 
 // first takes in the latency to the first token of a.
 func (p *place) first(now time.Time, a *attempt, d time.Duration) {
 	a.first = true
+	p.goesOn(a)
 	if a.struck {
 		p.limit.decrease(now, p.floor())
-	} else if p.warmth.first(now, d) {
+	} else if p.warmth.first(now, d, a.request.Streamed) {
 		p.limit.decrease(now, p.floor())
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -1,12 +1,14 @@
 package peer
 
 import (
-	"crypto/subtle"
 	"io"
 	"net/http"
 	"net/rpc"
 
 	"github.com/gorilla/mux"
+
+	"fescuelatch/fleetkey"
+	"fescuelatch/platform"
 )
 
 // This file defines the listener's handlers.
@@ -15,7 +17,6 @@
 	rpcPath      = "/rpc"
 	rpcConnected = "HTTP/1.0 200 connected\r\n\r\n"
 	serviceName  = "Peer"
-	bearerPrefix = "Bearer "
 )
 
 // Handler takes the calls of other daemons. Its methods are safe for
@@ -25,33 +26,25 @@
 	Changes(r *ChangesRequest, reply *ChangesReply) error
 	Hold(b *BillBatch, reply *Ack) error
 	Written(w *BillsWritten, reply *Ack) error
-}
-
-// FleetKey proves that a connection comes from a daemon of the fleet.
-type FleetKey string
-
-// Matches reports whether the header proves the key, in constant time.
-func (k FleetKey) Matches(h http.Header) bool {
-	got := h.Get("Authorization")
-	want := bearerPrefix + string(k)
-	return k != "" && subtle.ConstantTimeCompare([]byte(got), []byte(want)) == 1
+	Submit(r *SubmitRequest, reply *platform.SubmitReply) error
 }
 
 // NewHandler returns the peers' front: net/rpc calls go to h, forwarded
-// requests below /v1/forward to forward with that prefix taken off.
-func NewHandler(key FleetKey, h Handler, forward http.Handler) (http.Handler, error) {
+// requests below /v1/forward to forward with that prefix taken off. The bytes
+// of calls are counted with t, those of forwarded requests are not.
+func NewHandler(keys fleetkey.Keys, h Handler, forward http.Handler, t Traffic) (http.Handler, error) {
 	s := rpc.NewServer()
 	if err := s.RegisterName(serviceName, h); err != nil {
 		return nil, &Error{"register", KindInvalid, err}
 	}
 	m := mux.NewRouter()
 	m.Methods(http.MethodConnect).Path(rpcPath).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		serveConn(s, w)
+		serveConn(s, w, t)
 	})
 	m.PathPrefix(ForwardPath).Handler(http.StripPrefix(ForwardPath, forward))
 	m.Use(func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !key.Matches(r.Header) {
+			if err := keys.Check(r.Header); err != nil {
 				http.Error(w, "fleet key required", http.StatusUnauthorized)
 				return
 			}
@@ -62,7 +55,7 @@
 }
 
 // serveConn runs the calls of one connection until it breaks.
-func serveConn(s *rpc.Server, w http.ResponseWriter) {
+func serveConn(s *rpc.Server, w http.ResponseWriter, t Traffic) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -72,5 +65,5 @@
 		_ = conn.Close()
 		return
 	}
-	s.ServeConn(conn)
+	s.ServeConn(t.Count(conn))
 }
--- a/quality/model.go
+++ b/quality/model.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 )
 
 // This file defines Model.
@@ -66,7 +67,7 @@
 	}
 	for id, r := range m.records {
 		if records[id] == nil {
-			r.verdict.fire(eventRemove)
+			r.verdict.fire(chart.EventRemove)
 		}
 	}
 	slices.Sort(m.order)
@@ -85,12 +86,13 @@
 	r.step(now, &m.settings, &m.alarms)
 }
 
-// ObserveAttempt implements fescuelatch.QualityModel. A failure that follows
+// ObserveAttempt implements fescuelatch.QualityModel. An attempt without an
+// endpoint was made by another daemon, which observes it itself. A failure that follows
 // one of the same endpoint or of another version within a few seconds is
 // ignored, because the endpoint or the failure domain explains it.
 func (m *Model) ObserveAttempt(now time.Time, a fescuelatch.AttemptResult) {
 	r := m.records[a.Version]
-	if r == nil {
+	if r == nil || a.Endpoint == "" {
 		return
 	}
 	switch a.Status {
@@ -142,7 +144,7 @@
 	for _, v := range m.order {
 		r := m.records[v]
 		r.step(now, &m.settings, &m.alarms)
-		if r.verdict.machine.State() == stateQuarantined {
+		if r.verdict.machine.State() == chart.ModelVersionQuarantined {
 			age(&r.own, now, m.settings.HalfLife)
 		}
 		list = append(list, r.own)
--- a/token/ring.go
+++ b/token/ring.go
@@ -8,9 +8,9 @@
 	"regexp"
 	"strings"
 
-	"github.com/pkg/errors"
-
 	"fescuelatch/internal/secret"
+
+	"github.com/pkg/errors"
 )
 
 // This file defines Ring, the keys that sign and verify tokens, and how it is
