--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -110,6 +110,7 @@
 			Gate:      find(gates, s.Gate)(incarnation),
 		},
 		Relay: s.Relay, DrainDelay: s.DrainDelay, Log: log, Metrics: scope, StopTimeout: s.StopTimeout,
+		HoldTime: s.BillHoldTime,
 	}, nil
 }
 
--- a/cmd/fescuelatchd/settings.go
+++ b/cmd/fescuelatchd/settings.go
@@ -50,6 +50,7 @@
 	Relay         bool          `arg:"--platform-relay,env:FESCUELATCH_PLATFORM_RELAY" help:"hand platform writes to one daemon of the failure domain, for failure domains of many VMs"`
 	DrainDelay    time.Duration `arg:"--drain-delay,env:FESCUELATCH_DRAIN_DELAY" default:"1s" help:"how long a stopping daemon refuses requests before it closes; above the balancer's interval of checks"`
 	StopTimeout   time.Duration `arg:"--stop-timeout,env:FESCUELATCH_STOP_TIMEOUT" default:"30s" help:"longest time of a graceful stop"`
+	BillHoldTime  time.Duration `arg:"--bill-hold-time,env:FESCUELATCH_BILL_HOLD_TIME" default:"25s" help:"age at which copies of another VM's bills are written"`
 	LogLevel      string        `arg:"--log-level,env:FESCUELATCH_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 
 	sessions token.Ring
@@ -133,6 +134,7 @@
 	require(s.SampleShare >= 0 && s.SampleShare <= 1, "--sample-share is not within 0 to 1")
 	require(s.DrainDelay >= 0, "--drain-delay is negative")
 	require(s.StopTimeout > 0, "--stop-timeout is not positive")
+	require(s.BillHoldTime > 0, "--bill-hold-time is not positive")
 	require(s.level.UnmarshalText([]byte(s.LogLevel)) == nil, "--log-level is unknown")
 	require(!s.tls().Enabled() || (s.TLSCertificate != "" && s.TLSKey != "" && s.TLSAuthority != ""),
 		"--tls-certificate, --tls-key and --tls-authority go together")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,6 +68,9 @@
 	// FlushInterval is that of bills to the platform; zero means the
 	// default.
 	FlushInterval time.Duration
+	// HoldTime is the age at which copies of bills are written; zero means
+	// the default.
+	HoldTime time.Duration
 }
 
 // Daemon is the daemon of one entry VM.
@@ -177,7 +180,7 @@
 		Origin: d.incarnation, Submitter: relay, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
 		Spread: func() float64 { return minSpread + rand.Float64() },
 	}
-	d.keeper = &billing.Keeper{Submitter: relay, Now: time.Now, Copier: (*copier)(d)}
+	d.keeper = &billing.Keeper{Submitter: relay, Now: time.Now, Copier: (*copier)(d), HoldTime: o.HoldTime}
 }
 
 // batchInterval is that of grouped calls to the platform.
