A daemon without a configuration asks all addresses of its settings

Cause: addresses of the settings have no VM identifier, and the search asks each VM once, so that only the first address was asked. With the platform away and that daemon dead or paused, a replaced daemon was never ready. Ruled out: the count of answers, which comes later and goes by the VMs of the configuration learned.

--- a/configstore/holder_test.go
+++ b/configstore/holder_test.go
@@ -281,3 +281,30 @@
 	c.Check(basis, qt.Equals, configstore.BasisPlatform)
 	c.Check(h.Generation(), qt.Equals, fescuelatch.Generation(1))
 }
+
+// TestStartAsksAllSettings has the settings name two daemons whose VMs are
+// not known, the first of which does not answer.
+func TestStartAsksAllSettings(t *testing.T) {
+	c := qt.New(t)
+	kv := new(memory.KV)
+	kv.SetDown(true)
+	var holds configstore.Holder
+	_, err := holds.Offer(inDomain(c, 1, 1))
+	c.Assert(err, qt.IsNil)
+	seeds := []configstore.Peer{
+		{Since: func(context.Context, fescuelatch.Generation) (configstore.Update, error) {
+			return configstore.Update{}, errors.New("no answer")
+		}},
+		{Since: func(_ context.Context, g fescuelatch.Generation) (configstore.Update, error) { return holds.Since(g), nil }},
+	}
+	h := new(configstore.Holder)
+	s := configstore.Starter{
+		Store: newStore(kv), Holder: h, VM: "vm-0", Domain: "kgl-a",
+		Peers: func(*fescuelatch.Configuration) []configstore.Peer { return seeds },
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err = s.Run(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Check(h.Generation(), qt.Equals, fescuelatch.Generation(1))
+}
--- a/configstore/start.go
+++ b/configstore/start.go
@@ -39,6 +39,7 @@
 
 // Peer is another daemon that can be asked for its configuration.
 type Peer struct {
+	// VM is empty for an address of the settings whose VM is not known.
 	VM fescuelatch.VMID
 	// Since returns what leads from a generation to the one in force there.
 	// An Update of generation zero says that the daemon holds none.
@@ -165,10 +166,10 @@
 	var newest *fescuelatch.Configuration
 	asked := make(map[fescuelatch.VMID]bool)
 	answered := make(map[fescuelatch.VMID]bool)
-	for {
+	for first := true; ; first = false {
 		var peers []Peer
 		for _, p := range s.Peers(newest) {
-			if !asked[p.VM] && p.VM != s.VM {
+			if p.VM == "" && first || p.VM != "" && !asked[p.VM] && p.VM != s.VM {
 				asked[p.VM] = true
 				peers = append(peers, p)
 			}
