--- a/configstore/holder_test.go
+++ b/configstore/holder_test.go
@@ -295,7 +295,9 @@
 		{Since: func(context.Context, fescuelatch.Generation) (configstore.Update, error) {
 			return configstore.Update{}, errors.New("no answer")
 		}},
-		{Since: func(_ context.Context, g fescuelatch.Generation) (configstore.Update, error) { return holds.Since(g), nil }},
+		{Since: func(_ context.Context, g fescuelatch.Generation) (configstore.Update, error) {
+			return holds.Since(g), nil
+		}},
 	}
 	h := new(configstore.Holder)
 	s := configstore.Starter{
