A daemon cancels an attempt at the engine before it gives its slot up

Cause: a stream runs on at its engine without its reader. When a caller's deadline passed, the daemon freed the slot at once and started waiting work, so that an engine in a cold start got one more than it bears. Ruled out: the gate's count (it had two running until then), reports, and suspicion (the endpoint counted as cold).

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -134,6 +134,7 @@
 	chunk := func(c *openai.Chunk) error { return k.chunk(c) }
 	chat, err := s.daemon.engines.Chat(ctx, t, r.Attempt, &q, first, chunk)
 	if err != nil {
+		s.abandon(ctx, t, r, err)
 		if k != nil && !s.reply.Begun() {
 			s.sink = nil
 		}
@@ -149,6 +150,24 @@
 	return nil
 }
 
+// abandonTimeout bounds the cancelling of an attempt whose answer was lost.
+const abandonTimeout = time.Second
+
+// abandon cancels an attempt that may still run at an endpoint, since a
+// stream runs on without its reader. The slot stays taken until then, so
+// that an endpoint never gets more than the gate counts.
+func (s *serving) abandon(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult, err error) {
+	var e *engine.Error
+	if r.Endpoint == "" || !errors.As(err, &e) || (e.Kind != engine.KindBroken && e.Kind != engine.KindCancelled) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonTimeout)
+	defer cancel()
+	if err := s.daemon.engines.Cancel(ctx, t, r.Attempt); err != nil {
+		s.daemon.log.Debug("attempt not cancelled", "attempt", r.Attempt, "endpoint", r.Endpoint, "error", err.Error())
+	}
+}
+
 func (s *serving) service(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult, v *answer) error {
 	q := s.call.Request
 	a, err := s.daemon.services.Call(ctx, t, r.Attempt, q.Service, q.Operation, s.call.Key, s.call.Body)
--- a/failure/answers_test.go
+++ b/failure/answers_test.go
@@ -1,6 +1,7 @@
 package failure
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -189,6 +190,16 @@
 		}, verdictCut},
 		{"owner is killed", func() error { return f.Kill(f.ctx, owner) }, verdictCut},
 	}
+	c.Run("callers give up", func(c *qt.C) {
+		s := f.callAll("given-up", 4, 2*streamTokens, true, untilFault, other, owner)
+		n := s.checkOwn(c)
+		c.Check(n[verdictCut] > 0, qt.IsTrue)
+		// Streams would run on for a second at least; reports lag by 200 ms.
+		time.Sleep(2 * reportLag)
+		for _, e := range f.Configuration.Inventory.Endpoints {
+			c.Check(f.runningAt(e), qt.Equals, 0, qt.Commentf("%s runs what nobody waits for", e.ID))
+		}
+	})
 	for _, test := range tests {
 		c.Run(test.name, func(c *qt.C) {
 			f.awaitSpare(4)
@@ -205,6 +216,20 @@
 	}
 }
 
+// reportLag is the lag of the engines' load reports.
+const reportLag = 200 * time.Millisecond
+
+// runningAt returns the number of attempts that an engine reports to run.
+func (f *traffic) runningAt(e fescuelatch.Endpoint) int {
+	f.t.Helper()
+	resp, err := f.http.Get("http://" + e.Address.String() + "/load")
+	qt.Assert(f.t, err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	var r fescuelatch.LoadReport
+	qt.Assert(f.t, json.NewDecoder(resp.Body).Decode(&r), qt.IsNil)
+	return r.Running
+}
+
 // awaitSpare waits until n calls at once are answered.
 func (f *traffic) awaitSpare(n int) {
 	f.t.Helper()
