Let one request at a time wait to test the platform

Cause: while the breaker was due to test, all requests that came before the test waited for a slot behind it. Ruled out: the claim, since the slow refusals took 0.3 to 0.7 s and came in groups.

--- a/daemon/breaker.go
+++ b/daemon/breaker.go
@@ -14,6 +14,7 @@
 	mu      sync.Mutex
 	open    bool
 	until   time.Time // no claim is tried before, while open
+	next    time.Time // no request is admitted before, while open
 	testing bool
 }
 
@@ -32,11 +33,19 @@
 	return true
 }
 
-// refuses reports whether allow would return false.
-func (b *breaker) refuses(now time.Time) bool {
+// admit reports whether a request that needs a claim may wait for a slot.
+// While open it lets one through in each claimPause, to be the test.
+func (b *breaker) admit(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.open && (b.testing || now.Before(b.until))
+	if !b.open {
+		return true
+	}
+	if b.testing || now.Before(b.until) || now.Before(b.next) {
+		return false
+	}
+	b.next = now.Add(claimPause)
+	return true
 }
 
 // succeeded records that the platform answered.
--- a/daemon/breaker_test.go
+++ b/daemon/breaker_test.go
@@ -16,8 +16,9 @@
 	c.Assert(b.allow(now), qt.IsTrue)
 	b.failed(now)
 	c.Assert(b.allow(now), qt.IsFalse)
-	c.Assert(b.refuses(now), qt.IsTrue)
-	c.Assert(b.refuses(after), qt.IsFalse)
+	c.Assert(b.admit(now), qt.IsFalse)
+	c.Assert(b.admit(after), qt.IsTrue)
+	c.Assert(b.admit(after), qt.IsFalse)
 	// One claim tests the platform; the others do not wait for it.
 	c.Assert(b.allow(after), qt.IsTrue)
 	c.Assert(b.allow(after), qt.IsFalse)
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -77,7 +77,7 @@
 	d.decideLocked(decision.Arrived{
 		Request: c.Request, Share: c.Share, Attempt: c.Attempt,
 		// Without a claim it would wait for a slot only to be refused.
-		Elsewhere: !c.Request.Idempotent && d.breaker.refuses(time.Now()),
+		Elsewhere: !c.Request.Idempotent && !d.breaker.admit(time.Now()),
 	})
 	d.mu.Unlock()
 	s.run(ctx)
