--- a/gate/warmth.go
+++ b/gate/warmth.go
@@ -65,7 +65,7 @@
 		return
 	}
 	w.failed, w.strikes = false, 0
-	if was != w.machine.State() && !(was == chart.EndpointSuspect && e == chart.EventReportCold) {
+	if was != w.machine.State() && (was != chart.EndpointSuspect || e != chart.EventReportCold) {
 		w.since = now
 	}
 }
