--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -42,7 +42,7 @@
 		return
 	}
 	now := time.Now()
-	h, err := peer.ForwardHeader(s.daemon.options.FleetKey, s.call, a.Version, now)
+	h, err := peer.ForwardHeader(s.daemon.options.FleetKeys, s.call, a.Version, now)
 	if err != nil {
 		s.notStarted(r, err)
 		return
@@ -187,14 +187,13 @@
 
 // notStarted tells the core that nothing was sent.
 func (s *serving) notStarted(r fescuelatch.AttemptResult, err error) {
+	r.Unsent = true
 	s.conclude(r, &answer{}, &engine.Error{Op: "start", Kind: engine.KindNotStarted, Err: err})
 }
 
 // sample has an answer rated for learning, in the background.
 func (d *Daemon) sample(v fescuelatch.VersionID, prompt, text string) {
-	d.work.Add(1)
-	go func() {
-		defer d.work.Done()
+	d.work.run(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 		defer cancel()
 		score, err := d.options.Rater.Rate(ctx, v, prompt, text)
@@ -203,7 +202,7 @@
 			return
 		}
 		d.decide(decision.Rated{Version: v, Score: score, Rated: true})
-	}()
+	})
 }
 
 // sampleTimeout bounds a rating that nobody waits for.
--- a/daemon/fronts.go
+++ b/daemon/fronts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -40,7 +41,7 @@
 }
 
 func (d *Daemon) serveFronts(ctx context.Context, g *errgroup.Group, f Fronts) error {
-	peers, err := peer.NewHandler(d.options.FleetKey, (*peerHandler)(d), peer.NewForwardHandler(d, time.Now))
+	peers, err := peer.NewHandler(d.options.FleetKeys, (*peerHandler)(d), peer.NewForwardHandler(d, time.Now), ControlTraffic(d.options.Metrics, TrafficPeer))
 	if err != nil {
 		return err
 	}
@@ -58,7 +59,7 @@
 		{"caller", f.Caller, callers, nil, readTimeout},
 		{"operator", f.Operator, operators, nil, readTimeout},
 	} {
-		listener, err := net.Listen("tcp", l.address.String())
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", l.address.String())
 		if err != nil {
 			return errors.Wrapf(err, "listen for %ss", l.name)
 		}
@@ -68,6 +69,7 @@
 		s := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: l.read,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
 		}
 		d.serveFront(ctx, g, s, listener)
 		d.log.Info("listening", "front", l.name, "address", l.address.String())
--- a/failure/changes_test.go
+++ b/failure/changes_test.go
@@ -1,13 +1,9 @@
-// Package failure has tests that run fleets of real processes and break them.
 package failure
 
 import (
 	"context"
 	"fmt"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -29,20 +25,6 @@
 // that can be reached after this time, and what it takes out gets no new work.
 const changeBound = 6 * time.Second
 
-// changesBin builds the programs once for all tests of this file's kind.
-var changesBin = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "fescuelatch-changes-")
-	if err != nil {
-		return "", err
-	}
-	c := exec.Command("go", "build", "-o", dir+string(filepath.Separator),
-		"fescuelatch/cmd/fescuelatch", "fescuelatch/cmd/fescuelatchd", "fescuelatch/cmd/standin")
-	if out, err := c.CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return dir, nil
-})
-
 func changesVM(id fescuelatch.VMID, ip string) fescuelatch.VM {
 	return fescuelatch.VM{
 		ID: id, Domain: fescuelatch.DomainID(id[:1]), Peer: fleettest.Address(ip + ":7100"),
@@ -90,12 +72,10 @@
 
 func startChanges(t *testing.T) *changesRun {
 	t.Helper()
-	bin, err := changesBin()
-	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	t.Cleanup(cancel)
 	dir := t.TempDir()
-	f := fleet.StartTest(t, fleet.Options{Configuration: changesConfiguration(), Bin: bin, Dir: dir})
+	f := fleet.StartTest(t, fleet.Options{Configuration: changesConfiguration(), Bin: fleettest.Bin(), Dir: dir})
 	t.Cleanup(func() { qt.Check(t, f.Crashed(), qt.HasLen, 0) })
 	return &changesRun{Fleet: f, ctx: ctx, dir: dir}
 }
--- a/failure/withdrawal_test.go
+++ b/failure/withdrawal_test.go
@@ -138,7 +138,7 @@
 }
 
 // serving waits until all endpoints get work and the version that is
-// withdrawn gets some, as they do some time after the
+// withdrawn gets some within and outside failure domain "b", as they do some time after the
 // start of a fleet and after a return.
 func (r *changesRun) serving(c *qt.C) {
 	c.Helper()
@@ -153,7 +153,8 @@
 				missing = append(missing, e.ID)
 			}
 		}
-		return len(missing) == 0 && len(between(ws, now.Add(-recent), now, byVersion("triage@1"))) > 0
+		version := len(between(ws, now.Add(-recent/2), now, byVersion("triage@1", "b"))) > 0
+		return len(missing) == 0 && version && len(between(ws, now.Add(-recent/2), now, byVersionIn("triage@1", "b"))) > 0
 	})
 	c.Assert(ok, qt.IsTrue, qt.Commentf("no work at %v", missing))
 	c.Logf("all endpoints had work after %v", time.Since(began))
@@ -260,15 +261,15 @@
 	c.Logf("last new work of the version after %v", stops(c, ws, out.At, until, byVersion("triage@1", "b")))
 	inside := stops(c, ws, healed, until, byVersionIn("triage@1", "b"))
 	c.Logf("last new work of the version in what was cut off %v after healing", inside)
-	checkReturn(c, ws, back, until)
+	checkDomainReturn(c, ws, back, until)
 	r.changeAt(c, restore, "a-2")
 }
 
-// checkReturn checks that work comes back to failure domain "a" gradually:
+// checkDomainReturn checks that work comes back to failure domain "a" gradually:
 // although many long calls wait, an endpoint gets no more in its first half
 // second than half of what it runs at once when it is warm, and still gets
 // work.
-func checkReturn(c *qt.C, ws []work, in, until time.Time) {
+func checkDomainReturn(c *qt.C, ws []work, in, until time.Time) {
 	c.Helper()
 	const step = time.Second / 2
 	for _, e := range []fescuelatch.EndpointID{"a-model", "a-other"} {
--- a/peer/client.go
+++ b/peer/client.go
@@ -4,19 +4,26 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/rpc"
+	"net/url"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"fescuelatch/fleetkey"
+	"fescuelatch/platform"
 )
 
 // This file defines the client side of the calls.
 
+// OpDial is the operation of an Error that says that no connection could be
+// opened: nothing was sent.
+const OpDial = "dial"
+
 const dialTimeout = time.Second
 
 // Dialer opens connections from a VM's own address.
@@ -26,6 +33,15 @@
 	From netip.Addr
 	// TLS makes connections mutual TLS when it is set.
 	TLS *tls.Config
+	// Traffic counts the bytes of all connections.
+	Traffic Traffic
+}
+
+// Counting returns a dialer that counts the bytes of its connections with t.
+func (d *Dialer) Counting(t Traffic) *Dialer {
+	c := *d
+	c.Traffic = t
+	return &c
 }
 
 // DialContext opens a connection.
@@ -34,7 +50,11 @@
 	if d.From.IsValid() {
 		n.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.From, 0))
 	}
-	return n.DialContext(ctx, network, address)
+	conn, err := n.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return d.Traffic.Count(conn), nil
 }
 
 // dialPeer opens a connection to a daemon, with TLS when that is set.
@@ -43,7 +63,11 @@
 	if err != nil || d.TLS == nil {
 		return conn, err
 	}
-	t := tls.Client(conn, d.TLS)
+	config := d.TLS.Clone()
+	if config.ServerName == "" {
+		config.ServerName = to.Addr().String()
+	}
+	t := tls.Client(conn, config)
 	if err := t.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -55,7 +79,7 @@
 // for concurrent use. Connections that break are opened again by the next
 // call.
 type Client struct {
-	Key    FleetKey
+	Keys   fleetkey.Keys
 	Dialer *Dialer
 
 	mu    sync.Mutex
@@ -84,6 +108,11 @@
 	return err
 }
 
+// Submit has a daemon run a transaction at the platform.
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, r *SubmitRequest) (*platform.SubmitReply, error) {
+	return call(ctx, c, to, "Submit", r, new(platform.SubmitReply))
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -99,7 +128,7 @@
 func call[Q, R any](ctx context.Context, c *Client, to netip.AddrPort, method string, q *Q, r *R) (*R, error) {
 	conn, err := c.conn(ctx, to)
 	if err != nil {
-		return nil, &Error{method, KindUnreachable, err}
+		return nil, &Error{OpDial, KindUnreachable, err}
 	}
 	pending := conn.Go(serviceName+"."+method, q, r, make(chan *rpc.Call, 1))
 	select {
@@ -151,7 +180,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
-	if err := connect(conn, c.Key); err != nil {
+	if err := connect(conn, c.Keys); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -160,17 +189,22 @@
 }
 
 // connect switches a fresh connection to net/rpc.
-func connect(conn net.Conn, key FleetKey) error {
-	_, err := io.WriteString(conn, "CONNECT "+rpcPath+" HTTP/1.1\r\nHost: peer\r\nAuthorization: "+bearerPrefix+string(key)+"\r\n\r\n")
-	if err != nil {
+func connect(conn net.Conn, keys fleetkey.Keys) error {
+	req := &http.Request{
+		Method: http.MethodConnect, URL: &url.URL{Path: rpcPath}, Host: "peer", Header: make(http.Header),
+	}
+	keys.Present(req.Header)
+	if err := req.Write(conn); err != nil {
 		return err
 	}
 	// The server says nothing more until it is called, so that no byte of a
 	// reply is lost in the reader's buffer.
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
 	if err != nil {
 		return err
 	}
+	// The answer to a successful CONNECT has no body.
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", resp.StatusCode)
 	}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -12,6 +12,7 @@
 	"fescuelatch"
 	"fescuelatch/caller"
 	"fescuelatch/engine"
+	"fescuelatch/fleetkey"
 	"fescuelatch/openai"
 )
 
@@ -22,6 +23,10 @@
 // ForwardPath is the path prefix of forwarded requests.
 const ForwardPath = "/v1/forward"
 
+// returnMargin is the part of the time left that the owner does not get, so
+// that its refusal is back before the deadline.
+const returnMargin = 50 * time.Millisecond
+
 const (
 	headerForward = "Fescuelatch-Forward"
 	maxBodyBytes  = 4 << 20
@@ -37,16 +42,16 @@
 }
 
 // ForwardHeader returns the headers that carry a request to another daemon.
-func ForwardHeader(key FleetKey, c *caller.Call, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
+func ForwardHeader(keys fleetkey.Keys, c *caller.Call, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
 	q := *c.Request
 	q.Forwarded = true
 	q.Version = v
-	b, err := json.Marshal(forwarded{Request: q, Share: c.Share, ClaimKey: c.ClaimKey, Remaining: q.Deadline.Sub(now)})
+	b, err := json.Marshal(forwarded{Request: q, Share: c.Share, ClaimKey: c.ClaimKey, Remaining: q.Deadline.Sub(now) - returnMargin})
 	if err != nil {
 		return nil, &Error{"encode request", KindInvalid, err}
 	}
 	h := make(http.Header)
-	h.Set("Authorization", bearerPrefix+string(key))
+	keys.Present(h)
 	h.Set(headerForward, string(b))
 	return h, nil
 }
