--- a/failure/configuration_test.go
+++ b/failure/configuration_test.go
@@ -331,14 +331,21 @@
 	r.inForce(c, a.Generation, resumed, changesAll...)
 }
 
+// commandLine builds the operators' command line.
+func commandLine(c *qt.C) string {
+	c.Helper()
+	name := filepath.Join(c.TempDir(), "fescuelatch")
+	out, err := exec.Command("go", "build", "-o", name, "fescuelatch/cmd/fescuelatch").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return name
+}
+
 // command runs the operators' command line and returns its exit code.
-func (r *changesRun) command(c *qt.C, vms []fescuelatch.VMID, args ...string) (int, string) {
+func (r *changesRun) command(c *qt.C, name string, vms []fescuelatch.VMID, args ...string) (int, string) {
 	c.Helper()
-	bin, err := changesBin()
-	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithTimeout(r.ctx, 20*time.Second)
 	defer cancel()
-	k := exec.CommandContext(ctx, filepath.Join(bin, "fescuelatch"), args...)
+	k := exec.CommandContext(ctx, name, args...)
 	var as []string
 	for _, m := range vms {
 		as = append(as, r.vm(m).Operator.String())
@@ -412,12 +419,13 @@
 			return r.PlatformFaults(r.ctx, lostAnswer{chance{Next: 1}, "hang"})
 		}, changesAll, []string{"--timeout", "4s"}, exitUnknown},
 	}
+	program := commandLine(c)
 	for n, test := range tests {
 		weight := float64(60 + n)
 		name := r.inventoryFile(c, weight)
 		c.Assert(test.prepare(weight), qt.IsNil)
 		args := append([]string{"inventory", "apply", name, "--yes"}, test.args...)
-		code, out := r.command(c, test.vms, args...)
+		code, out := r.command(c, program, test.vms, args...)
 		c.Check(code, qt.Equals, test.code, qt.Commentf("%s: %s", test.name, out))
 		c.Assert(r.Heal(r.ctx), qt.IsNil)
 		c.Assert(r.PlatformFaults(r.ctx, struct {
--- a/failure/withdrawal_test.go
+++ b/failure/withdrawal_test.go
@@ -138,7 +138,7 @@
 }
 
 // serving waits until all endpoints get work and the version that is
-// withdrawn gets some, as they do some time after the
+// withdrawn gets some within and outside failure domain "b", as they do some time after the
 // start of a fleet and after a return.
 func (r *changesRun) serving(c *qt.C) {
 	c.Helper()
@@ -153,7 +153,8 @@
 				missing = append(missing, e.ID)
 			}
 		}
-		return len(missing) == 0 && len(between(ws, now.Add(-recent), now, byVersion("triage@1"))) > 0
+		version := len(between(ws, now.Add(-recent/2), now, byVersion("triage@1", "b"))) > 0
+		return len(missing) == 0 && version && len(between(ws, now.Add(-recent/2), now, byVersionIn("triage@1", "b"))) > 0
 	})
 	c.Assert(ok, qt.IsTrue, qt.Commentf("no work at %v", missing))
 	c.Logf("all endpoints had work after %v", time.Since(began))
