Work that waits is refused while it can be; answers of services with status 4xx are passed on

A plain service's 4xx was told to the caller as not run and released the claim, although the service may have executed the request: a repeat could have run it again. It is now the answer (TestServiceAnswersWithErrors).

--- a/engine/client.go
+++ b/engine/client.go
@@ -105,6 +105,11 @@
 		h.Set(HeaderIdempotencyKey, key)
 	}
 	resp, err := c.post(ctx, op, t, "/services/"+string(s)+"/"+string(o), a, body, h)
+	var refused *Error
+	if errors.As(err, &refused) && refused.answer != nil {
+		// The service has looked at the request; what it did is its answer.
+		return refused.answer, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +162,7 @@
 }
 
 // post sends a request and classifies every failure. A response that it
-// returns has status 200 to 299.
+// returns is an answer: its status is 200 to 299, or another daemon says so.
 func (c *Client) post(ctx context.Context, op string, t Target, path string, a fescuelatch.AttemptID,
 	body []byte, h http.Header,
 ) (*http.Response, error) {
@@ -192,7 +197,7 @@
 		}
 		return nil, brokenOr(ctx, op, err)
 	}
-	if resp.StatusCode/100 == 2 {
+	if resp.StatusCode/100 == 2 || fescuelatch.Outcome(resp.Header.Get(HeaderOutcome)) == fescuelatch.OutcomeAnswered {
 		return resp, nil
 	}
 	defer closeBody(resp)
@@ -223,6 +228,9 @@
 	case resp.StatusCode/100 == 4:
 		e.Kind = KindRejected
 	}
+	if resp.StatusCode/100 == 4 && e.Kind != KindOverloaded && outcome == "" {
+		e.answer = &Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: b}
+	}
 	return e
 }
 
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -161,3 +161,43 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(text, qt.Equals, "onetwothree")
 }
+
+// What a plain service says of a request with a status of 400 to 499 is its
+// answer: it may have executed the request before it said so.
+func TestServiceAnswersWithErrors(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		header [2]string
+		want   engine.Kind // empty for an answer
+	}{
+		{"conflict", http.StatusConflict, [2]string{}, ""},
+		{"not found", http.StatusNotFound, [2]string{}, ""},
+		{"too many requests", http.StatusTooManyRequests, [2]string{"Retry-After", "1"}, engine.KindOverloaded},
+		{"conflict through another daemon", http.StatusConflict, [2]string{engine.HeaderOutcome, "answered"}, ""},
+		{"refusal of another daemon", http.StatusBadRequest, [2]string{engine.HeaderOutcome, "not-run"}, engine.KindNotStarted},
+		{"unknown outcome at another daemon", http.StatusConflict, [2]string{engine.HeaderOutcome, "unknown"}, engine.KindBroken},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if test.header[0] != "" {
+					w.Header().Set(test.header[0], test.header[1])
+				}
+				w.WriteHeader(test.status)
+				fmt.Fprint(w, "{}")
+			}))
+			defer s.Close()
+			a, err := client().Call(context.Background(), engine.Target{URL: s.URL}, "a.1", "desk", "ban", "k", nil)
+			if test.want == "" {
+				c.Assert(err, qt.IsNil)
+				c.Check(a.Status, qt.Equals, test.status)
+				return
+			}
+			var e *engine.Error
+			c.Assert(errors.As(err, &e), qt.IsTrue)
+			c.Check(e.Kind, qt.Equals, test.want)
+		})
+	}
+}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -43,6 +43,9 @@
 	Code       string
 	RetryAfter time.Duration
 	Err        error
+
+	// answer is what the endpoint sent with a status of 400 to 499.
+	answer *Answer
 }
 
 // Error implements the error interface.
--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -154,6 +154,9 @@
 	return wait, !late(now.Add(wait+g.expected(t)), w)
 }
 
+// minRun is the least time that an attempt which has waited is started with.
+const minRun = 250 * time.Millisecond
+
 // late reports whether w would end after its deadline at time end.
 func late(end time.Time, w fescuelatch.Work) bool {
 	return !w.Request.Deadline.IsZero() && end.After(w.Request.Deadline)
@@ -321,7 +324,9 @@
 			break
 		}
 		g.queued--
-		if expired(now, w) {
+		// An attempt that ends after its deadline would be lost and its
+		// outcome unknown; as long as it waits it can still be refused.
+		if late(now.Add(max(g.expected(t), minRun)), w) {
 			as = append(as, refuse(w.Attempt, minRetryAfter))
 			continue
 		}
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -394,3 +394,30 @@
 	now = answer(g, now.Add(time.Second), 40, 100*time.Millisecond)
 	c.Assert(g.Spare(now)[0].Slots, qt.Equals, 8)
 }
+
+// Work that has waited until it can no longer end in time is refused, not
+// started, when a slot becomes free.
+func TestTooLateToStart(t *testing.T) {
+	tests := []struct {
+		name string
+		left time.Duration // until the deadline when the slot becomes free
+		want fescuelatch.AdmissionVerdict
+	}{
+		{"time enough", time.Second, fescuelatch.AdmissionStart},
+		{"too little time", 100 * time.Millisecond, fescuelatch.AdmissionRefuse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, now := warmGate(1, 1)
+			c.Assert(g.Offer(now, work("running", "a")).Verdict, qt.Equals, fescuelatch.AdmissionStart)
+			w := work("waiting", "a")
+			end := now.Add(2 * time.Second)
+			w.Request.Deadline = end.Add(test.left)
+			c.Assert(g.Offer(now, w).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+			as := g.End(end, fescuelatch.AttemptResult{Attempt: "running", Endpoint: "engine", Status: fescuelatch.AttemptCancelled})
+			c.Assert(as, qt.HasLen, 1)
+			c.Check(as[0].Verdict, qt.Equals, test.want)
+		})
+	}
+}
