Forwarded attempts end when the daemon that runs them falls silent

Cause: a request forwarded to a daemon that is paused or cut off hung until its deadline, although heartbeats had told for seconds that the daemon was silent. Ruled out: connection loss, which is noticed at once; a pause or cut leaves the connection open. Now losing a daemon cancels what it runs for this one: idempotent requests are tried elsewhere, others are told unknown at once.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -115,6 +115,7 @@
 	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
 	servings map[fescuelatch.RequestID]*serving
 	hellos   map[fescuelatch.VMID]heard
+	forwards forwards
 	// evidenceTold and evidenceKnown are the exchanges of evidence to and by
 	// other daemons.
 	evidenceTold  map[fescuelatch.VMID]exchange
@@ -153,6 +154,7 @@
 		core:        decision.New(o.Core),
 		table:       t,
 		vmsOut:      make(map[string]bool),
+		forwards:    make(forwards),
 
 		learnedSignal: make(chan struct{}),
 		reports:       make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -52,6 +52,8 @@
 		scheme = "https://"
 	}
 	s.daemon.metrics.forwards.Inc(1)
+	ctx, end := s.daemon.beginForward(ctx, a.VM, a.Attempt)
+	defer end()
 	s.attempt(ctx, engine.Target{URL: scheme + vm.Peer.String() + peer.ForwardPath, Header: h}, r, now)
 }
 
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -218,6 +218,7 @@
 		h.lost = true
 		d.hellos[vm] = h
 		d.decideLocked(decision.Lost{VM: vm})
+		d.loseForwards(vm)
 		go d.replaced(ctx, h.hello.Incarnation)
 	}
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -234,8 +234,10 @@
 	return e
 }
 
+// brokenOr returns the error of an attempt that may have run. A context that
+// was cancelled for a cause of its own does not mean that the caller left.
 func brokenOr(ctx context.Context, op string, err error) *Error {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return &Error{Op: op, Kind: KindCancelled, Err: err}
 	}
 	return &Error{Op: op, Kind: KindBroken, Err: err}
