--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -42,7 +42,7 @@
 		return
 	}
 	now := time.Now()
-	h, err := peer.ForwardHeader(s.daemon.options.FleetKeys, s.call, a.Version, a.Patience, now)
+	h, err := peer.ForwardHeader(s.daemon.options.FleetKeys, s.call, a.Version, now)
 	if err != nil {
 		s.notStarted(r, err)
 		return
--- a/decision/action.go
+++ b/decision/action.go
@@ -29,9 +29,6 @@
 	Attempt fescuelatch.AttemptID
 	VM      fescuelatch.VMID
 	Version fescuelatch.VersionID
-	// Patience is how long the attempt may wait there; zero means until the
-	// deadline.
-	Patience time.Duration
 }
 
 // Rate asks for a rating of the answer of an attempt before it is accepted.
--- a/decision/core.go
+++ b/decision/core.go
@@ -48,7 +48,6 @@
 	peers    peers
 	domains  map[fescuelatch.DomainID]*domainLife
 	budget   retryBudget
-	nextMove time.Time
 	stopping bool
 	out      []Action
 	faults   []error
@@ -116,7 +115,6 @@
 		c.stopping = true
 	case Tick:
 		c.tickDomains(now)
-		c.moveQueued(now)
 		c.admit(now, c.gate().Poll(now))
 	}
 	return c.out
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -280,14 +280,6 @@
 	m.handle(t, decision.Tick{})
 }
 
-// hear takes in what another daemon says, so that waiting attempts may move.
-func (m *machine) hear(t *rapid.T) {
-	free := rapid.IntRange(0, 2).Draw(t, "free")
-	m.handle(t, decision.Summarised{VM: "vm-2", Domain: "d1", At: m.now, Spares: []fescuelatch.Spare{
-		{Version: "m@1", Free: free, Slots: 2}, {Version: "m@3", Free: free, Slots: 2}, {Service: "desk", Free: free, Slots: 2},
-	}})
-}
-
 // finish ends all attempts and ratings and checks that no request is left.
 func (m *machine) finish(t rapid.TB) {
 	m.now = m.now.Add(time.Hour)
@@ -324,7 +316,7 @@
 		m := newMachine(t, rapid.Uint64().Draw(t, "seed"))
 		t.Repeat(map[string]func(*rapid.T){
 			"arrive": m.arrive, "arrive again": m.arrive, "end": m.end, "end again": m.end,
-			"hear": m.hear, "rate": m.rate, "cancel": m.cancel, "withdraw": m.withdraw, "pass": m.pass,
+			"rate": m.rate, "cancel": m.cancel, "withdraw": m.withdraw, "pass": m.pass,
 		})
 		m.finish(t)
 	})
@@ -357,60 +349,6 @@
 	}
 }
 
-// ban returns a request that only the one slot of the own desk, or another
-// daemon's, can serve.
-func ban(id fescuelatch.RequestID, now time.Time) *fescuelatch.Request {
-	return &fescuelatch.Request{ID: id, Account: "a", Service: "desk", Operation: "ban", Arrived: now, Deadline: now.Add(time.Minute)}
-}
-
-func TestWaitingAttemptsMove(t *testing.T) {
-	c := qt.New(t)
-	m := newMachine(t, 1)
-	m.core.Handle(m.now, decision.Lost{VM: "vm-2"})
-	first := m.core.Handle(m.now, decision.Arrived{Request: ban("r1", m.now)})
-	c.Assert(first, qt.HasLen, 1)
-	c.Assert(m.core.Handle(m.now, decision.Arrived{Request: ban("r2", m.now)}), qt.HasLen, 0)
-	m.now = m.now.Add(time.Second)
-	c.Assert(m.core.Handle(m.now, decision.Tick{}), qt.HasLen, 0, qt.Commentf("nobody has capacity"))
-	m.core.Handle(m.now, decision.Summarised{VM: "vm-2", Domain: "d1", At: m.now, Spares: []fescuelatch.Spare{{Service: "desk", Free: 1, Slots: 1}}})
-	m.now = m.now.Add(time.Second)
-	moved := m.core.Handle(m.now, decision.Tick{})
-	c.Assert(moved, qt.HasLen, 1)
-	f, ok := moved[0].(decision.Forward)
-	c.Assert(ok, qt.IsTrue)
-	c.Check(f.Request, qt.Equals, fescuelatch.RequestID("r2"))
-	c.Check(m.core.Faults(), qt.HasLen, 0)
-}
-
-func TestForwardedAttemptsAreGivenBack(t *testing.T) {
-	tests := []struct {
-		name     string
-		patience time.Duration
-		want     int // actions after a second
-	}{
-		{"the sender has other spots", 100 * time.Millisecond, 1},
-		{"the sender has none", 0, 0},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			m := newMachine(t, 1)
-			m.core.Handle(m.now, decision.Arrived{Request: ban("r1", m.now)})
-			q := ban("r2", m.now)
-			q.Forwarded = true
-			q.Patience = test.patience
-			c.Assert(m.core.Handle(m.now, decision.Arrived{Request: q, Attempt: "r2.1"}), qt.HasLen, 0)
-			m.now = m.now.Add(time.Second)
-			as := m.core.Handle(m.now, decision.Tick{})
-			c.Assert(as, qt.HasLen, test.want)
-			if test.want > 0 {
-				_, ok := as[0].(decision.Refuse)
-				c.Check(ok, qt.IsTrue)
-			}
-		})
-	}
-}
-
 func BenchmarkDecision(b *testing.B) {
 	m := newMachine(b, 1)
 	b.ReportAllocs()
--- a/decision/place.go
+++ b/decision/place.go
@@ -47,8 +47,8 @@
 		return
 	}
 	for {
-		if spot, others, ok := c.choose(now, q); ok {
-			c.attempt(now, q, spot, others)
+		if spot, ok := c.choose(now, q); ok {
+			c.attempt(now, q, spot)
 			return
 		}
 		if q.step+1 >= len(q.plan) {
@@ -62,32 +62,20 @@
 
 // choose returns the best spot for the current version, if there is any. A
 // version may have been withdrawn, or the account's right to it taken away,
-// since the request was planned. others reports that there is spare capacity
-// at other spots too.
-func (c *Core) choose(now time.Time, q *request) (spot fescuelatch.Spot, others, ok bool) {
+// since the request was planned.
+func (c *Core) choose(now time.Time, q *request) (fescuelatch.Spot, bool) {
 	if !c.usable(q) {
-		return spot, false, false
+		return fescuelatch.Spot{}, false
 	}
 	spots := c.spots(now, q)
 	if len(spots) == 0 {
-		return spot, false, false
+		return fescuelatch.Spot{}, false
 	}
 	i := c.options.Placement.Choose(now, q.Request, spots, c.options.Random.Float64())
 	if i < 0 {
-		return spot, false, false
+		return fescuelatch.Spot{}, false
 	}
-	return spots[i], sparesElsewhere(spots, i), true
-}
-
-// sparesElsewhere reports whether a spot other than number i has capacity to
-// spare.
-func sparesElsewhere(spots []fescuelatch.Spot, i int) bool {
-	for n, s := range spots {
-		if n != i && s.Spare > s.Sent {
-			return true
-		}
-	}
-	return false
+	return spots[i], true
 }
 
 // usable reports whether the request may still run on the current version,
@@ -139,18 +127,12 @@
 	return spots
 }
 
-// attempt makes an attempt at s. An attempt at another daemon is to come back
-// from its queue soon when others have capacity to spare.
-func (c *Core) attempt(now time.Time, q *request, s fescuelatch.Spot, others bool) {
+func (c *Core) attempt(now time.Time, q *request, s fescuelatch.Spot) {
 	c.newAttempt(q, s.VM)
 	if s.VM != c.options.VM {
 		c.peers.sent(s.VM, q.service())
 		c.fire(q, chart.EventForward)
-		f := Forward{Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version}
-		if others {
-			f.Patience = moveAfter
-		}
-		c.emit(f)
+		c.emit(Forward{Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version})
 		return
 	}
 	w := fescuelatch.Work{
@@ -171,7 +153,6 @@
 		switch a.Verdict {
 		case fescuelatch.AdmissionQueue:
 			q.current.queued = true
-			q.queuedAt = now
 			c.fire(q, chart.EventQueue)
 		case fescuelatch.AdmissionStart:
 			q.current.queued = false
--- a/decision/request.go
+++ b/decision/request.go
@@ -38,8 +38,6 @@
 	bestScore float64
 	// retryAfter is the longest advice that a refused attempt brought.
 	retryAfter time.Duration
-	// queuedAt is when the current attempt began to wait.
-	queuedAt time.Time
 	// life says, by its state, whether any attempt may have run.
 	life *chart.Machine
 }
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -42,11 +42,10 @@
 }
 
 // ForwardHeader returns the headers that carry a request to another daemon.
-func ForwardHeader(keys fleetkey.Keys, c *caller.Call, v fescuelatch.VersionID, patience time.Duration, now time.Time) (http.Header, error) {
+func ForwardHeader(keys fleetkey.Keys, c *caller.Call, v fescuelatch.VersionID, now time.Time) (http.Header, error) {
 	q := *c.Request
 	q.Forwarded = true
 	q.Version = v
-	q.Patience = patience
 	b, err := json.Marshal(forwarded{Request: q, Share: c.Share, ClaimKey: c.ClaimKey, Remaining: q.Deadline.Sub(now) - returnMargin})
 	if err != nil {
 		return nil, &Error{"encode request", KindInvalid, err}
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -19,7 +19,7 @@
 	c := qt.New(t)
 	now := time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
 	q := &fescuelatch.Request{ID: "r1", Account: "daily", Deadline: now.Add(time.Second)}
-	h, err := ForwardHeader(fleetkey.Keys{}, &caller.Call{Request: q}, "", 0, now)
+	h, err := ForwardHeader(fleetkey.Keys{}, &caller.Call{Request: q}, "", now)
 	c.Assert(err, qt.IsNil)
 	var f forwarded
 	c.Assert(json.Unmarshal([]byte(h.Get(headerForward)), &f), qt.IsNil)
--- a/request.go
+++ b/request.go
@@ -57,10 +57,6 @@
 	// Forwarded reports that another daemon accepted the request and asks
 	// for an attempt at an endpoint that this daemon owns.
 	Forwarded bool `json:"forwarded,omitempty"`
-	// Patience is how long a forwarded request may wait for a start before
-	// its sender would rather place it elsewhere; zero means until its
-	// deadline.
-	Patience time.Duration `json:"patience,omitempty"`
 }
 
 // IsService reports whether r addresses a plain service.
