--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -114,7 +114,8 @@
 			}
 		case <-done:
 			done = nil
-			s.daemon.decide(decision.Cancelled{Request: s.call.Request.ID})
+			expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+			s.daemon.decide(decision.Cancelled{Request: s.call.Request.ID, Expired: expired})
 		}
 	}
 }
@@ -260,6 +261,16 @@
 	s.daemon.ended(s, fescuelatch.OutcomeUnknown, string(a.Reason), err)
 }
 
+// answered reports whether an attempt has been answered.
+func (s *serving) answered() bool {
+	for _, a := range s.answers {
+		if a.result.Status == fescuelatch.AttemptAnswered {
+			return true
+		}
+	}
+	return false
+}
+
 // drop answers a request whose caller has left or whose deadline has passed
 // while it waited. Nothing has been sent to an endpoint unless an attempt is
 // recorded.
@@ -268,7 +279,7 @@
 		s.daemon.ended(s, fescuelatch.OutcomeUnknown, "caller-left", nil)
 		return
 	}
-	if s.sink != nil || s.mayHaveRun {
+	if s.sink != nil || s.mayHaveRun || s.answered() {
 		s.giveUp(decision.GiveUp{Request: s.call.Request.ID, Reason: decision.ReasonDeadline})
 		return
 	}
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -266,7 +266,7 @@
 		t.Skip("no request")
 	}
 	id := fescuelatch.RequestID(fmt.Sprintf("r%d", rapid.IntRange(1, m.count).Draw(t, "request")))
-	m.handle(t, decision.Cancelled{Request: id})
+	m.handle(t, decision.Cancelled{Request: id, Expired: rapid.Bool().Draw(t, "expired")})
 }
 
 func (m *machine) withdraw(t *rapid.T) {
@@ -349,6 +349,48 @@
 	}
 }
 
+// A request whose first answer was rated too low, and whose deadline passes
+// while the next attempt waits, has run: it gets the answer that it has.
+func TestDeadlineWhileEscalationWaits(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine(t, 1)
+	for _, vm := range []fescuelatch.VMID{"vm-2", "vm-3"} {
+		m.core.Handle(m.now, decision.Lost{VM: vm})
+	}
+	chat := func(id fescuelatch.RequestID, v fescuelatch.VersionID) *fescuelatch.Request {
+		return &fescuelatch.Request{
+			ID: id, Account: "a", Model: "m", Version: v, Quality: 0.8, Idempotent: true, Arrived: m.now, Deadline: m.now.Add(time.Minute),
+		}
+	}
+	as := m.core.Handle(m.now, decision.Arrived{Request: chat("r1", "")})
+	c.Assert(as, qt.HasLen, 1)
+	first := as[0].(decision.Start)
+	for _, id := range []fescuelatch.RequestID{"other-1", "other-2", "other-3"} {
+		m.core.Handle(m.now, decision.Arrived{Request: chat(id, "m@2")})
+	}
+	as = m.core.Handle(m.now, decision.Ended{Request: "r1", Result: fescuelatch.AttemptResult{
+		Attempt: first.Attempt, Endpoint: first.Endpoint, Version: first.Version, Status: fescuelatch.AttemptAnswered, Total: time.Millisecond,
+	}})
+	c.Assert(rates(as), qt.Equals, 1)
+	m.core.Handle(m.now, decision.Rated{Request: "r1", Attempt: first.Attempt, Version: first.Version, Score: 0.1, Rated: true})
+	as = m.core.Handle(m.now, decision.Cancelled{Request: "r1", Expired: true})
+	c.Assert(as, qt.HasLen, 1)
+	a, ok := as[0].(decision.Accept)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", as[0]))
+	c.Check(a.Attempt, qt.Equals, first.Attempt)
+	c.Check(m.core.Faults(), qt.HasLen, 0)
+}
+
+func rates(as []decision.Action) int {
+	n := 0
+	for _, a := range as {
+		if _, ok := a.(decision.Rate); ok {
+			n++
+		}
+	}
+	return n
+}
+
 func BenchmarkDecision(b *testing.B) {
 	m := newMachine(b, 1)
 	b.ReportAllocs()
--- a/decision/event.go
+++ b/decision/event.go
@@ -60,8 +60,12 @@
 	Rated   bool
 }
 
-// Cancelled says that the caller has left.
-type Cancelled struct{ Request fescuelatch.RequestID }
+// Cancelled says that the caller has left, or, with Expired, that the deadline
+// has passed while nothing was under way.
+type Cancelled struct {
+	Request fescuelatch.RequestID
+	Expired bool
+}
 
 // Reported carries a load report of an owned endpoint.
 type Reported struct{ Report fescuelatch.LoadReport }
--- a/decision/request.go
+++ b/decision/request.go
@@ -142,6 +142,10 @@
 	if q.current.queued {
 		c.withdraw(now, q)
 	}
+	if e.Expired && q.best.id != "" {
+		c.accept(q, q.best, false)
+		return
+	}
 	c.end(q, chart.EventCancel)
 	c.emit(Drop{Request: q.ID})
 }
