Nothing is computed that nobody reads

The decision core kept which daemon owns each endpoint and read it nowhere, while the daemon looked all of them up under its lock at every heartbeat and acknowledgement. The clock of engine.Client was set everywhere and read nowhere. Both are gone; behaviour is the same.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -165,10 +165,10 @@
 	}
 	d.keep(o)
 	data := o.Dialer.Counting(DataTraffic(o.Metrics))
-	d.engines = &engine.Client{HTTP: httpClient(data, false), Now: time.Now}
-	d.services = &engine.Client{HTTP: httpClient(data, true), Now: time.Now}
+	d.engines = &engine.Client{HTTP: httpClient(data, false)}
+	d.services = &engine.Client{HTTP: httpClient(data, true)}
 	reports := o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficReport))
-	d.reporters = &engine.Client{HTTP: httpClient(reports, false), Now: time.Now}
+	d.reporters = &engine.Client{HTTP: httpClient(reports, false)}
 	return d, nil
 }
 
@@ -244,8 +244,7 @@
 func (d *Daemon) refreshOwned(now time.Time) {
 	owned := d.table.Owned(now)
 	d.nextOwn = d.table.Next(now)
-	v := d.holder.View()
-	if v == nil {
+	if d.holder.View() == nil {
 		return
 	}
 	for i := range owned {
@@ -253,13 +252,7 @@
 			owned[i].Out = true
 		}
 	}
-	owners := make(map[fescuelatch.EndpointID]fescuelatch.VMID)
-	for _, e := range v.EndpointsIn(d.options.Domain) {
-		if vm, ok := d.table.OwnerOf(now, e.ID); ok {
-			owners[e.ID] = vm
-		}
-	}
-	d.deliver(now, d.core.Handle(now, decision.Owned{Endpoints: owned, Owners: owners}))
+	d.deliver(now, d.core.Handle(now, decision.Owned{Endpoints: owned}))
 }
 
 // View implements caller.Backend. There is none until this daemon has
--- a/decision/core.go
+++ b/decision/core.go
@@ -40,8 +40,6 @@
 type Core struct {
 	options  Options
 	view     *fescuelatch.View
-	owners   map[fescuelatch.EndpointID]fescuelatch.VMID
-	owned    map[fescuelatch.EndpointID]bool
 	serves   map[service]int
 	requests map[fescuelatch.RequestID]*request
 	attempts map[fescuelatch.AttemptID]*request
@@ -70,8 +68,6 @@
 func New(o Options) *Core {
 	return &Core{
 		options:  o,
-		owners:   make(map[fescuelatch.EndpointID]fescuelatch.VMID),
-		owned:    make(map[fescuelatch.EndpointID]bool),
 		serves:   make(map[service]int),
 		requests: make(map[fescuelatch.RequestID]*request),
 		attempts: make(map[fescuelatch.AttemptID]*request),
@@ -175,11 +171,8 @@
 }
 
 func (c *Core) own(now time.Time, e Owned) {
-	c.owners = e.Owners
-	c.owned = make(map[fescuelatch.EndpointID]bool, len(e.Endpoints))
 	c.serves = make(map[service]int)
 	for _, o := range e.Endpoints {
-		c.owned[o.Endpoint.ID] = true
 		if o.Out {
 			continue
 		}
--- a/decision/event.go
+++ b/decision/event.go
@@ -16,11 +16,9 @@
 // never decrease.
 type Configured struct{ View *fescuelatch.View }
 
-// Owned says which endpoints this daemon owns from now on, and who owns the
-// others of its failure domain.
+// Owned says which endpoints this daemon owns from now on.
 type Owned struct {
 	Endpoints []fescuelatch.OwnedEndpoint
-	Owners    map[fescuelatch.EndpointID]fescuelatch.VMID
 }
 
 // Arrived says that a request has arrived. Share is the account's weight.
--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	"fescuelatch/caller"
 	"fescuelatch/engine"
@@ -49,7 +48,7 @@
 func BenchmarkToken(b *testing.B) {
 	for _, tokens := range []int{16, 128, 1024} {
 		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
-			c := &engine.Client{HTTP: &http.Client{Transport: cannedStream(tokens)}, Now: time.Now}
+			c := &engine.Client{HTTP: &http.Client{Transport: cannedStream(tokens)}}
 			b.ReportAllocs()
 			for b.Loop() {
 				proxy(b, c)
--- a/engine/client.go
+++ b/engine/client.go
@@ -37,8 +37,6 @@
 // is safe for concurrent use.
 type Client struct {
 	HTTP *http.Client
-	// Now is the clock that durations are taken from.
-	Now func() time.Time
 }
 
 // Target is where an attempt goes: a base URL without a trailing slash and
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -26,7 +26,7 @@
 )
 
 func client() *engine.Client {
-	return &engine.Client{HTTP: &http.Client{Transport: &http.Transport{}}, Now: time.Now}
+	return &engine.Client{HTTP: &http.Client{Transport: &http.Transport{}}}
 }
 
 func events(w http.ResponseWriter, lines ...string) {
