The stand-in's contract tests build again

Cause: removed the clock of the engines' client, which nobody read; two tests of the module cmd/standin still set it.

Before: go vet ./... in cmd/standin fails. The tests assert what they did.

--- a/cmd/standin/contract_test.go
+++ b/cmd/standin/contract_test.go
@@ -134,7 +134,7 @@
 
 // chat returns the text of an answer.
 func chat(c *qt.C, url string, attempt fescuelatch.AttemptID, r *openai.ChatRequest) (string, error) {
-	e := engineclient.Client{HTTP: http.DefaultClient, Now: time.Now}
+	e := engineclient.Client{HTTP: http.DefaultClient}
 	var text strings.Builder
 	chunk := func(k *openai.Chunk) error {
 		text.WriteString(k.Text())
@@ -189,7 +189,7 @@
 func TestServiceClient(t *testing.T) {
 	c := qt.New(t)
 	url := servertest.Start(c, service.New(service.Settings{Slots: 1}).Handler())
-	e := engineclient.Client{HTTP: http.DefaultClient, Now: time.Now}
+	e := engineclient.Client{HTTP: http.DefaultClient}
 	call := func(attempt fescuelatch.AttemptID) (*engineclient.Answer, error) {
 		t := engineclient.Target{URL: url}
 		return e.Call(testContext(c), t, attempt, "ban", "issue", "key", []byte(`{"nonce":"n1"}`))
