--- a/caller/front_test.go
+++ b/caller/front_test.go
@@ -38,10 +38,13 @@
 		_ = r.Call(m, &engine.Answer{Status: http.StatusOK, ContentType: "application/json", Body: []byte("{}")}, "a")
 	case c.Chat.Stream:
 		r.Begin(m)
-		_ = r.Chunk(&openai.Chunk{ID: "a"})
+		chunk, _ := openai.ParseChunk([]byte(`{"id":"a"}`))
+		_ = r.Chunk(chunk)
 		_ = r.Finish()
 	default:
-		_ = r.Chat(m, &openai.ChatResponse{ID: "a", Choices: []openai.Choice{{FinishReason: "stop"}}})
+		answer := new(openai.ChatResponse)
+		_ = json.Unmarshal([]byte(`{"id":"a","choices":[{"finish_reason":"stop"}]}`), answer)
+		_ = r.Chat(m, answer)
 	}
 }
 
--- a/caller/reply.go
+++ b/caller/reply.go
@@ -40,8 +40,16 @@
 	id     string
 	begun  bool
 	closed bool
+	// line is the event that is being written.
+	line []byte
 }
 
+// Frame of a server-sent event.
+const (
+	eventStart = "data: "
+	eventEnd   = "\n\n"
+)
+
 // NewReply returns a reply on w. Answers carry id in place of the attempt
 // when id is not empty.
 func NewReply(w http.ResponseWriter, id string) *Reply {
@@ -64,13 +72,9 @@
 
 // Chat writes a whole chat completion.
 func (r *Reply) Chat(m Meta, a *openai.ChatResponse) error {
-	answer := *a
-	if r.id != "" {
-		answer.ID = r.id
-	}
 	r.head(m)
 	r.w.Header().Set(HeaderOutcome, string(fescuelatch.OutcomeAnswered))
-	return r.json(http.StatusOK, &answer)
+	return r.body(http.StatusOK, a.AppendAs(nil, r.id))
 }
 
 // Call writes the answer of a plain service.
@@ -103,11 +107,9 @@
 
 // Chunk writes one part of a streamed answer.
 func (r *Reply) Chunk(c *openai.Chunk) error {
-	chunk := *c
-	if r.id != "" {
-		chunk.ID = r.id
-	}
-	return r.event(&chunk)
+	r.line = append(r.line[:0], eventStart...)
+	r.line = c.AppendAs(r.line, r.id)
+	return r.event()
 }
 
 // Finish ends a streamed answer that is whole.
@@ -125,19 +127,19 @@
 func (r *Reply) Cut(f Failure) error {
 	r.closed = true
 	r.w.Header().Set(HeaderOutcome, string(f.Outcome))
-	return r.event(f.body())
-}
-
-func (r *Reply) event(v any) error {
-	b, err := json.Marshal(v)
+	b, err := json.Marshal(f.body())
 	if err != nil {
 		return err
 	}
-	line := make([]byte, 0, len(b)+8)
-	line = append(line, "data: "...)
-	line = append(line, b...)
-	line = append(line, '\n', '\n')
-	if _, err := r.w.Write(line); err != nil {
+	r.line = append(r.line[:0], eventStart...)
+	r.line = append(r.line, b...)
+	return r.event()
+}
+
+// event ends the event in line and sends it.
+func (r *Reply) event() error {
+	r.line = append(r.line, eventEnd...)
+	if _, err := r.w.Write(r.line); err != nil {
 		return err
 	}
 	return r.control.Flush()
@@ -178,8 +180,12 @@
 	if err != nil {
 		return err
 	}
+	return r.body(status, b)
+}
+
+func (r *Reply) body(status int, b []byte) error {
 	r.w.Header().Set("Content-Type", "application/json")
 	r.w.WriteHeader(status)
-	_, err = r.w.Write(b)
+	_, err := r.w.Write(b)
 	return err
 }
--- a/daemon/sink.go
+++ b/daemon/sink.go
@@ -15,7 +15,7 @@
 const maxSampleBytes = 16 << 10
 
 // sink writes the chunks of one attempt to the caller. Chunks before the
-// first text are held back, so that an attempt that breaks before it can be
+// first output are held back, so that an attempt that breaks before it can be
 // made elsewhere; the chunks that end the answer are held back until the
 // answer has been accepted.
 type sink struct {
@@ -37,15 +37,14 @@
 }
 
 func (k *sink) chunk(c *openai.Chunk) error {
-	if len(c.Choices) == 0 && c.Usage != nil && !k.usage {
+	if !c.HasChoices() && c.Usage != nil && !k.usage {
 		return nil
 	}
 	k.ending = k.ending || c.Finished()
-	text := c.Text()
 	if k.text.Len() < maxSampleBytes {
-		k.text.WriteString(text)
+		k.text.WriteString(c.Text())
 	}
-	if k.ending || (!k.reply.Begun() && text == "") {
+	if k.ending || (!k.reply.Begun() && !c.HasOutput()) {
 		k.pending = append(k.pending, c)
 		return nil
 	}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -62,7 +62,7 @@
 	if k.Usage != nil {
 		s.answer.Usage = *k.Usage
 	}
-	if !s.begun && k.Text() != "" {
+	if !s.begun && k.HasOutput() {
 		s.begun = true
 		s.first()
 	}
--- a/failure/traffic_test.go
+++ b/failure/traffic_test.go
@@ -262,7 +262,7 @@
 	Model   string `json:"model"`
 	Choices []struct {
 		Message openai.Message `json:"message"`
-		Delta   openai.Delta   `json:"delta"`
+		Delta   openai.Message `json:"delta"`
 	} `json:"choices"`
 	Error *openai.ErrorObject `json:"error"`
 }
@@ -275,7 +275,7 @@
 	}
 	r.models[p.Model] = true
 	for _, c := range p.Choices {
-		r.text += c.Message.Text() + c.Delta.Content
+		r.text += c.Message.Text() + c.Delta.Text()
 	}
 }
 
--- a/openai/chat.go
+++ b/openai/request.go
@@ -1,22 +1,43 @@
-// Package openai defines the part of the OpenAI wire format that the router
-// reads and writes: chat completions, their streamed chunks, models and
-// errors. Members that it does not know are passed on unchanged.
 package openai
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
 )
 
-// This file defines chat requests and answers.
+// This file defines chat requests.
 
-// Message is one message of a conversation. Content is a JSON string or a
-// list of parts and is passed on as it is.
+// Message is one message of a conversation. Content is a JSON string, a list
+// of parts or null. A message that was decoded is passed on as it came, with
+// all its members, and must not be changed.
 type Message struct {
 	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
+	raw     json.RawMessage
+}
+
+type messageMembers Message
+
+// UnmarshalJSON decodes a message.
+func (m *Message) UnmarshalJSON(b []byte) error {
+	var v messageMembers
+	if err := json.Unmarshal(b, &v); err != nil {
+		return errors.WithStack(err)
+	}
+	*m = Message(v)
+	m.raw = slices.Clone(b)
+	return nil
+}
+
+// MarshalJSON encodes the message, or returns what it was decoded from.
+func (m Message) MarshalJSON() ([]byte, error) {
+	if m.raw != nil {
+		return m.raw, nil
+	}
+	return json.Marshal(messageMembers(m))
 }
 
 // Text returns the message's content when it is a string, and its raw form
@@ -120,119 +141,3 @@
 	}
 	return b.String()
 }
-
-// Usage counts the tokens of an answer.
-type Usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
-}
-
-// Choice is one choice of a whole answer.
-type Choice struct {
-	Index        int           `json:"index"`
-	Message      AnswerMessage `json:"message"`
-	FinishReason string        `json:"finish_reason"`
-}
-
-// AnswerMessage is the message of an answer.
-type AnswerMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// ChatResponse is a whole answer.
-type ChatResponse struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []Choice `json:"choices"`
-	Usage   Usage    `json:"usage"`
-}
-
-// Complete reports whether every choice has ended by itself.
-func (r *ChatResponse) Complete() bool {
-	for _, c := range r.Choices {
-		if c.FinishReason == "" {
-			return false
-		}
-	}
-	return len(r.Choices) > 0
-}
-
-// Text returns the content of the first choice.
-func (r *ChatResponse) Text() string {
-	if len(r.Choices) == 0 {
-		return ""
-	}
-	return r.Choices[0].Message.Content
-}
-
-// Chunk is one part of a streamed answer.
-type Chunk struct {
-	ID      string        `json:"id"`
-	Object  string        `json:"object"`
-	Created int64         `json:"created"`
-	Model   string        `json:"model"`
-	Choices []ChunkChoice `json:"choices"`
-	Usage   *Usage        `json:"usage,omitempty"`
-}
-
-// ChunkChoice is the part of one choice in a chunk.
-type ChunkChoice struct {
-	Index        int     `json:"index"`
-	Delta        Delta   `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-// Delta is the text that a chunk adds.
-type Delta struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content,omitempty"`
-}
-
-// Text returns the text that the chunk adds to the first choice.
-func (c *Chunk) Text() string {
-	if len(c.Choices) == 0 {
-		return ""
-	}
-	return c.Choices[0].Delta.Content
-}
-
-// Finished reports whether the chunk ends a choice.
-func (c *Chunk) Finished() bool {
-	for _, d := range c.Choices {
-		if d.FinishReason != nil && *d.FinishReason != "" {
-			return true
-		}
-	}
-	return false
-}
-
-// Model is a line of the list of models.
-type Model struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	Created int64  `json:"created"`
-	OwnedBy string `json:"owned_by"`
-}
-
-// ModelList is the list of models.
-type ModelList struct {
-	Object string  `json:"object"`
-	Data   []Model `json:"data"`
-}
-
-// ErrorBody is the body of an error answer.
-type ErrorBody struct {
-	Error ErrorObject `json:"error"`
-}
-
-// ErrorObject describes an error to a caller.
-type ErrorObject struct {
-	Message string  `json:"message"`
-	Type    string  `json:"type"`
-	Code    string  `json:"code"`
-	Param   *string `json:"param"`
-}
--- a/openai/stream.go
+++ b/openai/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"io"
 
 	"github.com/pkg/errors"
@@ -35,7 +34,7 @@
 		if string(data) == "[DONE]" {
 			return nil
 		}
-		c, err := decodeChunk(data)
+		c, err := ParseChunk(data)
 		if err != nil {
 			return err
 		}
@@ -45,17 +44,3 @@
 	}
 	return ErrCut
 }
-
-func decodeChunk(data []byte) (*Chunk, error) {
-	var v struct {
-		Chunk
-		Error *ErrorObject `json:"error"`
-	}
-	if err := json.Unmarshal(data, &v); err != nil {
-		return nil, errors.Wrap(err, "decode chunk")
-	}
-	if v.Error != nil {
-		return nil, errors.Wrap(ErrEvent, v.Error.Message)
-	}
-	return &v.Chunk, nil
-}
