--- a/cmd/fescuelatch-load/capacity.go
+++ b/cmd/fescuelatch-load/capacity.go
@@ -14,17 +14,21 @@
 
 type capacityCommand struct {
 	Slopes string `arg:"--slopes" default:"docs/capacity/slopes.json" help:"result of the subcommand cost"`
+	Merge  string `arg:"--merge" help:"result of a run of its own (cost --only 0) whose latency and busy daemons go before those of --slopes"`
 	Page   string `arg:"--page" default:"docs/CAPACITY.md" help:"page whose tables are written anew"`
 }
 
 func (c *capacityCommand) run(context.Context) (int, error) {
-	b, err := os.ReadFile(c.Slopes)
+	r, err := readCost(c.Slopes)
 	if err != nil {
-		return exitFailed, errors.WithStack(err)
+		return exitFailed, err
 	}
-	r := new(cost.Result)
-	if err := json.Unmarshal(b, r); err != nil {
-		return exitFailed, errors.WithStack(err)
+	if c.Merge != "" {
+		own, err := readCost(c.Merge)
+		if err != nil {
+			return exitFailed, err
+		}
+		r.Latency, r.Busy = own.Latency, own.Busy
 	}
 	page, err := os.ReadFile(c.Page)
 	if err != nil {
@@ -40,3 +44,12 @@
 	}
 	return exitGood, writeFile(c.Page, []byte(filled))
 }
+
+func readCost(path string) (*cost.Result, error) {
+	b, err := os.ReadFile(path) //nolint:gosec // The path is the operator's own.
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	r := new(cost.Result)
+	return r, errors.WithStack(json.Unmarshal(b, r))
+}
--- a/cmd/fescuelatch-load/cost/measure.go
+++ b/cmd/fescuelatch-load/cost/measure.go
@@ -97,14 +97,14 @@
 	}
 	p := Point{Size: size}
 	var err error
-	if p.Idle, err = s.phase(ctx, f, 0); err != nil {
+	if p.Idle, err = s.phase(ctx, f, traffic{}); err != nil {
 		return err
 	}
-	if p.Loaded, err = s.phase(ctx, f, s.Short); err != nil {
+	if p.Loaded, err = s.phase(ctx, f, s.traffic(s.Short)); err != nil {
 		return err
 	}
 	if first {
-		long, err := s.phase(ctx, f, s.Long)
+		long, err := s.phase(ctx, f, s.traffic(s.Long))
 		if err != nil {
 			return err
 		}
@@ -112,6 +112,9 @@
 		if r.Latency, err = compareLatency(ctx, f); err != nil {
 			return err
 		}
+		if r.Busy, err = s.busy(ctx, f, p.Idle); err != nil {
+			return err
+		}
 	}
 	r.Points = append(r.Points, p)
 	return nil
@@ -156,17 +159,32 @@
 	return s, err
 }
 
-// phase measures one window, with answers of a number of tokens or idle.
-func (s *Settings) phase(ctx context.Context, f *fleet.Fleet, tokens int) (Phase, error) {
+// traffic is what each daemon gets: streamed answers of a number of tokens.
+// Without tokens it is idle.
+type traffic struct {
+	rate    float64
+	tokens  int
+	timeout time.Duration
+}
+
+// answerTimeout is that of the points' requests.
+const answerTimeout = 10 * time.Second
+
+func (s *Settings) traffic(tokens int) traffic {
+	return traffic{rate: s.Rate, tokens: tokens, timeout: answerTimeout}
+}
+
+// phase measures one window.
+func (s *Settings) phase(ctx context.Context, f *fleet.Fleet, t traffic) (Phase, error) {
 	from, err := read(ctx, f)
 	if err != nil {
 		return Phase{}, err
 	}
 	var summary *load.Summary
-	if tokens == 0 {
+	if t.tokens == 0 {
 		err = sleep(ctx, s.Window)
 	} else {
-		summary, err = s.send(ctx, f, tokens)
+		summary, err = s.send(ctx, f, t)
 	}
 	if err != nil {
 		return Phase{}, err
@@ -179,18 +197,18 @@
 	if summary != nil {
 		seconds := to.at.Sub(from.at).Seconds() * float64(len(f.Configuration.Inventory.VMs))
 		p.Answered = float64(summary.Outcomes[fescuelatch.OutcomeAnswered]) / seconds
-		p.Tokens = p.Answered * float64(tokens)
+		p.Tokens = p.Answered * float64(t.tokens)
 	}
 	return p, nil
 }
 
-// send loads all daemons with streamed answers of a number of tokens.
-func (s *Settings) send(ctx context.Context, f *fleet.Fleet, tokens int) (*load.Summary, error) {
+// send loads all daemons.
+func (s *Settings) send(ctx context.Context, f *fleet.Fleet, t traffic) (*load.Summary, error) {
 	c := f.Configuration
 	p := &load.Profile{
-		Rate: s.Rate * float64(len(c.Inventory.VMs)), Duration: s.Window, Seed: s.Seed, Run: fmt.Sprint("cost-", tokens),
+		Rate: t.rate * float64(len(c.Inventory.VMs)), Duration: s.Window, Seed: s.Seed, Run: fmt.Sprint("cost-", t.tokens),
 		Accounts: load.AccountsOf(c, f.Keys),
-		Mix:      load.Mix{Streamed: 1, MinTokens: tokens, MaxTokens: tokens, Timeout: 10 * time.Second},
+		Mix:      load.Mix{Streamed: 1, MinTokens: t.tokens, MaxTokens: t.tokens, Timeout: t.timeout},
 	}
 	calls, err := load.Plan(p)
 	if err != nil {
--- a/cmd/fescuelatch-load/cost/page.go
+++ b/cmd/fescuelatch-load/cost/page.go
@@ -12,7 +12,7 @@
 // the slopes.
 
 // tableNames are the tables, in the order of the page.
-var tableNames = []string{"points", "slopes", "latency", "bytes", "processor", "memory", "platform", "limits"}
+var tableNames = []string{"points", "slopes", "latency", "busy", "bytes", "processor", "memory", "platform", "limits"}
 
 // row is a line of a table.
 type row []string
@@ -55,6 +55,7 @@
 		"points":    r.pointTable(),
 		"slopes":    r.slopeTable(),
 		"latency":   r.latencyTable(),
+		"busy":      r.busyTable(),
 		"bytes":     bytesTable(&e),
 		"processor": r.processorTable(&e),
 		"memory":    r.memoryTable(&e),
--- a/cmd/fescuelatch-load/cost/result.go
+++ b/cmd/fescuelatch-load/cost/result.go
@@ -6,6 +6,7 @@
 type Result struct {
 	Settings Settings `json:"settings"`
 	Latency  Latency  `json:"latency"`
+	Busy     Busy     `json:"busy"`
 	Points   []Point  `json:"points"`
 	Slopes   Slopes   `json:"slopes"`
 }
