Bills have two copies before an answer ends

Cause: a bill had one copy, so that origin and holder dying within the 3 s in which a loss is noticed lost it; and a holder of a dead origin's bills copied them on once, not again when the daemon with the other copy died.

- Ledger: a batch is copied to two daemons at the same time, spread over failure domains; it goes to the platform as well when copies fail or take longer than 150 ms.
Urgent writes no longer put off the regular ones.
- Keeper: remembers which daemons are known to have a batch, and copies it on whenever all of them are lost (Lost, in place of CopyOn).

TestBillsUnderFaults has a further step, the kill of a daemon and of the whole other failure domain at one moment, right after answers, while the platform is away.

Existing tests changed: Copier.Hold has another signature, so the copiers of tests do too; the state machine's copier copies to both others, a silent daemon is one of them in place of all, and a kill is of one daemon without a write to the platform before it, or of two at once, where it was of one after such a write; TestCopyOn is TestCopiesOfCopies and asks for a further loss.

--- a/billing/bench_test.go
+++ b/billing/bench_test.go
@@ -24,16 +24,16 @@
 	holds, bytes int
 }
 
-func (p *countingCopier) Hold(ctx context.Context, b billing.Batch) (fescuelatch.Incarnation, error) {
+func (p *countingCopier) Hold(ctx context.Context, b billing.Batch, n int, held []fescuelatch.Incarnation) ([]fescuelatch.Incarnation, error) {
 	body, err := json.Marshal(b)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	p.mu.Lock()
-	p.holds++
-	p.bytes += len(body)
+	p.holds += n
+	p.bytes += n * len(body)
 	p.mu.Unlock()
-	return p.peer.Hold(ctx, b)
+	return p.peer.Hold(ctx, b, n, held)
 }
 
 // BenchmarkRecord records bills at the rate of one daemon of a large fleet, 24
--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -38,13 +39,19 @@
 	p.away = away
 }
 
-func (p *peer) Hold(_ context.Context, b billing.Batch) (fescuelatch.Incarnation, error) {
+func (p *peer) Hold(_ context.Context, b billing.Batch, _ int, held []fescuelatch.Incarnation) ([]fescuelatch.Incarnation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.away {
-		return "", errors.New("peer is away")
+		return nil, errors.New("peer is away")
 	}
-	return p.name, p.keeper.Hold(b)
+	if slices.Contains(held, p.name) {
+		return nil, nil
+	}
+	if err := p.keeper.Hold(b, b.Origin); err != nil {
+		return nil, err
+	}
+	return []fescuelatch.Incarnation{p.name}, nil
 }
 
 func (p *peer) Drop(_ context.Context, o fescuelatch.Incarnation, through uint64) error {
@@ -228,31 +235,38 @@
 	last := newKeeper(kv)
 	k := newKeeper(kv)
 	k.Copier = &peer{name: "last", keeper: last}
-	c.Assert(k.Hold(billing.Batch{Origin: "origin", Sequence: 1, Bills: []fescuelatch.Bill{bill(1, "")}}), qt.IsNil)
+	c.Assert(k.Hold(billing.Batch{Origin: "origin", Sequence: 1, Bills: []fescuelatch.Bill{bill(1, "")}}, "origin"), qt.IsNil)
 	c.Assert(k.Flush(context.Background()), qt.IsNil)
 	kv.SetDown(false)
 	c.Assert(last.Flush(context.Background()), qt.IsNil)
 	c.Check(billed(kv)["request-1"], qt.Equals, 1)
 }
 
-func TestCopyOn(t *testing.T) {
+func TestCopiesOfCopies(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
 	kv := new(memory.KV)
 	kv.SetDown(true)
-	k, second := newKeeper(kv), newKeeper(kv)
+	k, second, third := newKeeper(kv), newKeeper(kv), newKeeper(kv)
 	p := &peer{name: "second", keeper: second}
 	k.Copier = p
-	c.Assert(k.Hold(billing.Batch{Origin: "gone", Sequence: 1, Bills: []fescuelatch.Bill{bill(1, "")}}), qt.IsNil)
-	c.Assert(k.Hold(billing.Batch{Origin: "alive", Sequence: 1, Bills: []fescuelatch.Bill{bill(2, "")}}), qt.IsNil)
+	c.Assert(k.Hold(billing.Batch{Origin: "gone", Sequence: 1, Bills: []fescuelatch.Bill{bill(1, "")}}, "gone"), qt.IsNil)
+	c.Assert(k.Hold(billing.Batch{Origin: "alive", Sequence: 1, Bills: []fescuelatch.Bill{bill(2, "")}}, "alive"), qt.IsNil)
 	p.setAway(true)
-	c.Check(billing.KindOf(k.CopyOn(ctx, "gone")), qt.Equals, billing.KindPending)
+	c.Check(billing.KindOf(k.Lost(ctx, "gone")), qt.Equals, billing.KindPending)
 	p.setAway(false)
-	c.Assert(k.CopyOn(ctx, "gone"), qt.IsNil)
+	c.Assert(k.Lost(ctx, "gone"), qt.IsNil)
 	c.Check(second.Stats().Waiting, qt.Equals, 1)
+	// The one that has the other copy is lost in turn.
+	p.name, p.keeper = "third", third
+	c.Assert(k.Lost(ctx, "elsewhere"), qt.IsNil)
+	c.Check(third.Stats().Waiting, qt.Equals, 0)
+	c.Assert(k.Lost(ctx, "second"), qt.IsNil)
+	c.Check(third.Stats().Waiting, qt.Equals, 1)
 	kv.SetDown(false)
-	// Both write it, and it stands there once.
+	// All write it, and it stands there once.
 	c.Assert(second.Flush(ctx), qt.IsNil)
+	c.Assert(third.Flush(ctx), qt.IsNil)
 	c.Assert(k.Flush(ctx), qt.IsNil)
 	c.Check(billed(kv), qt.DeepEquals, map[string]int{"request-1": 1, "request-2": 1})
 }
--- a/billing/errors.go
+++ b/billing/errors.go
@@ -1,6 +1,6 @@
 // Package billing brings the bills of answered requests to the platform,
-// each once, from daemons that keep nothing on disk. A bill is safe when a
-// second daemon holds a copy or when it is at the platform.
+// each once, from daemons that keep nothing on disk. A bill is safe when two
+// other daemons hold copies or when it is at the platform.
 package billing
 
 import "github.com/pkg/errors"
@@ -13,7 +13,7 @@
 // Kinds of errors.
 const (
 	// KindPending means that the bill is in memory and will be written, but
-	// is not safe yet: neither a peer nor the platform has it.
+	// is not safe yet: it lacks copies, and the platform does not have it.
 	KindPending ErrorKind = "pending"
 	// KindFull means that no more bills can be kept. The bill or batch was
 	// not taken.
--- a/billing/flush.go
+++ b/billing/flush.go
@@ -25,7 +25,7 @@
 }
 
 func (l *Ledger) copyLoop(ctx context.Context) {
-	slots := make(chan struct{}, holders)
+	slots := make(chan struct{}, copiers)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
@@ -47,9 +47,6 @@
 	}
 }
 
-// copying is the holder of a batch while it is being copied.
-const copying fescuelatch.Incarnation = "copying"
-
 // uncopied closes the forming batch and returns the batches that are to be
 // copied.
 func (l *Ledger) uncopied() []*pending {
@@ -58,8 +55,8 @@
 	l.closeForming()
 	var ps []*pending
 	for _, p := range l.pending {
-		if !p.isSafe && p.holder != copying {
-			p.holder = copying
+		if p.due && !p.copying {
+			p.due, p.copying = false, true
 			ps = append(ps, p)
 		}
 	}
@@ -69,21 +66,38 @@
 func (l *Ledger) copy(ctx context.Context, p *pending) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	holder, err := l.Copier.Hold(ctx, p.batch)
+	impatient := time.AfterFunc(copyPatience, func() { wake(l.urgent) })
+	defer impatient.Stop()
+	held := l.holdersOf(p)
+	holders, err := l.Copier.Hold(ctx, p.batch, copiesPerBatch-len(held), held)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil {
-		p.holder = ""
+	p.copying = false
+	p.holders = append(p.holders, holders...)
+	switch {
+	case err != nil:
+		p.due = true
 		wake(l.urgent)
-		return
+	case p.due:
+		// A holder was lost meanwhile.
+		wake(l.formed)
+	default:
+		p.markSafe()
 	}
-	p.markSafe(holder)
+}
+
+func (l *Ledger) holdersOf(p *pending) []fescuelatch.Incarnation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(p.holders)
 }
 
 func (l *Ledger) writeLoop(ctx context.Context) {
 	pause := urgentPause
+	due := time.NewTimer(l.nextWrite())
+	defer due.Stop()
 	for {
-		urgent := l.awaitWrite(ctx)
+		urgent := l.awaitWrite(ctx, due)
 		if ctx.Err() != nil {
 			return
 		}
@@ -99,7 +113,7 @@
 	}
 }
 
-// retryUnsafe has the batches that neither a peer nor the platform has
+// retryUnsafe has the batches that lack copies, and are not at the platform,
 // copied and written again.
 func (l *Ledger) retryUnsafe() {
 	l.mu.Lock()
@@ -110,25 +124,29 @@
 	}
 }
 
-// awaitWrite returns when a write is due, and whether it is urgent.
-func (l *Ledger) awaitWrite(ctx context.Context) bool {
+// nextWrite returns the time until the next write that is not urgent.
+func (l *Ledger) nextWrite() time.Duration {
 	interval := orDefault(l.FlushInterval, DefaultFlushInterval)
 	if l.Spread != nil {
 		interval = time.Duration(float64(interval) * l.Spread())
 	}
-	t := time.NewTimer(interval)
-	defer t.Stop()
+	return interval
+}
+
+// awaitWrite returns when a write is due, and whether it is urgent.
+func (l *Ledger) awaitWrite(ctx context.Context, due *time.Timer) bool {
 	select {
+	case <-due.C:
+		due.Reset(l.nextWrite())
+		return false
 	case <-l.urgent:
 		return true
-	case <-t.C:
 	case <-ctx.Done():
+		return false
 	}
-	return false
 }
 
-// anyUnsafe reports whether a batch is neither held nor written. The lock is
-// held.
+// anyUnsafe reports whether a batch lacks copies. The lock is held.
 func (l *Ledger) anyUnsafe() bool {
 	for _, p := range l.pending {
 		if !p.isSafe {
@@ -138,7 +156,7 @@
 	return false
 }
 
-// writeRun writes the oldest batches, or the oldest that no peer holds, in one
+// writeRun writes the oldest batches, or the oldest that lack copies, in one
 // transaction.
 func (l *Ledger) writeRun(ctx context.Context, unsafeOnly bool) error {
 	l.writing.Lock()
@@ -192,7 +210,7 @@
 	var rest []*pending
 	for _, p := range l.pending {
 		if written[p.batch.Sequence] {
-			p.markSafe("")
+			p.markSafe()
 		} else {
 			rest = append(rest, p)
 		}
@@ -230,18 +248,19 @@
 	}
 }
 
-// handOn has all batches copied to a peer, also those of which one had a copy:
-// it may be gone, and there will be nobody to find out.
+// handOn has all batches copied to peers, also those of which some had copies:
+// they may be gone, and there will be nobody to find out.
 func (l *Ledger) handOn(ctx context.Context, cause error) error {
 	var failed error
 	for _, p := range l.allPending() {
-		holder, err := l.Copier.Hold(ctx, p.batch)
-		if err != nil {
+		holders, err := l.Copier.Hold(ctx, p.batch, copiesPerBatch, nil)
+		if len(holders) == 0 {
 			failed = err
 			continue
 		}
 		l.mu.Lock()
-		p.markSafe(holder)
+		p.holders = holders
+		p.markSafe()
 		l.mu.Unlock()
 	}
 	if failed != nil {
--- a/billing/keeper.go
+++ b/billing/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -27,7 +28,8 @@
 type Keeper struct {
 	Submitter platform.Submitter
 	Now       func() time.Time
-	// Copier, when set, takes what Flush cannot write.
+	// Copier, when set, takes what Flush cannot write, and copies of which no
+	// other daemon is known to have one.
 	Copier   Copier
 	HoldTime time.Duration
 	// Pause is the time between writes.
@@ -40,11 +42,13 @@
 	bills  int
 	stats  KeeperStats
 	writer writer
+
+	protecting sync.Mutex // held while copies are made of copies
 }
 
 // copies are the batches of one origin, by sequence.
 type copies struct {
-	batches map[uint64]heldBatch
+	batches map[uint64]*heldBatch
 	through uint64 // all up to it are at the platform
 	touched time.Time
 }
@@ -52,6 +56,15 @@
 type heldBatch struct {
 	batch Batch
 	since time.Time
+	// others are the daemons known to have the batch as well, the origin
+	// included.
+	others []fescuelatch.Incarnation
+}
+
+func (h *heldBatch) addOther(i fescuelatch.Incarnation) {
+	if !slices.Contains(h.others, i) {
+		h.others = append(h.others, i)
+	}
 }
 
 // KeeperStats counts what a Keeper has done.
@@ -66,12 +79,12 @@
 }
 
 const (
-	opHold   = "hold"
-	opCopyOn = "copy on"
+	opHold    = "hold"
+	opProtect = "protect"
 )
 
-// Hold keeps a copy of a batch.
-func (k *Keeper) Hold(b Batch) error {
+// Hold keeps a copy of a batch for the daemon that has it as well.
+func (k *Keeper) Hold(b Batch, from fescuelatch.Incarnation) error {
 	if err := b.check(); err != nil {
 		return &Error{Op: opHold, Kind: KindInvalid, Err: err}
 	}
@@ -79,14 +92,18 @@
 	defer k.mu.Unlock()
 	c := k.of(b.Origin)
 	c.touched = k.Now()
-	if _, ok := c.batches[b.Sequence]; ok || b.Sequence <= c.through {
+	if h, ok := c.batches[b.Sequence]; ok {
+		h.addOther(from)
+		return nil
+	}
+	if b.Sequence <= c.through {
 		return nil
 	}
 	if k.bills+len(b.Bills) > k.maxBills() {
 		k.stats.Refused++
 		return &Error{Op: opHold, Kind: KindFull}
 	}
-	c.batches[b.Sequence] = heldBatch{batch: b, since: k.Now()}
+	c.batches[b.Sequence] = &heldBatch{batch: b, since: k.Now(), others: []fescuelatch.Incarnation{from}}
 	k.bills += len(b.Bills)
 	k.stats.Held += int64(len(b.Bills))
 	return nil
@@ -98,14 +115,14 @@
 		k.held = make(map[fescuelatch.Incarnation]*copies)
 	}
 	if k.held[o] == nil {
-		k.held[o] = &copies{batches: make(map[uint64]heldBatch)}
+		k.held[o] = &copies{batches: make(map[uint64]*heldBatch)}
 	}
 	return k.held[o]
 }
 
 func (k *Keeper) maxBills() int {
 	if k.MaxBills == 0 {
-		return DefaultMaxBills
+		return DefaultMaxCopies
 	}
 	return k.MaxBills
 }
@@ -152,6 +169,8 @@
 func (k *Keeper) Run(ctx context.Context) {
 	for sleep(ctx, orDefault(k.Pause, DefaultKeeperPause)) {
 		k.evict()
+		// A failure leaves the copies for the next time.
+		_ = k.protect(ctx)
 		if run := k.oldest(orDefault(k.HoldTime, DefaultHoldTime)); len(run) > 0 {
 			// A failure is counted, and the copies stay for the next time.
 			_ = k.write(ctx, run)
@@ -236,8 +255,8 @@
 	if k.Copier == nil {
 		return &Error{Op: opFlush, Kind: KindPending, Err: cause}
 	}
-	for _, b := range k.all() {
-		if _, err := k.Copier.Hold(ctx, b); err != nil {
+	for _, b := range k.batches(func(*heldBatch) bool { return true }) {
+		if _, err := k.Copier.Hold(ctx, b, 1, nil); err != nil {
 			return &Error{Op: opFlush, Kind: KindPending, Err: errors.Wrap(err, cause.Error())}
 		}
 		k.mu.Lock()
@@ -247,31 +266,54 @@
 	return nil
 }
 
-// CopyOn copies what is held of an origin, which is gone, to another daemon as
-// well, so that an outage of the platform does not leave one copy only. The
-// copies stay here. It reports KindPending when some were not copied.
-func (k *Keeper) CopyOn(ctx context.Context, o fescuelatch.Incarnation) error {
+// Lost tells that a daemon is gone. What it had, and no other daemon is known
+// to have, is copied to one more, so that an outage of the platform does not
+// leave the copy here alone. Lost reports KindPending when some of that was
+// not copied; Run tries it again.
+func (k *Keeper) Lost(ctx context.Context, i fescuelatch.Incarnation) error {
+	k.mu.Lock()
+	for _, c := range k.held {
+		for _, h := range c.batches {
+			h.others = slices.DeleteFunc(h.others, func(o fescuelatch.Incarnation) bool { return o == i })
+		}
+	}
+	k.mu.Unlock()
+	return k.protect(ctx)
+}
+
+// protect copies the batches that no other daemon is known to have.
+func (k *Keeper) protect(ctx context.Context) error {
 	if k.Copier == nil {
-		return &Error{Op: opCopyOn, Kind: KindPending, Err: errors.New("no copier")}
+		return nil
 	}
-	for _, b := range k.all() {
-		if b.Origin != o {
-			continue
+	k.protecting.Lock()
+	defer k.protecting.Unlock()
+	for _, b := range k.batches(func(h *heldBatch) bool { return len(h.others) == 0 }) {
+		holders, err := k.Copier.Hold(ctx, b, 1, nil)
+		if err != nil {
+			return &Error{Op: opProtect, Kind: KindPending, Err: err}
 		}
-		if _, err := k.Copier.Hold(ctx, b); err != nil {
-			return &Error{Op: opCopyOn, Kind: KindPending, Err: err}
+		k.mu.Lock()
+		if h, ok := k.of(b.Origin).batches[b.Sequence]; ok {
+			for _, i := range holders {
+				h.addOther(i)
+			}
 		}
+		k.mu.Unlock()
 	}
 	return nil
 }
 
-func (k *Keeper) all() []Batch {
+// batches returns the batches held that want holds for.
+func (k *Keeper) batches(want func(*heldBatch) bool) []Batch {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var batches []Batch
 	for _, c := range k.held {
 		for _, h := range c.batches {
-			batches = append(batches, h.batch)
+			if want(h) {
+				batches = append(batches, h.batch)
+			}
 		}
 	}
 	return batches
--- a/billing/ledger.go
+++ b/billing/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,10 @@
 
 // Copier keeps copies of batches with other daemons.
 type Copier interface {
-	// Hold returns when another daemon, which it names, has a copy of b.
-	Hold(ctx context.Context, b Batch) (fescuelatch.Incarnation, error)
+	// Hold has copies of b kept by n daemons beside those that hold one, and
+	// returns them. Fewer than n without an error mean that no other daemon
+	// is left to ask. With no copy anywhere there is always an error.
+	Hold(ctx context.Context, b Batch, n int, held []fescuelatch.Incarnation) ([]fescuelatch.Incarnation, error)
 	// Drop tells that all batches of an origin up to a sequence are at the
 	// platform.
 	Drop(ctx context.Context, o fescuelatch.Incarnation, through uint64) error
@@ -26,13 +29,21 @@
 const (
 	DefaultInterval      = 20 * time.Millisecond
 	DefaultFlushInterval = 10 * time.Second
-	DefaultMaxBills      = 200000
+	DefaultMaxBills      = 150000
+	// DefaultMaxCopies holds as long an outage at the same rate of bills.
+	DefaultMaxCopies = copiesPerBatch * DefaultMaxBills
 
 	// maxBatchBills closes a batch before its interval ends, so that it
 	// fits one transaction.
 	maxBatchBills = maxRunKeyed
-	// holders is the number of batches that are copied at the same time.
-	holders = 16
+	// copiesPerBatch is the number of daemons that hold a batch beside its origin,
+	// where there are as many.
+	copiesPerBatch = 2
+	// copiers is the number of batches that are copied at the same time.
+	copiers = 16
+	// copyPatience is the time after which a batch that still lacks its
+	// copies is written to the platform as well.
+	copyPatience = 150 * time.Millisecond
 	// urgentPause passes between writes of bills that no peer holds.
 	urgentPause = 250 * time.Millisecond
 	copyTimeout = 2 * time.Second
@@ -72,10 +83,12 @@
 
 // pending is a batch on its way to the platform.
 type pending struct {
-	batch  Batch
-	holder fescuelatch.Incarnation
-	safe   chan struct{} // closed once a copy is held or the batch is written
-	isSafe bool
+	batch   Batch
+	holders []fescuelatch.Incarnation
+	due     bool          // copies are to be made
+	copying bool          // copies are being made
+	safe    chan struct{} // closed once copies are held or the batch is written
+	isSafe  bool
 }
 
 // Stats counts what a Ledger has done.
@@ -87,7 +100,7 @@
 	Writes   int64 `json:"writes"`
 	Failed   int64 `json:"failed-writes"`
 	// Waiting is the number of bills not at the platform, Unsafe that of
-	// batches of which no peer has a copy either.
+	// batches that lack copies as well.
 	Waiting int `json:"waiting"`
 	Unsafe  int `json:"unsafe-batches"`
 }
@@ -174,6 +187,7 @@
 	l.sequence++
 	l.forming.batch.Origin = l.Origin
 	l.forming.batch.Sequence = l.sequence
+	l.forming.due = true
 	l.pending = append(l.pending, l.forming)
 	l.stats.Batches++
 	l.forming = nil
@@ -193,23 +207,36 @@
 	return s
 }
 
-// Lost tells that a daemon is gone. The batches of which it had the copy are
+// Lost tells that a daemon is gone. The batches of which it had a copy are
 // copied to another one.
 func (l *Ledger) Lost(holder fescuelatch.Incarnation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.pending {
-		if p.holder == holder && p.isSafe {
-			p.holder, p.isSafe = "", false
+		if n := slices.Index(p.holders, holder); n >= 0 {
+			p.holders = slices.Delete(p.holders, n, n+1)
+			p.due, p.isSafe = true, false
 		}
 	}
 	l.init()
 	wake(l.formed)
 }
 
+// Found tells that there is another daemon to hold copies. The batches that
+// have fewer than they should are copied to it.
+func (l *Ledger) Found() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.pending {
+		p.due = p.due || len(p.holders) < copiesPerBatch
+	}
+	l.init()
+	wake(l.formed)
+}
+
 // markSafe records that p is held or written. The lock is held.
-func (p *pending) markSafe(holder fescuelatch.Incarnation) {
-	p.holder, p.isSafe = holder, true
+func (p *pending) markSafe() {
+	p.isSafe = true
 	select {
 	case <-p.safe:
 	default:
--- a/billing/machine_test.go
+++ b/billing/machine_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,8 +42,8 @@
 	safe map[string]bool
 	// keyed is the request whose bill was first seen under a key.
 	keyed map[string]fescuelatch.RequestID
-	// silent is set while copies fail.
-	silent bool
+	// silent are the daemons that hold no copies.
+	silent map[fescuelatch.Incarnation]bool
 }
 
 func newMachine(mutate func(platform.Submitter) platform.Submitter) *machine {
@@ -50,7 +51,7 @@
 	m := &machine{
 		kv: kv, network: &memory.Network{KV: kv}, now: time.Date(2026, 11, 30, 12, 0, 0, 0, time.UTC),
 		waiting: make(map[string]*pending), safe: make(map[string]bool),
-		keyed: make(map[string]fescuelatch.RequestID),
+		keyed: make(map[string]fescuelatch.RequestID), silent: make(map[fescuelatch.Incarnation]bool),
 	}
 	m.submit = platform.Direct{Transactor: m.network}
 	if mutate != nil {
@@ -72,26 +73,41 @@
 	m.daemons[i] = d
 }
 
-// copier copies to the next daemon.
+// copier copies to the other daemons, of which silent ones fail.
 type copier struct {
 	machine *machine
 	self    int
 }
 
-func (c copier) to() *daemon { return c.machine.daemons[(c.self+1)%len(c.machine.daemons)] }
+// to returns the other daemons.
+func (c copier) to() []*daemon {
+	return append(slices.Clone(c.machine.daemons[c.self+1:]), c.machine.daemons[:c.self]...)
+}
 
-func (c copier) Hold(_ context.Context, b Batch) (fescuelatch.Incarnation, error) {
-	if c.machine.silent {
-		return "", errors.New("no peer")
+func (c copier) Hold(_ context.Context, b Batch, n int, held []fescuelatch.Incarnation) ([]fescuelatch.Incarnation, error) {
+	var holders []fescuelatch.Incarnation
+	var failed error
+	for _, d := range c.to() {
+		switch {
+		case slices.Contains(held, d.ledger.Origin) || len(holders) == n:
+		case c.machine.silent[d.ledger.Origin]:
+			failed = errors.New("no peer")
+		case d.keeper.Hold(b, c.machine.daemons[c.self].ledger.Origin) == nil:
+			holders = append(holders, d.ledger.Origin)
+		}
 	}
-	return c.to().ledger.Origin, c.to().keeper.Hold(b)
+	if len(holders) == n {
+		failed = nil
+	}
+	return holders, failed
 }
 
 func (c copier) Drop(_ context.Context, o fescuelatch.Incarnation, through uint64) error {
-	if c.machine.silent {
-		return errors.New("no peer")
+	for _, d := range c.to() {
+		if !c.machine.silent[d.ledger.Origin] {
+			d.keeper.Drop(o, through)
+		}
 	}
-	c.to().keeper.Drop(o, through)
 	return nil
 }
 
@@ -156,25 +172,41 @@
 	m.withFaults(t, func() { _ = d.ledger.Flush(context.Background()) })
 }
 
-func (m *machine) silence(*rapid.T) { m.silent = !m.silent }
+func (m *machine) silence(t *rapid.T) {
+	i := m.pick(t).ledger.Origin
+	m.silent[i] = !m.silent[i]
+}
 
 func (m *machine) outage(t *rapid.T) { m.kv.SetDown(rapid.Bool().Draw(t, "down")) }
 
-// kill replaces a daemon without a word. A second one is killed only after
-// the others have learned of the first, and the platform has what it held.
+// kill replaces two daemons at once, or one, without a word. Others are killed
+// only after the rest has learned of the former. Two are killed at once only
+// after the platform has the bills of those that were killed before.
 func (m *machine) kill(t *rapid.T) {
-	m.settle(t)
-	i := rapid.IntRange(0, len(m.daemons)-1).Draw(t, "daemon")
+	first := rapid.IntRange(0, len(m.daemons)-1).Draw(t, "daemon")
+	second := rapid.IntRange(0, len(m.daemons)-1).Draw(t, "another daemon")
+	if first == second {
+		m.copyAll(t)
+	} else {
+		m.settle(t)
+	}
 	m.noteSafe()
-	killed := m.daemons[i].ledger.Origin
+	killed := []fescuelatch.Incarnation{m.daemons[first].ledger.Origin, m.daemons[second].ledger.Origin}
 	for name, p := range m.waiting {
-		if p.batch.Origin == "" || p.batch.Origin == killed {
+		if p.batch.Origin == "" || slices.Contains(killed, p.batch.Origin) {
 			delete(m.waiting, name)
 		}
 	}
-	m.start(i)
+	m.start(first)
+	m.start(second)
 	for _, d := range m.daemons {
-		d.ledger.Lost(killed)
+		d.ledger.Lost(killed[0])
+		d.ledger.Lost(killed[1])
+	}
+	for _, d := range m.daemons {
+		if d.keeper.Lost(context.Background(), killed[0]) != nil || d.keeper.Lost(context.Background(), killed[1]) != nil {
+			t.Fatal("copies were not made again")
+		}
 	}
 }
 
@@ -190,17 +222,25 @@
 // one of them.
 func (m *machine) settle(t *rapid.T) {
 	m.kv.SetDown(false)
-	m.silent = false
 	m.network.Next = nil
 	for _, d := range m.daemons {
 		if err := d.keeper.Flush(context.Background()); err != nil {
 			t.Fatal(err)
 		}
 	}
+	m.copyAll(t)
+}
+
+// copyAll ends the faults of daemons and has all copies made that are due.
+func (m *machine) copyAll(t *rapid.T) {
+	clear(m.silent)
 	for _, d := range m.daemons {
 		for _, p := range d.ledger.uncopied() {
 			d.ledger.copy(context.Background(), p)
 		}
+		if err := d.keeper.protect(context.Background()); err != nil {
+			t.Fatal(err)
+		}
 	}
 }
 
@@ -303,9 +343,9 @@
 		}
 	}
 	add("first")
-	m.silent = true
+	m.silent[holder.ledger.Origin] = true
 	add("second")
-	m.silent = false
+	m.silent[holder.ledger.Origin] = false
 	if err := origin.ledger.writeRun(context.Background(), true); err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/bills.go
+++ b/daemon/bills.go
@@ -68,50 +68,141 @@
 
 var _ billing.Copier = (*copier)(nil)
 
-// Hold implements billing.Copier. A daemon of another failure domain is
-// asked first, so that a copy outlives this one.
-func (c *copier) Hold(ctx context.Context, b billing.Batch) (fescuelatch.Incarnation, error) {
+// Hold implements billing.Copier. It asks n daemons at the same time, and
+// another one in place of each that fails.
+func (c *copier) Hold(ctx context.Context, b billing.Batch, n int, held []fescuelatch.Incarnation) ([]fescuelatch.Incarnation, error) {
 	d := (*Daemon)(c)
+	hs := d.holders(held)
+	if len(hs) == 0 && len(held) > 0 {
+		return nil, nil
+	}
 	body, err := d.codec.Encode(b)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
-	last := errors.New("no other daemon is heard of")
-	for _, h := range d.holders() {
-		vm, ok := d.holder.View().VM(h.hello.VM)
-		if !ok {
-			continue
-		}
-		one, cancel := context.WithTimeout(ctx, holdTimeout)
-		err := d.peers.Hold(one, vm.Peer, &peer.BillBatch{Body: body})
-		cancel()
+	batch := &peer.BillBatch{Body: body}
+	if b.Origin != d.incarnation {
+		batch.From = d.incarnation
+	}
+	next := make(chan heard, len(hs))
+	for _, h := range hs {
+		next <- h
+	}
+	close(next)
+	var r holdResult
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() { d.holdAtOne(ctx, next, batch, &r) })
+	}
+	wg.Wait()
+	return r.get(n)
+}
+
+// holdAtOne has a copy kept by the next daemon that takes it.
+func (d *Daemon) holdAtOne(ctx context.Context, next <-chan heard, b *peer.BillBatch, r *holdResult) {
+	for h := range next {
+		err := d.holdAt(ctx, h, b)
+		r.add(h.hello.Incarnation, err)
 		if err == nil {
-			d.told.add(h.hello.VM)
-			return h.hello.Incarnation, nil
+			return
 		}
-		last = err
 	}
-	return "", last
 }
 
-// holders returns the daemons that can hold copies, the best first.
-func (d *Daemon) holders() []heard {
+func (d *Daemon) holdAt(ctx context.Context, h heard, b *peer.BillBatch) error {
+	vm, ok := d.holder.View().VM(h.hello.VM)
+	if !ok {
+		return errors.Errorf("%s is not in the configuration", h.hello.VM)
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	if err := d.peers.Hold(ctx, vm.Peer, b); err != nil {
+		return err
+	}
+	d.told.add(h.hello.VM)
+	return nil
+}
+
+// holdResult collects what the daemons answered that were asked to hold a
+// copy. It is safe for concurrent use.
+type holdResult struct {
+	mu      sync.Mutex
+	holders []fescuelatch.Incarnation
+	err     error
+}
+
+func (r *holdResult) add(i fescuelatch.Incarnation, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.err = err
+		return
+	}
+	r.holders = append(r.holders, i)
+}
+
+// get returns the holders, and an error when a daemon failed in place of
+// which there was no other, or when there is no holder at all.
+func (r *holdResult) get(n int) ([]fescuelatch.Incarnation, error) {
+	switch {
+	case len(r.holders) >= n:
+		return r.holders, nil
+	case len(r.holders) == 0 && r.err == nil:
+		return nil, errors.New("no other daemon is heard of")
+	default:
+		return r.holders, r.err
+	}
+}
+
+// holders returns the daemons that can hold further copies, the best first.
+func (d *Daemon) holders(held []fescuelatch.Incarnation) []heard {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	var hs []heard
+	copies := make(map[fescuelatch.DomainID]int)
 	for _, h := range d.hellos {
-		if now.Sub(h.at) <= lostAfter && !h.hello.Leaving {
+		switch {
+		case slices.Contains(held, h.hello.Incarnation):
+			copies[h.hello.Domain]++
+		case now.Sub(h.at) <= lostAfter && !h.hello.Leaving:
 			hs = append(hs, h)
 		}
 	}
 	sort.Slice(hs, func(i, j int) bool {
-		a, b := hs[i].hello, hs[j].hello
-		if other := a.Domain != d.options.Domain; other != (b.Domain != d.options.Domain) {
-			return other
+		return rankOf(d.options.VM, hs[i].hello.VM) < rankOf(d.options.VM, hs[j].hello.VM)
+	})
+	return spread(hs, d.options.Domain, copies)
+}
+
+// spread orders daemons so that the first ones are of different failure
+// domains, the own one last among them, given the copies that each failure
+// domain has already.
+func spread(hs []heard, own fescuelatch.DomainID, copies map[fescuelatch.DomainID]int) []heard {
+	type choice struct {
+		heard
+		copy int // which one of its failure domain it would be
+	}
+	choices := make([]choice, 0, len(hs))
+	for _, h := range hs {
+		copies[h.hello.Domain]++
+		choices = append(choices, choice{h, copies[h.hello.Domain]})
+	}
+	slices.SortStableFunc(choices, func(a, b choice) int {
+		if a.copy != b.copy || a.hello.Domain == b.hello.Domain {
+			return a.copy - b.copy
+		}
+		switch own {
+		case a.hello.Domain:
+			return 1
+		case b.hello.Domain:
+			return -1
 		}
-		return rankOf(d.options.VM, a.VM) < rankOf(d.options.VM, b.VM)
+		return 0
 	})
+	for i, c := range choices {
+		hs[i] = c.heard
+	}
 	return hs
 }
 
@@ -152,12 +243,12 @@
 	return vms
 }
 
-// replaced tells the ledger and the keeper that a daemon is gone: copies of
-// which it was one of two holders are made again.
+// replaced tells the ledger and the keeper that a daemon is gone: copies that
+// it held, and those of its own bills, are made again.
 func (d *Daemon) replaced(ctx context.Context, i fescuelatch.Incarnation) {
 	d.ledger.Lost(i)
-	if err := d.keeper.CopyOn(ctx, i); err != nil {
-		d.log.Warn("bills of a lost daemon have one copy", "incarnation", i, "error", err.Error())
+	if err := d.keeper.Lost(ctx, i); err != nil {
+		d.log.Warn("bills that a lost daemon had are here only", "incarnation", i, "error", err.Error())
 	}
 }
 
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -193,6 +193,9 @@
 	case ok && !was.lost:
 		go d.replaced(context.WithoutCancel(ctx), was.hello.Incarnation)
 	}
+	if was.lost || since.Equal(now) {
+		go d.ledger.Found()
+	}
 	d.hellos[h.VM] = heard{hello: h, at: now, first: since}
 	if h.Leaving {
 		d.decideLocked(decision.Lost{VM: h.VM})
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -56,7 +56,11 @@
 	if err != nil {
 		return err
 	}
-	return d.keeper.Hold(batch)
+	from := b.From
+	if from == "" {
+		from = batch.Origin
+	}
+	return d.keeper.Hold(batch, from)
 }
 
 // Written implements peer.Handler.
--- a/failure/bills_test.go
+++ b/failure/bills_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"fescuelatch"
 	"fescuelatch/fleet"
@@ -37,6 +38,7 @@
 	f := startFleet(t, func(o *fleet.Options) { o.Daemon = []string{"--bill-hold-time", billHoldTime.String()} })
 	warmUp(ctx, c, f)
 	u := newCallers(c, f)
+	killOriginAndHolder(ctx, c, f, u)
 	killAfterAnswers(ctx, c, f, u)
 	c.Assert(f.Restart(ctx, "b-1"), qt.IsNil)
 	killHolderThenOrigin(ctx, c, f, u)
@@ -95,6 +97,27 @@
 	restart(ctx, c, f, "a-1", "b-1", "b-2")
 }
 
+// killOriginAndHolder kills a daemon at the same moment as all of the failure
+// domain that holds the first copies of its bills, right after the answers.
+// The platform is away.
+func killOriginAndHolder(ctx context.Context, c *qt.C, f *fleet.Fleet, u *callers) {
+	c.Helper()
+	o := outageFault("refuse")
+	c.Assert(o.begin(ctx, f), qt.IsNil)
+	for n := range 5 {
+		r := u.send(call{vm: "a-2", nonce: fmt.Sprintf("together-%d", n)})
+		c.Assert(r.outcome, qt.Equals, fescuelatch.OutcomeAnswered, qt.Commentf("%s", r))
+	}
+	killed := []fescuelatch.VMID{"a-2", "b-1", "b-2"}
+	var g errgroup.Group
+	for _, m := range killed {
+		g.Go(func() error { return f.Kill(ctx, m) })
+	}
+	c.Assert(g.Wait(), qt.IsNil)
+	c.Assert(o.end(ctx, f), qt.IsNil)
+	restart(ctx, c, f, killed...)
+}
+
 // stopAfterHolders kills all daemons of the failure domain that holds the
 // copies of a daemon's bills and stops the daemon before it can know. The
 // platform is away.
--- a/peer/message.go
+++ b/peer/message.go
@@ -55,7 +55,12 @@
 
 // BillBatch is a copy of a batch of bills, kept until its origin or its
 // holder has written it to the platform. Body is a JSON document.
-type BillBatch struct{ Body []byte }
+type BillBatch struct {
+	Body []byte
+	// From is the daemon that has the batch and copies it, empty for its
+	// origin.
+	From fescuelatch.Incarnation
+}
 
 // BillsWritten says that all batches of Origin up to Through are at the
 // platform.
