Wrong clocks break no promise; an expired key is not told "not run"

Cause: ages that outlive a daemon were judged by its own wall clock. A daemon that was 5 hours late ran a dated key again after its claim had gone; a session in use lost its binding when the daemon that bound it was 20 hours early; evidence was ignored between daemons whose clocks differed by 5 hours.

- platform.Clock: the time that daemons have in common, from the dates of the key-value service's answers and the monotonic clock.
Claims, sessions, evidence between daemons and bills go by it.
Keys from the future are refused.
- An expired key is answered as unknown (409), not as not run: an earlier request with it may have run.

No existing test changed but for the part added to TestOnceRefusals.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -70,6 +70,9 @@
 	Submitter platform.Submitter
 	Granter   platform.Granter
 	Now       func() time.Time
+	// Common tells the time that daemons have in common, by which dated keys
+	// and the deadlines of claims go; nil means Now.
+	Common func() time.Time
 	// Retention is the least time for which a claim is kept.
 	Retention time.Duration
 	// MaxAnswer is the number of bytes of an answer that is recorded.
@@ -120,10 +123,10 @@
 	if err != nil {
 		return nil, c.notMade(err)
 	}
-	now := c.Now()
 	l := &Claim{claimer: c, key: recordKey(r.Account, r.Key), lease: lease.ID}
 	l.record = record{
-		Claimant: r.Claimant, Status: statusClaimed, Fingerprint: r.Fingerprint, Created: now, Deadline: r.Deadline,
+		Claimant: r.Claimant, Status: statusClaimed, Fingerprint: r.Fingerprint,
+		Created: c.common(), Deadline: c.common().Add(r.Deadline.Sub(c.Now())),
 	}
 	if err := c.acquire(ctx, l); err != nil {
 		return nil, err
@@ -133,6 +136,13 @@
 		l.giveUp()
 		return nil, c.notMade(errors.New("the lease of the claim has aged"))
 	}
+	// The platform's answer has told the time.
+	if err := c.checkDate(r.Key); err != nil {
+		if l.State == StateMine {
+			l.giveUp()
+		}
+		return nil, err
+	}
 	c.count(l.State)
 	return l, nil
 }
@@ -141,12 +151,32 @@
 	if r.Account == "" || r.Key == "" || r.Claimant == "" || r.Fingerprint == "" {
 		return &Error{Op: opClaim, Kind: KindInvalid, Err: errors.New("the request lacks a field")}
 	}
-	if t, ok := keyTime(r.Key); ok && c.Now().Sub(t) > c.retention()-clockMargin {
-		return &Error{Op: opClaim, Kind: KindExpired, Err: errors.Errorf("the key was drawn before %s", t)}
+	return c.checkDate(r.Key)
+}
+
+// checkDate refuses a dated key whose claim may have gone, and one that may
+// still be repeated after its claim has gone.
+func (c *Claimer) checkDate(key string) error {
+	t, ok := keyTime(key)
+	if !ok {
+		return nil
+	}
+	switch age := c.common().Sub(t); {
+	case age > c.retention()-clockMargin:
+		return &Error{Op: opClaim, Kind: KindExpired, Err: errors.Errorf("the key is of %s", t)}
+	case age < -clockMargin:
+		return &Error{Op: opClaim, Kind: KindPremature, Err: errors.Errorf("the key is of %s", t)}
 	}
 	return nil
 }
 
+func (c *Claimer) common() time.Time {
+	if c.Common == nil {
+		return c.Now()
+	}
+	return c.Common()
+}
+
 func (c *Claimer) epochLeases() *platform.EpochLeases {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -247,7 +277,7 @@
 	case r.Fingerprint != l.record.Fingerprint:
 		return 0, true, &Error{Op: opClaim, Kind: KindMismatch, Err: errors.New("the key was used for another request")}
 	}
-	l.State, l.Answer = stateOf(r, c.Now())
+	l.State, l.Answer = stateOf(r, c.common())
 	return 0, true, nil
 }
 
--- a/claim/errors.go
+++ b/claim/errors.go
@@ -24,6 +24,9 @@
 	// KindExpired means that the key says that it is older than the time for
 	// which claims are kept. Nothing was sent for it.
 	KindExpired ErrorKind = "expired"
+	// KindPremature means that the key says that it will be drawn later. Its
+	// claim would go before the key expires. Nothing was sent for it.
+	KindPremature ErrorKind = "premature"
 	// KindInvalid means that the call does not fit the claim's state.
 	KindInvalid ErrorKind = "invalid"
 	// KindPending means that the platform does not have the end of the claim
--- a/daemon/bills.go
+++ b/daemon/bills.go
@@ -37,7 +37,7 @@
 	q := s.call.Request
 	b := fescuelatch.Bill{
 		Request: q.ID, Account: q.Account, Version: a.Version, Service: q.Service, Operation: q.Operation,
-		Attempts: a.Attempts, Ended: time.Now(), Key: s.call.Key, Cost: s.cost(),
+		Attempts: a.Attempts, Ended: s.daemon.options.Clock.Now(), Key: s.call.Key, Cost: s.cost(),
 		PromptTokens: v.result.PromptTokens, OutputTokens: v.result.OutputTokens,
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), billTimeout)
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -121,15 +121,19 @@
 	}
 }
 
-// claimError translates the failure to make a claim. Nothing was sent.
+// claimError translates the failure to make a claim. Nothing was sent for this
+// arrival of the request, but one with a key that is too old may have run.
 func claimError(err error) *engine.Error {
 	e := &engine.Error{Op: "claim", Kind: engine.KindNotStarted, Err: err}
 	var c *claim.Error
 	if errors.As(err, &c) {
 		e.RetryAfter = c.RetryAfter
-		if c.Kind == claim.KindNotMade {
+		switch c.Kind {
+		case claim.KindNotMade:
 			e.Code = engine.CodePlatformAway
-		} else {
+		case claim.KindExpired:
+			e.Kind = engine.KindClaimUnknown
+		default:
 			e.Kind = engine.KindRejected
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,12 +49,15 @@
 	Sessions  token.Ring
 	Dialer    *peer.Dialer
 	KV        fescuelatch.KV
-	VMs       fescuelatch.VMList
-	Rater     fescuelatch.Rater
-	Core      decision.Options
-	Log       *slog.Logger
-	Metrics   tally.Scope
-	Scrape    http.Handler
+	// Clock tells the time that daemons have in common; nil means that of
+	// this VM.
+	Clock   *platform.Clock
+	VMs     fescuelatch.VMList
+	Rater   fescuelatch.Rater
+	Core    decision.Options
+	Log     *slog.Logger
+	Metrics tally.Scope
+	Scrape  http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	// DrainDelay is how long a stopping daemon goes on to refuse requests
@@ -137,6 +140,9 @@
 // New returns a daemon that has not been started.
 func New(o Options) (*Daemon, error) {
 	now := time.Now()
+	if o.Clock == nil {
+		o.Clock = platform.NewClock(now)
+	}
 	t, err := ownership.New(o.VM, o.Incarnation, ownership.Settings{}, now)
 	if err != nil {
 		return nil, errors.Wrap(err, "new daemon")
@@ -176,8 +182,8 @@
 func (d *Daemon) keep(o Options) {
 	d.batcher = &platform.Batcher{KV: o.KV, Interval: batchInterval}
 	relay := &platform.Relay{Local: d.batcher, Remote: d.remote}
-	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
-	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, Common: o.Clock.Now, MaxTime: claimTimeout}
+	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, Common: o.Clock.Now, MaxTime: claimTimeout}
 	d.ledger = &billing.Ledger{
 		Origin: d.incarnation, Submitter: relay, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
 		Spread: func() float64 { return minSpread + rand.Float64() },
--- a/daemon/evidence.go
+++ b/daemon/evidence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/platform"
 )
 
 // This file defines which evidence two daemons tell each other: only what
@@ -54,6 +55,26 @@
 	return n
 }
 
+// inCommonTime returns evidence with its times as all daemons tell them.
+func inCommonTime(k *platform.Clock, es []fescuelatch.Evidence) []fescuelatch.Evidence {
+	return redated(es, k.Common)
+}
+
+// inOwnTime returns another daemon's evidence with its times as this process
+// tells them.
+func inOwnTime(k *platform.Clock, es []fescuelatch.Evidence) []fescuelatch.Evidence {
+	return redated(es, k.Own)
+}
+
+func redated(es []fescuelatch.Evidence, convert func(time.Time) time.Time) []fescuelatch.Evidence {
+	converted := make([]fescuelatch.Evidence, len(es))
+	for i, e := range es {
+		e.Since, e.Updated = convert(e.Since), convert(e.Updated)
+		converted[i] = e
+	}
+	return converted
+}
+
 // changedSince returns the evidence that changed after t.
 func changedSince(es []fescuelatch.Evidence, t time.Time) []fescuelatch.Evidence {
 	if t.IsZero() {
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -75,7 +75,7 @@
 	return peer.Hello{
 		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation,
 		Generation: d.holder.Generation(), Leaving: d.leaving.Load(),
-		Spares: spares, Evidence: evidence,
+		Spares: spares, Evidence: inCommonTime(d.options.Clock, evidence),
 	}
 }
 
@@ -200,7 +200,9 @@
 	if h.Leaving {
 		d.decideLocked(decision.Lost{VM: h.VM})
 	} else {
-		d.decideLocked(decision.Summarised{VM: h.VM, Domain: h.Domain, Spares: h.Spares, Evidence: h.Evidence, At: now})
+		d.decideLocked(decision.Summarised{
+			VM: h.VM, Domain: h.Domain, Spares: h.Spares, Evidence: inOwnTime(d.options.Clock, h.Evidence), At: now,
+		})
 	}
 	d.mu.Unlock()
 	if d.learned.Load() && h.Generation > d.holder.Generation() {
--- a/failure/once_test.go
+++ b/failure/once_test.go
@@ -132,6 +132,7 @@
 	defer cancel()
 	f := startFleet(t)
 	warmUp(ctx, c, f)
+	checkDatedKeys(ctx, c, f)
 	for _, mode := range []string{"refuse", "unavailable", "hang"} {
 		c.Run(mode, func(c *qt.C) {
 			o := outageFault(mode)
@@ -142,6 +143,30 @@
 	}
 }
 
+// checkDatedKeys sends bans whose keys have a date. One that is too old may
+// have run, so that it must not be told "not run".
+func checkDatedKeys(ctx context.Context, c *qt.C, f *fleet.Fleet) {
+	now := time.Now().UTC()
+	tests := []struct {
+		days    int // from today
+		outcome fescuelatch.Outcome
+		runs    int
+	}{
+		{0, fescuelatch.OutcomeAnswered, 1},
+		{-30, fescuelatch.OutcomeUnknown, 0},
+		{30, fescuelatch.OutcomeNotRun, 0},
+	}
+	u := newCallers(c, f)
+	for _, test := range tests {
+		key := now.AddDate(0, 0, test.days).Format("2006-01-02") + "/ban"
+		for _, m := range onceVMs {
+			r := u.send(call{vm: m, nonce: key, key: key, operation: "ban"})
+			c.Check(r.outcome, qt.Equals, test.outcome, qt.Commentf("%s", r))
+		}
+		c.Check(executions(ctx, c, f)[key], qt.HasLen, test.runs)
+	}
+}
+
 func checkRefusals(ctx context.Context, c *qt.C, f *fleet.Fleet, mode string) {
 	u, beside := newCallers(c, f), newCallers(c, f)
 	began := time.Now()
--- a/session/session.go
+++ b/session/session.go
@@ -28,6 +28,9 @@
 	// DefaultMaxTime bounds a call whose context has no earlier deadline.
 	DefaultMaxTime = 2 * time.Second
 
+	// clockMargin is the difference of clocks that is no cause for a write.
+	clockMargin = time.Minute
+
 	defaultRetryAfter = 2 * time.Second
 	retryPause        = 20 * time.Millisecond
 )
@@ -87,6 +90,9 @@
 	Submitter platform.Submitter
 	Granter   platform.Granter
 	Now       func() time.Time
+	// Common tells the time that daemons have in common, by which bindings
+	// are dated; nil means Now.
+	Common    func() time.Time
 	Retention time.Duration
 	CacheSize int
 	MaxTime   time.Duration
@@ -161,12 +167,26 @@
 			return entry{}, err
 		}
 	}
-	if e.Version == "" || s.Now().Sub(e.Bound) < s.retention()/2 {
+	if e.Version == "" || !s.due(e.Bound) {
 		return e, nil
 	}
 	return s.renew(ctx, id, e), nil
 }
 
+// due reports whether a binding is to be written again: half of its time has
+// passed, or its date is wrong.
+func (s *Store) due(bound time.Time) bool {
+	age := s.common().Sub(bound)
+	return age >= s.retention()/2 || age < -clockMargin
+}
+
+func (s *Store) common() time.Time {
+	if s.Common == nil {
+		return s.Now()
+	}
+	return s.Common()
+}
+
 func (s *Store) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
 	d := s.MaxTime
 	if d == 0 {
@@ -258,7 +278,7 @@
 		if err != nil {
 			return entry{}, unavailable(op, err)
 		}
-		e := entry{binding: binding{Version: v, Bound: s.Now()}}
+		e := entry{binding: binding{Version: v, Bound: s.common()}}
 		res, err := s.Submitter.Submit(ctx, swapTxn(id, e.binding, revision, lease.ID))
 		switch {
 		case err == nil && res.Succeeded:
