A caller's deadline is not a failure of the endpoint

Cause: an attempt that its caller's deadline cut ended as broken, so that three impatient callers in a row made a healthy endpoint count as cold for 10 s, lowered its limit and its version's health.

It now ends as "expired". After the first token that tells nothing of the endpoint or the version. Before it, the endpoint gets a strike when the first token was owed for more than four times the usual latency, or when no latency is known yet; for the version it counts as before. The request ends with the best answer so far, or as unknown with the code "deadline".

Weighed: counting no deadline at all. An endpoint that hangs and never gave a first token would then never be doubted, as nothing tells what is slow.

The engine's client tests run under a deadline of a second, which the new case needs.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -160,7 +160,10 @@
 // that an endpoint never gets more than the gate counts.
 func (s *serving) abandon(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult, err error) {
 	var e *engine.Error
-	if r.Endpoint == "" || !errors.As(err, &e) || (e.Kind != engine.KindBroken && e.Kind != engine.KindCancelled) {
+	if r.Endpoint == "" || !errors.As(err, &e) {
+		return
+	}
+	if e.Kind != engine.KindBroken && e.Kind != engine.KindExpired && e.Kind != engine.KindCancelled {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonTimeout)
@@ -195,6 +198,9 @@
 		r.Status = fescuelatch.AttemptNotStarted
 	case engine.KindNotStarted, engine.KindRejected:
 		r.Status = fescuelatch.AttemptNotStarted
+	case engine.KindExpired:
+		r.Status = fescuelatch.AttemptExpired
+		s.mayHaveRun = true
 	case engine.KindCancelled:
 		r.Status = fescuelatch.AttemptCancelled
 		s.mayHaveRun = true
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -231,7 +231,7 @@
 	r := m.running[i]
 	m.running = append(m.running[:i:i], m.running[i+1:]...)
 	status := rapid.SampledFrom([]fescuelatch.AttemptStatus{
-		fescuelatch.AttemptAnswered, fescuelatch.AttemptNotStarted, fescuelatch.AttemptBroken, fescuelatch.AttemptCancelled,
+		fescuelatch.AttemptAnswered, fescuelatch.AttemptNotStarted, fescuelatch.AttemptBroken, fescuelatch.AttemptCancelled, fescuelatch.AttemptExpired,
 	}).Draw(t, "status")
 	q := m.requests[r.request]
 	if rapid.Bool().Draw(t, "first") && status != fescuelatch.AttemptNotStarted {
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -40,6 +40,8 @@
 		q.retryAfter = max(q.retryAfter, r.RetryAfter)
 		c.fire(q, chart.EventNotStarted)
 		c.notStarted(now, q, r)
+	case fescuelatch.AttemptExpired:
+		c.expired(q)
 	case fescuelatch.AttemptCancelled:
 		c.end(q, chart.EventCancel)
 		c.emit(Drop{Request: q.ID})
@@ -116,6 +118,16 @@
 	return ReasonNotStarted
 }
 
+// expired ends a request whose deadline passed during an attempt: with the
+// best answer so far, or as unknown.
+func (c *Core) expired(q *request) {
+	if q.best.id != "" {
+		c.accept(q, q.best, false)
+		return
+	}
+	c.giveUp(q, ReasonDeadline)
+}
+
 // broken repeats an idempotent request unless part of its answer has been
 // streamed to the caller.
 func (c *Core) broken(now time.Time, q *request) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -235,8 +235,11 @@
 // brokenOr returns the error of an attempt that may have run. A context that
 // was cancelled for a cause of its own does not mean that the caller left.
 func brokenOr(ctx context.Context, op string, err error) *Error {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.Canceled):
 		return &Error{Op: op, Kind: KindCancelled, Err: err}
+	case errors.Is(cause, context.DeadlineExceeded):
+		return &Error{Op: op, Kind: KindExpired, Err: err}
 	}
 	return &Error{Op: op, Kind: KindBroken, Err: err}
 }
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -61,6 +62,10 @@
 			abort()
 		}, engine.KindBroken, 0},
 		{"connection lost before the answer", false, func(http.ResponseWriter, *http.Request) { abort() }, engine.KindBroken, 0},
+		{"deadline of the caller", false, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}, engine.KindExpired, 0},
 		{"overloaded", false, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Retry-After", "3")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -89,7 +94,9 @@
 			c := qt.New(t)
 			s := httptest.NewServer(test.serve)
 			defer s.Close()
-			_, err := client().Chat(context.Background(), engine.Target{URL: s.URL}, "a.1", &openai.ChatRequest{Stream: test.stream},
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := client().Chat(ctx, engine.Target{URL: s.URL}, "a.1", &openai.ChatRequest{Stream: test.stream},
 				func() {}, func(*openai.Chunk) error { return nil })
 			if test.want == "" {
 				c.Assert(err, qt.IsNil)
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -22,6 +22,8 @@
 	KindRejected Kind = "rejected"
 	// KindBroken means that the request may have run.
 	KindBroken Kind = "broken"
+	// KindExpired means that the request's deadline passed. It may have run.
+	KindExpired Kind = "expired"
 	// KindCancelled means that the caller left.
 	KindCancelled Kind = "cancelled"
 	// KindInProgress means that a claim of the same key is held elsewhere.
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -212,6 +212,21 @@
 			g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
 			return now
 		}, cold},
+		{"deadlines soon after the first token", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, true, 2*time.Second)
+		}, slots},
+		{"deadlines before a first token was due", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, false, 300*time.Millisecond)
+		}, slots},
+		{"deadlines while first tokens are owed for long", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, false, 2*time.Second)
+		}, cold},
+		{"deadlines while no latency is known", func(g *gate.Adaptive, now time.Time) time.Time {
+			return expire(g, now, false, 300*time.Millisecond)
+		}, cold},
 		{"it leaves", func(g *gate.Adaptive, now time.Time) time.Time {
 			now = now.Add(time.Second)
 			r := warmReport(now, 0)
@@ -228,6 +243,22 @@
 	}
 }
 
+// expire runs three attempts that are cut after d by their callers'
+// deadlines.
+func expire(g *gate.Adaptive, now time.Time, first bool, d time.Duration) time.Time {
+	for i := range 3 {
+		w := work(fmt.Sprint("expires-", i), "large")
+		g.Offer(now, w)
+		if first {
+			g.First(now.Add(100*time.Millisecond), w.Attempt)
+		}
+		now = now.Add(d)
+		g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptExpired})
+		g.Report(now, warmReport(now, 0))
+	}
+	return now
+}
+
 // answer runs n attempts one after the other that give their first token
 // after d, and keeps reports coming.
 func answer(g *gate.Adaptive, now time.Time, n int, d time.Duration) time.Time {
--- a/gate/place.go
+++ b/gate/place.go
@@ -235,6 +235,8 @@
 	case r.Status == fescuelatch.AttemptAnswered:
 		p.limit.increase(p.owned.Pool.Slots)
 		p.goesOn(a)
+	case r.Status == fescuelatch.AttemptExpired:
+		p.expired(now, a)
 	case r.Status == fescuelatch.AttemptNotStarted, r.Status == fescuelatch.AttemptBroken:
 		p.limit.decrease(now, p.floor())
 		p.warmth.fail(now)
@@ -242,6 +244,18 @@
 	}
 }
 
+// expired takes in that the caller's deadline cut a. That tells of the
+// endpoint only if the first token was owed for long.
+func (p *place) expired(now time.Time, a *attempt) {
+	if a.first || !p.warmth.owes(now.Sub(a.started), a.request.Streamed) {
+		return
+	}
+	p.limit.decrease(now, p.floor())
+	if !a.struck {
+		p.warmth.strike(now)
+	}
+}
+
 // first takes in the latency to the first token of a.
 func (p *place) first(now time.Time, a *attempt, d time.Duration) {
 	a.first = true
--- a/gate/property_test.go
+++ b/gate/property_test.go
@@ -89,7 +89,7 @@
 	id := fescuelatch.AttemptID(fmt.Sprint(rapid.IntRange(1, max(1, m.next)).Draw(t, "attempt")))
 	r := fescuelatch.AttemptResult{Attempt: id, Version: testVersion}
 	r.Status = rapid.SampledFrom([]fescuelatch.AttemptStatus{
-		fescuelatch.AttemptAnswered, fescuelatch.AttemptBroken, fescuelatch.AttemptCancelled, fescuelatch.AttemptNotStarted,
+		fescuelatch.AttemptAnswered, fescuelatch.AttemptBroken, fescuelatch.AttemptCancelled, fescuelatch.AttemptExpired, fescuelatch.AttemptNotStarted,
 	}).Draw(t, "status")
 	r.Total = time.Duration(rapid.IntRange(1, 3000).Draw(t, "total")) * time.Millisecond
 	r.Overloaded = r.Status == fescuelatch.AttemptNotStarted
--- a/gate/warmth.go
+++ b/gate/warmth.go
@@ -125,6 +125,12 @@
 	return usual > 0 && d > max(slowMin, slowFactor*usual)
 }
 
+// owes reports whether a first token that has not come after d was due. As
+// long as no usual latency is known, every one was.
+func (w *warmth) owes(d time.Duration, streamed bool) bool {
+	return w.usualOf(streamed).mean == 0 || w.slow(d, streamed)
+}
+
 // first takes in a latency to the first token. It reports whether it was
 // slow.
 func (w *warmth) first(now time.Time, d time.Duration, streamed bool) bool {
--- a/quality/model.go
+++ b/quality/model.go
@@ -89,16 +89,17 @@
 // ObserveAttempt implements fescuelatch.QualityModel. An attempt without an
 // endpoint was made by another daemon, which observes it itself. A failure that follows
 // one of the same endpoint or of another version within a few seconds is
-// ignored, because the endpoint or the failure domain explains it.
+// ignored, because the endpoint or the failure domain explains it. A deadline
+// that passes after the first token tells nothing of the version.
 func (m *Model) ObserveAttempt(now time.Time, a fescuelatch.AttemptResult) {
 	r := m.records[a.Version]
 	if r == nil || a.Endpoint == "" {
 		return
 	}
-	switch a.Status {
-	case fescuelatch.AttemptAnswered:
+	switch {
+	case a.Status == fescuelatch.AttemptAnswered:
 		r.attempt(now, 1, &m.settings)
-	case fescuelatch.AttemptBroken:
+	case a.Status == fescuelatch.AttemptBroken, a.Status == fescuelatch.AttemptExpired && a.FirstToken == 0:
 		if r.repeatedFailure(now, a.Endpoint) || m.commonFailure(now, a.Version) {
 			return
 		}
--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -101,6 +101,10 @@
 		{"all versions fail", both, failureInterval, fescuelatch.HealthGood},
 		{"made by another daemon", []fescuelatch.AttemptResult{broken("triage@small", "")}, failureInterval, fescuelatch.HealthGood},
 		{"not started", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptNotStarted}}, failureInterval, fescuelatch.HealthGood},
+		{"deadlines while first tokens are owed", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptExpired}}, failureInterval, fescuelatch.HealthQuarantined},
+		{"deadlines after the first token", []fescuelatch.AttemptResult{{
+			Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptExpired, FirstToken: time.Millisecond,
+		}}, failureInterval, fescuelatch.HealthGood},
 		{"cancelled", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptCancelled}}, failureInterval, fescuelatch.HealthGood},
 	}
 	for _, test := range tests {
--- a/request.go
+++ b/request.go
@@ -74,6 +74,9 @@
 	AttemptNotStarted AttemptStatus = "not-started"
 	// AttemptBroken means that the request may have run, wholly or in part.
 	AttemptBroken AttemptStatus = "broken"
+	// AttemptExpired means that the request's deadline passed while the
+	// attempt was under way. It may have run.
+	AttemptExpired AttemptStatus = "expired"
 	// AttemptCancelled means that the caller left.
 	AttemptCancelled AttemptStatus = "cancelled"
 )
