Work that waits is refused when it comes if it cannot end in time

The gate's estimate of a wait knew the slots and the latency, but not that starts are 100 ms apart while an endpoint is cold or ramps up, nor the work that waits for other versions at the same endpoint. Ten times too short, it let a queue form of which most waited until just before their deadline; the order by version name made it worse, as one version always went first.

The wait now counts the pace of starts and what waits for other versions, versions take turns, and work that waited is started only with the mean, three mean deviations and 250 ms left. A request that was refused elsewhere is not tried again with less than the mean and 250 ms left; as long as nothing has run it can be refused truly.

Ruled out: the margin of a forward (refusals of the owner came 110 ms before the deadline), waiting at the engine (its slots were not full).

--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -349,6 +349,37 @@
 	}
 }
 
+// A request that was not started is tried again only while another attempt
+// could end in time. Later, it can still be refused truly.
+func TestTooLateToTryAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		left    time.Duration
+		refused bool
+	}{
+		{"time enough", time.Second, false},
+		{"too little time", 100 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(t, 1)
+			r := &fescuelatch.Request{ID: "r", Account: "a", Model: "m", Version: "m@2", Idempotent: true, Arrived: epoch, Deadline: epoch.Add(time.Minute)}
+			as := m.core.Handle(m.now, decision.Arrived{Request: r})
+			c.Assert(as, qt.HasLen, 1)
+			result := fescuelatch.AttemptResult{Attempt: "r.1", Version: "m@2", Status: fescuelatch.AttemptNotStarted, Overloaded: true}
+			if s, ok := as[0].(decision.Start); ok {
+				result.Endpoint = s.Endpoint
+			}
+			as = m.core.Handle(r.Deadline.Add(-test.left), decision.Ended{Request: "r", Result: result})
+			c.Assert(as, qt.HasLen, 1)
+			refusal, refused := as[0].(decision.Refuse)
+			c.Assert(refused, qt.Equals, test.refused, qt.Commentf("%#v", as[0]))
+			c.Check(!refused || refusal.Reason == decision.ReasonDeadline, qt.IsTrue)
+		})
+	}
+}
+
 // A request whose first answer was rated too low, and whose deadline passes
 // while the next attempt waits, has run: it gets the answer that it has.
 func TestDeadlineWhileEscalationWaits(t *testing.T) {
--- a/decision/place.go
+++ b/decision/place.go
@@ -42,7 +42,7 @@
 // place makes the next attempt of q at the best spot, or ends the request.
 // Versions that no spot serves are passed over.
 func (c *Core) place(now time.Time, q *request) {
-	if !now.Before(q.Deadline) {
+	if c.late(now, q) {
 		c.refuse(q, ReasonDeadline, defaultRetryAfter)
 		return
 	}
@@ -60,6 +60,17 @@
 	}
 }
 
+// late reports whether the deadline has passed or, when an attempt was made
+// before, whether another one could not end before it. As long as nothing has
+// run, the request can be refused truly.
+func (c *Core) late(now time.Time, q *request) bool {
+	if q.attempts == 0 {
+		return !now.Before(q.Deadline)
+	}
+	end := now.Add(retryMargin + c.options.Gate.Latency(q.plan[q.step]))
+	return end.After(q.Deadline)
+}
+
 // choose returns the best spot for the current version, if there is any. A
 // version may have been withdrawn, or the account's right to it taken away,
 // since the request was planned.
--- a/decision/request.go
+++ b/decision/request.go
@@ -17,6 +17,9 @@
 	ratingTimeout = 500 * time.Millisecond
 	// maxAttempts bounds the attempts of one request over all versions.
 	maxAttempts = 6
+	// retryMargin is the part of the time to the deadline that a further
+	// attempt is not expected to use.
+	retryMargin = 250 * time.Millisecond
 	// defaultRetryAfter is told to callers when nothing better is known.
 	defaultRetryAfter = time.Second
 )
--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -23,6 +23,7 @@
 	queues   map[target]*queue
 	targets  []target // of queues, in order
 	queued   int
+	turn     int // changes the target that is served first
 	latency  latencies
 	budget   budget
 	polled   time.Time
@@ -151,11 +152,17 @@
 	if waiting >= g.settings.QueueLimit-g.queued {
 		return wait, false
 	}
-	return wait, !late(now.Add(wait+g.expected(t)), w)
+	return wait, !late(now.Add(wait+g.needed(t)), w)
 }
 
-// minRun is the least time that an attempt which has waited is started with.
-const minRun = 250 * time.Millisecond
+// startMargin is the part of the time to its deadline that an attempt which
+// has waited is not expected to use. A refusal takes a part of it to arrive.
+const startMargin = 250 * time.Millisecond
+
+// needed returns the time to the deadline with which an attempt that waits
+// is started. One that ends after its deadline would be lost and its outcome
+// unknown; as long as it waits it can still be refused.
+func (g *Adaptive) needed(t target) time.Duration { return g.latency.most(t.version) + startMargin }
 
 // late reports whether w would end after its deadline at time end.
 func late(end time.Time, w fescuelatch.Work) bool {
@@ -163,15 +170,34 @@
 }
 
 // wait estimates how long w would wait: until the first endpoint opens, then
-// for its turn, as far as the latency is known.
+// for its turn behind all that waits for the same endpoints.
 func (g *Adaptive) wait(now time.Time, t target, q *queue, w fescuelatch.Work) time.Duration {
-	slots := 0
 	closed := g.settings.ReportLag
+	rate := 0.0 // starts a second
 	for _, p := range g.serving[t] {
-		slots += p.bound(now)
+		if p.owned.Out || p.warmth.leaving() {
+			continue
+		}
 		closed = min(closed, max(0, p.owned.After.Sub(now)))
+		rate += p.pace(now, g.expected(t))
+	}
+	turns := q.turns(w) + float64(g.beside(t))
+	return closed + time.Duration(turns/rate*float64(time.Second))
+}
+
+// beside returns the number of attempts on other targets than t that wait
+// for endpoints which serve t.
+func (g *Adaptive) beside(t target) int {
+	n := 0
+	for _, o := range g.targets {
+		if o == t || g.queues[o].length == 0 {
+			continue
+		}
+		if slices.ContainsFunc(g.serving[o], func(p *place) bool { return t.of(p.owned.Pool) }) {
+			n += g.queues[o].length
+		}
 	}
-	return closed + time.Duration(q.turns(w)*float64(g.expected(t))/float64(max(slots, 1)))
+	return n
 }
 
 // expected returns the expected time from start to end.
@@ -281,15 +307,14 @@
 	var as []fescuelatch.Admission
 	for _, t := range g.targets {
 		as = g.refuseLate(now, as, t)
-		as = g.drain(now, as, t)
 	}
-	return as
+	return g.drainInTurn(now, as, g.targets)
 }
 
 // refuseLate refuses queued work that can no longer end in time, or that no
 // endpoint serves any more.
 func (g *Adaptive) refuseLate(now time.Time, as []fescuelatch.Admission, t target) []fescuelatch.Admission {
-	end := now.Add(g.expected(t))
+	end := now.Add(g.needed(t))
 	g.filter(g.queues[t], func(w fescuelatch.Work) bool {
 		if !late(end, w) && !expired(now, w) && g.serves(t, w) {
 			return false
@@ -305,8 +330,15 @@
 	if g.queued == 0 {
 		return as
 	}
-	for _, t := range targetsOf(p) {
-		as = g.drain(now, as, t)
+	return g.drainInTurn(now, as, targetsOf(p))
+}
+
+// drainInTurn starts queued work, each time for another target first, as
+// targets share endpoints.
+func (g *Adaptive) drainInTurn(now time.Time, as []fescuelatch.Admission, ts []target) []fescuelatch.Admission {
+	g.turn++
+	for i := range ts {
+		as = g.drain(now, as, ts[(g.turn+i)%len(ts)])
 	}
 	return as
 }
@@ -324,9 +356,7 @@
 			break
 		}
 		g.queued--
-		// An attempt that ends after its deadline would be lost and its
-		// outcome unknown; as long as it waits it can still be refused.
-		if late(now.Add(max(g.expected(t), minRun)), w) {
+		if late(now.Add(g.needed(t)), w) {
 			as = append(as, refuse(w.Attempt, minRetryAfter))
 			continue
 		}
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -384,6 +384,34 @@
 	}
 }
 
+// Versions that share an endpoint take turns, whatever their names.
+func TestVersionsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(1, 1)
+	o := owned("engine", 1, 1)
+	o.Pool.Versions = append(o.Pool.Versions, "triage@2")
+	g.Own(now, []fescuelatch.OwnedEndpoint{o})
+	last := fescuelatch.AttemptID("runs")
+	g.Offer(now, work("runs", "a"))
+	for _, id := range []string{"1-a", "1-b", "2-a", "2-b"} {
+		w := work(id, "a")
+		if id[0] == '2' {
+			w.Version = "triage@2"
+		}
+		c.Assert(g.Offer(now, w).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+	}
+	for range 2 {
+		var versions string
+		for range 2 {
+			as := g.End(now, fescuelatch.AttemptResult{Attempt: last, Status: fescuelatch.AttemptAnswered})
+			c.Assert(as, qt.HasLen, 1)
+			last = as[0].Attempt
+			versions += string(last[:1])
+		}
+		c.Check(versions, qt.Matches, "12|21")
+	}
+}
+
 func TestQueueLeavesRoom(t *testing.T) {
 	c := qt.New(t)
 	g, now := warmGate(1, 1)
--- a/gate/compare_test.go
+++ b/gate/compare_test.go
@@ -68,6 +68,23 @@
 	}
 }
 
+// TestGivenUpAtOnce checks that engines which ramp up under too much work are
+// given only work that ends in time, and that nearly all of the rest is
+// refused when it arrives rather than at its deadline.
+func TestGivenUpAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(compareSeeds) {
+		b := newBench(gate.NewAdaptive(gate.Settings{ReportLag: reportLag + reportEvery}), seed, 2, 32, 8)
+		l := &client{account: "daily", rate: 50, deadline: 3 * time.Second}
+		b.clients = []*client{l}
+		b.run(10 * time.Second)
+		t.Logf("seed %d: %d of %d answered, %d late; %d refused, %d of them after a wait", seed, l.answered, l.offered, l.late, l.refused, l.kept)
+		c.Check(l.late, qt.Equals, 0)
+		c.Check(l.kept*10 <= l.refused, qt.IsTrue)
+		c.Check(l.answered*3 >= l.offered, qt.IsTrue)
+	}
+}
+
 // TestSilentColdStart checks that an engine which turns cold while it goes on
 // with its work falls over once at most, before anything shows that it is
 // cold.
--- a/gate/engine_test.go
+++ b/gate/engine_test.go
@@ -52,6 +52,9 @@
 	// What became of its work, and how long it waited until it started.
 	offered, answered, refused, broken int
 	waits                              []time.Duration
+	// late counts answers after the deadline, and kept the refusals that
+	// came only after a wait.
+	late, kept int
 }
 
 func (c *client) wait(quantile float64) time.Duration {
@@ -169,6 +172,9 @@
 		case fescuelatch.AdmissionRefuse:
 			delete(b.queued, a.Attempt)
 			c.refused++
+			if b.now.After(w.Request.Arrived) {
+				c.kept++
+			}
 		}
 	}
 }
@@ -224,6 +230,9 @@
 	c := b.client(j.work.Request.Account)
 	if s == fescuelatch.AttemptAnswered {
 		c.answered++
+		if b.now.After(j.work.Request.Deadline) {
+			c.late++
+		}
 	} else {
 		c.broken++
 	}
--- a/gate/latency.go
+++ b/gate/latency.go
@@ -25,10 +25,30 @@
 	a.mean += time.Duration(latencyWeight * float64(d-a.mean))
 }
 
-// latencies holds the average time from start to end for each version. The
-// zero value is empty.
+// spread is a moving average and the mean deviation from it.
+type spread struct {
+	average
+	deviation time.Duration
+}
+
+func (s *spread) observe(d time.Duration) {
+	away := (d - s.mean).Abs()
+	if s.mean == 0 {
+		away = d / 2
+		s.deviation = away
+	}
+	s.deviation += time.Duration(latencyWeight * float64(away-s.deviation))
+	s.average.observe(d)
+}
+
+// deviations is the number of mean deviations above the mean within which
+// most attempts end.
+const deviations = 3
+
+// latencies holds the time from start to end for each version. The zero
+// value is empty.
 type latencies struct {
-	totals map[fescuelatch.VersionID]*average
+	totals map[fescuelatch.VersionID]*spread
 }
 
 // observe records an answered attempt; others say nothing of the latency.
@@ -37,11 +57,11 @@
 		return
 	}
 	if l.totals == nil {
-		l.totals = make(map[fescuelatch.VersionID]*average)
+		l.totals = make(map[fescuelatch.VersionID]*spread)
 	}
 	a := l.totals[r.Version]
 	if a == nil {
-		a = new(average)
+		a = new(spread)
 		l.totals[r.Version] = a
 	}
 	a.observe(r.Total)
@@ -54,3 +74,12 @@
 	}
 	return 0
 }
+
+// most returns the time within which most attempts of v end, or 0 without
+// samples.
+func (l *latencies) most(v fescuelatch.VersionID) time.Duration {
+	if a := l.totals[v]; a != nil {
+		return a.mean + deviations*a.deviation
+	}
+	return 0
+}
--- a/gate/place.go
+++ b/gate/place.go
@@ -181,6 +181,16 @@
 	return max(n, 0)
 }
 
+// pace estimates the starts a second that the place allows, when attempts
+// take as long as expected.
+func (p *place) pace(now time.Time, expected time.Duration) float64 {
+	gap := max(expected/time.Duration(max(p.bound(now), 1)), time.Millisecond)
+	if p.ramping(now) {
+		gap = max(gap, startGap)
+	}
+	return 1 / gap.Seconds()
+}
+
 // start records that w starts.
 func (p *place) start(now time.Time, w fescuelatch.Work) *attempt {
 	a := &attempt{id: w.Attempt, request: w.Request, version: w.Version, place: p, started: now}
--- a/gate/spare.go
+++ b/gate/spare.go
@@ -23,6 +23,14 @@
 	return target{version: w.Version}
 }
 
+// of reports whether the endpoints of p serve t.
+func (t target) of(p fescuelatch.Pool) bool {
+	if t.service != "" {
+		return p.Service == t.service
+	}
+	return slices.Contains(p.Versions, t.version)
+}
+
 // targetsOf returns all targets that a pool serves.
 func targetsOf(p fescuelatch.Pool) []target {
 	ts := make([]target, 0, len(p.Versions)+1)
