A refusal for want of the platform says so

Cause: a daemon whose circuit breaker is open took itself for tried, so that a request which then found no other spot was refused with no-capacity; and the code was taken from the last attempt alone, so that a busy daemon hid one that had lacked the platform. The callers of requests that need a claim could not tell an outage from a full fleet.

The core now knows why it may not start a request here and why an attempt was not made, and keeps platform-away over no-capacity, no-endpoint, not-started and deadline. The time to come back is the length of the outage so far, from 1 to 5 s, rather than always 1 s.

--- a/daemon/breaker.go
+++ b/daemon/breaker.go
@@ -13,6 +13,7 @@
 type breaker struct {
 	mu      sync.Mutex
 	open    bool
+	since   time.Time // it has been open
 	until   time.Time // no claim is tried before, while open
 	next    time.Time // no request is admitted before, while open
 	testing bool
@@ -48,6 +49,21 @@
 	return true
 }
 
+// awayRetryMax bounds the time to come back in an outage of the platform.
+const awayRetryMax = 5 * time.Second
+
+// retryAfter returns the time to come back for a request that needs a claim.
+// It grows with the length of the outage: one that has lasted for long is not
+// likely to end within a second.
+func (b *breaker) retryAfter(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.open {
+		return claimPause
+	}
+	return min(max(now.Sub(b.since), claimPause), awayRetryMax)
+}
+
 // succeeded records that the platform answered.
 func (b *breaker) succeeded() {
 	b.mu.Lock()
@@ -59,6 +75,9 @@
 func (b *breaker) failed(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.open {
+		b.since = now
+	}
 	b.open, b.testing = true, false
 	b.until = now.Add(claimPause)
 }
--- a/daemon/breaker_test.go
+++ b/daemon/breaker_test.go
@@ -27,7 +27,14 @@
 	b.failed(after)
 	c.Assert(b.allow(after), qt.IsFalse)
 	c.Assert(b.allow(after.Add(claimPause)), qt.IsTrue)
+	// Callers come back after as long as the platform has been away.
+	for _, test := range []struct{ away, want time.Duration }{
+		{0, claimPause}, {3 * time.Second, 3 * time.Second}, {time.Minute, awayRetryMax},
+	} {
+		c.Check(b.retryAfter(now.Add(test.away)), qt.Equals, test.want)
+	}
 	b.succeeded()
+	c.Assert(b.retryAfter(after.Add(time.Minute)), qt.Equals, claimPause)
 	c.Assert(b.allow(after), qt.IsTrue)
 	c.Assert(b.allow(after), qt.IsTrue)
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -29,9 +29,10 @@
 // attemptClaimed makes an attempt once the request has been claimed.
 func (s *serving) attemptClaimed(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
 	r.Unsent = true // until it is sent
-	if !s.daemon.breaker.allow(time.Now()) {
+	if now := time.Now(); !s.daemon.breaker.allow(now) {
 		s.conclude(r, &answer{}, &engine.Error{
-			Op: "claim", Kind: engine.KindNotStarted, Code: engine.CodePlatformAway, RetryAfter: claimPause, Err: errors.New("the platform is away"),
+			Op: "claim", Kind: engine.KindNotStarted, Code: engine.CodePlatformAway,
+			RetryAfter: s.daemon.breaker.retryAfter(now), Err: errors.New("the platform is away"),
 		})
 		return
 	}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -192,6 +192,7 @@
 	}
 	s.last = e
 	r.RetryAfter = e.RetryAfter
+	r.PlatformAway = e.Code == engine.CodePlatformAway
 	switch e.Kind {
 	case engine.KindOverloaded:
 		r.Overloaded = true
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -74,10 +74,12 @@
 	id := c.Request.ID
 	d.mu.Lock()
 	d.servings[id] = s
+	now := time.Now()
 	d.decideLocked(decision.Arrived{
 		Request: c.Request, Share: c.Share, Attempt: c.Attempt,
 		// Without a claim it would wait for a slot only to be refused.
-		Elsewhere: !c.Request.Idempotent && !d.breaker.admit(time.Now()),
+		PlatformAway: !c.Request.Idempotent && !d.breaker.admit(now),
+		RetryAfter:   d.breaker.retryAfter(now),
 	})
 	d.mu.Unlock()
 	s.run(ctx)
@@ -202,6 +204,7 @@
 	{decision.ReasonWithdrawn, http.StatusConflict, "the version asked for, or that of this session, has been withdrawn; begin a new session"},
 	{decision.ReasonNoCapacity, http.StatusServiceUnavailable, "no capacity is free; the request was not run"},
 	{decision.ReasonDeadline, http.StatusServiceUnavailable, "the request cannot be answered before its deadline; it was not run"},
+	{decision.ReasonPlatformAway, http.StatusServiceUnavailable, "the request needs a claim and the platform is away; it was not run"},
 	{decision.ReasonNoEndpoint, http.StatusServiceUnavailable, "no endpoint serves the request at present; it was not run"},
 	{decision.ReasonNotStarted, http.StatusServiceUnavailable, "no endpoint could be reached; the request was not run"},
 	{decision.ReasonStopping, http.StatusServiceUnavailable, "this VM accepts no new work; the request was not run"},
@@ -219,10 +222,6 @@
 			f.Message = r.message
 		}
 	}
-	if s.last != nil && s.last.Code == engine.CodePlatformAway {
-		f.Code = s.last.Code
-		f.Message = "the request needs a claim and the platform is away; it was not run"
-	}
 	if s.last != nil && s.last.Kind == engine.KindRejected {
 		f.Status = http.StatusBadRequest
 		f.Code = string(engine.KindRejected)
--- a/decision/action.go
+++ b/decision/action.go
@@ -76,11 +76,13 @@
 	ReasonWithdrawn  Reason = "version-withdrawn"
 	ReasonNoCapacity Reason = "no-capacity"
 	ReasonDeadline   Reason = "deadline"
-	ReasonNoEndpoint Reason = "no-endpoint"
-	ReasonNotStarted Reason = "not-started"
-	ReasonStopping   Reason = "stopping"
-	ReasonBroken     Reason = "broken"
-	ReasonNoConfig   Reason = "no-configuration"
+	// ReasonPlatformAway says that the request needs a claim.
+	ReasonPlatformAway Reason = "platform-away"
+	ReasonNoEndpoint   Reason = "no-endpoint"
+	ReasonNotStarted   Reason = "not-started"
+	ReasonStopping     Reason = "stopping"
+	ReasonBroken       Reason = "broken"
+	ReasonNoConfig     Reason = "no-configuration"
 )
 
 // Of implements Action.
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -380,6 +380,50 @@
 	}
 }
 
+// A daemon without capacity does not hide that the request needs a claim
+// while the platform is away.
+func TestPlatformAwayIsTold(t *testing.T) {
+	const after = 3 * time.Second
+	busy := fescuelatch.AttemptResult{Status: fescuelatch.AttemptNotStarted, Overloaded: true, RetryAfter: time.Second}
+	away := fescuelatch.AttemptResult{Status: fescuelatch.AttemptNotStarted, Overloaded: true, PlatformAway: true, RetryAfter: after}
+	tests := []struct {
+		name      string
+		here      bool // the platform is away for this daemon
+		forwarded bool
+		results   []fescuelatch.AttemptResult
+		want      decision.Reason
+	}{
+		{"nothing is tried", true, true, nil, decision.ReasonPlatformAway},
+		{"the other daemon is busy", true, false, []fescuelatch.AttemptResult{busy}, decision.ReasonPlatformAway},
+		{"away, then busy", false, false, []fescuelatch.AttemptResult{away, busy}, decision.ReasonPlatformAway},
+		{"busy, then away", false, false, []fescuelatch.AttemptResult{busy, away}, decision.ReasonPlatformAway},
+		{"all are busy", false, false, []fescuelatch.AttemptResult{busy, busy}, decision.ReasonNoCapacity},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(t, 1)
+			r := &fescuelatch.Request{
+				ID: "r", Account: "a", Service: "desk", Operation: "ban", Arrived: epoch, Deadline: epoch.Add(time.Minute), Forwarded: test.forwarded,
+			}
+			e := decision.Arrived{Request: r}
+			if test.here {
+				e.PlatformAway, e.RetryAfter = true, after
+			}
+			as := m.core.Handle(m.now, e)
+			for i, result := range test.results {
+				result.Attempt = fescuelatch.AttemptID(fmt.Sprintf("r.%d", i+1))
+				as = m.core.Handle(m.now, decision.Ended{Request: "r", Result: result})
+			}
+			c.Assert(as, qt.HasLen, 1)
+			refusal, ok := as[0].(decision.Refuse)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", as[0]))
+			c.Check(refusal.Reason, qt.Equals, test.want)
+			c.Check(refusal.RetryAfter == after, qt.Equals, test.want == decision.ReasonPlatformAway)
+		})
+	}
+}
+
 // A request whose first answer was rated too low, and whose deadline passes
 // while the next attempt waits, has run: it gets the answer that it has.
 func TestDeadlineWhileEscalationWaits(t *testing.T) {
--- a/decision/event.go
+++ b/decision/event.go
@@ -30,9 +30,11 @@
 	// Attempt is the forwarding daemon's attempt when the request is
 	// forwarded, and empty otherwise.
 	Attempt fescuelatch.AttemptID
-	// Elsewhere reports that the request cannot start at an endpoint of this
-	// daemon.
-	Elsewhere bool
+	// PlatformAway reports that the request needs a claim and that the
+	// platform is away, so that it cannot start at an endpoint of this
+	// daemon. RetryAfter is then the time to come back.
+	PlatformAway bool
+	RetryAfter   time.Duration
 }
 
 // FirstToken says that an attempt has delivered its first token. A streamed
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -38,6 +38,7 @@
 		c.answered(now, q)
 	case fescuelatch.AttemptNotStarted:
 		q.retryAfter = max(q.retryAfter, r.RetryAfter)
+		q.away = q.away || r.PlatformAway
 		c.fire(q, chart.EventNotStarted)
 		c.notStarted(now, q, r)
 	case fescuelatch.AttemptExpired:
--- a/decision/request.go
+++ b/decision/request.go
@@ -41,6 +41,8 @@
 	bestScore float64
 	// retryAfter is the longest advice that a refused attempt brought.
 	retryAfter time.Duration
+	// away reports that an attempt was not made for want of the platform.
+	away bool
 	// life says, by its state, whether any attempt may have run.
 	life *chart.Machine
 }
@@ -66,8 +68,10 @@
 		Request: e.Request, share: e.Share, given: e.Attempt, tried: make(map[fescuelatch.VMID]bool),
 		life: chart.Request().New(),
 	}
-	if e.Elsewhere {
+	if e.PlatformAway {
 		q.tried[c.options.VM] = true
+		q.away = true
+		q.retryAfter = e.RetryAfter
 	}
 	c.requests[q.ID] = q
 	c.budget.earn()
@@ -97,10 +101,23 @@
 		c.giveUp(q, ReasonBroken)
 	default:
 		c.end(q, chart.EventRefuse)
-		c.emit(Refuse{Request: q.ID, Reason: why, RetryAfter: max(after, q.retryAfter)})
+		c.emit(Refuse{Request: q.ID, Reason: q.cause(why), RetryAfter: max(after, q.retryAfter)})
 	}
 }
 
+// cause returns the reason that the caller is told for a refusal. While the
+// platform is away, a daemon that was tried later and had no capacity, or the
+// time that the tries took, do not hide it.
+func (q *request) cause(why Reason) Reason {
+	switch why {
+	case ReasonNoCapacity, ReasonNoEndpoint, ReasonNotStarted, ReasonDeadline:
+		if q.away {
+			return ReasonPlatformAway
+		}
+	}
+	return why
+}
+
 func (c *Core) giveUp(q *request, why Reason) {
 	c.end(q, chart.EventFail)
 	c.emit(GiveUp{Request: q.ID, Reason: why})
--- a/failure/once_test.go
+++ b/failure/once_test.go
@@ -159,6 +159,7 @@
 	for _, r := range u.all() {
 		c.Check(r.outcome, qt.Equals, fescuelatch.OutcomeNotRun, qt.Commentf("%s", r))
 		c.Check(r.retryAfter > 0, qt.IsTrue, qt.Commentf("%s", r))
+		c.Check(r.code, qt.Equals, "platform-away", qt.Commentf("%s", r))
 		c.Check(r.total <= refusalBound, qt.IsTrue, qt.Commentf("%s", r))
 		c.Check(done[r.key], qt.HasLen, 0)
 		longest = max(longest, r.total)
--- a/request.go
+++ b/request.go
@@ -98,6 +98,9 @@
 	// Overloaded reports that the endpoint, or its owner's gate, refused the
 	// attempt for want of capacity.
 	Overloaded bool `json:"overloaded,omitempty"`
+	// PlatformAway reports that the attempt was not made because it needs a
+	// claim and the platform is away.
+	PlatformAway bool `json:"platform-away,omitempty"`
 	// Unsent reports that the attempt ended before anything was sent to the
 	// endpoint, so that it tells nothing about it.
 	Unsent bool `json:"unsent,omitempty"`
