An unknown latency counts as 250 ms when time is short

A new owner has no samples, so that work which waited for it was started with no more than the margin of 250 ms left, and a daemon that owns nothing could forward with as little. TestTooLateToStart and TestTooLateToTryAgain have a case each, of which both failed before.

--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -359,6 +359,7 @@
 	}{
 		{"time enough", time.Second, false},
 		{"too little time", 100 * time.Millisecond, true},
+		{"too little time for what is not known yet", 400 * time.Millisecond, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/decision/place.go
+++ b/decision/place.go
@@ -67,8 +67,11 @@
 	if q.attempts == 0 {
 		return !now.Before(q.Deadline)
 	}
-	end := now.Add(retryMargin + c.options.Gate.Latency(q.plan[q.step]))
-	return end.After(q.Deadline)
+	latency := c.options.Gate.Latency(q.plan[q.step])
+	if latency == 0 {
+		latency = unknownLatency
+	}
+	return now.Add(retryMargin + latency).After(q.Deadline)
 }
 
 // choose returns the best spot for the current version, if there is any. A
--- a/decision/request.go
+++ b/decision/request.go
@@ -20,6 +20,9 @@
 	// retryMargin is the part of the time to the deadline that a further
 	// attempt is not expected to use.
 	retryMargin = 250 * time.Millisecond
+	// unknownLatency stands for the latency of a version that this daemon
+	// has sent nothing.
+	unknownLatency = 250 * time.Millisecond
 	// defaultRetryAfter is told to callers when nothing better is known.
 	defaultRetryAfter = time.Second
 )
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -464,6 +464,7 @@
 	}{
 		{"time enough", time.Second, fescuelatch.AdmissionStart},
 		{"too little time", 100 * time.Millisecond, fescuelatch.AdmissionRefuse},
+		{"too little time for what is not known yet", 400 * time.Millisecond, fescuelatch.AdmissionRefuse},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/gate/latency.go
+++ b/gate/latency.go
@@ -75,11 +75,13 @@
 	return 0
 }
 
-// most returns the time within which most attempts of v end, or 0 without
-// samples.
+// unknownLatency stands for the latency of a version without samples.
+const unknownLatency = 250 * time.Millisecond
+
+// most returns the time within which most attempts of v end.
 func (l *latencies) most(v fescuelatch.VersionID) time.Duration {
 	if a := l.totals[v]; a != nil {
 		return a.mean + deviations*a.deviation
 	}
-	return 0
+	return unknownLatency
 }
