--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -231,7 +231,7 @@
 	r := m.running[i]
 	m.running = append(m.running[:i:i], m.running[i+1:]...)
 	status := rapid.SampledFrom([]fescuelatch.AttemptStatus{
-		fescuelatch.AttemptAnswered, fescuelatch.AttemptNotStarted, fescuelatch.AttemptBroken, fescuelatch.AttemptCancelled,
+		fescuelatch.AttemptAnswered, fescuelatch.AttemptNotStarted, fescuelatch.AttemptBroken, fescuelatch.AttemptCancelled, fescuelatch.AttemptExpired,
 	}).Draw(t, "status")
 	q := m.requests[r.request]
 	if rapid.Bool().Draw(t, "first") && status != fescuelatch.AttemptNotStarted {
@@ -349,6 +349,82 @@
 	}
 }
 
+// A request that was not started is tried again only while another attempt
+// could end in time. Later, it can still be refused truly.
+func TestTooLateToTryAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		left    time.Duration
+		refused bool
+	}{
+		{"time enough", time.Second, false},
+		{"too little time", 100 * time.Millisecond, true},
+		{"too little time for what is not known yet", 400 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(t, 1)
+			r := &fescuelatch.Request{ID: "r", Account: "a", Model: "m", Version: "m@2", Idempotent: true, Arrived: epoch, Deadline: epoch.Add(time.Minute)}
+			as := m.core.Handle(m.now, decision.Arrived{Request: r})
+			c.Assert(as, qt.HasLen, 1)
+			result := fescuelatch.AttemptResult{Attempt: "r.1", Version: "m@2", Status: fescuelatch.AttemptNotStarted, Overloaded: true}
+			if s, ok := as[0].(decision.Start); ok {
+				result.Endpoint = s.Endpoint
+			}
+			as = m.core.Handle(r.Deadline.Add(-test.left), decision.Ended{Request: "r", Result: result})
+			c.Assert(as, qt.HasLen, 1)
+			refusal, refused := as[0].(decision.Refuse)
+			c.Assert(refused, qt.Equals, test.refused, qt.Commentf("%#v", as[0]))
+			c.Check(!refused || refusal.Reason == decision.ReasonDeadline, qt.IsTrue)
+		})
+	}
+}
+
+// A daemon without capacity does not hide that the request needs a claim
+// while the platform is away.
+func TestPlatformAwayIsTold(t *testing.T) {
+	const after = 3 * time.Second
+	busy := fescuelatch.AttemptResult{Status: fescuelatch.AttemptNotStarted, Overloaded: true, RetryAfter: time.Second}
+	away := fescuelatch.AttemptResult{Status: fescuelatch.AttemptNotStarted, Overloaded: true, PlatformAway: true, RetryAfter: after}
+	tests := []struct {
+		name      string
+		here      bool // the platform is away for this daemon
+		forwarded bool
+		results   []fescuelatch.AttemptResult
+		want      decision.Reason
+	}{
+		{"nothing is tried", true, true, nil, decision.ReasonPlatformAway},
+		{"the other daemon is busy", true, false, []fescuelatch.AttemptResult{busy}, decision.ReasonPlatformAway},
+		{"away, then busy", false, false, []fescuelatch.AttemptResult{away, busy}, decision.ReasonPlatformAway},
+		{"busy, then away", false, false, []fescuelatch.AttemptResult{busy, away}, decision.ReasonPlatformAway},
+		{"all are busy", false, false, []fescuelatch.AttemptResult{busy, busy}, decision.ReasonNoCapacity},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(t, 1)
+			r := &fescuelatch.Request{
+				ID: "r", Account: "a", Service: "desk", Operation: "ban", Arrived: epoch, Deadline: epoch.Add(time.Minute), Forwarded: test.forwarded,
+			}
+			e := decision.Arrived{Request: r}
+			if test.here {
+				e.PlatformAway, e.RetryAfter = true, after
+			}
+			as := m.core.Handle(m.now, e)
+			for i, result := range test.results {
+				result.Attempt = fescuelatch.AttemptID(fmt.Sprintf("r.%d", i+1))
+				as = m.core.Handle(m.now, decision.Ended{Request: "r", Result: result})
+			}
+			c.Assert(as, qt.HasLen, 1)
+			refusal, ok := as[0].(decision.Refuse)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", as[0]))
+			c.Check(refusal.Reason, qt.Equals, test.want)
+			c.Check(refusal.RetryAfter == after, qt.Equals, test.want == decision.ReasonPlatformAway)
+		})
+	}
+}
+
 // A request whose first answer was rated too low, and whose deadline passes
 // while the next attempt waits, has run: it gets the answer that it has.
 func TestDeadlineWhileEscalationWaits(t *testing.T) {
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -212,6 +212,21 @@
 			g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
 			return now
 		}, cold},
+		{"deadlines soon after the first token", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, true, 2*time.Second)
+		}, slots},
+		{"deadlines before a first token was due", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, false, 300*time.Millisecond)
+		}, slots},
+		{"deadlines while first tokens are owed for long", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, false, 2*time.Second)
+		}, cold},
+		{"deadlines while no latency is known", func(g *gate.Adaptive, now time.Time) time.Time {
+			return expire(g, now, false, 300*time.Millisecond)
+		}, cold},
 		{"it leaves", func(g *gate.Adaptive, now time.Time) time.Time {
 			now = now.Add(time.Second)
 			r := warmReport(now, 0)
@@ -228,6 +243,22 @@
 	}
 }
 
+// expire runs three attempts that are cut after d by their callers'
+// deadlines.
+func expire(g *gate.Adaptive, now time.Time, first bool, d time.Duration) time.Time {
+	for i := range 3 {
+		w := work(fmt.Sprint("expires-", i), "large")
+		g.Offer(now, w)
+		if first {
+			g.First(now.Add(100*time.Millisecond), w.Attempt)
+		}
+		now = now.Add(d)
+		g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptExpired})
+		g.Report(now, warmReport(now, 0))
+	}
+	return now
+}
+
 // answer runs n attempts one after the other that give their first token
 // after d, and keeps reports coming.
 func answer(g *gate.Adaptive, now time.Time, n int, d time.Duration) time.Time {
@@ -353,6 +384,34 @@
 	}
 }
 
+// Versions that share an endpoint take turns, whatever their names.
+func TestVersionsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(1, 1)
+	o := owned("engine", 1, 1)
+	o.Pool.Versions = append(o.Pool.Versions, "triage@2")
+	g.Own(now, []fescuelatch.OwnedEndpoint{o})
+	last := fescuelatch.AttemptID("runs")
+	g.Offer(now, work("runs", "a"))
+	for _, id := range []string{"1-a", "1-b", "2-a", "2-b"} {
+		w := work(id, "a")
+		if id[0] == '2' {
+			w.Version = "triage@2"
+		}
+		c.Assert(g.Offer(now, w).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+	}
+	for range 2 {
+		var versions string
+		for range 2 {
+			as := g.End(now, fescuelatch.AttemptResult{Attempt: last, Status: fescuelatch.AttemptAnswered})
+			c.Assert(as, qt.HasLen, 1)
+			last = as[0].Attempt
+			versions += string(last[:1])
+		}
+		c.Check(versions, qt.Matches, "12|21")
+	}
+}
+
 func TestQueueLeavesRoom(t *testing.T) {
 	c := qt.New(t)
 	g, now := warmGate(1, 1)
@@ -405,6 +464,7 @@
 	}{
 		{"time enough", time.Second, fescuelatch.AdmissionStart},
 		{"too little time", 100 * time.Millisecond, fescuelatch.AdmissionRefuse},
+		{"too little time for what is not known yet", 400 * time.Millisecond, fescuelatch.AdmissionRefuse},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
