--- a/cmd/fescuelatch-load/experiment.go
+++ b/cmd/fescuelatch-load/experiment.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuelatch/cmd/fescuelatch-load/experiment"
+	"fescuelatch/load"
 )
 
 // This file defines the subcommand experiment.
@@ -19,6 +20,7 @@
 	Seed     uint64        `arg:"--seed" default:"1" help:"seed of the first trial of each variant"`
 	Repeats  int           `arg:"--repeats" default:"3" help:"trials of each variant"`
 	Daemon   []string      `arg:"--daemon,separate" help:"further argument of every daemon"`
+	Records  bool          `arg:"--records" help:"keep a JSON line of each call in the directory of its trial"`
 }
 
 func (c *experimentCommand) run(ctx context.Context) (int, error) {
@@ -35,6 +37,11 @@
 		Fleet: c.Fleet, Options: o, Duration: c.Duration, Seed: c.Seed, Repeats: c.Repeats,
 		Note: func(trial string) { fmt.Println(time.Now().Format(time.TimeOnly), trial) },
 	}
+	if c.Records {
+		s.Keep = func(dir string, records []load.Record) error {
+			return writeLines(filepath.Join(dir, "records.jsonl"), records)
+		}
+	}
 	ts, err := experiment.Run(ctx, s, es)
 	if err != nil {
 		return exitFailed, err
--- a/cmd/fescuelatch-load/experiment/trial.go
+++ b/cmd/fescuelatch-load/experiment/trial.go
@@ -31,6 +31,9 @@
 	Repeats  int
 	// Note, when set, is told of each trial before it begins.
 	Note func(string)
+	// Keep, when set, is given the calls of each trial and the directory of its
+	// fleet.
+	Keep func(dir string, records []load.Record) error
 }
 
 // Trial is what one run of a variant gave.
@@ -121,6 +124,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Keep != nil {
+		if err := s.Keep(sc.Fleet.Dir, r.Evidence.Records); err != nil {
+			return nil, err
+		}
+	}
 	o := &outcome{result: r, window: w, duration: s.Duration, config: s.Options.Configuration}
 	t := &Trial{Experiment: e.Name, Variant: v.Name, Seed: seed, Measures: common(o)}
 	if e.measure != nil {
