Versions of a pool wait in one fair queue

Cause: the gate kept a fair queue for each version, and filled free slots queue by queue in the order of the versions' names. Versions of a pool compete for the same slots, so the first version's queue took all of them: accounts that waited for another version starved, however small, and were refused when their deadline was near.

Now all targets that endpoints serve together share a queue, and the estimate counts what is due to others before the work's virtual time.

--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,13 +21,16 @@
 	sorted   []*place // owned ones, by endpoint
 	serving  map[target][]*place
 	attempts map[fescuelatch.AttemptID]*attempt
-	queues   map[target]*queue
-	targets  []target // of queues, in order
-	queued   int
-	latency  latencies
-	budget   budget
-	polled   time.Time
-	called   time.Time
+	// groups has a representative for each target that is served: targets
+	// that endpoints serve together have the same one, and share a queue.
+	groups  map[target]target
+	queues  map[target]*queue // by representative
+	order   []target          // of queues
+	queued  int
+	latency latencies
+	budget  budget
+	polled  time.Time
+	called  time.Time
 }
 
 const (
@@ -99,6 +103,35 @@
 			g.serving[t] = append(g.serving[t], p)
 		}
 	}
+	g.regroup()
+	for _, q := range g.queues {
+		q.places = q.places[:0]
+	}
+	for _, p := range g.sorted {
+		if ts := targetsOf(p.owned.Pool); len(ts) > 0 {
+			q := g.queue(ts[0])
+			q.places = append(q.places, p)
+		}
+	}
+}
+
+// regroup lets work for targets that endpoints serve together wait in one
+// queue, so that its accounts get fair turns whatever they ask for.
+func (g *Adaptive) regroup() {
+	groups := grouped(g.sorted)
+	if maps.Equal(groups, g.groups) {
+		return
+	}
+	g.groups = groups
+	old, order := g.queues, g.order
+	g.queues, g.order = make(map[target]*queue), nil
+	for _, t := range order {
+		for _, f := range old[t].order {
+			for _, w := range f.works {
+				g.queue(targetOf(w)).push(w)
+			}
+		}
+	}
 }
 
 // Offer implements fescuelatch.Gate.
@@ -112,11 +145,9 @@
 		return refuse(w.Attempt, retryWindow/retryBurst)
 	}
 	q := g.queue(t)
-	if q.length == 0 {
-		if p := g.free(now, t, w); p != nil {
-			q.charge(q.flow(w))
-			return g.start(now, p, w)
-		}
+	if p := g.free(now, t, w); p != nil && !q.wants(p) {
+		q.charge(q.flow(w))
+		return g.start(now, p, w)
 	}
 	if wait, ok := g.admit(now, t, q, w); !ok {
 		return refuse(w.Attempt, wait)
@@ -126,15 +157,17 @@
 	return fescuelatch.Admission{Attempt: w.Attempt, Verdict: fescuelatch.AdmissionQueue}
 }
 
+// queue returns the queue that work for t waits in.
 func (g *Adaptive) queue(t target) *queue {
+	if group, ok := g.groups[t]; ok {
+		t = group
+	}
 	q := g.queues[t]
 	if q == nil {
 		q = new(queue)
 		g.queues[t] = q
-		g.targets = append(g.targets, t)
-		slices.SortFunc(g.targets, func(a, b target) int {
-			return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.service, b.service))
-		})
+		g.order = append(g.order, t)
+		slices.SortFunc(g.order, target.compare)
 	}
 	return q
 }
@@ -245,7 +278,7 @@
 
 // withdraw takes a queued attempt out.
 func (g *Adaptive) withdraw(a fescuelatch.AttemptID) {
-	for _, t := range g.targets {
+	for _, t := range g.order {
 		g.filter(g.queues[t], func(w fescuelatch.Work) bool { return w.Attempt == a })
 	}
 }
@@ -279,18 +312,22 @@
 		g.budget.expire(now)
 	}
 	var as []fescuelatch.Admission
-	for _, t := range g.targets {
-		as = g.refuseLate(now, as, t)
-		as = g.drain(now, as, t)
+	for _, t := range g.order {
+		as = g.refuseLate(now, as, g.queues[t])
+		as = g.drain(now, as, g.queues[t])
 	}
 	return as
 }
 
 // refuseLate refuses queued work that can no longer end in time, or that no
 // endpoint serves any more.
-func (g *Adaptive) refuseLate(now time.Time, as []fescuelatch.Admission, t target) []fescuelatch.Admission {
+func (g *Adaptive) refuseLate(now time.Time, as []fescuelatch.Admission, q *queue) []fescuelatch.Admission {
+	var t target
 	end := now.Add(g.expected(t))
-	g.filter(g.queues[t], func(w fescuelatch.Work) bool {
+	g.filter(q, func(w fescuelatch.Work) bool {
+		if o := targetOf(w); o != t {
+			t, end = o, now.Add(g.expected(o))
+		}
 		if !late(end, w) && !expired(now, w) && g.serves(t, w) {
 			return false
 		}
@@ -300,24 +337,34 @@
 	return as
 }
 
-// drainPool starts queued work for all that a pool serves.
+// drainPool starts queued work for what a pool serves, all of which waits in
+// one queue.
 func (g *Adaptive) drainPool(now time.Time, as []fescuelatch.Admission, p fescuelatch.Pool) []fescuelatch.Admission {
 	if g.queued == 0 {
 		return as
 	}
-	for _, t := range targetsOf(p) {
-		as = g.drain(now, as, t)
+	ts := targetsOf(p)
+	if len(ts) == 0 {
+		return as
 	}
-	return as
+	return g.drain(now, as, g.queue(ts[0]))
 }
 
-// drain starts queued work of t in fair order while there are free slots.
-func (g *Adaptive) drain(now time.Time, as []fescuelatch.Admission, t target) []fescuelatch.Admission {
-	q := g.queues[t]
-	for q != nil && q.length > 0 && g.free(now, t, fescuelatch.Work{}) != nil {
+// drain starts queued work in fair order while there are free slots for it.
+func (g *Adaptive) drain(now time.Time, as []fescuelatch.Admission, q *queue) []fescuelatch.Admission {
+	if q.length == 0 || !q.open(now) {
+		return as
+	}
+	full := make(map[target]bool)
+	for q.length > 0 {
 		var p *place
 		w, ok := q.take(func(w fescuelatch.Work) bool {
+			t := targetOf(w)
+			if full[t] {
+				return false
+			}
 			p = g.free(now, t, w)
+			full[t] = p == nil && w.Endpoint == ""
 			return p != nil
 		})
 		if !ok {
@@ -326,7 +373,7 @@
 		g.queued--
 		// An attempt that ends after its deadline would be lost and its
 		// outcome unknown; as long as it waits it can still be refused.
-		if late(now.Add(max(g.expected(t), minRun)), w) {
+		if late(now.Add(max(g.expected(targetOf(w)), minRun)), w) {
 			as = append(as, refuse(w.Attempt, minRetryAfter))
 			continue
 		}
@@ -344,8 +391,8 @@
 			t.addSlots(p.owned.Pool, p.bound(now), p.free(now))
 		}
 	}
-	for k, q := range g.queues {
-		t.addQueued(k, q.length)
+	for _, q := range g.queues {
+		q.each(func(w fescuelatch.Work) { t.addQueued(targetOf(w), 1) })
 	}
 	return t.list()
 }
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -421,3 +421,43 @@
 		})
 	}
 }
+
+// Pools that have a version in common share a queue. Work that nothing waiting
+// stands before starts at once, and waiting work outlasts a pool.
+func TestQueueOfPools(t *testing.T) {
+	c := qt.New(t)
+	const left, shared, right = "left", "shared", "right"
+	pool := func(id string, versions ...fescuelatch.VersionID) fescuelatch.OwnedEndpoint {
+		o := owned("at-"+id, 1, 1)
+		o.Pool.ID, o.Pool.Versions = fescuelatch.PoolID(id), versions
+		return o
+	}
+	of := func(id string, v fescuelatch.VersionID) fescuelatch.Work {
+		w := work(id, "a")
+		w.Version = v
+		return w
+	}
+	g := gate.NewAdaptive(settings)
+	one, two := pool("one", left, shared), pool("two", shared, right)
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{one, two})
+	for _, test := range []struct {
+		work fescuelatch.Work
+		want fescuelatch.AdmissionVerdict
+	}{
+		{of("left-runs", left), fescuelatch.AdmissionStart},
+		{of("left-waits", left), fescuelatch.AdmissionQueue},
+		{of("right-runs", right), fescuelatch.AdmissionStart},
+		{of("right-waits", right), fescuelatch.AdmissionQueue},
+	} {
+		c.Assert(g.Offer(epoch, test.work).Verdict, qt.Equals, test.want, qt.Commentf("%s", test.work.Attempt))
+	}
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{one})
+	as := g.Poll(epoch)
+	c.Assert(as, qt.HasLen, 1)
+	c.Check(as[0].Attempt, qt.Equals, fescuelatch.AttemptID("right-waits"))
+	c.Check(as[0].Verdict, qt.Equals, fescuelatch.AdmissionRefuse)
+	as = g.End(at(time.Second), fescuelatch.AttemptResult{Attempt: "left-runs", Status: fescuelatch.AttemptAnswered})
+	c.Assert(as, qt.HasLen, 1)
+	c.Check(as[0].Attempt, qt.Equals, fescuelatch.AttemptID("left-waits"))
+	c.Check(as[0].Verdict, qt.Equals, fescuelatch.AdmissionStart)
+}
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -3,15 +3,16 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"fescuelatch"
 )
 
-// This file defines the queues of work that waits: one for each target, fair
-// between client accounts. Within an account, higher priorities go first,
-// and equal ones in order of arrival.
+// This file defines the queues of work that waits: one for all targets that
+// endpoints serve together, fair between client accounts. Within an account,
+// higher priorities go first, and equal ones in order of arrival.
 
-// flow is the waiting work of one account for one target. Virtual is the
+// flow is the waiting work of one account in one queue. Virtual is the
 // virtual time at which its next attempt is due.
 type flow struct {
 	account fescuelatch.AccountID
@@ -29,12 +30,25 @@
 	f.works = slices.Insert(f.works, i, w)
 }
 
-// queue is the waiting work for one target, by start-time fair queueing.
+// queue is the waiting work of a group of targets, by start-time fair
+// queueing.
 type queue struct {
 	virtual float64
 	flows   map[fescuelatch.AccountID]*flow
 	order   []*flow // flows with work, by virtual time when sorted
 	length  int
+	places  []*place // that serve the group
+}
+
+// open reports whether any place may start work now.
+func (q *queue) open(now time.Time) bool {
+	for _, p := range q.places {
+		p.refresh(now)
+		if p.free(now) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // flow returns the flow of w's account. An account that was idle gets no
@@ -116,17 +130,22 @@
 }
 
 // turns returns the number of starts until one more work of w's account
-// would start.
+// would start: those of the account itself that go before it, and those of
+// others that are due until its virtual time.
 func (q *queue) turns(w fescuelatch.Work) float64 {
-	weight, total, ahead := weightOf(w), weightOf(w), 1.0
+	weight, due, ahead := weightOf(w), q.virtual, 0
+	if f := q.flows[w.Request.Account]; f != nil {
+		due = max(due, f.virtual)
+		ahead = before(f.works, w.Request.Priority)
+	}
+	due += float64(ahead) / weight
+	turns := 1 + ahead
 	for _, f := range q.order {
-		if f.account == w.Request.Account {
-			ahead += float64(before(f.works, w.Request.Priority))
-		} else {
-			total += f.weight
+		if f.account != w.Request.Account && f.virtual <= due {
+			turns += min(len(f.works), 1+int((due-f.virtual)*f.weight))
 		}
 	}
-	return min(ahead*total/weight, float64(q.length+1))
+	return float64(turns)
 }
 
 // before counts the works that go before new work of priority p.
@@ -139,3 +158,22 @@
 	}
 	return n
 }
+
+// each passes all works to visit.
+func (q *queue) each(visit func(fescuelatch.Work)) {
+	for _, f := range q.order {
+		for _, w := range f.works {
+			visit(w)
+		}
+	}
+}
+
+// wants reports whether any work waits that could run at p.
+func (q *queue) wants(p *place) bool {
+	for _, f := range q.order {
+		if slices.ContainsFunc(f.works, func(w fescuelatch.Work) bool { return fits(&p.owned, w) }) {
+			return true
+		}
+	}
+	return false
+}
