What is served elsewhere only waits there when nothing is free

Cause: placement never chose a daemon of another failure domain without a reported free slot, so a request of a failure domain that was out, or that does not serve its version, was refused at once with no-endpoint when none was free elsewhere at that moment. Daemons report none while their endpoints ramp up, since starts are then spaced out.

Now such a request goes to a daemon elsewhere, as do requests that all nearer daemons have refused; within a tier, short queues are drawn more often. Retries stay bounded by the retry budget.

The property test now fails when no spot is chosen although one is in reach. TestDomainOutWaitsElsewhere failed before with a refusal.

--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -381,6 +381,25 @@
 	c.Check(m.core.Faults(), qt.HasLen, 0)
 }
 
+// A request of a failure domain that is out waits elsewhere when no daemon
+// there has a slot free.
+func TestDomainOutWaitsElsewhere(t *testing.T) {
+	c := qt.New(t)
+	m := newMachine(t, 1)
+	conf := configuration()
+	conf.Overrides.DomainsOut = []fescuelatch.DomainID{domain}
+	view, err := fescuelatch.NewView(conf)
+	c.Assert(err, qt.IsNil)
+	m.core.Handle(m.now, decision.Configured{View: view})
+	m.core.Handle(m.now, decision.Owned{})
+	m.core.Handle(m.now, decision.Summarised{VM: "vm-3", Domain: "d2", At: m.now, Spares: []fescuelatch.Spare{{Version: "m@2", Slots: 1, Queued: 1}}})
+	as := m.core.Handle(m.now, decision.Arrived{Request: &fescuelatch.Request{
+		ID: "r", Account: "a", Model: "m", Version: "m@2", Idempotent: true, Arrived: m.now, Deadline: m.now.Add(time.Minute),
+	}})
+	c.Assert(as, qt.HasLen, 1)
+	c.Check(as[0], qt.Equals, decision.Action(decision.Forward{Request: "r", Attempt: "r.1", VM: "vm-3", Version: "m@2"}))
+}
+
 func rates(as []decision.Action) int {
 	n := 0
 	for _, a := range as {
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -78,9 +78,15 @@
 	for i := range c.spots {
 		total += c.weight(i)
 	}
-	point, chosen := u*total, none
-	for i := range c.spots {
-		w := c.weight(i)
+	return draw(len(c.spots), u*total, c.weight)
+}
+
+// draw returns the index that point falls on when n weights are laid in a row,
+// or none when all are zero.
+func draw(n int, point float64, weight func(int) float64) int {
+	chosen := none
+	for i := range n {
+		w := weight(i)
 		if w <= 0 {
 			continue
 		}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -103,27 +103,27 @@
 	return tierRemote
 }
 
-// queue returns the spot of the nearest tier for a request that finds no
-// spare capacity, so that a gate queues or refuses it. Daemons elsewhere get
-// no such requests.
+// queue returns a spot of the nearest tier for a request that finds no spare
+// capacity, so that a gate queues or refuses it. Short queues are drawn more
+// often.
 func queue(r *fescuelatch.Request, spots []fescuelatch.Spot, u float64) int {
-	for t := tierOwn; t <= min(reach(r), tierLocal); t++ {
-		n := 0
+	for t := tierOwn; t <= reach(r); t++ {
+		total := 0.0
 		for i := range spots {
-			if tierOf(&spots[i]) == t {
-				n++
-			}
+			total += patience(&spots[i], t)
 		}
-		k := int(u * float64(n))
-		for i := range spots {
-			if tierOf(&spots[i]) != t {
-				continue
-			}
-			if k == 0 {
-				return i
-			}
-			k--
+		if total == 0 {
+			continue
 		}
+		return draw(len(spots), u*total, func(i int) float64 { return patience(&spots[i], t) })
 	}
 	return none
 }
+
+// patience weighs a spot of tier t by how few wait there, as far as is known.
+func patience(s *fescuelatch.Spot, t tier) float64 {
+	if tierOf(s) != t {
+		return 0
+	}
+	return 1 / (1 + float64(max(0, s.Sent-s.Spare)))
+}
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -59,6 +59,8 @@
 			t.Fatalf("index %d of %d", i, len(spots))
 		case i == none && spare && !r.Forwarded:
 			t.Fatalf("no choice although a spot has spare capacity")
+		case i == none && slices.ContainsFunc(spots, func(s fescuelatch.Spot) bool { return tierOf(&s) <= reach(&r) }):
+			t.Fatalf("no choice although a spot is in reach")
 		case i == none:
 			return
 		case r.Forwarded && tierOf(&spots[i]) != tierOwn:
