A freed slot is taken at once while an endpoint ramps up

Cause: on Kestrelmoor's fleet the tails of the experiment latency all came from the first seven seconds, in which engines still ramp up (first token p95 by second 1.7 to 4.4 s there and 0.3 to 0.6 s after, with every placement). Starts were 100 ms apart whatever had ended meanwhile, so that an endpoint got ten attempts a second at most, below what its slots bore, and reported no free slot for most of that time, on which placement and the choice of versions then acted.

Now an answered attempt lets the next one start at once, since that adds nothing to the load, and the free slots that are told are those within the bound. Growth is spaced out as before. After a refusal the endpoint is left alone as before; that time has a field of its own.

Ruled out: cascades, sessions and pinned versions (their shares among the slowest calls are no larger than among all), prefix affinity and waiting at the own domain (random placement, which has neither, had the same tails).

TestRampRefills failed before.

--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -388,7 +388,7 @@
 	for _, p := range g.sorted {
 		if !p.owned.Out {
 			p.refresh(now)
-			t.addSlots(p.owned.Pool, p.bound(now), p.free(now))
+			t.addSlots(p.owned.Pool, p.bound(now), p.room(now))
 		}
 	}
 	for _, q := range g.queues {
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -461,3 +461,30 @@
 	c.Check(as[0].Attempt, qt.Equals, fescuelatch.AttemptID("left-waits"))
 	c.Check(as[0].Verdict, qt.Equals, fescuelatch.AdmissionStart)
 }
+
+// While an endpoint ramps up, starts are spaced out only as far as they add to
+// its load: the slot that an answer frees may be taken at once.
+func TestRampRefills(t *testing.T) {
+	for _, test := range []struct {
+		status fescuelatch.AttemptStatus
+		want   int
+	}{
+		{fescuelatch.AttemptAnswered, 1},
+		{fescuelatch.AttemptBroken, 0},
+	} {
+		t.Run(string(test.status), func(t *testing.T) {
+			c := qt.New(t)
+			g := gate.NewAdaptive(settings)
+			g.Own(epoch, []fescuelatch.OwnedEndpoint{owned("engine", 8, 4)})
+			now := at(settings.ReportLag)
+			g.Report(now, warmReport(now, 0))
+			c.Assert(g.Offer(now, work("first", "a")).Verdict, qt.Equals, fescuelatch.AdmissionStart)
+			c.Check(g.Spare(now)[0].Free, qt.Equals, 3)
+			c.Assert(g.Offer(now, work("second", "a")).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+			now = now.Add(time.Millisecond)
+			as := g.End(now, fescuelatch.AttemptResult{Attempt: "first", Status: test.status, Total: time.Millisecond})
+			c.Check(starts(as), qt.Equals, test.want)
+			c.Check(starts(g.Poll(now.Add(200*time.Millisecond))), qt.Equals, 1-test.want)
+		})
+	}
+}
--- a/gate/place.go
+++ b/gate/place.go
@@ -50,7 +50,9 @@
 	// endpoint has not been restarted.
 	broken time.Time
 	slots  int // that the endpoint reports, or zero
-	next   time.Time
+	// next is the earliest time of a further start while starts are spaced
+	// out, and eased that of any after the endpoint refused work.
+	next, eased time.Time
 }
 
 // own takes in that the daemon owns o.
@@ -169,16 +171,24 @@
 	return !p.warmth.warm() || now.Sub(p.warmth.since) < p.settings.RampFor
 }
 
+// room returns the number of attempts that the endpoint bears besides those
+// that it has.
+func (p *place) room(now time.Time) int {
+	if now.Before(p.eased) {
+		return 0
+	}
+	return max(0, p.bound(now)-len(p.running)-p.others)
+}
+
 // free returns the number of attempts that may start now.
 func (p *place) free(now time.Time) int {
 	if now.Before(p.next) {
 		return 0
 	}
-	n := p.bound(now) - len(p.running) - p.others
-	if n > 1 && p.ramping(now) {
-		return 1
+	if p.ramping(now) {
+		return min(p.room(now), 1)
 	}
-	return max(n, 0)
+	return p.room(now)
 }
 
 // start records that w starts.
@@ -231,10 +241,12 @@
 	case r.Unsent:
 	case r.Overloaded:
 		p.limit.decrease(now, p.floor())
-		p.next = later(p.next, now.Add(max(r.RetryAfter, jittered(a.id))))
+		p.eased = later(p.eased, now.Add(max(r.RetryAfter, jittered(a.id))))
 	case r.Status == fescuelatch.AttemptAnswered:
 		p.limit.increase(p.owned.Pool.Slots)
 		p.goesOn(a)
+		// Work that takes the place of what ended adds nothing to the load.
+		p.next = now
 	case r.Status == fescuelatch.AttemptNotStarted, r.Status == fescuelatch.AttemptBroken:
 		p.limit.decrease(now, p.floor())
 		p.warmth.fail(now)
--- a/policy.go
+++ b/policy.go
@@ -159,7 +159,8 @@
 type Spare struct {
 	Version VersionID `json:"version,omitempty"`
 	Service ServiceID `json:"service,omitempty"`
-	// Free is the number of attempts that would start at once.
+	// Free is the number of attempts that would start at once, or within
+	// moments while starts are spaced out.
 	Free int `json:"free"`
 	// Queued is the number of attempts that wait.
 	Queued int `json:"queued"`
