A fleet finds a bad version with as many ratings as one daemon

Cause: each daemon had a CUSUM statistic of its own and only their sum was pooled. The threshold of a sum of n statistics grows with n, so that eight daemons needed 72 ratings in sum where one needs 30, and 52 needed 260. Each daemon now also tells the sum of its log-likelihood ratios, and every daemon keeps one statistic over all ratings as it learns of them, with the bound of a single one. The rate of false alarms is split over three statistics.

Ruled out: attempts in the same statistic, as one outage breaks attempts at all daemons at once; ratings of an origin that is heard for the first time, as they may have been counted before its evidence expired.

TestMergeProperties is as strict as before on what it checked; the new statistic follows the order of arrival and is left out of it, and is checked by TestFollow.

--- a/policy.go
+++ b/policy.go
@@ -38,8 +38,15 @@
 	Good     float64     `json:"good"`
 	Attempts float64     `json:"attempts"`
 	Failed   float64     `json:"failed"`
-	// Alarm is the statistic of the change detector.
+	// Alarm is the statistic of the change detector over what this daemon has
+	// seen itself.
 	Alarm float64 `json:"alarm"`
+	// LogRatio is the sum of the log-likelihood ratios of all ratings since
+	// Since, without decay; its growth tells others what is new.
+	LogRatio float64 `json:"log-ratio"`
+	// Pooled is the statistic over the ratings of all daemons while the
+	// version is quarantined, otherwise 0. Daemons that start begin with it.
+	Pooled float64 `json:"pooled,omitempty"`
 }
 
 // QualityModel learns the quality and health of versions.
@@ -58,8 +65,8 @@
 	Health(now time.Time, v VersionID) Health
 	// Evidence returns this daemon's own evidence, ordered by version.
 	Evidence(now time.Time) []Evidence
-	// Merge takes in the evidence of other daemons. It is idempotent and
-	// commutative.
+	// Merge takes in the evidence of other daemons. It is idempotent, and
+	// estimates do not depend on the order of evidence.
 	Merge(now time.Time, e []Evidence)
 }
 
--- a/quality/evidence.go
+++ b/quality/evidence.go
@@ -17,11 +17,14 @@
 
 // valid reports whether e can be pooled at time now.
 func valid(now time.Time, e *fescuelatch.Evidence, s *Settings) bool {
-	for _, x := range [...]float64{e.Rated, e.Good, e.Attempts, e.Failed, e.Alarm} {
+	for _, x := range [...]float64{e.Rated, e.Good, e.Attempts, e.Failed, e.Alarm, e.Pooled} {
 		if math.IsNaN(x) || x < 0 || x > maxCount {
 			return false
 		}
 	}
+	if math.IsNaN(e.LogRatio) || math.Abs(e.LogRatio) > maxCount {
+		return false
+	}
 	if e.Good > e.Rated || e.Failed > e.Attempts || e.Updated.Before(e.Since) {
 		return false
 	}
@@ -45,6 +48,8 @@
 		cmp.Compare(a.Good, b.Good),
 		cmp.Compare(a.Attempts, b.Attempts),
 		cmp.Compare(a.Failed, b.Failed),
+		cmp.Compare(a.LogRatio, b.LogRatio),
+		cmp.Compare(a.Pooled, b.Pooled),
 	)
 }
 
@@ -70,12 +75,25 @@
 // ordered by origin.
 type peers []fescuelatch.Evidence
 
+// find returns the evidence of an origin, if there is any.
+func (p peers) find(o fescuelatch.Incarnation) (fescuelatch.Evidence, bool) {
+	i, found := p.search(o)
+	if !found {
+		return fescuelatch.Evidence{}, false
+	}
+	return p[i], true
+}
+
+func (p peers) search(o fescuelatch.Incarnation) (int, bool) {
+	return slices.BinarySearchFunc(p, o, func(x fescuelatch.Evidence, o fescuelatch.Incarnation) int {
+		return cmp.Compare(x.Origin, o)
+	})
+}
+
 // put takes in e. It reports whether e was new, and what was dropped for it:
 // the former evidence of its origin, or the oldest one beyond the limit.
 func (p *peers) put(e fescuelatch.Evidence, limit int) (dropped fescuelatch.Evidence, ok bool) {
-	i, found := slices.BinarySearchFunc(*p, e.Origin, func(x fescuelatch.Evidence, o fescuelatch.Incarnation) int {
-		return cmp.Compare(x.Origin, o)
-	})
+	i, found := p.search(e.Origin)
 	if found {
 		dropped = (*p)[i]
 		if compare(&e, &dropped) <= 0 {
--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -118,6 +118,39 @@
 	}
 }
 
+// TestFollow checks that each rating of others is counted once: of evidence
+// that is repeated, overtaken, begun anew, or heard for the first time.
+func TestFollow(t *testing.T) {
+	evidence := func(since, updated int, ratio float64) fescuelatch.Evidence {
+		return fescuelatch.Evidence{
+			Origin: "b", Version: "triage@small", Since: epoch.Add(time.Duration(since) * time.Second),
+			Updated: epoch.Add(time.Duration(updated) * time.Second), LogRatio: ratio,
+		}
+	}
+	late := evidence(-9, 1, 3)
+	late.Pooled = 2
+	tests := []struct {
+		name string
+		list []fescuelatch.Evidence
+		want float64
+	}{
+		{"first heard", []fescuelatch.Evidence{evidence(0, 1, 3)}, 0},
+		{"quarantined before this daemon began", []fescuelatch.Evidence{late}, 2},
+		{"growth", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 2, 5)}, 2},
+		{"repeated", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 2, 5), evidence(0, 2, 5)}, 2},
+		{"overtaken", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 3, 6), evidence(0, 2, 5)}, 3},
+		{"fall", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 2, 5), evidence(0, 3, 1)}, 0},
+		{"begun anew", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(5, 6, 1)}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newModel("a")
+			m.Merge(epoch.Add(10*time.Second), test.list)
+			qt.Assert(t, float64(m.records["triage@small"].pooledSum), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestLateStart checks that a daemon that starts during a quarantine learns
 // of it from the others.
 func TestLateStart(t *testing.T) {
--- a/quality/record.go
+++ b/quality/record.go
@@ -37,7 +37,10 @@
 	own        fescuelatch.Evidence
 	ratingSum  cusum
 	failureSum cusum
-	failing    []failing
+	// pooledSum is the statistic over the ratings of all daemons, in the order
+	// in which this daemon learns of them.
+	pooledSum cusum
+	failing   []failing
 
 	peers peers
 	pool  pool
@@ -71,7 +74,10 @@
 	age(&r.own, now, s.HalfLife)
 	r.own.Rated++
 	r.own.Good += score
-	r.test(&r.ratingSum, r.ratings.ratio(score))
+	ratio := r.ratings.ratio(score)
+	r.own.LogRatio += ratio
+	r.learn(ratio)
+	r.test(&r.ratingSum, ratio)
 	r.changed()
 }
 
@@ -86,13 +92,43 @@
 // test adds a ratio to one of the statistics. During a quarantine they stand
 // still, so that a daemon that starts meanwhile sees why.
 func (r *record) test(c *cusum, ratio float64) {
-	if r.verdict.machine.State() == chart.ModelVersionQuarantined {
+	if r.quarantined() {
 		return
 	}
 	c.add(ratio)
 	r.own.Alarm = combine(r.ratingSum, r.failureSum)
 }
 
+// learn adds the ratio of ratings to the statistic over all daemons.
+func (r *record) learn(ratio float64) {
+	if !r.quarantined() {
+		r.pooledSum.add(ratio)
+	}
+}
+
+// follow takes in the ratings that e has beyond former, the evidence of the
+// same origin before it. Of an origin that was not known, it cannot tell
+// which ratings are new: they may have been counted before its evidence
+// expired. A daemon that has begun later than the origin takes over its
+// statistic instead.
+func (r *record) follow(e, former *fescuelatch.Evidence, known bool) {
+	switch {
+	case e.Since.Before(r.verdict.epoch):
+	case !known:
+		if e.Since.Before(r.own.Since) && !r.quarantined() {
+			r.pooledSum = max(r.pooledSum, cusum(e.Pooled))
+		}
+	case e.Since.Equal(former.Since):
+		r.learn(e.LogRatio - former.LogRatio)
+	default:
+		r.learn(e.LogRatio)
+	}
+}
+
+func (r *record) quarantined() bool {
+	return r.verdict.machine.State() == chart.ModelVersionQuarantined
+}
+
 // repeatedFailure reports whether endpoint e failed a moment ago, and
 // remembers this failure otherwise.
 func (r *record) repeatedFailure(now time.Time, e fescuelatch.EndpointID) bool {
@@ -120,7 +156,7 @@
 // reset begins new evidence.
 func (r *record) reset(now time.Time) {
 	r.own = fescuelatch.Evidence{Origin: r.own.Origin, Version: r.own.Version, Since: now, Updated: now}
-	r.ratingSum, r.failureSum = 0, 0
+	r.ratingSum, r.failureSum, r.pooledSum = 0, 0, 0
 	r.failing = r.failing[:0]
 	r.refresh()
 }
@@ -133,10 +169,12 @@
 
 // merge takes in the evidence of another daemon.
 func (r *record) merge(e fescuelatch.Evidence, s *Settings) {
+	former, known := r.peers.find(e.Origin)
 	dropped, ok := r.peers.put(e, s.MaxOrigins)
 	if !ok {
 		return
 	}
+	r.follow(&e, &former, known)
 	r.pool.add(&e, 1)
 	if dropped.Origin != "" {
 		r.pool.add(&dropped, -1)
--- a/quality/verdict.go
+++ b/quality/verdict.go
@@ -52,19 +52,25 @@
 
 func newAlarms(s *Settings) alarms {
 	return alarms{
-		suspect:    thresholds{rate: s.SuspectRate / 2},
-		quarantine: thresholds{rate: s.QuarantineRate / 2},
-		probation:  thresholds{rate: s.ProbationRate / 2},
+		suspect:    thresholds{rate: s.SuspectRate / statistics},
+		quarantine: thresholds{rate: s.QuarantineRate / statistics},
+		probation:  thresholds{rate: s.ProbationRate / statistics},
 	}
 }
 
-// raised reports whether this daemon's statistic, or the sum over all
-// daemons, exceeds its threshold. Each of the two takes half of the rate of
-// false alarms.
-func (t *thresholds) raised(own float64, c counts) bool {
-	return own >= t.at(1) || c.alarm >= t.at(c.origins)
+// statistics is the number of statistics that can raise an alarm: that of
+// this daemon, the sum of those of all daemons, and that over the ratings of
+// all daemons. Each takes its part of the rate of false alarms.
+const statistics = 3
+
+// level returns the largest of the statistics as a multiple of its threshold.
+func (t *thresholds) level(r *record, c counts) float64 {
+	return max(r.own.Alarm/t.at(1), c.alarm/t.at(c.origins), float64(r.pooledSum)/t.at(1))
 }
 
+// raised reports whether a statistic has reached its threshold.
+func (t *thresholds) raised(r *record, c counts) bool { return t.level(r, c) >= 1 }
+
 // step applies the rules that hold at now.
 func (r *record) step(now time.Time, s *Settings, a *alarms) {
 	switch r.verdict.machine.State() {
@@ -81,9 +87,9 @@
 func (r *record) watch(now time.Time, s *Settings, a *alarms) {
 	c := r.counts(now, s)
 	switch {
-	case a.quarantine.raised(r.own.Alarm, c):
+	case a.quarantine.raised(r, c):
 		r.quarantine(now, s)
-	case a.suspect.raised(r.own.Alarm, c):
+	case a.suspect.raised(r, c):
 		r.verdict.fire(chart.EventDoubt)
 	default:
 		r.verdict.fire(chart.EventClear)
@@ -117,7 +123,7 @@
 func (r *record) probe(now time.Time, s *Settings, a *alarms) {
 	c := r.counts(now, s)
 	switch {
-	case a.probation.raised(r.own.Alarm, c):
+	case a.probation.raised(r, c):
 		r.quarantine(now, s)
 	case r.passes(c, s):
 		r.verdict.fire(chart.EventPass)
