Answers are rated where a rating settles most

Cause: a fixed fifth of the answers of good versions was rated, whether or not anything spoke against them; detection waited for ratings. Answers of quarantined versions were all rated, although their probation begins with new evidence. The choice is now a policy behind fescuelatch.Sampler: a base share of a tenth, up to all answers of a version that is new, in doubt or suspect, within a budget of ratings a second. The fixed share stays as the baseline.

The bound on false alarms stands, as the choice depends on earlier ratings alone.

The bad-version experiment gets the variant fixed-sampling with the former share, and counts the ratings made.

--- a/cmd/fescuelatch-load/experiment/experiment.go
+++ b/cmd/fescuelatch-load/experiment/experiment.go
@@ -93,8 +93,12 @@
 		{
 			Name:     BadVersion,
 			Question: "How many callers get a bad answer from a version that turns bad, and for how long?",
-			Variants: []Variant{router, {Name: "static", Daemon: []string{"--quality=static"}}},
-			Primary:  BadAnswers, Rate: 30, speed: slow, steps: turnBad, measure: measureExposure,
+			Variants: []Variant{
+				router,
+				{Name: "static", Daemon: []string{"--quality=static"}},
+				{Name: "fixed-sampling", Daemon: []string{"--sampling=fixed", "--sample-share=0.2"}},
+			},
+			Primary: BadAnswers, Rate: 30, speed: slow, steps: turnBad, measure: measureExposure,
 		},
 		{
 			Name:     DomainOut,
--- a/cmd/fescuelatch-load/experiment/measure.go
+++ b/cmd/fescuelatch-load/experiment/measure.go
@@ -33,6 +33,7 @@
 	Shortfall      MeasureName = "good-share-shortfall"
 	BadAnswers     MeasureName = "bad-answers"
 	ExposedFor     MeasureName = "exposed-s"
+	Ratings        MeasureName = "ratings-per-s"
 	FailedInWindow MeasureName = "failed-share-in-window"
 	FailedOpen     MeasureName = "failed-share-of-idempotent-in-window"
 	WorstSecond    MeasureName = "failed-share-in-worst-second"
@@ -225,7 +226,7 @@
 			bad++
 		}
 	}
-	return []Measure{{BadAnswers, bad}, {ExposedFor, exposed(t, v)}}
+	return []Measure{{BadAnswers, bad}, {ExposedFor, exposed(t, v)}, {Ratings, float64(t.result.Ratings) / t.duration.Seconds()}}
 }
 
 // exposedShare is the part of its former rate above which a version that
--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -103,7 +103,7 @@
 		VMs:   &vmlist.Client{HTTP: client(daemon.TrafficList), URL: s.VMs},
 		Rater: &rating.Client{HTTP: client(daemon.TrafficRating), URL: s.Rating},
 		Core: decision.Options{
-			VM: vm, Domain: domain, Random: decision.NewRandom(), SampleShare: s.SampleShare,
+			VM: vm, Domain: domain, Random: decision.NewRandom(), Sampler: samplers[s.Sampling](s),
 			Quality:   find(qualityModels, s.Quality)(incarnation),
 			Versions:  find(versionPolicies, s.VersionPolicy)(incarnation),
 			Placement: find(placementPolicies, s.Placement)(incarnation),
--- a/cmd/fescuelatchd/policies.go
+++ b/cmd/fescuelatchd/policies.go
@@ -38,6 +38,14 @@
 	{"static", func(fescuelatch.Incarnation) fescuelatch.QualityModel { return new(quality.Static) }},
 }
 
+// samplers are named like the policies; they have settings of their own.
+var samplers = map[string]func(*settings) fescuelatch.Sampler{
+	"adaptive": func(s *settings) fescuelatch.Sampler {
+		return &quality.AdaptiveShare{Base: s.SampleShare, Rate: s.RatingRate}
+	},
+	"fixed": func(s *settings) fescuelatch.Sampler { return quality.FixedShare{Share: s.SampleShare} },
+}
+
 // find returns the choice of a name, or nil.
 func find[T any](choices []choice[T], name string) func(fescuelatch.Incarnation) T {
 	for _, c := range choices {
@@ -62,5 +70,8 @@
 	if find(qualityModels, s.Quality) == nil {
 		faults = append(faults, "--quality is unknown")
 	}
+	if samplers[s.Sampling] == nil {
+		faults = append(faults, "--sampling is unknown")
+	}
 	return faults
 }
--- a/cmd/fescuelatchd/settings.go
+++ b/cmd/fescuelatchd/settings.go
@@ -46,7 +46,9 @@
 	Placement     string        `arg:"--placement,env:FESCUELATCH_PLACEMENT" default:"affinity" help:"affinity, least-loaded or random"`
 	Gate          string        `arg:"--gate,env:FESCUELATCH_GATE" default:"adaptive" help:"adaptive or fixed"`
 	Quality       string        `arg:"--quality,env:FESCUELATCH_QUALITY" default:"learned" help:"learned or static"`
-	SampleShare   float64       `arg:"--sample-share,env:FESCUELATCH_SAMPLE_SHARE" default:"0.2" help:"share of answers that are rated for learning, 0 to 1"`
+	SampleShare   float64       `arg:"--sample-share,env:FESCUELATCH_SAMPLE_SHARE" default:"0.1" help:"least share of answers that are rated for learning, 0 to 1; with fixed sampling the share"`
+	Sampling      string        `arg:"--sampling,env:FESCUELATCH_SAMPLING" default:"adaptive" help:"adaptive or fixed choice of the answers that are rated"`
+	RatingRate    float64       `arg:"--rating-rate,env:FESCUELATCH_RATING_RATE" default:"5" help:"ratings a second that this daemon asks for; those that a request waits for come first and may exceed it"`
 	Relay         bool          `arg:"--platform-relay,env:FESCUELATCH_PLATFORM_RELAY" help:"hand platform writes to one daemon of the failure domain, for failure domains of many VMs"`
 	DrainDelay    time.Duration `arg:"--drain-delay,env:FESCUELATCH_DRAIN_DELAY" default:"1s" help:"how long a stopping daemon refuses requests before it closes; above the balancer's interval of checks"`
 	StopTimeout   time.Duration `arg:"--stop-timeout,env:FESCUELATCH_STOP_TIMEOUT" default:"30s" help:"longest time of a graceful stop"`
@@ -132,6 +134,7 @@
 	require(s.Rating != "", "--rating is missing")
 	require(s.OperatorKey != "", "the operator key is missing")
 	require(s.SampleShare >= 0 && s.SampleShare <= 1, "--sample-share is not within 0 to 1")
+	require(s.RatingRate >= 0, "--rating-rate is negative")
 	require(s.DrainDelay >= 0, "--drain-delay is negative")
 	require(s.StopTimeout > 0, "--stop-timeout is not positive")
 	require(s.BillHoldTime > 0, "--bill-hold-time is not positive")
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -157,6 +157,7 @@
 		Core: decision.Options{
 			VM: m.ID, Domain: m.Domain, Random: decision.NewRandom(), Quality: quality.New(i, quality.Settings{}),
 			Versions: new(cascade.Policy), Placement: new(placement.Policy), Gate: gate.NewAdaptive(gate.Settings{}),
+			Sampler: quality.FixedShare{},
 		},
 		Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope, Scrape: http.NotFoundHandler(), StopTimeout: time.Second,
 	})
--- a/decision/bench_test.go
+++ b/decision/bench_test.go
@@ -92,7 +92,7 @@
 	d := &bench{now: epoch, size: s, core: decision.New(decision.Options{
 		VM: self, Domain: domain, Random: rand.New(rand.NewPCG(1, 1)),
 		Quality: quality.New("self", quality.Settings{}), Versions: new(cascade.Policy), Placement: new(placement.Policy),
-		Gate: gate.NewAdaptive(gate.Settings{}),
+		Gate: gate.NewAdaptive(gate.Settings{}), Sampler: quality.FixedShare{},
 	})}
 	d.core.Handle(d.now, decision.Configured{View: v})
 	var owned []fescuelatch.OwnedEndpoint
--- a/decision/core.go
+++ b/decision/core.go
@@ -30,9 +30,8 @@
 	Versions  fescuelatch.VersionPolicy
 	Placement fescuelatch.PlacementPolicy
 	Gate      fescuelatch.Gate
-	// SampleShare is the share of accepted answers, from 0 to 1, that are
-	// rated for learning.
-	SampleShare float64
+	// Sampler decides which accepted answers are rated for learning.
+	Sampler fescuelatch.Sampler
 }
 
 // Core decides on the requests of one daemon. It is not safe for concurrent
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -97,7 +97,7 @@
 	m.core = decision.New(decision.Options{
 		VM: self, Domain: domain, Random: rand.New(rand.NewPCG(seed, 1)),
 		Quality: new(quality.Static), Versions: new(cascade.Policy), Placement: new(placement.Policy),
-		Gate: g, SampleShare: 0.5,
+		Gate: g, Sampler: quality.FixedShare{Share: 0.5},
 	})
 	m.configure(t)
 	m.handle(t, decision.Owned{Endpoints: m.owned()})
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -56,19 +56,22 @@
 		c.accept(q, q.current, c.sampled(now, q))
 		return
 	}
+	c.options.Sampler.Spend(now)
 	c.emit(Rate{Request: q.ID, Attempt: q.current.id, Version: q.current.version, Within: ratingTimeout})
 }
 
 // sampled reports whether the accepted answer of q is rated for learning.
-// All answers of a version in doubt are, so that the doubt ends soon.
 func (c *Core) sampled(now time.Time, q *request) bool {
 	if q.IsService() || q.Forwarded || q.step > 0 {
 		return false
 	}
-	if c.options.Quality.Health(now, q.current.version) != fescuelatch.HealthGood {
-		return true
+	v := q.current.version
+	k := fescuelatch.Knowledge{
+		Estimate: c.options.Quality.Estimate(now, v),
+		Health:   c.options.Quality.Health(now, v),
+		Doubt:    c.options.Quality.Doubt(now, v),
 	}
-	return c.options.Random.Float64() < c.options.SampleShare
+	return c.options.Sampler.Sample(now, k, c.options.Random.Float64())
 }
 
 func (c *Core) rated(now time.Time, e Rated) {
--- a/fleet/observe.go
+++ b/fleet/observe.go
@@ -141,6 +141,15 @@
 	return a.Calls, err
 }
 
+// Ratings returns the number of answers that the rating service has rated.
+func (f *Fleet) Ratings(ctx context.Context) (int64, error) {
+	var a struct {
+		Ratings int64 `json:"ratings"`
+	}
+	err := f.get(ctx, f.places.rating, "/counts", &a)
+	return a.Ratings, err
+}
+
 const billPrefix = "fescuelatch/bill/"
 
 type rangeRequest struct {
--- a/policy.go
+++ b/policy.go
@@ -63,6 +63,9 @@
 	Estimate(now time.Time, v VersionID) Estimate
 	// Health returns the verdict on v.
 	Health(now time.Time, v VersionID) Health
+	// Doubt returns how far the evidence against v has come towards a
+	// suspicion, from 0 to 1.
+	Doubt(now time.Time, v VersionID) float64
 	// Evidence returns this daemon's own evidence, ordered by version.
 	Evidence(now time.Time) []Evidence
 	// Merge takes in the evidence of other daemons. It is idempotent, and
@@ -70,6 +73,24 @@
 	Merge(now time.Time, e []Evidence)
 }
 
+// Knowledge is what is known of a version when one of its answers could be
+// rated.
+type Knowledge struct {
+	Estimate Estimate
+	Health   Health
+	Doubt    float64
+}
+
+// Sampler decides which answers are rated for learning. Ratings cost, so it
+// keeps to a budget.
+type Sampler interface {
+	// Sample reports whether an answer is rated, given what is known of its
+	// version. u is uniform in [0, 1). It must not depend on the answer.
+	Sample(now time.Time, k Knowledge, u float64) bool
+	// Spend records a rating that a plan needs, which is made in any case.
+	Spend(now time.Time)
+}
+
 // Candidate is a version that a request may run on, with what is known.
 type Candidate struct {
 	Version  Version
--- a/quality/model.go
+++ b/quality/model.go
@@ -137,6 +137,16 @@
 	return r.verdict.health()
 }
 
+// Doubt implements fescuelatch.QualityModel.
+func (m *Model) Doubt(now time.Time, v fescuelatch.VersionID) float64 {
+	r := m.records[v]
+	if r == nil {
+		return 1
+	}
+	r.step(now, &m.settings, &m.alarms)
+	return min(1, m.alarms.suspect.level(r, r.counts(now, &m.settings)))
+}
+
 // Evidence implements fescuelatch.QualityModel. The evidence of a quarantined
 // version is renewed so that it does not expire before the quarantine ends.
 func (m *Model) Evidence(now time.Time) []fescuelatch.Evidence {
--- a/quality/static.go
+++ b/quality/static.go
@@ -42,6 +42,9 @@
 	return fescuelatch.HealthGood
 }
 
+// Doubt implements fescuelatch.QualityModel.
+func (m *Static) Doubt(time.Time, fescuelatch.VersionID) float64 { return 0 }
+
 // Evidence implements fescuelatch.QualityModel.
 func (m *Static) Evidence(time.Time) []fescuelatch.Evidence { return nil }
 
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -64,6 +64,8 @@
 	Crashed []string
 	// PlatformCalls counts the calls at the platform by kind.
 	PlatformCalls map[string]int64
+	// Ratings counts the answers that the rating service has rated.
+	Ratings int64
 }
 
 // Run is a scenario that is under way.
@@ -216,9 +218,13 @@
 	if err != nil {
 		return nil, &Error{"count calls", KindObserve, err}
 	}
+	ratings, err := r.Fleet.Ratings(ctx)
+	if err != nil {
+		return nil, &Error{"count ratings", KindObserve, err}
+	}
 	return &Result{
 		Start: r.Start, Evidence: e, Summary: s, Report: audit.Check(e),
-		Failures: failures, Crashed: r.Fleet.Crashed(), PlatformCalls: calls,
+		Failures: failures, Crashed: r.Fleet.Crashed(), PlatformCalls: calls, Ratings: ratings,
 	}, nil
 }
 
