Operators see how far callers are exposed to a version

Status, state dump and metrics count the answers of each version to callers, those while the version was suspect or quarantined, and its ratings. Until now a halted roll-out showed only the health of its version, not what it had cost.

The pattern of the status test asks for the new columns; it is stricter, as it no longer matches over lines.

The bad-version experiment counts separately the bad answers of calls for which the router chose the version. Sessions keep their version and pinned calls name it, so a part of the total is none of the router's choice.

--- a/cmd/fescuelatch-load/experiment/measure.go
+++ b/cmd/fescuelatch-load/experiment/measure.go
@@ -32,6 +32,7 @@
 	NeedShare      MeasureName = "needed-good-share"
 	Shortfall      MeasureName = "good-share-shortfall"
 	BadAnswers     MeasureName = "bad-answers"
+	BadChosen      MeasureName = "bad-answers-chosen"
 	ExposedFor     MeasureName = "exposed-s"
 	Ratings        MeasureName = "ratings-per-s"
 	FailedInWindow MeasureName = "failed-share-in-window"
@@ -215,18 +216,24 @@
 }
 
 // measureExposure counts the bad answers that callers got from the version
-// that turned bad, and the seconds for which it was exposed.
+// that turned bad, those among them for which the router chose the version,
+// neither a session nor the caller, and the seconds for which it was exposed.
 func measureExposure(t *outcome) []Measure {
 	v := badVersion(t.config)
 	from := t.result.Start.Add(t.window.From)
-	var bad float64
+	var bad, chosen float64
 	for n := range t.result.Evidence.Records {
 		r := &t.result.Evidence.Records[n]
-		if r.Version == v && r.Bad && r.Outcome == fescuelatch.OutcomeAnswered && r.Ended.After(from) {
-			bad++
+		if r.Version != v || !r.Bad || r.Outcome != fescuelatch.OutcomeAnswered || !r.Ended.After(from) {
+			continue
+		}
+		bad++
+		if r.Session == "" && r.Model != string(v) {
+			chosen++
 		}
 	}
-	return []Measure{{BadAnswers, bad}, {ExposedFor, exposed(t, v)}, {Ratings, float64(t.result.Ratings) / t.duration.Seconds()}}
+	rated := float64(t.result.Ratings) / t.duration.Seconds()
+	return []Measure{{BadAnswers, bad}, {BadChosen, chosen}, {ExposedFor, exposed(t, v)}, {Ratings, rated}}
 }
 
 // exposedShare is the part of its former rate above which a version that
--- a/cmd/fescuelatch-load/experiment/measure_test.go
+++ b/cmd/fescuelatch-load/experiment/measure_test.go
@@ -117,10 +117,15 @@
 	early := record("q1", 2, "triage@1", fescuelatch.OutcomeAnswered)
 	late := record("q2", 4, "triage@1", fescuelatch.OutcomeAnswered)
 	other := record("q3", 4, "triage@2", fescuelatch.OutcomeAnswered)
-	early.Bad, late.Bad, other.Bad = true, true, true
-	ms := measureExposure(newOutcome([]load.Record{early, late, other},
+	bound := record("q4", 4, "triage@1", fescuelatch.OutcomeAnswered)
+	bound.Session = "s"
+	named := record("q5", 4, "triage@1", fescuelatch.OutcomeAnswered)
+	named.Model = "triage@1"
+	early.Bad, late.Bad, other.Bad, bound.Bad, named.Bad = true, true, true, true, true
+	ms := measureExposure(newOutcome([]load.Record{early, late, other, bound, named},
 		receipt("q1", 2, "triage@1"), receipt("q2", 4.5, "triage@1"), receipt("q3", 8, "triage@2")))
-	near(t, value(t, ms, BadAnswers), 1)
+	near(t, value(t, ms, BadAnswers), 3)
+	near(t, value(t, ms, BadChosen), 1)
 	near(t, value(t, ms, ExposedFor), 2)
 }
 
--- a/cmd/fescuelatch/main_test.go
+++ b/cmd/fescuelatch/main_test.go
@@ -158,7 +158,7 @@
 		{"inventory", []string{"inventory", "get"}, "", `(?s)# generation 1, digest [0-9a-f]{64}\nfailure-domains:\n.*id: kgl-a-worker-1\n.*`},
 		{"rules", []string{"rules", "get"}, "", `(?s)# generation 1, .*accounts:\n  - id: appeal-desk\n.*`},
 		{"history", []string{"inventory", "history"}, "", `GENERATION .*\n1 +2026-01-05T06:00:00Z +amahoro +c1 +53 +0 +\n`},
-		{"status", []string{"status"}, "", `(?s)generation 1 at kgl-a-vm-1 in kgl-a, platform reachable, -\n.*kgl-a +kgl-a-vm-1 +in +alive +- +1.*triage@small-3 +good.*no\n`},
+		{"status", []string{"status"}, "", `(?s)generation 1 at kgl-a-vm-1 in kgl-a, platform reachable, -\n.*kgl-a +kgl-a-vm-1 +in +alive +- +1.*triage@small-3 +good[^\n]*no +0 +0 +0 +0/0\n.*`},
 		{"endpoints", []string{"status", "--endpoints"}, "", `(?s).*kgl-d-worker-3 +kgl-d +in +- +warm +0 +4\n`},
 		{"state", []string{"state", "dump"}, "", `{\n  "queue": 3\n}\n`},
 		{"key", []string{"key", "hash"}, "demo-kigali-daily\n", fescuelatch.HashKey("demo-kigali-daily") + `\n`},
--- a/cmd/fescuelatch/status.go
+++ b/cmd/fescuelatch/status.go
@@ -61,11 +61,12 @@
 }
 
 func writeVersions(w io.Writer, vs []operator.VersionStatus) {
-	_, _ = fmt.Fprintln(w, "\nVERSION\tHEALTH\tQUALITY\tLOW\tHIGH\tSAMPLES\tWITHDRAWN")
+	_, _ = fmt.Fprintln(w, "\nVERSION\tHEALTH\tQUALITY\tLOW\tHIGH\tSAMPLES\tWITHDRAWN\tANSWERS\tSUSPECT\tQUARANTINED\tRATED-LOW")
 	for _, v := range vs {
-		e := v.Estimate
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.0f\t%s\n",
-			v.ID, v.Health, e.Mean, e.Low, e.High, e.Samples, yesText(v.Withdrawn))
+		e, x := v.Estimate, v.Exposure
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.0f\t%s\t%d\t%d\t%d\t%d/%d\n",
+			v.ID, v.Health, e.Mean, e.Low, e.High, e.Samples, yesText(v.Withdrawn),
+			x.Answers, x.Suspect, x.Quarantined, x.RatedLow, x.Rated)
 	}
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -47,6 +47,11 @@
 	return m
 }
 
+// exposed counts an answer of a version to a caller.
+func (m *metrics) exposed(v fescuelatch.VersionID, h fescuelatch.Health) {
+	m.scope.Tagged(map[string]string{"version": string(v), "health": string(h)}).Counter("version_answers").Inc(1)
+}
+
 func (m *metrics) outcome(o fescuelatch.Outcome, d time.Duration) {
 	m.requests[o].Inc(1)
 	m.durations[o].RecordDuration(d)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -121,7 +121,7 @@
 	}
 	for _, m := range d.core.Versions(now) {
 		s.Versions = append(s.Versions, operator.VersionStatus{
-			ID: m.Version, Estimate: m.Estimate, Health: m.Health, Withdrawn: m.Withdrawn,
+			ID: m.Version, Estimate: m.Estimate, Health: m.Health, Withdrawn: m.Withdrawn, Exposure: m.Exposure,
 		})
 	}
 	s.Endpoints = d.endpointStatus(now, v)
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -177,6 +177,9 @@
 	if !s.call.Request.Forwarded {
 		s.bill(ctx, a, v)
 	}
+	if a.Health != "" {
+		s.daemon.metrics.exposed(a.Version, a.Health)
+	}
 	var err error
 	switch {
 	case s.sink != nil:
--- a/decision/action.go
+++ b/decision/action.go
@@ -48,6 +48,8 @@
 	Version  fescuelatch.VersionID
 	Attempts int
 	Sample   bool
+	// Health is that of the version of a caller's chat completion.
+	Health fescuelatch.Health
 }
 
 // Refuse ends a request that has not run and will not run.
--- a/decision/core.go
+++ b/decision/core.go
@@ -45,9 +45,12 @@
 	peers    peers
 	domains  map[fescuelatch.DomainID]*domainLife
 	budget   retryBudget
-	stopping bool
-	out      []Action
-	faults   []error
+	// now is the time of the event that is being handled.
+	now       time.Time
+	exposures exposures
+	stopping  bool
+	out       []Action
+	faults    []error
 
 	// spares is the free capacity of the own endpoints, while sparesKnown.
 	spares      map[service]fescuelatch.Spare
@@ -66,14 +69,15 @@
 // Configured.
 func New(o Options) *Core {
 	return &Core{
-		options:  o,
-		serves:   make(map[service]int),
-		requests: make(map[fescuelatch.RequestID]*request),
-		attempts: make(map[fescuelatch.AttemptID]*request),
-		peers:    newPeers(),
-		domains:  make(map[fescuelatch.DomainID]*domainLife),
-		budget:   retryBudget{tokens: retryBurst},
-		spares:   make(map[service]fescuelatch.Spare),
+		options:   o,
+		serves:    make(map[service]int),
+		requests:  make(map[fescuelatch.RequestID]*request),
+		attempts:  make(map[fescuelatch.AttemptID]*request),
+		peers:     newPeers(),
+		domains:   make(map[fescuelatch.DomainID]*domainLife),
+		budget:    retryBudget{tokens: retryBurst},
+		exposures: make(exposures),
+		spares:    make(map[service]fescuelatch.Spare),
 	}
 }
 
@@ -85,6 +89,7 @@
 func (c *Core) Handle(now time.Time, e Event) []Action {
 	c.out = c.out[:0]
 	c.sparesKnown = false
+	c.now = now
 	switch v := e.(type) {
 	case Configured:
 		c.configured(now, v)
@@ -140,6 +145,7 @@
 	Estimate  fescuelatch.Estimate  `json:"estimate"`
 	Health    fescuelatch.Health    `json:"health"`
 	Withdrawn bool                  `json:"withdrawn"`
+	Exposure  fescuelatch.Exposure  `json:"exposure"`
 }
 
 // Versions returns what the core knows of each version of the configuration.
@@ -154,6 +160,7 @@
 			Estimate:  c.options.Quality.Estimate(now, v.ID),
 			Health:    c.options.Quality.Health(now, v.ID),
 			Withdrawn: c.view.Withdrawn(v.ID),
+			Exposure:  *c.exposures.of(v.ID),
 		})
 	}
 	return vs
@@ -166,6 +173,7 @@
 	c.options.Quality.Configure(now, e.View.VersionsOf(""))
 	c.configureDomains(now)
 	c.peers.configure(e.View)
+	c.exposures.configure(e.View)
 	c.replanWithdrawn(now)
 }
 
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -79,7 +79,7 @@
 	// Later steps of a plan get the requests that an earlier version failed
 	// on, so that their ratings would make good versions look bad.
 	if e.Rated && (!ok || q.step == 0) {
-		c.options.Quality.ObserveRating(now, e.Version, e.Score)
+		c.rating(now, e.Version, e.Score)
 	}
 	if !ok || q.current.id != e.Attempt {
 		return
--- a/decision/request.go
+++ b/decision/request.go
@@ -105,7 +105,11 @@
 
 func (c *Core) accept(q *request, a attempt, sample bool) {
 	c.end(q, chart.EventAnswer)
-	c.emit(Accept{Request: q.ID, Attempt: a.id, Version: a.version, Attempts: q.attempts, Sample: sample})
+	done := Accept{Request: q.ID, Attempt: a.id, Version: a.version, Attempts: q.attempts, Sample: sample}
+	if !q.Forwarded && !q.IsService() {
+		done.Health = c.exposed(c.now, a.version)
+	}
+	c.emit(done)
 }
 
 // fire moves the request along its chart. An event without a transition is
--- a/operator/status.go
+++ b/operator/status.go
@@ -73,6 +73,7 @@
 	Estimate  fescuelatch.Estimate  `json:"estimate"`
 	Health    fescuelatch.Health    `json:"health"`
 	Withdrawn bool                  `json:"withdrawn"`
+	Exposure  fescuelatch.Exposure  `json:"exposure"`
 }
 
 // EndpointStatus is what is known of an endpoint. Owner is empty while no
--- a/policy.go
+++ b/policy.go
@@ -81,6 +81,20 @@
 	Doubt    float64
 }
 
+// Exposure counts the answers of a version to requests that callers sent to
+// one daemon, since the daemon began.
+type Exposure struct {
+	Answers int64 `json:"answers"`
+	// Suspect and Quarantined count the answers among them that were
+	// accepted while the version was.
+	Suspect     int64 `json:"suspect"`
+	Quarantined int64 `json:"quarantined"`
+	// Rated counts first answers that were rated, whether or not they were
+	// accepted, and RatedLow those that were rated too low.
+	Rated    int64 `json:"rated"`
+	RatedLow int64 `json:"rated-low"`
+}
+
 // Sampler decides which answers are rated for learning. Ratings cost, so it
 // keeps to a budget.
 type Sampler interface {
