False quarantines do not grow with the fleet

Cause: the statistic over the ratings of all daemons bounds false alarms for each rating, and a fleet of 1,100 daemons makes many ratings a second. Beyond 16 daemons its rate is divided by their number over 16, 4.2 more in the threshold at 1,100 daemons.

--- a/quality/verdict.go
+++ b/quality/verdict.go
@@ -65,7 +65,18 @@
 
 // level returns the largest of the statistics as a multiple of its threshold.
 func (t *thresholds) level(r *record, c counts) float64 {
-	return max(r.own.Alarm/t.at(1), c.alarm/t.at(c.origins), float64(r.pooledSum)/t.at(1))
+	return max(r.own.Alarm/t.at(1), c.alarm/t.at(c.origins), float64(r.pooledSum)/t.pooled(c.origins))
+}
+
+// smallFleet is the number of daemons up to which the rate of false alarms is
+// that for each rating in the fleet.
+const smallFleet = 16
+
+// pooled returns the threshold of the statistic over the ratings of n
+// daemons. In larger fleets the rate is divided by their number, so that
+// false alarms do not become more frequent in time as ratings do.
+func (t *thresholds) pooled(n int) float64 {
+	return t.at(1) + math.Log(max(1, float64(n)/smallFleet))
 }
 
 // raised reports whether a statistic has reached its threshold.
