--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -59,19 +59,22 @@
 		c.accept(q, q.current, c.sampled(now, q))
 		return
 	}
+	c.options.Sampler.Spend(now)
 	c.emit(Rate{Request: q.ID, Attempt: q.current.id, Version: q.current.version, Within: ratingTimeout})
 }
 
 // sampled reports whether the accepted answer of q is rated for learning.
-// All answers of a version in doubt are, so that the doubt ends soon.
 func (c *Core) sampled(now time.Time, q *request) bool {
 	if q.IsService() || q.Forwarded || q.step > 0 {
 		return false
 	}
-	if c.options.Quality.Health(now, q.current.version) != fescuelatch.HealthGood {
-		return true
+	v := q.current.version
+	k := fescuelatch.Knowledge{
+		Estimate: c.options.Quality.Estimate(now, v),
+		Health:   c.options.Quality.Health(now, v),
+		Doubt:    c.options.Quality.Doubt(now, v),
 	}
-	return c.options.Random.Float64() < c.options.SampleShare
+	return c.options.Sampler.Sample(now, k, c.options.Random.Float64())
 }
 
 func (c *Core) rated(now time.Time, e Rated) {
@@ -79,7 +82,7 @@
 	// Later steps of a plan get the requests that an earlier version failed
 	// on, so that their ratings would make good versions look bad.
 	if e.Rated && (!ok || q.step == 0) {
-		c.options.Quality.ObserveRating(now, e.Version, e.Score)
+		c.rating(now, e.Version, e.Score)
 	}
 	if !ok || q.current.id != e.Attempt {
 		return
