A daemon that was cut off learns of a quarantine when it first hears of it

Cause: the statistic over all daemons' ratings was taken over only by a daemon that began later than the one that told of the quarantine. One that had been cut off, and heard of an origin for the first time, stayed at suspect, as the evidence of the origin no longer grows.

Taking the larger of the two statistics counts no rating twice.

--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -133,6 +133,8 @@
 	}
 	late := evidence(-9, 1, 3)
 	late.Pooled = 2
+	cutOff := evidence(0, 1, 3)
+	cutOff.Pooled = 2
 	tests := []struct {
 		name string
 		list []fescuelatch.Evidence
@@ -140,6 +142,7 @@
 	}{
 		{"first heard", []fescuelatch.Evidence{evidence(0, 1, 3)}, 0},
 		{"quarantined before this daemon began", []fescuelatch.Evidence{late}, 2},
+		{"quarantined while this daemon was cut off", []fescuelatch.Evidence{cutOff}, 2},
 		{"growth", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 2, 5)}, 2},
 		{"repeated", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 2, 5), evidence(0, 2, 5)}, 2},
 		{"overtaken", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 3, 6), evidence(0, 2, 5)}, 3},
--- a/quality/record.go
+++ b/quality/record.go
@@ -109,13 +109,13 @@
 // follow takes in the ratings that e has beyond former, the evidence of the
 // same origin before it. Of an origin that was not known, it cannot tell
 // which ratings are new: they may have been counted before its evidence
-// expired. A daemon that has begun later than the origin takes over its
-// statistic instead.
+// expired. The statistic of a quarantine is taken over instead, which a
+// daemon that has just started, or was cut off, would not come to itself.
 func (r *record) follow(e, former *fescuelatch.Evidence, known bool) {
 	switch {
 	case e.Since.Before(r.verdict.epoch):
 	case !known:
-		if e.Since.Before(r.own.Since) && !r.quarantined() {
+		if !r.quarantined() {
 			r.pooledSum = max(r.pooledSum, cusum(e.Pooled))
 		}
 	case e.Since.Equal(former.Since):
