--- a/daemon/exchange_test.go
+++ b/daemon/exchange_test.go
@@ -134,3 +134,25 @@
 	m.Lease = now.Add(leaseLeft - 1)
 	c.Assert(x.leaveTo(now, "vm-1", m), qt.IsFalse, qt.Commentf("the lease ends"))
 }
+
+// TestLateAcknowledgementShortensLease checks that a lease counts from the
+// reply that is acknowledged, however late the acknowledgement comes, and that
+// another process's heartbeat is not taken for one's own.
+func TestLateAcknowledgementShortensLease(t *testing.T) {
+	c := qt.New(t)
+	a, b := exchanger(c, "vm-1"), exchanger(c, "vm-2")
+	const begun = 10 * time.Second
+	for at := time.Duration(0); at <= begun; at += heartbeatInterval {
+		exchangeAt(epoch.Add(at), a, b, lossNone)
+		exchangeAt(epoch.Add(at), b, a, lossNone)
+	}
+	lease := func(now time.Time) time.Time { return a.table.Members(now)[0].Lease }
+	want := epoch.Add(begun + ownership.DefaultLeaseFor)
+	late := epoch.Add(begun + ownership.DefaultLeaseFor - 1)
+	exchangeAt(late, b, a, lossNone)
+	c.Assert(lease(late), qt.Equals, want)
+	// Heartbeats of a predecessor of vm-1 are acknowledged to no effect.
+	a.exchanges = newExchanges()
+	exchangeAt(late.Add(1), b, a, lossNone)
+	c.Assert(lease(late.Add(1)), qt.Equals, want)
+}
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -128,6 +128,26 @@
 	})
 }
 
+// TestLinkOfAPredecessor checks that a process which has agreed on links with
+// others does not take one of its predecessor for theirs.
+func TestLinkOfAPredecessor(t *testing.T) {
+	c := qt.New(t)
+	p := newPair(c)
+	h := func(vm fescuelatch.VMID) *peer.Heartbeat {
+		return &peer.Heartbeat{Hello: peer.Hello{VM: vm, Domain: "d", Incarnation: fescuelatch.Incarnation(vm)}}
+	}
+	r := &peer.HeartbeatReply{Hello: peer.Hello{VM: "called", Domain: "d", Incarnation: "called"}}
+	p.exchange(c, h("a"), r)
+	p.replace(c)
+	first := p.client
+	p.client = &peer.Client{Keys: p.keys, Dialer: new(peer.Dialer)}
+	defer p.client.Close()
+	p.exchange(c, h("b"), r)
+	p.client, first = first, p.client
+	defer first.Close()
+	p.exchange(c, h("a"), r)
+}
+
 // TestIdleConnectionsAreClosed checks that what is in use stays.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	c := qt.New(t)
