--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -384,7 +384,8 @@
 	}
 }
 
-// Versions that share an endpoint take turns, whatever their names.
+// Versions that share an endpoint are served in order of arrival, whatever
+// their names.
 func TestVersionsTakeTurns(t *testing.T) {
 	c := qt.New(t)
 	g, now := warmGate(1, 1)
@@ -393,22 +394,19 @@
 	g.Own(now, []fescuelatch.OwnedEndpoint{o})
 	last := fescuelatch.AttemptID("runs")
 	g.Offer(now, work("runs", "a"))
-	for _, id := range []string{"1-a", "1-b", "2-a", "2-b"} {
-		w := work(id, "a")
+	waiting := []fescuelatch.AttemptID{"2-a", "1-a", "1-b", "2-b"}
+	for _, id := range waiting {
+		w := work(string(id), "a")
 		if id[0] == '2' {
 			w.Version = "triage@2"
 		}
 		c.Assert(g.Offer(now, w).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
 	}
-	for range 2 {
-		var versions string
-		for range 2 {
-			as := g.End(now, fescuelatch.AttemptResult{Attempt: last, Status: fescuelatch.AttemptAnswered})
-			c.Assert(as, qt.HasLen, 1)
-			last = as[0].Attempt
-			versions += string(last[:1])
-		}
-		c.Check(versions, qt.Matches, "12|21")
+	for _, id := range waiting {
+		as := g.End(now, fescuelatch.AttemptResult{Attempt: last, Status: fescuelatch.AttemptAnswered})
+		c.Assert(as, qt.HasLen, 1)
+		last = as[0].Attempt
+		c.Check(last, qt.Equals, id)
 	}
 }
 
@@ -481,3 +479,70 @@
 		})
 	}
 }
+
+// Pools that have a version in common share a queue. Work that nothing waiting
+// stands before starts at once, and waiting work outlasts a pool.
+func TestQueueOfPools(t *testing.T) {
+	c := qt.New(t)
+	const left, shared, right = "left", "shared", "right"
+	pool := func(id string, versions ...fescuelatch.VersionID) fescuelatch.OwnedEndpoint {
+		o := owned("at-"+id, 1, 1)
+		o.Pool.ID, o.Pool.Versions = fescuelatch.PoolID(id), versions
+		return o
+	}
+	of := func(id string, v fescuelatch.VersionID) fescuelatch.Work {
+		w := work(id, "a")
+		w.Version = v
+		return w
+	}
+	g := gate.NewAdaptive(settings)
+	one, two := pool("one", left, shared), pool("two", shared, right)
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{one, two})
+	for _, test := range []struct {
+		work fescuelatch.Work
+		want fescuelatch.AdmissionVerdict
+	}{
+		{of("left-runs", left), fescuelatch.AdmissionStart},
+		{of("left-waits", left), fescuelatch.AdmissionQueue},
+		{of("right-runs", right), fescuelatch.AdmissionStart},
+		{of("right-waits", right), fescuelatch.AdmissionQueue},
+	} {
+		c.Assert(g.Offer(epoch, test.work).Verdict, qt.Equals, test.want, qt.Commentf("%s", test.work.Attempt))
+	}
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{one})
+	as := g.Poll(epoch)
+	c.Assert(as, qt.HasLen, 1)
+	c.Check(as[0].Attempt, qt.Equals, fescuelatch.AttemptID("right-waits"))
+	c.Check(as[0].Verdict, qt.Equals, fescuelatch.AdmissionRefuse)
+	as = g.End(at(time.Second), fescuelatch.AttemptResult{Attempt: "left-runs", Status: fescuelatch.AttemptAnswered})
+	c.Assert(as, qt.HasLen, 1)
+	c.Check(as[0].Attempt, qt.Equals, fescuelatch.AttemptID("left-waits"))
+	c.Check(as[0].Verdict, qt.Equals, fescuelatch.AdmissionStart)
+}
+
+// While an endpoint ramps up, starts are spaced out only as far as they add to
+// its load: the slot that an answer frees may be taken at once.
+func TestRampRefills(t *testing.T) {
+	for _, test := range []struct {
+		status fescuelatch.AttemptStatus
+		want   int
+	}{
+		{fescuelatch.AttemptAnswered, 1},
+		{fescuelatch.AttemptBroken, 0},
+	} {
+		t.Run(string(test.status), func(t *testing.T) {
+			c := qt.New(t)
+			g := gate.NewAdaptive(settings)
+			g.Own(epoch, []fescuelatch.OwnedEndpoint{owned("engine", 8, 4)})
+			now := at(settings.ReportLag)
+			g.Report(now, warmReport(now, 0))
+			c.Assert(g.Offer(now, work("first", "a")).Verdict, qt.Equals, fescuelatch.AdmissionStart)
+			c.Check(g.Spare(now)[0].Free, qt.Equals, 3)
+			c.Assert(g.Offer(now, work("second", "a")).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+			now = now.Add(time.Millisecond)
+			as := g.End(now, fescuelatch.AttemptResult{Attempt: "first", Status: test.status, Total: time.Millisecond})
+			c.Check(starts(as), qt.Equals, test.want)
+			c.Check(starts(g.Poll(now.Add(200*time.Millisecond))), qt.Equals, 1-test.want)
+		})
+	}
+}
