Waiting work whose turn comes too late is refused then

Cause: what waits was refused only when the expected latency no longer fitted before its deadline, whatever stood before it. In a flood the latency grows after work was admitted, so that work of the flooding account was kept for most of its time and then refused with the least advice when to come back.

Four times a second the gate goes through the queue in the order in which work is due, and refuses what would be late even if all endpoints were warm at once, with the time until its turn. The optimistic count keeps a cold start from emptying the queue.

TestHopelessWaits failed before.

--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -30,13 +30,18 @@
 	latency latencies
 	budget  budget
 	polled  time.Time
-	called  time.Time
+	// foreseen is when the turns of waiting work were last foreseen.
+	foreseen time.Time
+	called   time.Time
 }
 
 const (
 	// pollEvery bounds how often inferences about all endpoints are
 	// refreshed.
 	pollEvery = 20 * time.Millisecond
+	// foreseeEvery bounds how often the turns of all waiting work are
+	// foreseen.
+	foreseeEvery = 250 * time.Millisecond
 	// pauseMin is the time between calls that tells of a pause.
 	pauseMin = time.Second
 )
@@ -311,8 +316,15 @@
 		}
 		g.budget.expire(now)
 	}
+	foresee := now.Sub(g.foreseen) >= foreseeEvery
+	if foresee {
+		g.foreseen = now
+	}
 	var as []fescuelatch.Admission
 	for _, t := range g.order {
+		if foresee {
+			as = g.refuseHopeless(now, as, g.queues[t])
+		}
 		as = g.refuseLate(now, as, g.queues[t])
 		as = g.drain(now, as, g.queues[t])
 	}
@@ -337,6 +349,34 @@
 	return as
 }
 
+// refuseHopeless refuses queued work whose turn would come too late even if all
+// endpoints were warm now. Others move up in its place.
+func (g *Adaptive) refuseHopeless(now time.Time, as []fescuelatch.Admission, q *queue) []fescuelatch.Admission {
+	slots := q.warmSlots(now)
+	if q.length == 0 || slots == 0 {
+		return as
+	}
+	turn := 0
+	waits := make(map[fescuelatch.AttemptID]time.Duration)
+	q.inOrder(func(w fescuelatch.Work) {
+		latency := g.expected(targetOf(w))
+		wait := time.Duration(float64(turn) / float64(slots) * float64(latency))
+		if late(now.Add(wait+latency), w) {
+			waits[w.Attempt] = wait
+			return
+		}
+		turn++
+	})
+	g.filter(q, func(w fescuelatch.Work) bool {
+		wait, hopeless := waits[w.Attempt]
+		if hopeless {
+			as = append(as, refuse(w.Attempt, wait))
+		}
+		return hopeless
+	})
+	return as
+}
+
 // drainPool starts queued work for what a pool serves, all of which waits in
 // one queue.
 func (g *Adaptive) drainPool(now time.Time, as []fescuelatch.Admission, p fescuelatch.Pool) []fescuelatch.Admission {
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -488,3 +488,25 @@
 		})
 	}
 }
+
+// Work that waits is refused as soon as what is learned of the latency shows
+// that its turn comes too late, with the time until then.
+func TestHopelessWaits(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(1, 1)
+	c.Assert(g.Offer(now, work("runs", "large")).Verdict, qt.Equals, fescuelatch.AdmissionStart)
+	for _, id := range []string{"next", "second", "third", "fourth"} {
+		w := work(id, "large")
+		w.Request.Deadline = now.Add(3500 * time.Millisecond)
+		c.Assert(g.Offer(now, w).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+	}
+	now = now.Add(time.Second)
+	as := g.End(now, fescuelatch.AttemptResult{
+		Attempt: "runs", Version: testVersion, Status: fescuelatch.AttemptAnswered, Total: time.Second,
+	})
+	c.Assert(starts(as), qt.Equals, 1)
+	as = g.Poll(now)
+	c.Assert(as, qt.DeepEquals, []fescuelatch.Admission{
+		{Attempt: "fourth", Verdict: fescuelatch.AdmissionRefuse, RetryAfter: 2 * time.Second},
+	})
+}
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -51,6 +51,17 @@
 	return false
 }
 
+// warmSlots returns the slots of the places that are open, as if all were warm.
+func (q *queue) warmSlots(now time.Time) int {
+	n := 0
+	for _, p := range q.places {
+		if p.open(now) {
+			n += max(p.floor(), min(int(p.limit.value), p.ceiling()))
+		}
+	}
+	return n
+}
+
 // flow returns the flow of w's account. An account that was idle gets no
 // credit for it.
 func (q *queue) flow(w fescuelatch.Work) *flow {
@@ -168,6 +179,27 @@
 	}
 }
 
+// inOrder passes all works to visit in the order in which they are due.
+func (q *queue) inOrder(visit func(fescuelatch.Work)) {
+	passed := make([]int, len(q.order))
+	for range q.length {
+		next, due := none, 0.0
+		for i, f := range q.order {
+			if passed[i] == len(f.works) {
+				continue
+			}
+			if at := f.virtual + float64(passed[i])/f.weight; next == none || at < due {
+				next, due = i, at
+			}
+		}
+		visit(q.order[next].works[passed[next]])
+		passed[next]++
+	}
+}
+
+// none is no index.
+const none = -1
+
 // wants reports whether any work waits that could run at p.
 func (q *queue) wants(p *place) bool {
 	for _, f := range q.order {
