--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -96,14 +96,16 @@
 	incarnation := fescuelatch.Incarnation(uuid.NewString())
 	vm := fescuelatch.VMID(s.VM)
 	domain := fescuelatch.DomainID(s.Domain)
+	clock := platform.NewClock(time.Now())
 	return &daemon.Options{
 		VM: vm, Domain: domain, Incarnation: incarnation, Seeds: s.Seeds,
 		FleetKeys: s.fleet, Sessions: s.sessions, Dialer: dialer,
-		KV:    &platform.Client{Server: server, HTTP: client(daemon.TrafficPlatform), Timeout: platformTimeout},
+		KV:    &platform.Client{Server: server, HTTP: client(daemon.TrafficPlatform), Timeout: platformTimeout, Clock: clock},
+		Clock: clock,
 		VMs:   &vmlist.Client{HTTP: client(daemon.TrafficList), URL: s.VMs},
 		Rater: &rating.Client{HTTP: client(daemon.TrafficRating), URL: s.Rating},
 		Core: decision.Options{
-			VM: vm, Domain: domain, Random: decision.NewRandom(), SampleShare: s.SampleShare,
+			VM: vm, Domain: domain, Random: decision.NewRandom(), Sampler: samplers[s.Sampling](s),
 			Quality:   find(qualityModels, s.Quality)(incarnation),
 			Versions:  find(versionPolicies, s.VersionPolicy)(incarnation),
 			Placement: find(placementPolicies, s.Placement)(incarnation),
--- a/gate/adaptive.go
+++ b/gate/adaptive.go
@@ -189,11 +189,17 @@
 	if waiting >= g.settings.QueueLimit-g.queued {
 		return wait, false
 	}
-	return wait, !late(now.Add(wait+g.expected(t)), w)
+	return wait, !late(now.Add(wait+g.needed(t)), w)
 }
 
-// minRun is the least time that an attempt which has waited is started with.
-const minRun = 250 * time.Millisecond
+// startMargin is the part of the time to its deadline that an attempt which
+// has waited is not expected to use. A refusal takes a part of it to arrive.
+const startMargin = 250 * time.Millisecond
+
+// needed returns the time to the deadline with which an attempt that waits
+// is started. One that ends after its deadline would be lost and its outcome
+// unknown; as long as it waits it can still be refused.
+func (g *Adaptive) needed(t target) time.Duration { return g.latency.most(t.version) + startMargin }
 
 // late reports whether w would end after its deadline at time end.
 func late(end time.Time, w fescuelatch.Work) bool {
@@ -201,15 +207,18 @@
 }
 
 // wait estimates how long w would wait: until the first endpoint opens, then
-// for its turn, as far as the latency is known.
+// for its turn.
 func (g *Adaptive) wait(now time.Time, t target, q *queue, w fescuelatch.Work) time.Duration {
-	slots := 0
 	closed := g.settings.ReportLag
+	rate := 0.0 // starts a second
 	for _, p := range g.serving[t] {
-		slots += p.bound(now)
+		if p.owned.Out || p.warmth.leaving() {
+			continue
+		}
 		closed = min(closed, max(0, p.owned.After.Sub(now)))
+		rate += p.pace(now, g.expected(t))
 	}
-	return closed + time.Duration(q.turns(w)*float64(g.expected(t))/float64(max(slots, 1)))
+	return closed + time.Duration(q.turns(w)/rate*float64(time.Second))
 }
 
 // expected returns the expected time from start to end.
@@ -335,10 +344,10 @@
 // endpoint serves any more.
 func (g *Adaptive) refuseLate(now time.Time, as []fescuelatch.Admission, q *queue) []fescuelatch.Admission {
 	var t target
-	end := now.Add(g.expected(t))
+	end := now.Add(g.needed(t))
 	g.filter(q, func(w fescuelatch.Work) bool {
 		if o := targetOf(w); o != t {
-			t, end = o, now.Add(g.expected(o))
+			t, end = o, now.Add(g.needed(o))
 		}
 		if !late(end, w) && !expired(now, w) && g.serves(t, w) {
 			return false
@@ -359,9 +368,9 @@
 	turn := 0
 	waits := make(map[fescuelatch.AttemptID]time.Duration)
 	q.inOrder(func(w fescuelatch.Work) {
-		latency := g.expected(targetOf(w))
-		wait := time.Duration(float64(turn) / float64(slots) * float64(latency))
-		if late(now.Add(wait+latency), w) {
+		t := targetOf(w)
+		wait := time.Duration(float64(turn) / float64(slots) * float64(g.expected(t)))
+		if late(now.Add(wait+g.needed(t)), w) {
 			waits[w.Attempt] = wait
 			return
 		}
@@ -411,9 +420,7 @@
 			break
 		}
 		g.queued--
-		// An attempt that ends after its deadline would be lost and its
-		// outcome unknown; as long as it waits it can still be refused.
-		if late(now.Add(max(g.expected(targetOf(w)), minRun)), w) {
+		if late(now.Add(g.needed(targetOf(w))), w) {
 			as = append(as, refuse(w.Attempt, minRetryAfter))
 			continue
 		}
--- a/gate/place.go
+++ b/gate/place.go
@@ -191,6 +191,13 @@
 	return p.room(now)
 }
 
+// pace estimates the starts a second that the place allows, when attempts
+// take as long as expected.
+func (p *place) pace(now time.Time, expected time.Duration) float64 {
+	gap := max(expected/time.Duration(max(p.bound(now), 1)), time.Millisecond)
+	return 1 / gap.Seconds()
+}
+
 // start records that w starts.
 func (p *place) start(now time.Time, w fescuelatch.Work) *attempt {
 	a := &attempt{id: w.Attempt, request: w.Request, version: w.Version, place: p, started: now}
@@ -247,6 +254,8 @@
 		p.goesOn(a)
 		// Work that takes the place of what ended adds nothing to the load.
 		p.next = now
+	case r.Status == fescuelatch.AttemptExpired:
+		p.expired(now, a)
 	case r.Status == fescuelatch.AttemptNotStarted, r.Status == fescuelatch.AttemptBroken:
 		p.limit.decrease(now, p.floor())
 		p.warmth.fail(now)
@@ -254,6 +263,18 @@
 	}
 }
 
+// expired takes in that the caller's deadline cut a. That tells of the
+// endpoint only if the first token was owed for long.
+func (p *place) expired(now time.Time, a *attempt) {
+	if a.first || !p.warmth.owes(now.Sub(a.started), a.request.Streamed) {
+		return
+	}
+	p.limit.decrease(now, p.floor())
+	if !a.struck {
+		p.warmth.strike(now)
+	}
+}
+
 // first takes in the latency to the first token of a.
 func (p *place) first(now time.Time, a *attempt, d time.Duration) {
 	a.first = true
--- a/policy.go
+++ b/policy.go
@@ -38,8 +38,15 @@
 	Good     float64     `json:"good"`
 	Attempts float64     `json:"attempts"`
 	Failed   float64     `json:"failed"`
-	// Alarm is the statistic of the change detector.
+	// Alarm is the statistic of the change detector over what this daemon has
+	// seen itself.
 	Alarm float64 `json:"alarm"`
+	// LogRatio is the sum of the log-likelihood ratios of all ratings since
+	// Since, without decay; its growth tells others what is new.
+	LogRatio float64 `json:"log-ratio"`
+	// Pooled is the statistic over the ratings of all daemons while the
+	// version is quarantined, otherwise 0. Daemons that start begin with it.
+	Pooled float64 `json:"pooled,omitempty"`
 }
 
 // QualityModel learns the quality and health of versions.
@@ -56,13 +63,48 @@
 	Estimate(now time.Time, v VersionID) Estimate
 	// Health returns the verdict on v.
 	Health(now time.Time, v VersionID) Health
+	// Doubt returns how far the evidence against v has come towards a
+	// suspicion, from 0 to 1.
+	Doubt(now time.Time, v VersionID) float64
 	// Evidence returns this daemon's own evidence, ordered by version.
 	Evidence(now time.Time) []Evidence
-	// Merge takes in the evidence of other daemons. It is idempotent and
-	// commutative.
+	// Merge takes in the evidence of other daemons. It is idempotent, and
+	// estimates do not depend on the order of evidence.
 	Merge(now time.Time, e []Evidence)
 }
 
+// Knowledge is what is known of a version when one of its answers could be
+// rated.
+type Knowledge struct {
+	Estimate Estimate
+	Health   Health
+	Doubt    float64
+}
+
+// Exposure counts the answers of a version to requests that callers sent to
+// one daemon, since the daemon began.
+type Exposure struct {
+	Answers int64 `json:"answers"`
+	// Suspect and Quarantined count the answers among them that were
+	// accepted while the version was.
+	Suspect     int64 `json:"suspect"`
+	Quarantined int64 `json:"quarantined"`
+	// Rated counts first answers that were rated, whether or not they were
+	// accepted, and RatedLow those that were rated too low.
+	Rated    int64 `json:"rated"`
+	RatedLow int64 `json:"rated-low"`
+}
+
+// Sampler decides which answers are rated for learning. Ratings cost, so it
+// keeps to a budget.
+type Sampler interface {
+	// Sample reports whether an answer is rated, given what is known of its
+	// version. u is uniform in [0, 1). It must not depend on the answer.
+	Sample(now time.Time, k Knowledge, u float64) bool
+	// Spend records a rating that a plan needs, which is made in any case.
+	Spend(now time.Time)
+}
+
 // Candidate is a version that a request may run on, with what is known.
 type Candidate struct {
 	Version  Version
--- a/request.go
+++ b/request.go
@@ -74,6 +74,9 @@
 	AttemptNotStarted AttemptStatus = "not-started"
 	// AttemptBroken means that the request may have run, wholly or in part.
 	AttemptBroken AttemptStatus = "broken"
+	// AttemptExpired means that the request's deadline passed while the
+	// attempt was under way. It may have run.
+	AttemptExpired AttemptStatus = "expired"
 	// AttemptCancelled means that the caller left.
 	AttemptCancelled AttemptStatus = "cancelled"
 )
@@ -95,6 +98,9 @@
 	// Overloaded reports that the endpoint, or its owner's gate, refused the
 	// attempt for want of capacity.
 	Overloaded bool `json:"overloaded,omitempty"`
+	// PlatformAway reports that the attempt was not made because it needs a
+	// claim and the platform is away.
+	PlatformAway bool `json:"platform-away,omitempty"`
 	// Unsent reports that the attempt ended before anything was sent to the
 	// endpoint, so that it tells nothing about it.
 	Unsent bool `json:"unsent,omitempty"`
