--- a/configstore/machine_test.go
+++ b/configstore/machine_test.go
@@ -26,7 +26,9 @@
 	return f.network.Txn(ctx, t)
 }
 
-// machine is the state machine. Two operators hold a base each, so that they
+const operators = 8
+
+// machine is the state machine. The operators hold a base each, so that they
 // may be paused between reading and proposing.
 type machine struct {
 	kv       *memory.KV
@@ -34,7 +36,7 @@
 	store    *configstore.Store
 	holder   configstore.Holder
 	follower configstore.Follower
-	bases    [2]*fescuelatch.Configuration
+	bases    [operators]*fescuelatch.Configuration
 	drawn    int
 	outcome  map[fescuelatch.ChangeID]configstore.ErrorKind
 	proposed map[fescuelatch.ChangeID]*fescuelatch.Change
@@ -51,7 +53,9 @@
 	}
 	m.store.KV = faulty{kv, network}
 	m.follower = configstore.Follower{Store: m.store, Holder: &m.holder}
-	m.bases = [2]*fescuelatch.Configuration{{}, {}}
+	for i := range m.bases {
+		m.bases[i] = new(fescuelatch.Configuration)
+	}
 	return m
 }
 
@@ -105,7 +109,7 @@
 }
 
 func (m *machine) read(t *rapid.T) {
-	i := rapid.IntRange(0, 1).Draw(t, "operator")
+	i := rapid.IntRange(0, operators-1).Draw(t, "operator")
 	c, err := m.store.Load(context.Background())
 	if err != nil {
 		t.Fatal(err)
@@ -114,7 +118,7 @@
 }
 
 func (m *machine) propose(t *rapid.T) {
-	i := rapid.IntRange(0, 1).Draw(t, "operator")
+	i := rapid.IntRange(0, operators-1).Draw(t, "operator")
 	m.drawn++
 	m.try(t, addModel(m.bases[i], fmt.Sprintf("m-%04d", m.drawn)))
 }
