A refusal of another attempt says nothing of this one

Cause: the attempt in X-Request-Id was compared for answers of status 2xx of plain services only. A crossed 503 or 429 was told as not run, and its claim released, although this attempt may have run; a crossed 400, 404 or 409 was passed on as the caller's own answer.

--- a/engine/client.go
+++ b/engine/client.go
@@ -116,9 +116,6 @@
 	if err != nil {
 		return nil, brokenOr(ctx, op, err)
 	}
-	if got := resp.Header.Get(HeaderAttempt); got != "" && got != string(a) {
-		return nil, &Error{Op: op, Kind: KindBroken, Err: errors.Errorf("answer of attempt %q", got)}
-	}
 	return &Answer{
 		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: b,
 		Outcome: fescuelatch.Outcome(resp.Header.Get(HeaderOutcome)),
@@ -195,6 +192,11 @@
 		}
 		return nil, brokenOr(ctx, op, err)
 	}
+	if got := resp.Header.Get(HeaderAttempt); got != "" && got != string(a) {
+		// Nothing that it says, a refusal included, is about this attempt.
+		closeBody(resp)
+		return nil, &Error{Op: op, Kind: KindBroken, Err: errors.Errorf("answer of attempt %q", got)}
+	}
 	if resp.StatusCode/100 == 2 || fescuelatch.Outcome(resp.Header.Get(HeaderOutcome)) == fescuelatch.OutcomeAnswered {
 		return resp, nil
 	}
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -103,6 +103,31 @@
 	}
 }
 
+// TestAnswersOfOtherAttempts lets an endpoint answer with the identifier of
+// another attempt. Whatever it says is not known of this one, which may have
+// run.
+func TestAnswersOfOtherAttempts(t *testing.T) {
+	for _, status := range []int{200, 400, 404, 409, 429, 500, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			c := qt.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(engine.HeaderAttempt, "b.1")
+				w.WriteHeader(status)
+				fmt.Fprint(w, "{}")
+			}))
+			defer s.Close()
+			target := engine.Target{URL: s.URL}
+			_, err := client().Call(context.Background(), target, "a.1", "desk", "ban", "k", nil)
+			var e *engine.Error
+			c.Assert(errors.As(err, &e), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(e.Kind, qt.Equals, engine.KindBroken)
+			_, err = client().Chat(context.Background(), target, "a.1", &openai.ChatRequest{}, func() {}, func(*openai.Chunk) error { return nil })
+			c.Assert(errors.As(err, &e), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(e.Kind, qt.Equals, engine.KindBroken)
+		})
+	}
+}
+
 // A refused connection is the one failure below HTTP after which nothing can
 // have run.
 func TestRefusedConnectionIsNotStarted(t *testing.T) {
