--- a/failure/configuration_test.go
+++ b/failure/configuration_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"fescuelatch"
 	"fescuelatch/configstore"
@@ -63,6 +64,7 @@
 		{"cut off from the platform", testCutFromPlatform},
 		{"cut off from all", testCutFromAll},
 		{"replaced in an outage", testReplacedInOutage},
+		{"replaced together", testReplacedTogether},
 		{"replaced alone", testReplacedAlone},
 		{"replaced beside a stale failure domain", testReplacedBesideStale},
 		{"exit codes", testExitCodes},
@@ -287,6 +289,44 @@
 	}
 }
 
+// testReplacedTogether replaces all daemons of a failure domain at once, with
+// the platform there and without. Without, none can know what was in force in
+// their failure domain: they wait, and others serve.
+func testReplacedTogether(r *changesRun, c *qt.C) {
+	both := []fescuelatch.VMID{"a-1", "a-2"}
+	anyReady := func() bool { return slices.ContainsFunc(both, r.ready) }
+	allReady := func() bool { return r.ready("a-1") && r.ready("a-2") }
+	replaced := r.replaceTogether(c, both)
+	c.Check(changesWithin(2*changeBound, allReady), qt.IsTrue)
+	c.Logf("ready after %v with the platform", time.Since(replaced).Round(time.Millisecond))
+
+	a := r.changeAt(c, weigh("triage@1", 57), "a-2")
+	r.inForce(c, a.Generation, a.At, changesAll...)
+	c.Assert(r.PlatformFaults(r.ctx, outage{"refuse"}), qt.IsNil)
+	r.replaceTogether(c, both)
+	c.Check(changesWithin(changeBound, anyReady), qt.IsFalse)
+	c.Check(r.answers("b-1"), qt.IsTrue)
+	c.Assert(r.PlatformFaults(r.ctx, outage{}), qt.IsNil)
+	back := time.Now()
+	c.Check(changesWithin(changeBound, allReady), qt.IsTrue)
+	c.Logf("ready %v after the platform's return", time.Since(back).Round(time.Millisecond))
+	r.inForce(c, a.Generation, back, changesAll...)
+}
+
+// replaceTogether kills daemons at the same moment, then starts others in
+// their places.
+func (r *changesRun) replaceTogether(c *qt.C, vms []fescuelatch.VMID) time.Time {
+	var g errgroup.Group
+	for _, m := range vms {
+		g.Go(func() error { return r.Kill(r.ctx, m) })
+	}
+	c.Assert(g.Wait(), qt.IsNil)
+	for _, m := range vms {
+		c.Assert(r.Restart(r.ctx, m), qt.IsNil)
+	}
+	return time.Now()
+}
+
 func testReplacedAlone(r *changesRun, c *qt.C) {
 	before, err := r.Generation(r.ctx, "c-1")
 	c.Assert(err, qt.IsNil)
