Test of the budget of ratings; the static baseline rates as before

With adaptive sampling the static baseline rated every answer, as it never learns that a version is known; it keeps the fixed share that it was measured with.

--- a/cmd/fescuelatch-load/experiment/experiment.go
+++ b/cmd/fescuelatch-load/experiment/experiment.go
@@ -95,7 +95,7 @@
 			Question: "How many callers get a bad answer from a version that turns bad, and for how long?",
 			Variants: []Variant{
 				router,
-				{Name: "static", Daemon: []string{"--quality=static"}},
+				{Name: "static", Daemon: []string{"--quality=static", "--sampling=fixed", "--sample-share=0.2"}},
 				{Name: "fixed-sampling", Daemon: []string{"--sampling=fixed", "--sample-share=0.2"}},
 			},
 			Primary: BadAnswers, Rate: 30, speed: slow, steps: turnBad, measure: measureExposure,
--- a/quality/sampling_test.go
+++ b/quality/sampling_test.go
@@ -19,6 +19,49 @@
 	exchangeEvery  = 2 // answers
 )
 
+// TestBudget checks what a full budget of 10 ratings is spent on: half of it
+// is kept for versions in doubt, and ratings that plans need come first.
+func TestBudget(t *testing.T) {
+	known := fescuelatch.Estimate{Samples: knownAfter}
+	good := fescuelatch.Knowledge{Estimate: known, Health: fescuelatch.HealthGood}
+	doubted, fresh, suspect, quarantined := good, good, good, good
+	doubted.Doubt = 0.5
+	fresh.Estimate.Samples = 0
+	suspect.Health, quarantined.Health = fescuelatch.HealthSuspect, fescuelatch.HealthQuarantined
+	tests := []struct {
+		name  string
+		k     fescuelatch.Knowledge
+		u     float64
+		spent int
+		wait  time.Duration
+		want  int
+	}{
+		{"known and good", good, 0.1, 0, 0, 5},
+		{"above the base share", good, 0.3, 0, 0, 0},
+		{"in doubt", doubted, 0.5, 0, 0, 7},
+		{"new", fresh, 0.99, 0, 0, 10},
+		{"suspect", suspect, 0.99, 0, 0, 10},
+		{"quarantined", quarantined, 0.3, 0, 0, 0},
+		{"spent by plans", suspect, 0.99, 12, 0, 0},
+		{"filled again", suspect, 0.99, 12, 5 * time.Second, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := &AdaptiveShare{Base: 0.2, Rate: 1}
+			for range test.spent {
+				s.Spend(epoch)
+			}
+			got := 0
+			for range 20 {
+				if s.Sample(epoch.Add(test.wait), test.k, test.u) {
+					got++
+				}
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
 // service is a fleet that answers requests with one version and rates some of
 // its answers late.
 type service struct {
