--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,12 +49,15 @@
 	Sessions  token.Ring
 	Dialer    *peer.Dialer
 	KV        fescuelatch.KV
-	VMs       fescuelatch.VMList
-	Rater     fescuelatch.Rater
-	Core      decision.Options
-	Log       *slog.Logger
-	Metrics   tally.Scope
-	Scrape    http.Handler
+	// Clock tells the time that daemons have in common; nil means that of
+	// this VM.
+	Clock   *platform.Clock
+	VMs     fescuelatch.VMList
+	Rater   fescuelatch.Rater
+	Core    decision.Options
+	Log     *slog.Logger
+	Metrics tally.Scope
+	Scrape  http.Handler
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	// DrainDelay is how long a stopping daemon goes on to refuse requests
@@ -104,18 +107,25 @@
 	learnedSignal chan struct{}
 	reach         reachability
 	fresh         freshness
+	numbers       numberings
 
 	// mu guards the fields below it, which make up the decisions.
-	mu       sync.Mutex
-	core     *decision.Core
-	table    *ownership.Table
-	nextOwn  time.Time
-	listed   map[string]bool // VMs on the platform's list, nil before the first
-	vmsOut   map[string]bool // endpoints listed as leaving
-	reports  map[fescuelatch.EndpointID]fescuelatch.LoadReport
-	servings map[fescuelatch.RequestID]*serving
-	hellos   map[fescuelatch.VMID]heard
-	forwards forwards
+	mu        sync.Mutex
+	core      *decision.Core
+	table     *ownership.Table
+	nextOwn   time.Time
+	listing   listing
+	vmsOut    map[string]bool // VMs listed as leaving
+	reports   map[fescuelatch.EndpointID]*reporting
+	servings  map[fescuelatch.RequestID]*serving
+	hellos    map[fescuelatch.VMID]heard
+	forwards  forwards
+	exchanges exchanges
+	// partnerOrder is that of daemons of other failure domains, at a
+	// generation.
+	partnerOrder  []fescuelatch.VM
+	partnersAt    fescuelatch.Generation
+	partnerCalled map[fescuelatch.VMID]time.Time
 	// evidenceTold and evidenceKnown are the exchanges of evidence to and by
 	// other daemons.
 	evidenceTold  map[fescuelatch.VMID]exchange
@@ -137,27 +147,32 @@
 // New returns a daemon that has not been started.
 func New(o Options) (*Daemon, error) {
 	now := time.Now()
+	if o.Clock == nil {
+		o.Clock = platform.NewClock(now)
+	}
 	t, err := ownership.New(o.VM, o.Incarnation, ownership.Settings{}, now)
 	if err != nil {
 		return nil, errors.Wrap(err, "new daemon")
 	}
 	d := &Daemon{
-		options:     o,
-		incarnation: o.Incarnation,
-		started:     now,
-		log:         o.Log.With("vm", o.VM, "failure-domain", o.Domain),
-		holder:      new(configstore.Holder),
-		store:       &configstore.Store{KV: o.KV},
-		peers:       &peer.Client{Keys: o.FleetKeys, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
-		metrics:     newMetrics(o.Metrics),
-		life:        newLife(o.Log),
-		core:        decision.New(o.Core),
-		table:       t,
-		vmsOut:      make(map[string]bool),
-		forwards:    make(forwards),
+		options:       o,
+		incarnation:   o.Incarnation,
+		started:       now,
+		log:           o.Log.With("vm", o.VM, "failure-domain", o.Domain),
+		holder:        new(configstore.Holder),
+		store:         &configstore.Store{KV: o.KV},
+		peers:         &peer.Client{Keys: o.FleetKeys, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
+		metrics:       newMetrics(o.Metrics),
+		life:          newLife(o.Log),
+		core:          decision.New(o.Core),
+		table:         t,
+		vmsOut:        make(map[string]bool),
+		forwards:      make(forwards),
+		exchanges:     newExchanges(),
+		partnerCalled: make(map[fescuelatch.VMID]time.Time),
 
 		learnedSignal: make(chan struct{}),
-		reports:       make(map[fescuelatch.EndpointID]fescuelatch.LoadReport),
+		reports:       make(map[fescuelatch.EndpointID]*reporting),
 		servings:      make(map[fescuelatch.RequestID]*serving),
 		hellos:        make(map[fescuelatch.VMID]heard),
 		evidenceTold:  make(map[fescuelatch.VMID]exchange),
@@ -176,8 +191,8 @@
 func (d *Daemon) keep(o Options) {
 	d.batcher = &platform.Batcher{KV: o.KV, Interval: batchInterval}
 	relay := &platform.Relay{Local: d.batcher, Remote: d.remote}
-	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
-	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, MaxTime: claimTimeout}
+	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, Common: o.Clock.Now, MaxTime: claimTimeout}
+	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, Common: o.Clock.Now, MaxTime: claimTimeout}
 	d.ledger = &billing.Ledger{
 		Origin: d.incarnation, Submitter: relay, Copier: (*copier)(d), FlushInterval: o.FlushInterval,
 		Spread: func() float64 { return minSpread + rand.Float64() },
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -24,6 +24,7 @@
 		s.notStarted(r, errors.New("the endpoint has left the configuration"))
 		return
 	}
+	defer s.daemon.beginWork(ctx, e.ID)()
 	t := engine.Target{URL: "http://" + e.Address.String(), Resumable: true}
 	if s.call.Request.Idempotent {
 		s.attempt(ctx, t, r, decided)
@@ -84,6 +85,7 @@
 // conclude tells the core how an attempt ended.
 func (s *serving) conclude(r fescuelatch.AttemptResult, v *answer, err error) {
 	s.settle(&r, err)
+	s.daemon.worked(r)
 	v.result = r
 	s.answers[r.Attempt] = v
 	s.daemon.decide(decision.Ended{Request: s.call.Request.ID, Result: r})
@@ -160,7 +162,10 @@
 // that an endpoint never gets more than the gate counts.
 func (s *serving) abandon(ctx context.Context, t engine.Target, r *fescuelatch.AttemptResult, err error) {
 	var e *engine.Error
-	if r.Endpoint == "" || !errors.As(err, &e) || (e.Kind != engine.KindBroken && e.Kind != engine.KindCancelled) {
+	if r.Endpoint == "" || !errors.As(err, &e) {
+		return
+	}
+	if e.Kind != engine.KindBroken && e.Kind != engine.KindExpired && e.Kind != engine.KindCancelled {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonTimeout)
@@ -189,12 +194,16 @@
 	}
 	s.last = e
 	r.RetryAfter = e.RetryAfter
+	r.PlatformAway = e.Code == engine.CodePlatformAway
 	switch e.Kind {
 	case engine.KindOverloaded:
 		r.Overloaded = true
 		r.Status = fescuelatch.AttemptNotStarted
 	case engine.KindNotStarted, engine.KindRejected:
 		r.Status = fescuelatch.AttemptNotStarted
+	case engine.KindExpired:
+		r.Status = fescuelatch.AttemptExpired
+		s.mayHaveRun = true
 	case engine.KindCancelled:
 		r.Status = fescuelatch.AttemptCancelled
 		s.mayHaveRun = true
--- a/gate/adaptive_test.go
+++ b/gate/adaptive_test.go
@@ -212,6 +212,21 @@
 			g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptAnswered})
 			return now
 		}, cold},
+		{"deadlines soon after the first token", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, true, 2*time.Second)
+		}, slots},
+		{"deadlines before a first token was due", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, false, 300*time.Millisecond)
+		}, slots},
+		{"deadlines while first tokens are owed for long", func(g *gate.Adaptive, now time.Time) time.Time {
+			now = answer(g, now, 4, 200*time.Millisecond)
+			return expire(g, now, false, 2*time.Second)
+		}, cold},
+		{"deadlines while no latency is known", func(g *gate.Adaptive, now time.Time) time.Time {
+			return expire(g, now, false, 300*time.Millisecond)
+		}, cold},
 		{"it leaves", func(g *gate.Adaptive, now time.Time) time.Time {
 			now = now.Add(time.Second)
 			r := warmReport(now, 0)
@@ -228,6 +243,22 @@
 	}
 }
 
+// expire runs three attempts that are cut after d by their callers'
+// deadlines.
+func expire(g *gate.Adaptive, now time.Time, first bool, d time.Duration) time.Time {
+	for i := range 3 {
+		w := work(fmt.Sprint("expires-", i), "large")
+		g.Offer(now, w)
+		if first {
+			g.First(now.Add(100*time.Millisecond), w.Attempt)
+		}
+		now = now.Add(d)
+		g.End(now, fescuelatch.AttemptResult{Attempt: w.Attempt, Status: fescuelatch.AttemptExpired})
+		g.Report(now, warmReport(now, 0))
+	}
+	return now
+}
+
 // answer runs n attempts one after the other that give their first token
 // after d, and keeps reports coming.
 func answer(g *gate.Adaptive, now time.Time, n int, d time.Duration) time.Time {
@@ -353,6 +384,32 @@
 	}
 }
 
+// Versions that share an endpoint are served in order of arrival, whatever
+// their names.
+func TestVersionsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	g, now := warmGate(1, 1)
+	o := owned("engine", 1, 1)
+	o.Pool.Versions = append(o.Pool.Versions, "triage@2")
+	g.Own(now, []fescuelatch.OwnedEndpoint{o})
+	last := fescuelatch.AttemptID("runs")
+	g.Offer(now, work("runs", "a"))
+	waiting := []fescuelatch.AttemptID{"2-a", "1-a", "1-b", "2-b"}
+	for _, id := range waiting {
+		w := work(string(id), "a")
+		if id[0] == '2' {
+			w.Version = "triage@2"
+		}
+		c.Assert(g.Offer(now, w).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+	}
+	for _, id := range waiting {
+		as := g.End(now, fescuelatch.AttemptResult{Attempt: last, Status: fescuelatch.AttemptAnswered})
+		c.Assert(as, qt.HasLen, 1)
+		last = as[0].Attempt
+		c.Check(last, qt.Equals, id)
+	}
+}
+
 func TestQueueLeavesRoom(t *testing.T) {
 	c := qt.New(t)
 	g, now := warmGate(1, 1)
@@ -405,6 +462,7 @@
 	}{
 		{"time enough", time.Second, fescuelatch.AdmissionStart},
 		{"too little time", 100 * time.Millisecond, fescuelatch.AdmissionRefuse},
+		{"too little time for what is not known yet", 400 * time.Millisecond, fescuelatch.AdmissionRefuse},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -421,3 +479,70 @@
 		})
 	}
 }
+
+// Pools that have a version in common share a queue. Work that nothing waiting
+// stands before starts at once, and waiting work outlasts a pool.
+func TestQueueOfPools(t *testing.T) {
+	c := qt.New(t)
+	const left, shared, right = "left", "shared", "right"
+	pool := func(id string, versions ...fescuelatch.VersionID) fescuelatch.OwnedEndpoint {
+		o := owned("at-"+id, 1, 1)
+		o.Pool.ID, o.Pool.Versions = fescuelatch.PoolID(id), versions
+		return o
+	}
+	of := func(id string, v fescuelatch.VersionID) fescuelatch.Work {
+		w := work(id, "a")
+		w.Version = v
+		return w
+	}
+	g := gate.NewAdaptive(settings)
+	one, two := pool("one", left, shared), pool("two", shared, right)
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{one, two})
+	for _, test := range []struct {
+		work fescuelatch.Work
+		want fescuelatch.AdmissionVerdict
+	}{
+		{of("left-runs", left), fescuelatch.AdmissionStart},
+		{of("left-waits", left), fescuelatch.AdmissionQueue},
+		{of("right-runs", right), fescuelatch.AdmissionStart},
+		{of("right-waits", right), fescuelatch.AdmissionQueue},
+	} {
+		c.Assert(g.Offer(epoch, test.work).Verdict, qt.Equals, test.want, qt.Commentf("%s", test.work.Attempt))
+	}
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{one})
+	as := g.Poll(epoch)
+	c.Assert(as, qt.HasLen, 1)
+	c.Check(as[0].Attempt, qt.Equals, fescuelatch.AttemptID("right-waits"))
+	c.Check(as[0].Verdict, qt.Equals, fescuelatch.AdmissionRefuse)
+	as = g.End(at(time.Second), fescuelatch.AttemptResult{Attempt: "left-runs", Status: fescuelatch.AttemptAnswered})
+	c.Assert(as, qt.HasLen, 1)
+	c.Check(as[0].Attempt, qt.Equals, fescuelatch.AttemptID("left-waits"))
+	c.Check(as[0].Verdict, qt.Equals, fescuelatch.AdmissionStart)
+}
+
+// While an endpoint ramps up, starts are spaced out only as far as they add to
+// its load: the slot that an answer frees may be taken at once.
+func TestRampRefills(t *testing.T) {
+	for _, test := range []struct {
+		status fescuelatch.AttemptStatus
+		want   int
+	}{
+		{fescuelatch.AttemptAnswered, 1},
+		{fescuelatch.AttemptBroken, 0},
+	} {
+		t.Run(string(test.status), func(t *testing.T) {
+			c := qt.New(t)
+			g := gate.NewAdaptive(settings)
+			g.Own(epoch, []fescuelatch.OwnedEndpoint{owned("engine", 8, 4)})
+			now := at(settings.ReportLag)
+			g.Report(now, warmReport(now, 0))
+			c.Assert(g.Offer(now, work("first", "a")).Verdict, qt.Equals, fescuelatch.AdmissionStart)
+			c.Check(g.Spare(now)[0].Free, qt.Equals, 3)
+			c.Assert(g.Offer(now, work("second", "a")).Verdict, qt.Equals, fescuelatch.AdmissionQueue)
+			now = now.Add(time.Millisecond)
+			as := g.End(now, fescuelatch.AttemptResult{Attempt: "first", Status: test.status, Total: time.Millisecond})
+			c.Check(starts(as), qt.Equals, test.want)
+			c.Check(starts(g.Poll(now.Add(200*time.Millisecond))), qt.Equals, 1-test.want)
+		})
+	}
+}
--- a/quality/model_test.go
+++ b/quality/model_test.go
@@ -101,6 +101,10 @@
 		{"all versions fail", both, failureInterval, fescuelatch.HealthGood},
 		{"made by another daemon", []fescuelatch.AttemptResult{broken("triage@small", "")}, failureInterval, fescuelatch.HealthGood},
 		{"not started", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptNotStarted}}, failureInterval, fescuelatch.HealthGood},
+		{"deadlines while first tokens are owed", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptExpired}}, failureInterval, fescuelatch.HealthQuarantined},
+		{"deadlines after the first token", []fescuelatch.AttemptResult{{
+			Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptExpired, FirstToken: time.Millisecond,
+		}}, failureInterval, fescuelatch.HealthGood},
 		{"cancelled", []fescuelatch.AttemptResult{{Version: "triage@small", Endpoint: "e1", Status: fescuelatch.AttemptCancelled}}, failureInterval, fescuelatch.HealthGood},
 	}
 	for _, test := range tests {
@@ -129,6 +133,8 @@
 	}
 	late := evidence(-9, 1, 3)
 	late.Pooled = 2
+	cutOff := evidence(0, 1, 3)
+	cutOff.Pooled = 2
 	tests := []struct {
 		name string
 		list []fescuelatch.Evidence
@@ -136,6 +142,7 @@
 	}{
 		{"first heard", []fescuelatch.Evidence{evidence(0, 1, 3)}, 0},
 		{"quarantined before this daemon began", []fescuelatch.Evidence{late}, 2},
+		{"quarantined while this daemon was cut off", []fescuelatch.Evidence{cutOff}, 2},
 		{"growth", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 2, 5)}, 2},
 		{"repeated", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 2, 5), evidence(0, 2, 5)}, 2},
 		{"overtaken", []fescuelatch.Evidence{evidence(0, 1, 3), evidence(0, 3, 6), evidence(0, 2, 5)}, 3},
