Cost of control measured anew; page of capacity

The number of heartbeats is now that which was measured and not a formula; load reports at the target are those of endpoints with work; followers' calls to the platform are in the sum; the time before a measurement is 12 s (5 s), because an endpoint is asked often for 5 s after it has become warm. TestFit makes its points by the same rules and checks the added slopes.

--- a/cmd/fescuelatch-load/cost/measure.go
+++ b/cmd/fescuelatch-load/cost/measure.go
@@ -17,8 +17,9 @@
 // This file defines the measurement of one fleet.
 
 // settle passes between the start of a fleet and its first measurement: the
-// engines have become warm, and what the start cost is not counted.
-const settle = 5 * time.Second
+// engines have become warm and are not asked often for their load any more,
+// and what the start cost is not counted.
+const settle = 12 * time.Second
 
 // Settings are those of all measurements.
 type Settings struct {
--- a/cmd/fescuelatch-load/cost/page.go
+++ b/cmd/fescuelatch-load/cost/page.go
@@ -71,14 +71,15 @@
 		body = append(body, row{
 			fmt.Sprintf("%d x %d", s.Domains, s.Daemons), fmt.Sprint(s.Endpoints), fmt.Sprint(s.Versions), fmt.Sprint(s.Accounts),
 			percent(p.Idle.Processor), percent(p.Loaded.Processor), megabytes(p.Loaded.Resident),
-			number(p.Idle.Control["peer"]), number(p.Loaded.Control["peer"]), number(p.Idle.Control["report"]), number(p.Idle.Control["list"]),
+			number(p.Idle.Control["peer"]), number(p.Loaded.Control["peer"]), number(p.Idle.Control["report"]), number(p.Loaded.Control["report"]),
+			number(p.Idle.Control["list"]), number(p.Idle.Control["platform"]),
 			number(sum(p.Idle.Platform)), number(sum(p.Loaded.Platform)), number(p.Loaded.Answered),
 			number((p.Loaded.Processor - p.Idle.Processor) / p.Loaded.Answered * 1e3),
 		})
 	}
 	return rows(row{
 		"domains x daemons", "endpoints each", "versions", "accounts", "core idle", "core loaded", "memory",
-		"peer B/s idle", "peer B/s loaded", "report B/s", "list B/s", "platform calls/s idle", "loaded", "answers/s", "core ms an answer",
+		"peer B/s idle", "peer B/s loaded", "report B/s idle", "report B/s loaded", "list B/s", "platform B/s idle", "platform calls/s idle", "loaded", "answers/s", "core ms an answer",
 	}, body...)
 }
 
@@ -88,15 +89,15 @@
 		row{"one more", "costs a daemon"},
 		row{"heartbeat (sent or received, with its reply)", fmt.Sprintf("%s of a core, %s B and %s B for each version, %s B for each under load",
 			micros(s.ProcessorPerHeartbeat), number(s.HeartbeatBytes), number(s.HeartbeatBytesPerVersion), number(s.LoadedBytesPerVersion))},
-		row{"owned endpoint", fmt.Sprintf("%s of a core and %s B in a second for its load reports", micros(s.ProcessorPerEndpoint), number(s.ReportBytes))},
+		row{"owned endpoint", fmt.Sprintf("%s of a core and %s B in a second for its load reports, %s B with work", micros(s.ProcessorPerEndpoint), number(s.ReportBytes), number(s.BusyReportBytes))},
 		row{"request", fmt.Sprintf("%s of a core, %s B for the copy of its bill, %s B for ratings", micros(s.ProcessorPerRequest), number(s.CopyBytesPerRequest), number(s.RatingBytesPerRequest))},
 		row{"token", micros(s.ProcessorPerToken) + " of a core"},
-		row{"line of the list of VMs", number(s.ListBytesPerVM) + " B in a second"},
+		row{"line of the list of VMs", number(s.ListBytesPerVM) + " B in a second for the daemon that reads it"},
 		row{"daemon of the failure domain", kilobytes(s.MemoryPerMember) + " of memory"},
 		row{"endpoint of the failure domain", kilobytes(s.MemoryPerEndpoint) + " of memory"},
 		row{"version", seen(s.MemoryPerVersion) + " of memory"},
 		row{"client account", kilobytes(s.MemoryPerAccount) + " of memory"},
-		row{"nothing more", fmt.Sprintf("%s of a core, %s of memory, %s B/s for the list", percent(s.ProcessorBase), megabytes(s.MemoryBase), number(s.ListBytes))},
+		row{"nothing more", fmt.Sprintf("%s of a core, %s of memory, %s B/s for the list where it is read", percent(s.ProcessorBase), megabytes(s.MemoryBase), number(s.ListBytes))},
 	)
 }
 
@@ -127,12 +128,13 @@
 		row{"changed evidence in them", number(e.LoadedBytes)},
 		row{"copies of bills", number(e.CopyBytes)},
 		row{"ratings", number(e.RatingBytes)},
-		row{"load reports", number(e.ReportBytes)},
-		row{"list of VMs", number(e.ListBytes)},
-		row{"all", number(e.ControlBytes)},
+		row{"load reports of endpoints with work", number(e.ReportBytes)},
+		row{"list of VMs, as a mean", number(e.ListBytes)},
+		row{"followers' calls to the platform, as a mean", number(e.FollowerBytes)},
+		row{"all but writes at the platform", number(e.ControlBytes)},
 		row{"budget", number(LongRun.Bytes)},
-		row{fmt.Sprintf("heartbeats in cells of %.0f, one a second and pair, same messages", cellSize), number(e.CellBeatBytes)},
-		row{fmt.Sprintf("the same with messages of %.0f B (by design, not measured)", compactBeat), number(e.CompactBytes)},
+		row{"list of VMs, the daemon of a failure domain that reads it", number(e.ReaderBytes)},
+		row{fmt.Sprintf("heartbeats in cells of %.0f, one a second and pair (not built)", cellSize), number(e.CellBeatBytes)},
 	)
 }
 
@@ -153,7 +155,7 @@
 	return rows(
 		row{"memory of one daemon, today's code at the target", "bytes"},
 		row{"base", megabytes(r.Slopes.MemoryBase)},
-		row{fmt.Sprintf("connections with %.0f daemons, and what is known of each", LongRun.Daemons), megabytes(e.MemberMemory)},
+		row{fmt.Sprintf("connections with %.0f daemons, and what is known of each", e.Connected), megabytes(e.MemberMemory)},
 		row{fmt.Sprintf("%s endpoints of the failure domain", number(LongRun.Endpoints/LongRun.Domains)), megabytes(e.EndpointMemory)},
 		row{fmt.Sprintf("%.0f versions", LongRun.Versions), megabytes(e.VersionMemory)},
 		row{fmt.Sprintf("entries of the configuration, %.0f client accounts among them (assumed)", LongRun.Accounts), megabytes(e.EntryMemory)},
@@ -182,10 +184,10 @@
 		row{"what ends first, today's code", "at"},
 		row{"budget of bytes by heartbeats alone, 20 versions", number(e.BytesMembers) + " daemons in a failure domain"},
 		row{"budget of processor time by heartbeats", number(e.ProcessorMembers) + " daemons in a failure domain"},
-		row{"budget of bytes by the list of VMs alone", number(LongRun.Bytes/max(1e-9, (e.ListBytes/(LongRun.Daemons+LongRun.Endpoints)))) + " listed VMs"},
+		row{"budget of bytes by the list of VMs alone, the daemon that reads it", number(LongRun.Bytes/max(1e-9, (e.ReaderBytes/(LongRun.Daemons+LongRun.Endpoints)))) + " listed VMs"},
 		row{"several hundred (300) writes a second by bills", number(300/(e.BillWrites/LongRun.Daemons)) + " daemons"},
 		row{"300 writes a second by claims, ungrouped", number(300/callsOfClaim) + " claims a second in the fleet"},
-		row{"daemons of other failure domains remembered within 3 s", number(3 * gossipBeats)},
+		row{"daemons of other failure domains heard of", number(2 * partnersEach)},
 	)
 }
 
--- a/cmd/fescuelatch-load/cost/page_test.go
+++ b/cmd/fescuelatch-load/cost/page_test.go
@@ -69,19 +69,21 @@
 	const beat, version, endpoint, member = 400, 60, 700, 1000
 	r := &cost.Result{Settings: cost.Settings{Short: 10, Long: 110}}
 	for n, s := range cost.Plan() {
-		beats := 4 * float64(s.Daemons-1)
+		beats := 2 * float64(s.Daemons-1)
 		if s.Domains > 1 {
 			beats += 8
 		}
 		owned := float64(s.Endpoints) / float64(s.Daemons)
 		p := cost.Point{Size: s}
 		p.Idle = cost.Phase{
-			Processor: 0.002 + 0.0001*beats + 0.001*owned,
+			Heartbeats: beats / 2,
+			Processor:  0.002 + 0.0001*beats + 0.001*owned,
 			Control: map[string]float64{
 				"peer": beats * (beat + version*float64(s.Versions)), "report": endpoint * owned,
-				"list": 100 + 10*float64(s.Domains*(s.Daemons+s.Endpoints)),
+				"list": (100 + 10*float64(s.Domains*(s.Daemons+s.Endpoints))) / float64(s.Daemons),
 			},
 		}
+		p.Idle.Control["platform"] = 200
 		p.Loaded = p.Idle
 		p.Loaded.Answered = 5
 		p.Loaded.Processor = p.Idle.Processor + 5*(0.002+10*0.00001)
@@ -102,6 +104,8 @@
 	near(s.HeartbeatBytes, beat)
 	near(s.HeartbeatBytesPerVersion, version)
 	near(s.ReportBytes, endpoint)
+	near(s.BusyReportBytes, endpoint)
+	near(s.ListBytes, 100)
 	near(s.ListBytesPerVM, 10)
 	near(s.MemoryPerMember, member)
 	near(s.ProcessorPerEndpoint, 0.001)
@@ -111,6 +115,9 @@
 	e := s.At(cost.LongRun)
 	near(e.Members, 1100.0/21)
 	near(e.BillWrites, 110)
-	near(e.ControlBytes, e.BeatBytes+e.LoadedBytes+e.CopyBytes+e.RatingBytes+e.ReportBytes+e.ListBytes)
+	near(e.ReaderBytes, 100+10*4600)
+	near(e.FollowerBytes, 200*2/e.Members)
+	near(e.ListBytes, e.ReaderBytes*21/1100)
+	near(e.ControlBytes, e.BeatBytes+e.LoadedBytes+e.CopyBytes+e.RatingBytes+e.ReportBytes+e.ListBytes+e.FollowerBytes)
 	c.Assert(strings.Contains(r.Tables()["platform"], "| 110.0 |"), qt.IsTrue)
 }
--- a/cmd/fescuelatch-load/cost/slopes.go
+++ b/cmd/fescuelatch-load/cost/slopes.go
@@ -26,6 +26,10 @@
 	// LoadedBytesPerVersion is that under load, when evidence changes.
 	LoadedBytesPerVersion float64 `json:"heartbeat-bytes-per-version-loaded"`
 	ReportBytes           float64 `json:"report-bytes-per-owned-endpoint"`
+	// BusyReportBytes are those of an endpoint with work.
+	BusyReportBytes float64 `json:"report-bytes-per-owned-endpoint-loaded"`
+	// FollowerBytes are those of calls to the platform by an idle follower.
+	FollowerBytes         float64 `json:"platform-bytes-per-follower"`
 	ListBytes             float64 `json:"list-bytes-base"`
 	ListBytesPerVM        float64 `json:"list-bytes-per-listed-vm"`
 	CopyBytesPerRequest   float64 `json:"peer-bytes-per-request"`
@@ -35,16 +39,9 @@
 	BillInterval float64 `json:"seconds-between-bill-writes"`
 }
 
-// heartbeatsOf returns the heartbeats a second that a daemon takes part in,
-// as sender or receiver: two a second with each other daemon of its failure
-// domain in both roles, and four a second with daemons of others.
-func heartbeatsOf(s Size) float64 {
-	n := 4 * float64(s.Daemons-1)
-	if s.Domains > 1 {
-		n += 8
-	}
-	return n
-}
+// beats returns the heartbeats a second that a daemon takes part in, as sender
+// or receiver.
+func (p *Phase) beats() float64 { return 2 * p.Heartbeats }
 
 // fit returns the line y = at0 + slope*x through the points that differ from
 // the base in dimension d only.
@@ -63,7 +60,7 @@
 	size := func(d Dimension) func(*Point) float64 {
 		return func(p *Point) float64 { return float64(p.Size.value(d)) }
 	}
-	beats := func(p *Point) float64 { return heartbeatsOf(p.Size) }
+	beats := func(p *Point) float64 { return p.Idle.beats() }
 	owned := func(p *Point) float64 { return float64(p.Size.Endpoints) / float64(p.Size.Daemons) }
 	listed := func(p *Point) float64 { return float64(p.Size.Domains * (p.Size.Daemons + p.Size.Endpoints)) }
 	processor := func(p *Point) float64 { return p.Idle.Processor }
@@ -72,7 +69,7 @@
 		return func(p *Point) float64 { return p.Idle.Control[kind] }
 	}
 	perBeat := func(phase func(*Point) *Phase) func(*Point) float64 {
-		return func(p *Point) float64 { return phase(p).Control["peer"] / heartbeatsOf(p.Size) }
+		return func(p *Point) float64 { return phase(p).Control["peer"] / phase(p).beats() }
 	}
 	s := &r.Slopes
 	*s = Slopes{}
@@ -88,9 +85,14 @@
 	loaded, perVersion := r.fit(Versions, size(Versions), perBeat(func(p *Point) *Phase { return &p.Loaded }))
 	s.LoadedBytesPerVersion = perVersion
 	_, s.ReportBytes = r.fit(Endpoints, owned, control("report"))
-	s.ListBytes, s.ListBytesPerVM = r.fit(Endpoints, listed, control("list"))
+	// One daemon of each failure domain reads the list.
+	read := func(p *Point) float64 { return p.Idle.Control["list"] * float64(p.Size.Daemons) }
+	s.ListBytes, s.ListBytesPerVM = r.fit(Endpoints, listed, read)
 	b := &r.Points[0]
-	s.CopyBytesPerRequest = (loaded - s.HeartbeatBytes) * heartbeatsOf(b.Size) / b.Loaded.Answered
+	s.BusyReportBytes = b.Loaded.Control["report"] / owned(b)
+	// Both daemons of the base size are followers.
+	s.FollowerBytes = b.Idle.Control["platform"]
+	s.CopyBytesPerRequest = (loaded - s.HeartbeatBytes) * b.Loaded.beats() / b.Loaded.Answered
 	s.RatingBytesPerRequest = b.Loaded.Control["rating"] / b.Loaded.Answered
 	s.BillInterval = r.billInterval()
 	r.fitRequests()
--- a/cmd/fescuelatch-load/cost/target.go
+++ b/cmd/fescuelatch-load/cost/target.go
@@ -29,8 +29,11 @@
 	// memberBeats and gossipBeats are the heartbeats a second that a daemon
 	// takes part in, with each other daemon of its failure domain and with
 	// all of the others.
-	memberBeats = 4.0
+	memberBeats = 2.0
 	gossipBeats = 8.0
+	// partnersEach is the number of daemons of other failure domains that a
+	// daemon calls, and on average the number that call it.
+	partnersEach = 10.0
 	// followersEach is the number of daemons of a failure domain that watch
 	// the platform, and recheckEvery the seconds after which each opens its
 	// watch and reads the head again.
@@ -54,7 +57,10 @@
 	Beats                    float64
 	BeatBytes, LoadedBytes   float64
 	CopyBytes, RatingBytes   float64
-	ReportBytes, ListBytes   float64
+	ReportBytes, ListBytes   float64 // the list as a mean over a failure domain
+	FollowerBytes            float64 // as a mean over a failure domain
+	ReaderBytes              float64 // of the daemon that reads the list
+	Connected                float64 // other daemons with connections
 	ControlBytes             float64
 	BeatProcessor            float64
 	ControlProcessor         float64
@@ -75,7 +81,6 @@
 	ProcessorMembers         float64 // daemons of a failure domain at which the budget ends
 	BytesMembers             float64
 	WithoutHeartbeats        float64 // control bytes
-	CompactBytes             float64
 	CellBeats, CellBeatBytes float64
 }
 
@@ -86,9 +91,6 @@
 	// a second that one takes part in with each other one of its cell.
 	cellSize  = 8.0
 	cellBeats = 1.0
-	// compactBeat is the bytes of a heartbeat and its reply with numbers in
-	// place of names.
-	compactBeat = 60.0
 	// groupInterval is the seconds over which a failure domain's relay
 	// groups writes.
 	groupInterval = 0.1
@@ -112,13 +114,14 @@
 	e.LoadedBytes = e.Beats * max(0, s.LoadedBytesPerVersion-s.HeartbeatBytesPerVersion) * t.Versions
 	e.CopyBytes = e.Requests * s.CopyBytesPerRequest
 	e.RatingBytes = e.Requests * s.RatingBytesPerRequest
-	e.ReportBytes = e.Owned * s.ReportBytes
-	e.ListBytes = s.ListBytes + s.ListBytesPerVM*(t.Daemons+t.Endpoints)
-	e.WithoutHeartbeats = e.CopyBytes + e.RatingBytes + e.ReportBytes + e.ListBytes
+	e.ReportBytes = e.Owned * s.BusyReportBytes
+	e.FollowerBytes = s.FollowerBytes * followersEach / e.Members
+	e.ReaderBytes = s.ListBytes + s.ListBytesPerVM*(t.Daemons+t.Endpoints)
+	e.ListBytes = e.ReaderBytes / e.Members
+	e.WithoutHeartbeats = e.CopyBytes + e.RatingBytes + e.ReportBytes + e.ListBytes + e.FollowerBytes
 	e.ControlBytes = e.BeatBytes + e.LoadedBytes + e.WithoutHeartbeats
 	e.CellBeats = cellBeats * (cellSize - 1)
 	e.CellBeatBytes = e.CellBeats * (s.HeartbeatBytes + s.HeartbeatBytesPerVersion*t.Versions)
-	e.CompactBytes = e.CellBeats * compactBeat
 	e.BytesMembers = 1 + t.Bytes/memberBeats/(s.HeartbeatBytes+s.HeartbeatBytesPerVersion*t.Versions)
 }
 
@@ -129,11 +132,12 @@
 	e.TokenProcessor = e.Tokens * s.ProcessorPerToken
 	rest := t.Processor - s.ProcessorBase - e.Owned*s.ProcessorPerEndpoint
 	e.ProcessorMembers = 1 + max(0, rest)/memberBeats/s.ProcessorPerHeartbeat
-	// Connections to daemons are never closed, so that each daemon has one
-	// with every other in the end. Endpoints cost the daemons of their own
+	// Connections that nobody uses are closed, so that a daemon has those with
+	// its failure domain and with partners. Endpoints cost the daemons of their own
 	// failure domain; elsewhere they are entries of the configuration, taken
 	// as large as client accounts.
-	e.MemberMemory = s.MemoryPerMember * t.Daemons
+	e.Connected = e.Members - 1 + 2*partnersEach
+	e.MemberMemory = s.MemoryPerMember * e.Connected
 	e.EndpointMemory = s.MemoryPerEndpoint * t.Endpoints / t.Domains
 	e.VersionMemory = max(0, s.MemoryPerVersion) * t.Versions
 	e.EntryMemory = s.MemoryPerAccount * (t.Accounts + t.Daemons + t.Endpoints)
