--- a/billing/flush.go
+++ b/billing/flush.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the loops of a ledger: one closes batches and has them
@@ -36,7 +37,7 @@
 			return
 		}
 		// A bill that comes after a quiet interval does not wait.
-		if !sleep(ctx, orDefault(l.Interval, DefaultInterval)-time.Since(last)) {
+		if !pause.For(ctx, orDefault(l.Interval, DefaultInterval)-time.Since(last)) {
 			return
 		}
 		last = time.Now()
@@ -96,7 +97,7 @@
 }
 
 func (l *Ledger) writeLoop(ctx context.Context) {
-	pause := urgentPause
+	wait := urgentPause
 	due := time.NewTimer(l.nextWrite())
 	defer due.Stop()
 	for {
@@ -105,11 +106,11 @@
 			return
 		}
 		if err := l.writeRun(ctx, urgent); err != nil {
-			pause = min(2*pause, orDefault(l.FlushInterval, DefaultFlushInterval))
+			wait = min(2*wait, orDefault(l.FlushInterval, DefaultFlushInterval))
 		} else {
-			pause = urgentPause
+			wait = urgentPause
 		}
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		l.retryUnsafe()
@@ -278,17 +279,6 @@
 	return slices.Clone(l.pending)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func orDefault(d, def time.Duration) time.Duration {
 	if d == 0 {
 		return def
--- a/billing/keeper.go
+++ b/billing/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 	"fescuelatch/platform"
 )
 
@@ -167,7 +168,7 @@
 // Run writes old copies, at most one transaction in each Pause, until ctx
 // ends. What is left then is for Flush.
 func (k *Keeper) Run(ctx context.Context) {
-	for sleep(ctx, orDefault(k.Pause, DefaultKeeperPause)) {
+	for pause.For(ctx, orDefault(k.Pause, DefaultKeeperPause)) {
 		k.evict()
 		// A failure leaves the copies for the next time.
 		_ = k.protect(ctx)
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 	"fescuelatch/platform"
 )
 
@@ -234,7 +235,7 @@
 			continue
 		}
 		c.postpone(l)
-		if !sleep(ctx, max(platform.RetryAfter(err), backlogPause)) {
+		if !pause.For(ctx, max(platform.RetryAfter(err), backlogPause)) {
 			return
 		}
 	}
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 	"fescuelatch/platform"
 )
 
@@ -248,7 +249,7 @@
 			return c.notMade(err)
 		}
 		unknown = unknown || !platform.NoEffect(err)
-		if !sleep(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			l.giveUp()
 			return c.notMade(err)
 		}
@@ -299,14 +300,3 @@
 		return StateUnknown, nil
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/standin/engine/delivery.go
+++ b/cmd/standin/engine/delivery.go
@@ -12,6 +12,7 @@
 
 	"fescuelatch"
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the delivery of answers.
@@ -38,7 +39,7 @@
 	}
 	if e.takes(func(f *Faults) *server.Chance { return &f.Late }) {
 		_, _ = n.whole(ctx)
-		server.Sleep(ctx, e.faults.Get().LateBy)
+		pause.For(ctx, e.faults.Get().LateBy)
 	}
 	d := e.delivery(ctx, n)
 	if n.request.Stream {
--- a/cmd/standin/engine/orders.go
+++ b/cmd/standin/engine/orders.go
@@ -10,6 +10,7 @@
 
 	"fescuelatch"
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines orders: to load or unload a version, or to set a role.
@@ -121,7 +122,7 @@
 			return
 		}
 	}
-	if server.Sleep(ctx, e.settings.LoadTime) {
+	if pause.For(ctx, e.settings.LoadTime) {
 		e.setLoaded(v, true)
 	}
 }
@@ -133,7 +134,7 @@
 		if err == nil {
 			return nil
 		}
-		if !server.Sleep(ctx, weightsRetry) {
+		if !pause.For(ctx, weightsRetry) {
 			return &Error{Op: "load", Kind: KindWeights, Err: err}
 		}
 	}
--- a/cmd/standin/engine/scheduler.go
+++ b/cmd/standin/engine/scheduler.go
@@ -7,7 +7,7 @@
 
 	"fescuelatch"
 	"fescuelatch/cmd/standin/endpoint"
-	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines admission, continuous batching and cold starts.
@@ -93,7 +93,7 @@
 		pace = time.Duration(float64(pace) * cachedShare)
 	}
 	for _, t := range text(&r.request, good) {
-		if !server.Sleep(r.ctx, e.stretch(pace)) {
+		if !pause.For(r.ctx, e.stretch(pace)) {
 			return
 		}
 		r.add(t)
--- a/cmd/standin/kv/faults.go
+++ b/cmd/standin/kv/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the faults of the key-value service and its call counts.
@@ -84,7 +85,7 @@
 				server.Abort()
 			}
 		}
-		if !server.Sleep(ctx, f.Slowness) {
+		if !pause.For(ctx, f.Slowness) {
 			server.Abort()
 		}
 		return nil
--- a/cmd/standin/kv/platform.go
+++ b/cmd/standin/kv/platform.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the HTTP front of the store.
@@ -63,7 +64,7 @@
 
 // Maintain ends leases that expire until ctx ends, then ends all watches.
 func (p *Platform) Maintain(ctx context.Context) {
-	for server.Sleep(ctx, expiryPeriod) {
+	for pause.For(ctx, expiryPeriod) {
 		p.store.expire(time.Now())
 	}
 	close(p.ended)
--- a/cmd/standin/link/link.go
+++ b/cmd/standin/link/link.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the relay.
@@ -112,7 +113,7 @@
 		}
 		if err != nil {
 			// Too many open files, for example.
-			server.Sleep(ctx, acceptRetry)
+			pause.For(ctx, acceptRetry)
 			continue
 		}
 		wg.Go(func() { k.relay(ctx, in.(*net.TCPConn)) })
--- a/cmd/standin/link/relay.go
+++ b/cmd/standin/link/relay.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the relay of one connection.
@@ -115,7 +115,7 @@
 	go read(ctx, cancel, from, packets)
 	for p := range packets {
 		delay := c.link.faults.Get().Delay - time.Since(p.at)
-		if !server.Sleep(ctx, delay) || !c.gate(ctx) {
+		if !pause.For(ctx, delay) || !c.gate(ctx) {
 			cancel()
 			return
 		}
--- a/cmd/standin/rating/rating.go
+++ b/cmd/standin/rating/rating.go
@@ -14,6 +14,7 @@
 
 	"fescuelatch"
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the rating service.
@@ -87,7 +88,7 @@
 		return
 	}
 	f := t.faults.Get()
-	if f.Outage || !server.Sleep(r.Context(), f.Lag) {
+	if f.Outage || !pause.For(r.Context(), f.Lag) {
 		server.Abort()
 	}
 	t.rated.Add(1)
--- a/cmd/standin/server/server.go
+++ b/cmd/standin/server/server.go
@@ -90,21 +90,6 @@
 // Abort breaks the connection of the request without an answer.
 func Abort() { panic(http.ErrAbortHandler) }
 
-// Sleep waits for d and reports whether it passed before ctx ended.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func decodeStrict(b []byte, v any) error {
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
--- a/cmd/standin/service/call.go
+++ b/cmd/standin/service/call.go
@@ -12,6 +12,7 @@
 	"fescuelatch"
 	"fescuelatch/cmd/standin/endpoint"
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines calls and their executions.
@@ -144,7 +145,7 @@
 // answer sends an answer, with the faults that apply.
 func (s *Service) answer(ctx context.Context, w http.ResponseWriter, a answer) {
 	if s.takes(func(f *Faults) *server.Chance { return &f.Late }) {
-		server.Sleep(ctx, s.faults.Get().LateBy)
+		pause.For(ctx, s.faults.Get().LateBy)
 	}
 	if s.takes(func(f *Faults) *server.Chance { return &f.Cut }) {
 		server.Abort()
--- a/cmd/standin/weights/weights.go
+++ b/cmd/standin/weights/weights.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the store.
@@ -75,7 +76,7 @@
 		http.Error(w, "too many requests", http.StatusTooManyRequests)
 		return
 	}
-	if !server.Sleep(r.Context(), f.Time) {
+	if !pause.For(r.Context(), f.Time) {
 		server.Abort()
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
--- a/configstore/follow.go
+++ b/configstore/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines how a daemon follows the configuration at the platform.
@@ -28,17 +29,17 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := f.Store.Retry.backOff()
+	backOff := f.Store.Retry.backOff()
 	for ctx.Err() == nil {
 		err := f.round(ctx)
 		if err == nil {
-			pause.Reset()
+			backOff.Reset()
 			continue
 		}
 		if f.Failed != nil && ctx.Err() == nil {
 			f.Failed(err)
 		}
-		sleep(ctx, pause.NextBackOff())
+		pause.For(ctx, backOff.NextBackOff())
 	}
 }
 
--- a/configstore/propose.go
+++ b/configstore/propose.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 	"fescuelatch/platform"
 )
 
@@ -89,7 +90,7 @@
 // absence of the change proves nothing, whereas a repeated write either
 // succeeds or finds the generation taken.
 func (p *proposal) decide(ctx context.Context) (*fescuelatch.Configuration, error) {
-	pause := p.store.Retry.backOff()
+	backOff := p.store.Retry.backOff()
 	for {
 		c, err := p.try(ctx)
 		if err == nil {
@@ -99,23 +100,12 @@
 		if !p.unknown || k == KindConflict || k == KindInvalid || k == KindCorrupt {
 			return nil, err
 		}
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !pause.For(ctx, backOff.NextBackOff()) {
 			return nil, &Error{Op: opPropose, Kind: KindUnknown, Err: err}
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (p *proposal) try(ctx context.Context) (*fescuelatch.Configuration, error) {
 	now, revision, err := p.store.load(ctx)
 	if err != nil {
--- a/configstore/start.go
+++ b/configstore/start.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines how a daemon that holds nothing gets its first
@@ -101,14 +102,14 @@
 		if basis, err = s.strictRound(ctx); err == nil {
 			return basis, nil
 		}
-		if !sleep(ctx, defaultRetryMax) {
+		if !pause.For(ctx, defaultRetryMax) {
 			return "", err
 		}
 	}
 }
 
 func (s *Starter) strict(ctx context.Context) (Basis, error) {
-	pause := s.Store.Retry.backOff()
+	backOff := s.Store.Retry.backOff()
 	for {
 		basis, err := s.strictRound(ctx)
 		if err == nil {
@@ -117,7 +118,7 @@
 		if s.Failed != nil {
 			s.Failed(err)
 		}
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !pause.For(ctx, backOff.NextBackOff()) {
 			return "", err
 		}
 	}
--- a/operator/await.go
+++ b/operator/await.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines how the client waits until a generation is in force.
@@ -34,7 +35,7 @@
 		if known != nil && AllConfirmed(known, want.Generation) {
 			return known, nil
 		}
-		if !sleep(deadline, o.Interval) {
+		if !pause.For(deadline, o.Interval) {
 			break
 		}
 		var told []DomainStatus
--- a/operator/client.go
+++ b/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the client of the operators' front.
@@ -249,20 +250,8 @@
 	}
 }
 
-// pause waits before round n, doubling from round to round. It reports false
+// backOff waits before round n, doubling from round to round. It reports false
 // when ctx has ended.
-func pause(ctx context.Context, n int) bool {
-	return sleep(ctx, min(firstPause<<min(n, 10), longestPause))
-}
-
-// sleep waits for d and reports false when ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+func backOff(ctx context.Context, n int) bool {
+	return pause.For(ctx, min(firstPause<<min(n, 10), longestPause))
 }
--- a/operator/propose.go
+++ b/operator/propose.go
@@ -39,7 +39,7 @@
 				return p.result, p.err()
 			}
 		}
-		if !pause(ctx, n) {
+		if !backOff(ctx, n) {
 			return ProposeResult{}, p.unsettled(op)
 		}
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/internal/pause"
 	"fescuelatch/platform"
 )
 
@@ -290,7 +291,7 @@
 		case platform.KindOf(err) == platform.KindInvalid:
 			s.leases.Drop(lease.ID)
 		}
-		if platform.NoEffect(err) || !sleep(ctx, retryPause) {
+		if platform.NoEffect(err) || !pause.For(ctx, retryPause) {
 			return entry{}, unavailable(op, err)
 		}
 	}
@@ -313,14 +314,3 @@
 	}
 	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: after, Err: err}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
