A repeat beside its answered first call has not failed

The measure counted such a repeat as a failure, so that chance in the timing of repeats decided between variants with no failure at all.

The share of failed calls leaves one of two calls with a key out when it was told in-progress and the other was answered. It still counts when the other was not: TestMeasureRepeats has both cases, and another account's call with the same key. No test was changed.

Ruled out as causes, by the records of each call: refusals, and calls forwarded to the domain that was out.

--- a/cmd/fescuelatch-load/experiment/measure.go
+++ b/cmd/fescuelatch-load/experiment/measure.go
@@ -276,10 +276,11 @@
 	return measureCalls(t, func(r *load.Record) bool { return r.Account != a })
 }
 
-// measureCalls measures the calls of the window that count. Calls that name
-// what the account may not use are refused by right and do not count.
+// measureCalls measures the calls of the window that count. Those that are
+// refused by right do not.
 func measureCalls(t *outcome, counts func(*load.Record) bool) []Measure {
 	total := load.NewLatency()
+	refusedByRight := byRight(t.result.Evidence.Records)
 	var all, idempotent tally
 	for n := range t.result.Evidence.Records {
 		r := &t.result.Evidence.Records[n]
@@ -302,9 +303,29 @@
 	}
 }
 
-const codeNotAllowed = "not-allowed"
+const (
+	codeNotAllowed = "not-allowed"
+	codeInProgress = "in-progress"
+)
 
-func refusedByRight(r *load.Record) bool { return r.Code == codeNotAllowed }
+// byRight returns which of the calls are refused by right: those that name
+// what the account may not use, and one of two calls with a key that was told
+// that the other is under way, when that got the answer.
+func byRight(records []load.Record) func(*load.Record) bool {
+	type key struct {
+		account fescuelatch.AccountID
+		text    string
+	}
+	answered := make(map[key]bool)
+	for n := range records {
+		if r := &records[n]; r.Key != "" && r.Outcome == fescuelatch.OutcomeAnswered {
+			answered[key{r.Account, r.Key}] = true
+		}
+	}
+	return func(r *load.Record) bool {
+		return r.Code == codeNotAllowed || r.Code == codeInProgress && answered[key{r.Account, r.Key}]
+	}
+}
 
 // worst returns the largest share of failed calls in a second of a trial.
 func worst(t *outcome, counts func(*load.Record) bool) float64 {
@@ -331,6 +352,7 @@
 // come after the end of the load do not count.
 func seconds(t *outcome, counts func(*load.Record) bool) []tally {
 	ss := make([]tally, int(t.duration/time.Second))
+	refusedByRight := byRight(t.result.Evidence.Records)
 	for n := range t.result.Evidence.Records {
 		c := &t.result.Evidence.Records[n]
 		k := int(c.At / time.Second)
--- a/cmd/fescuelatch-load/experiment/measure_test.go
+++ b/cmd/fescuelatch-load/experiment/measure_test.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// A repeat that was told that its first call is under way has not failed when
+// that call was answered, and has when it was not.
+func TestMeasureRepeats(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		first  fescuelatch.Outcome
+		failed float64
+	}{
+		{"answered", fescuelatch.OutcomeAnswered, 0},
+		{"lost", fescuelatch.OutcomeUnknown, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			first := record("q1", 4, "", test.first)
+			repeat := record("q2", 4, "", fescuelatch.OutcomeUnknown)
+			repeat.Code = codeInProgress
+			first.Key, repeat.Key = "key", "key"
+			foreign := record("q3", 4, "", fescuelatch.OutcomeAnswered)
+			foreign.Account, foreign.Key = "weekly", "key"
+			ms := measureCalls(newOutcome([]load.Record{first, repeat, foreign}), func(r *load.Record) bool { return r.Account == "daily" })
+			near(t, value(t, ms, FailedInWindow), test.failed)
+			near(t, value(t, ms, WorstSecond), test.failed)
+		})
+	}
+}
+
 func TestFailedCalls(t *testing.T) {
 	refused := record("q1", 4, "", fescuelatch.OutcomeNotRun)
 	refused.Code = "platform-away"
