--- a/daemon/capacity.go
+++ b/daemon/capacity.go
@@ -61,7 +61,7 @@
 	h := peer.Hello{
 		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation,
 		Generation: d.holder.Generation(), Leaving: d.leaving.Load(),
-		Spares: spares, Evidence: evidence,
+		Spares: spares, Evidence: inCommonTime(d.options.Clock, evidence),
 	}
 	if v := d.holder.View(); v != nil && v.Generation() == h.Generation && h.Generation == g {
 		h.Counts, h.Spares = d.numbers.of(v).Pack(spares), nil
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -29,9 +29,10 @@
 // attemptClaimed makes an attempt once the request has been claimed.
 func (s *serving) attemptClaimed(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
 	r.Unsent = true // until it is sent
-	if !s.daemon.breaker.allow(time.Now()) {
+	if now := time.Now(); !s.daemon.breaker.allow(now) {
 		s.conclude(r, &answer{}, &engine.Error{
-			Op: "claim", Kind: engine.KindNotStarted, Code: engine.CodePlatformAway, RetryAfter: claimPause, Err: errors.New("the platform is away"),
+			Op: "claim", Kind: engine.KindNotStarted, Code: engine.CodePlatformAway,
+			RetryAfter: s.daemon.breaker.retryAfter(now), Err: errors.New("the platform is away"),
 		})
 		return
 	}
@@ -121,15 +122,19 @@
 	}
 }
 
-// claimError translates the failure to make a claim. Nothing was sent.
+// claimError translates the failure to make a claim. Nothing was sent for this
+// arrival of the request, but one with a key that is too old may have run.
 func claimError(err error) *engine.Error {
 	e := &engine.Error{Op: "claim", Kind: engine.KindNotStarted, Err: err}
 	var c *claim.Error
 	if errors.As(err, &c) {
 		e.RetryAfter = c.RetryAfter
-		if c.Kind == claim.KindNotMade {
+		switch c.Kind {
+		case claim.KindNotMade:
 			e.Code = engine.CodePlatformAway
-		} else {
+		case claim.KindExpired:
+			e.Kind = engine.KindClaimUnknown
+		default:
 			e.Kind = engine.KindRejected
 		}
 	}
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -172,11 +172,16 @@
 	case ok && !was.lost:
 		go d.replaced(context.WithoutCancel(ctx), was.hello.Incarnation)
 	}
+	if was.lost || since.Equal(now) {
+		go d.ledger.Found()
+	}
 	d.hellos[h.VM] = heard{hello: h, at: now, first: since}
 	if h.Leaving {
 		d.decideLocked(decision.Lost{VM: h.VM})
 	} else {
-		d.decideLocked(decision.Summarised{VM: h.VM, Domain: h.Domain, Spares: h.Spares, Evidence: h.Evidence, At: now})
+		d.decideLocked(decision.Summarised{
+			VM: h.VM, Domain: h.Domain, Spares: h.Spares, Evidence: inOwnTime(d.options.Clock, h.Evidence), At: now,
+		})
 	}
 	d.mu.Unlock()
 	if d.learned.Load() && h.Generation > d.holder.Generation() {
--- a/decision/action.go
+++ b/decision/action.go
@@ -48,6 +48,8 @@
 	Version  fescuelatch.VersionID
 	Attempts int
 	Sample   bool
+	// Health is that of the version of a caller's chat completion.
+	Health fescuelatch.Health
 }
 
 // Refuse ends a request that has not run and will not run.
@@ -76,11 +78,13 @@
 	ReasonWithdrawn  Reason = "version-withdrawn"
 	ReasonNoCapacity Reason = "no-capacity"
 	ReasonDeadline   Reason = "deadline"
-	ReasonNoEndpoint Reason = "no-endpoint"
-	ReasonNotStarted Reason = "not-started"
-	ReasonStopping   Reason = "stopping"
-	ReasonBroken     Reason = "broken"
-	ReasonNoConfig   Reason = "no-configuration"
+	// ReasonPlatformAway says that the request needs a claim.
+	ReasonPlatformAway Reason = "platform-away"
+	ReasonNoEndpoint   Reason = "no-endpoint"
+	ReasonNotStarted   Reason = "not-started"
+	ReasonStopping     Reason = "stopping"
+	ReasonBroken       Reason = "broken"
+	ReasonNoConfig     Reason = "no-configuration"
 )
 
 // Of implements Action.
--- a/gate/engine_test.go
+++ b/gate/engine_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -21,6 +22,7 @@
 	serviceSpread = 400 * time.Millisecond
 	coldSlowdown  = 6
 	testVersion   = fescuelatch.VersionID("triage@1")
+	nextVersion   = fescuelatch.VersionID("triage@2")
 )
 
 // engine is a model engine that falls over when it gets more than its cold
@@ -46,12 +48,16 @@
 // client offers work of one account at a rate.
 type client struct {
 	account  fescuelatch.AccountID
-	rate     float64 // a second
+	version  fescuelatch.VersionID // testVersion when empty
+	rate     float64               // a second
 	from     time.Duration
 	deadline time.Duration
 	// What became of its work, and how long it waited until it started.
 	offered, answered, refused, broken int
 	waits                              []time.Duration
+	// late counts answers after the deadline, and kept the refusals that
+	// came only after a wait.
+	late, kept int
 }
 
 func (c *client) wait(quantile float64) time.Duration {
@@ -89,7 +95,9 @@
 		queued:   make(map[fescuelatch.AttemptID]fescuelatch.Work),
 	}
 	for i := range engines {
-		b.engines = append(b.engines, &engine{owned: owned(fmt.Sprint("engine-", i), slots, cold)})
+		o := owned(fmt.Sprint("engine-", i), slots, cold)
+		o.Pool.Versions = append(o.Pool.Versions, nextVersion)
+		b.engines = append(b.engines, &engine{owned: o})
 	}
 	b.own()
 	return b
@@ -137,7 +145,7 @@
 	id := fmt.Sprint("attempt-", b.count)
 	w := fescuelatch.Work{
 		Attempt: fescuelatch.AttemptID(id),
-		Version: testVersion,
+		Version: cmp.Or(c.version, testVersion),
 		Request: &fescuelatch.Request{
 			ID: fescuelatch.RequestID(id), Account: c.account,
 			Arrived: b.now, Deadline: b.now.Add(c.deadline),
@@ -169,6 +177,9 @@
 		case fescuelatch.AdmissionRefuse:
 			delete(b.queued, a.Attempt)
 			c.refused++
+			if b.now.After(w.Request.Arrived) {
+				c.kept++
+			}
 		}
 	}
 }
@@ -224,11 +235,14 @@
 	c := b.client(j.work.Request.Account)
 	if s == fescuelatch.AttemptAnswered {
 		c.answered++
+		if b.now.After(j.work.Request.Deadline) {
+			c.late++
+		}
 	} else {
 		c.broken++
 	}
 	r := fescuelatch.AttemptResult{
-		Attempt: j.work.Attempt, Endpoint: e.owned.Endpoint.ID, Version: testVersion,
+		Attempt: j.work.Attempt, Endpoint: e.owned.Endpoint.ID, Version: j.work.Version,
 		Status: s, Total: b.now.Sub(j.started),
 	}
 	if j.told {
