--- a/cmd/standin/kv/faults.go
+++ b/cmd/standin/kv/faults.go
@@ -61,6 +61,8 @@
 	// WriteRate and ReadRate limit the calls a second; 0 is no limit.
 	WriteRate float64 `json:"write-rate"`
 	ReadRate  float64 `json:"read-rate"`
+	// ClockAhead moves the dates of answers.
+	ClockAhead time.Duration `json:"clock-ahead"`
 	// WatchGap drops events from watches.
 	WatchGap server.Chance `json:"watch-gap"`
 }
--- a/cmd/standin/kv/platform.go
+++ b/cmd/standin/kv/platform.go
@@ -102,6 +102,7 @@
 	h := func(w http.ResponseWriter, r *http.Request) {
 		var q Q
 		p.counts.add(kind)
+		w.Header().Set("Date", time.Now().Add(p.faults.Get().ClockAhead).UTC().Format(http.TimeFormat))
 		if !server.ReadJSON(w, r, requestLimit, &q) {
 			return
 		}
