--- a/cmd/standin/kv/faults.go
+++ b/cmd/standin/kv/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the faults of the key-value service and its call counts.
@@ -61,6 +62,8 @@
 	// WriteRate and ReadRate limit the calls a second; 0 is no limit.
 	WriteRate float64 `json:"write-rate"`
 	ReadRate  float64 `json:"read-rate"`
+	// ClockAhead moves the dates of answers.
+	ClockAhead time.Duration `json:"clock-ahead"`
 	// WatchGap drops events from watches.
 	WatchGap server.Chance `json:"watch-gap"`
 }
@@ -84,7 +87,7 @@
 				server.Abort()
 			}
 		}
-		if !server.Sleep(ctx, f.Slowness) {
+		if !pause.For(ctx, f.Slowness) {
 			server.Abort()
 		}
 		return nil
--- a/cmd/standin/kv/platform.go
+++ b/cmd/standin/kv/platform.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"fescuelatch/cmd/standin/server"
+	"fescuelatch/internal/pause"
 )
 
 // This file defines the HTTP front of the store.
@@ -63,7 +64,7 @@
 
 // Maintain ends leases that expire until ctx ends, then ends all watches.
 func (p *Platform) Maintain(ctx context.Context) {
-	for server.Sleep(ctx, expiryPeriod) {
+	for pause.For(ctx, expiryPeriod) {
 		p.store.expire(time.Now())
 	}
 	close(p.ended)
@@ -102,6 +103,7 @@
 	h := func(w http.ResponseWriter, r *http.Request) {
 		var q Q
 		p.counts.add(kind)
+		w.Header().Set("Date", time.Now().Add(p.faults.Get().ClockAhead).UTC().Format(http.TimeFormat))
 		if !server.ReadJSON(w, r, requestLimit, &q) {
 			return
 		}
