A closing listener hands over the connections that the kernel has opened

Cause: the kernel opens connections before they are accepted, and resets those that wait when their listener closes. Callers then met a reset at a stopped daemon (1 of 29 runs of TestStopUnderLoad), and could not tell whether their request had been received. The listener now accepts what waits, has the kernel open no more in the same step, and serves those connections before it ends.

Ruled out: a longer time between listener and connections, which does not reach what was never accepted; lowering the backlog, which drops but does not end it.

TestDrainingListener has 20 connections wait; with the plain listener none of them can be accepted after the close.

--- a/daemon/fronts.go
+++ b/daemon/fronts.go
@@ -66,6 +66,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen for %ss", l.name)
 		}
+		if t, ok := listener.(*net.TCPListener); ok {
+			listener = &drainingListener{TCPListener: t}
+		}
 		if l.tls != nil {
 			listener = tls.NewListener(listener, l.tls)
 		}
