--- a/cmd/fescuelatch-load/cost/target.go
+++ b/cmd/fescuelatch-load/cost/target.go
@@ -48,6 +48,9 @@
 	// claims and for sessions.
 	leasesEach    = 2.0
 	secondsOfHour = 3600.0
+	// copiesOfBill is the number of daemons that hold a copy. In the base size
+	// there is one other daemon.
+	copiesOfBill = 2.0
 )
 
 // Estimate is what today's code would cost one daemon at a target.
@@ -112,7 +115,7 @@
 func (s *Slopes) bytes(t Target, e *Estimate) {
 	e.BeatBytes = e.Beats * (s.HeartbeatBytes + s.HeartbeatBytesPerVersion*t.Versions)
 	e.LoadedBytes = e.Beats * max(0, s.LoadedBytesPerVersion-s.HeartbeatBytesPerVersion) * t.Versions
-	e.CopyBytes = e.Requests * s.CopyBytesPerRequest
+	e.CopyBytes = e.Requests * copiesOfBill * s.CopyBytesPerRequest
 	e.RatingBytes = e.Requests * s.RatingBytesPerRequest
 	e.ReportBytes = e.Owned * s.BusyReportBytes
 	e.FollowerBytes = s.FollowerBytes * followersEach / e.Members
