--- /dev/null
+++ b/report.go
@@ -0,0 +1,57 @@
+package fescuelatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// This file defines the load reports of endpoints.
+
+// LoadReport is what an endpoint says of itself. It arrives with a lag.
+type LoadReport struct {
+	Endpoint    EndpointID    `json:"endpoint"`
+	Incarnation Incarnation   `json:"incarnation"`
+	State       EndpointState `json:"state"`
+	Running     int           `json:"running"`
+	Waiting     int           `json:"waiting"`
+	Slots       int           `json:"slots"`
+	Versions    []VersionID   `json:"versions,omitempty"`
+	Generated   time.Time     `json:"generated"`
+}
+
+// EndpointState is the state that an endpoint reports.
+type EndpointState string
+
+// States that endpoints report.
+const (
+	EndpointCold    EndpointState = "cold"
+	EndpointWarm    EndpointState = "warm"
+	EndpointLeaving EndpointState = "leaving"
+)
+
+// maxReported bounds the counts of a report, so that their sum is a number.
+const maxReported = 1 << 20
+
+type loadReportMembers LoadReport
+
+// UnmarshalJSON decodes a report and checks it: its state must be known and
+// its counts must be from 0 to 1,048,576.
+func (r *LoadReport) UnmarshalJSON(b []byte) error {
+	const op = "decode load report"
+	var v loadReportMembers
+	if err := json.Unmarshal(b, &v); err != nil {
+		return &Error{Op: op, Kind: KindInvalid, Err: err}
+	}
+	switch v.State {
+	case EndpointCold, EndpointWarm, EndpointLeaving:
+	default:
+		return &Error{Op: op, Kind: KindInvalid, Err: errors.Errorf("unknown state %q", v.State)}
+	}
+	if min(v.Running, v.Waiting, v.Slots) < 0 || max(v.Running, v.Waiting, v.Slots) > maxReported {
+		return &Error{Op: op, Kind: KindInvalid, Err: errors.New("a count is out of range")}
+	}
+	*r = LoadReport(v)
+	return nil
+}
--- a/request.go
+++ b/request.go
@@ -106,28 +106,6 @@
 	Unsent bool `json:"unsent,omitempty"`
 }
 
-// LoadReport is what an endpoint says of itself. It arrives with a lag.
-type LoadReport struct {
-	Endpoint    EndpointID    `json:"endpoint"`
-	Incarnation Incarnation   `json:"incarnation"`
-	State       EndpointState `json:"state"`
-	Running     int           `json:"running"`
-	Waiting     int           `json:"waiting"`
-	Slots       int           `json:"slots"`
-	Versions    []VersionID   `json:"versions,omitempty"`
-	Generated   time.Time     `json:"generated"`
-}
-
-// EndpointState is the state that an endpoint reports.
-type EndpointState string
-
-// States that endpoints report.
-const (
-	EndpointCold    EndpointState = "cold"
-	EndpointWarm    EndpointState = "warm"
-	EndpointLeaving EndpointState = "leaving"
-)
-
 // Bill is the record of one answered request.
 type Bill struct {
 	Request      RequestID   `json:"request"`
