An attempt is checked for the account's right when it is sent

Cause: after a pause a daemon asks for a later configuration before it sends, but then looked at withdrawals and endpoints only. A request that had been placed by the old configuration ran on a model that its account had lost.

View.MayRun is the one place for the check, in place of a part of it in decision and another in daemon.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -51,7 +51,7 @@
 		s.repeat(r, l)
 		return
 	}
-	if !s.daemon.mayStart(ctx, r, decided) || !l.Dispatch() {
+	if !s.mayStart(ctx, r, decided) || !l.Dispatch() {
 		s.release(ctx, l)
 		s.notStarted(r, errors.New("too late after the decision to start"))
 		return
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -60,7 +60,7 @@
 
 // attempt sends the request to t and tells the core how it ended.
 func (s *serving) attempt(ctx context.Context, t engine.Target, r fescuelatch.AttemptResult, decided time.Time) {
-	if !s.daemon.mayStart(ctx, r, decided) {
+	if !s.mayStart(ctx, r, decided) {
 		s.notStarted(r, errors.New("too late after the decision to start"))
 		return
 	}
@@ -94,10 +94,11 @@
 // mayStart reports whether an attempt may still be sent. The process may
 // have been paused, a claim may have taken long, or a configuration may have
 // come into force since the decision.
-func (d *Daemon) mayStart(ctx context.Context, r fescuelatch.AttemptResult, decided time.Time) bool {
+func (s *serving) mayStart(ctx context.Context, r fescuelatch.AttemptResult, decided time.Time) bool {
+	d := s.daemon
 	d.awaitFresh(ctx)
 	v := d.holder.View()
-	if v.Withdrawn(r.Version) {
+	if !v.MayRun(s.call.Request, r.Version) {
 		return false
 	}
 	now := time.Now()
--- a/decision/place.go
+++ b/decision/place.go
@@ -94,17 +94,7 @@
 
 // usable reports whether the request may still run on the current version,
 // or use its plain service.
-func (c *Core) usable(q *request) bool {
-	account, ok := c.view.Account(q.Account)
-	if !ok {
-		return false
-	}
-	if q.IsService() {
-		return c.view.AllowedService(account, q.Service)
-	}
-	v, ok := c.view.Version(q.plan[q.step])
-	return ok && c.view.Allowed(account, v) && !c.view.Withdrawn(v.ID)
-}
+func (c *Core) usable(q *request) bool { return c.view.MayRun(q.Request, q.plan[q.step]) }
 
 func (c *Core) noSpot(q *request) Reason {
 	if len(q.tried) > 0 {
--- a/fleet/operator.go
+++ b/fleet/operator.go
@@ -108,6 +108,7 @@
 	to := *from
 	to.Overrides = cloneOverrides(from.Overrides)
 	to.Inventory.Versions = slices.Clone(from.Inventory.Versions)
+	to.Rules.Accounts = slices.Clone(from.Rules.Accounts)
 	edit(&to)
 	c := newChange(from, &to)
 	if c.Empty() {
--- a/view.go
+++ b/view.go
@@ -181,6 +181,20 @@
 	return false
 }
 
+// MayRun reports whether the account of q may have it run on version m, which
+// must not be withdrawn, or may use its plain service.
+func (v *View) MayRun(q *Request, m VersionID) bool {
+	a, ok := v.Account(q.Account)
+	if !ok {
+		return false
+	}
+	if q.IsService() {
+		return v.AllowedService(a, q.Service)
+	}
+	version, ok := v.Version(m)
+	return ok && v.Allowed(a, version) && !v.Withdrawn(m)
+}
+
 // Withdrawn reports whether a version gets no new work.
 func (v *View) Withdrawn(m VersionID) bool { return v.withdrawn[m] }
 
