--- a/daemon/bills.go
+++ b/daemon/bills.go
@@ -13,6 +13,7 @@
 	"fescuelatch"
 	"fescuelatch/billing"
 	"fescuelatch/decision"
+	"fescuelatch/internal/pause"
 	"fescuelatch/peer"
 )
 
@@ -263,6 +264,6 @@
 		d.log.Error("copies of bills are left behind", "error", err.Error(), "waiting", d.keeper.Stats().Waiting)
 	}
 	for d.claims.Stats().Waiting > 0 && ctx.Err() == nil {
-		pause(ctx, tickInterval)
+		pause.For(ctx, tickInterval)
 	}
 }
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -11,6 +11,7 @@
 	"fescuelatch/chart"
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
+	"fescuelatch/internal/pause"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
 )
@@ -60,7 +61,7 @@
 func (d *Daemon) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !d.isFollower() {
-			pause(ctx, followInterval)
+			pause.For(ctx, followInterval)
 			continue
 		}
 		watching, cancel := context.WithCancel(ctx)
@@ -88,7 +89,7 @@
 
 func (d *Daemon) resignWhenSuperseded(ctx context.Context, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
-		pause(ctx, followInterval)
+		pause.For(ctx, followInterval)
 		if !d.isFollower() {
 			cancel()
 		}
@@ -244,11 +245,3 @@
 	}
 	return configstore.Peer{VM: vm, Since: since}
 }
-
-// pause waits for t or the end of ctx.
-func pause(ctx context.Context, t time.Duration) {
-	select {
-	case <-time.After(t):
-	case <-ctx.Done():
-	}
-}
