--- a/billing/bench_test.go
+++ b/billing/bench_test.go
@@ -12,8 +12,8 @@
 
 	"fescuelatch"
 	"fescuelatch/billing"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file measures what bills cost: calls, bytes and the wait for a copy.
@@ -49,7 +49,7 @@
 	k := newKeeper(kv)
 	k.HoldTime = time.Hour
 	p := &countingCopier{peer: peer{name: "peer", keeper: k}}
-	l := &billing.Ledger{Origin: "0b9d1c52-5a0e-4b0a-9a53-6d3c2c1f7a11", Submitter: platform.Direct{Transactor: kv}, Copier: p, FlushInterval: time.Second}
+	l := &billing.Ledger{Origin: "0b9d1c52-5a0e-4b0a-9a53-6d3c2c1f7a11", Submitter: keyvalue.Direct{Transactor: kv}, Copier: p, FlushInterval: time.Second}
 	run(b, l.Run)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
--- a/billing/billing_test.go
+++ b/billing/billing_test.go
@@ -15,8 +15,8 @@
 
 	"fescuelatch"
 	"fescuelatch/billing"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests a ledger with one peer against a key-value service in
@@ -66,14 +66,14 @@
 
 func newKeeper(kv *memory.KV) *billing.Keeper {
 	return &billing.Keeper{
-		Submitter: platform.Direct{Transactor: kv}, Now: time.Now,
+		Submitter: keyvalue.Direct{Transactor: kv}, Now: time.Now,
 		HoldTime: 20 * time.Millisecond, Pause: 5 * time.Millisecond,
 	}
 }
 
 func newLedger(kv *memory.KV, c billing.Copier) *billing.Ledger {
 	return &billing.Ledger{
-		Origin: "origin", Submitter: platform.Direct{Transactor: kv}, Copier: c,
+		Origin: "origin", Submitter: keyvalue.Direct{Transactor: kv}, Copier: c,
 		Interval: time.Millisecond, FlushInterval: 10 * time.Millisecond,
 	}
 }
--- a/billing/copies_test.go
+++ b/billing/copies_test.go
@@ -12,7 +12,7 @@
 
 	"fescuelatch"
 	"fescuelatch/billing"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests how many copies a batch has before its bills are safe.
--- a/billing/keeper.go
+++ b/billing/keeper.go
@@ -11,7 +11,7 @@
 
 	"fescuelatch"
 	"fescuelatch/internal/pause"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the keeper of the copies that a daemon holds for others.
@@ -27,7 +27,7 @@
 // origins have not written within HoldTime. Submitter and Now are required.
 // It is safe for concurrent use.
 type Keeper struct {
-	Submitter platform.Submitter
+	Submitter keyvalue.Submitter
 	Now       func() time.Time
 	// Copier, when set, takes what Flush cannot write, and copies of which no
 	// other daemon is known to have one.
--- a/billing/ledger.go
+++ b/billing/ledger.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the ledger of the bills of one daemon.
@@ -54,7 +54,7 @@
 // running for Record to return.
 type Ledger struct {
 	Origin    fescuelatch.Incarnation
-	Submitter platform.Submitter
+	Submitter keyvalue.Submitter
 	Copier    Copier
 	// Interval is the least time between two batches. Bills that come
 	// meanwhile are put into the next one.
--- a/billing/machine_test.go
+++ b/billing/machine_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"fescuelatch"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests, as a state machine, that each bill that was safe arrives
@@ -31,7 +31,7 @@
 type machine struct {
 	kv      *memory.KV
 	network *memory.Network
-	submit  platform.Submitter
+	submit  keyvalue.Submitter
 	now     time.Time
 	daemons [3]*daemon
 	started int
@@ -46,14 +46,14 @@
 	silent map[fescuelatch.Incarnation]bool
 }
 
-func newMachine(mutate func(platform.Submitter) platform.Submitter) *machine {
+func newMachine(mutate func(keyvalue.Submitter) keyvalue.Submitter) *machine {
 	kv := new(memory.KV)
 	m := &machine{
 		kv: kv, network: &memory.Network{KV: kv}, now: time.Date(2026, 11, 30, 12, 0, 0, 0, time.UTC),
 		waiting: make(map[string]*pending), safe: make(map[string]bool),
 		keyed: make(map[string]fescuelatch.RequestID), silent: make(map[fescuelatch.Incarnation]bool),
 	}
-	m.submit = platform.Direct{Transactor: m.network}
+	m.submit = keyvalue.Direct{Transactor: m.network}
 	if mutate != nil {
 		m.submit = mutate(m.submit)
 	}
--- a/billing/writer.go
+++ b/billing/writer.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines how batches are written to the platform, each once.
@@ -68,7 +68,7 @@
 
 // write brings batches of one origin to the platform and returns when they
 // all are there. When it fails some may be.
-func (w *writer) write(ctx context.Context, s platform.Submitter, o fescuelatch.Incarnation, batches []Batch) error {
+func (w *writer) write(ctx context.Context, s keyvalue.Submitter, o fescuelatch.Incarnation, batches []Batch) error {
 	for range maxSwaps {
 		k := w.recall(o)
 		missing := without(batches, k.written)
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -9,8 +9,8 @@
 
 	"fescuelatch"
 	"fescuelatch/claim"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file measures the cost of a claim and how many calls to the platform
@@ -22,7 +22,7 @@
 	calls atomic.Int64
 }
 
-// Txn implements platform.Transactor.
+// Txn implements keyvalue.Transactor.
 func (k *counted) Txn(ctx context.Context, t fescuelatch.KVTxn) (fescuelatch.KVTxnResult, error) {
 	k.calls.Add(1)
 	return k.KV.Txn(ctx, t)
@@ -34,11 +34,11 @@
 	for _, parallel := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("direct/parallel=%d", parallel), func(b *testing.B) {
 			k := &counted{KV: new(memory.KV)}
-			benchmarkClaim(b, k, platform.Direct{Transactor: k}, parallel)
+			benchmarkClaim(b, k, keyvalue.Direct{Transactor: k}, parallel)
 		})
 		b.Run(fmt.Sprintf("batched/parallel=%d", parallel), func(b *testing.B) {
 			k := &counted{KV: new(memory.KV)}
-			t := &platform.Batcher{KV: k}
+			t := &keyvalue.Batcher{KV: k}
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
 			go func() { defer close(done); t.Run(ctx) }()
@@ -49,7 +49,7 @@
 	}
 }
 
-func benchmarkClaim(b *testing.B, k *counted, s platform.Submitter, parallel int) {
+func benchmarkClaim(b *testing.B, k *counted, s keyvalue.Submitter, parallel int) {
 	b.Helper()
 	r := &claim.Claimer{Submitter: s, Granter: k, Now: time.Now, MaxTime: time.Second}
 	var next atomic.Int64
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -9,7 +9,7 @@
 
 	"fescuelatch"
 	"fescuelatch/internal/pause"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines a claim and how it ends.
@@ -235,7 +235,7 @@
 			continue
 		}
 		c.postpone(l)
-		if !pause.For(ctx, max(platform.RetryAfter(err), backlogPause)) {
+		if !pause.For(ctx, max(keyvalue.RetryAfter(err), backlogPause)) {
 			return
 		}
 	}
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -10,8 +10,8 @@
 
 	"fescuelatch"
 	"fescuelatch/claim"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests single claims and what their repeats are told.
@@ -24,7 +24,7 @@
 func (k *clock) Now() time.Time { return k.now }
 
 func newClaimer(kv *memory.KV, k *clock) *claim.Claimer {
-	return &claim.Claimer{Submitter: platform.Direct{Transactor: kv}, Granter: kv, Now: k.Now, MaxTime: 100 * time.Millisecond}
+	return &claim.Claimer{Submitter: keyvalue.Direct{Transactor: kv}, Granter: kv, Now: k.Now, MaxTime: 100 * time.Millisecond}
 }
 
 func request(claimant string) claim.Request {
@@ -204,7 +204,7 @@
 
 // slowWrite is a Submitter during whose calls time passes.
 type slowWrite struct {
-	platform.Direct
+	keyvalue.Direct
 	clock *clock
 	takes time.Duration
 }
@@ -229,7 +229,7 @@
 			c := qt.New(t)
 			kv, k := new(memory.KV), &clock{now: start}
 			r := newClaimer(kv, k)
-			r.Submitter = slowWrite{platform.Direct{Transactor: kv}, k, test.takes}
+			r.Submitter = slowWrite{keyvalue.Direct{Transactor: kv}, k, test.takes}
 			_, err := r.Claim(context.Background(), request("first"))
 			c.Check(claim.KindOf(err), qt.Equals, test.kind)
 		})
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -10,7 +10,7 @@
 
 	"fescuelatch"
 	"fescuelatch/internal/pause"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines how claims are made.
@@ -68,8 +68,8 @@
 // safe for concurrent use. Run must be running for claims that were given up
 // to be released.
 type Claimer struct {
-	Submitter platform.Submitter
-	Granter   platform.Granter
+	Submitter keyvalue.Submitter
+	Granter   keyvalue.Granter
 	Now       func() time.Time
 	// Common tells the time that daemons have in common, by which dated keys
 	// and the deadlines of claims go; nil means Now.
@@ -84,7 +84,7 @@
 	Backlog int
 
 	mu      sync.Mutex
-	leases  *platform.EpochLeases
+	leases  *keyvalue.EpochLeases
 	backlog []*Claim
 	wake    chan struct{}
 	stats   Stats
@@ -178,11 +178,11 @@
 	return c.Common()
 }
 
-func (c *Claimer) epochLeases() *platform.EpochLeases {
+func (c *Claimer) epochLeases() *keyvalue.EpochLeases {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leases == nil {
-		c.leases = &platform.EpochLeases{Granter: c.Granter, Now: c.Now, Retention: c.retention()}
+		c.leases = &keyvalue.EpochLeases{Granter: c.Granter, Now: c.Now, Retention: c.retention()}
 	}
 	return c.leases
 }
@@ -200,7 +200,7 @@
 	c.mu.Lock()
 	c.stats.NotMade++
 	c.mu.Unlock()
-	after := orDefault(platform.RetryAfter(err), defaultRetryAfter)
+	after := orDefault(keyvalue.RetryAfter(err), defaultRetryAfter)
 	return &Error{Op: opClaim, Kind: KindNotMade, RetryAfter: after, Err: err}
 }
 
@@ -242,13 +242,13 @@
 				return err
 			}
 			continue
-		case platform.KindOf(err) == platform.KindInvalid:
+		case keyvalue.KindOf(err) == keyvalue.KindInvalid:
 			c.epochLeases().Drop(l.lease)
 		}
-		if platform.NoEffect(err) && !unknown {
+		if keyvalue.NoEffect(err) && !unknown {
 			return c.notMade(err)
 		}
-		unknown = unknown || !platform.NoEffect(err)
+		unknown = unknown || !keyvalue.NoEffect(err)
 		if !pause.For(ctx, retryPause) {
 			l.giveUp()
 			return c.notMade(err)
--- a/claim/dated_test.go
+++ b/claim/dated_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch/claim"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests that a dated key is refused before its claim can have gone,
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -7,15 +7,15 @@
 
 	"fescuelatch"
 	"fescuelatch/claim"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // A ban is claimed, dispatched once and recorded. Its repeat is told the
 // answer and not dispatched.
 func ExampleClaimer() {
 	kv := new(memory.KV)
-	c := &claim.Claimer{Submitter: platform.Direct{Transactor: kv}, Granter: kv, Now: time.Now}
+	c := &claim.Claimer{Submitter: keyvalue.Direct{Transactor: kv}, Granter: kv, Now: time.Now}
 	ctx := context.Background()
 	r := claim.Request{
 		Account: "musanze-desk", Key: "ban-4711", Fingerprint: claim.Fingerprint([]byte(`{"user":"4711"}`)),
--- a/claim/linearizable_test.go
+++ b/claim/linearizable_test.go
@@ -13,8 +13,8 @@
 
 	"fescuelatch"
 	"fescuelatch/claim"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests that concurrent claims of a key are linearizable.
@@ -116,7 +116,7 @@
 
 func record(seed uint64) []porcupine.Operation {
 	kv := &memory.KV{Faults: faults(seed)}
-	b := &platform.Batcher{KV: kv, Interval: time.Millisecond}
+	b := &keyvalue.Batcher{KV: kv, Interval: time.Millisecond}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { b.Run(ctx) })
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"fescuelatch"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests, as a state machine, that no key is dispatched twice, with
@@ -26,7 +26,7 @@
 type machine struct {
 	kv       *memory.KV
 	network  *memory.Network
-	submit   platform.Submitter
+	submit   keyvalue.Submitter
 	now      time.Time
 	claimers [2]*Claimer
 	claimant int
@@ -38,13 +38,13 @@
 
 // newMachine returns a machine of which mutate, if set, alters the claimers'
 // way to the platform, so that a test can show what a fault does.
-func newMachine(mutate func(*machine, platform.Submitter) platform.Submitter) *machine {
+func newMachine(mutate func(*machine, keyvalue.Submitter) keyvalue.Submitter) *machine {
 	kv := new(memory.KV)
 	m := &machine{
 		kv: kv, network: &memory.Network{KV: kv}, sent: make(map[string]int),
 		now: time.Date(2026, 11, 30, 12, 0, 0, 0, time.UTC),
 	}
-	m.submit = platform.Direct{Transactor: m.network}
+	m.submit = keyvalue.Direct{Transactor: m.network}
 	if mutate != nil {
 		m.submit = mutate(m, m.submit)
 	}
@@ -185,7 +185,7 @@
 }
 
 // deletesReleased releases by deletion in place of a released record.
-func deletesReleased(_ *machine, s platform.Submitter) platform.Submitter {
+func deletesReleased(_ *machine, s keyvalue.Submitter) keyvalue.Submitter {
 	return submitterFunc(func(ctx context.Context, t fescuelatch.KVTxn) (fescuelatch.KVTxnResult, error) {
 		if p := t.Then[0].Put; p != nil {
 			if r, err := decode(fescuelatch.KeyValue{Value: p.Value}); err == nil && r.Status == statusReleased {
@@ -198,7 +198,7 @@
 
 // takesOverLapsed treats a claim of which the deadline has passed as free, as
 // a lease would be.
-func takesOverLapsed(m *machine, s platform.Submitter) platform.Submitter {
+func takesOverLapsed(m *machine, s keyvalue.Submitter) keyvalue.Submitter {
 	return submitterFunc(func(ctx context.Context, t fescuelatch.KVTxn) (fescuelatch.KVTxnResult, error) {
 		res, err := s.Submit(ctx, t)
 		kv, ok := found(res)
@@ -215,10 +215,10 @@
 }
 
 // trustsLost takes a lost answer for a success.
-func trustsLost(_ *machine, s platform.Submitter) platform.Submitter {
+func trustsLost(_ *machine, s keyvalue.Submitter) keyvalue.Submitter {
 	return submitterFunc(func(ctx context.Context, t fescuelatch.KVTxn) (fescuelatch.KVTxnResult, error) {
 		res, err := s.Submit(ctx, t)
-		if err != nil && platform.KindOf(err) == platform.KindUnknown {
+		if err != nil && keyvalue.KindOf(err) == keyvalue.KindUnknown {
 			return fescuelatch.KVTxnResult{Succeeded: true}, nil
 		}
 		return res, err
@@ -256,7 +256,7 @@
 	setFlag(t, "rapid.shrinktime", "0s")
 	tests := []struct {
 		name   string
-		mutate func(*machine, platform.Submitter) platform.Submitter
+		mutate func(*machine, keyvalue.Submitter) keyvalue.Submitter
 	}{
 		{"take-over after the deadline", takesOverLapsed},
 		{"lost answer trusted", trustsLost},
@@ -278,7 +278,7 @@
 func TestReleaseByDeletionIsUnsafe(t *testing.T) {
 	tests := []struct {
 		name   string
-		mutate func(*machine, platform.Submitter) platform.Submitter
+		mutate func(*machine, keyvalue.Submitter) keyvalue.Submitter
 		state  State
 	}{
 		{"record stays", nil, StateMine},
--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -24,8 +24,9 @@
 	"fescuelatch"
 	"fescuelatch/daemon"
 	"fescuelatch/decision"
+	"fescuelatch/etcd"
+	"fescuelatch/keyvalue"
 	"fescuelatch/peer"
-	"fescuelatch/platform"
 	"fescuelatch/rating"
 	"fescuelatch/vmlist"
 )
@@ -96,11 +97,11 @@
 	incarnation := fescuelatch.Incarnation(uuid.NewString())
 	vm := fescuelatch.VMID(s.VM)
 	domain := fescuelatch.DomainID(s.Domain)
-	clock := platform.NewClock(time.Now())
+	clock := keyvalue.NewClock(time.Now())
 	return &daemon.Options{
 		VM: vm, Domain: domain, Incarnation: incarnation, Seeds: s.Seeds,
 		FleetKeys: s.fleet, Sessions: s.sessions, Dialer: dialer,
-		KV:    &platform.Client{Server: server, HTTP: client(daemon.TrafficPlatform), Timeout: platformTimeout, Clock: clock},
+		KV:    &etcd.Client{Server: server, HTTP: client(daemon.TrafficPlatform), Timeout: platformTimeout, Clock: clock},
 		Clock: clock,
 		VMs:   &vmlist.Client{HTTP: client(daemon.TrafficList), URL: s.VMs},
 		Rater: &rating.Client{HTTP: client(daemon.TrafficRating), URL: s.Rating},
--- a/cmd/standin/contract_test.go
+++ b/cmd/standin/contract_test.go
@@ -20,8 +20,9 @@
 	"fescuelatch/cmd/standin/service"
 	"fescuelatch/cmd/standin/vms"
 	engineclient "fescuelatch/engine"
+	"fescuelatch/etcd"
+	"fescuelatch/keyvalue"
 	"fescuelatch/openai"
-	"fescuelatch/platform"
 	ratingclient "fescuelatch/rating"
 	"fescuelatch/vmlist"
 )
@@ -34,10 +35,10 @@
 	return ctx
 }
 
-func startPlatform(c *qt.C) (*platform.Client, string) {
+func startPlatform(c *qt.C) (*etcd.Client, string) {
 	url := servertest.Start(c, kv.NewPlatform(kv.Faults{}).Handler())
 	server := netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))
-	return &platform.Client{Server: server}, url
+	return &etcd.Client{Server: server}, url
 }
 
 func create(key, value string) fescuelatch.KVTxn {
@@ -85,15 +86,15 @@
 	c := qt.New(t)
 	tests := []struct {
 		faults string
-		kind   platform.ErrorKind
+		kind   keyvalue.ErrorKind
 		took   bool
 	}{
-		{`{"lost-answer":{"next":1}}`, platform.KindUnknown, true},
-		{`{"lost-answer":{"next":1},"lost-answer-mode":"timed-out"}`, platform.KindUnknown, true},
-		{`{"outage":"refuse"}`, platform.KindUnknown, false},
-		{`{"outage":"hang"}`, platform.KindUnknown, false},
-		{`{"outage":"unavailable"}`, platform.KindUnavailable, false},
-		{`{"write-rate":0.001}`, platform.KindLimited, false},
+		{`{"lost-answer":{"next":1}}`, keyvalue.KindUnknown, true},
+		{`{"lost-answer":{"next":1},"lost-answer-mode":"timed-out"}`, keyvalue.KindUnknown, true},
+		{`{"outage":"refuse"}`, keyvalue.KindUnknown, false},
+		{`{"outage":"hang"}`, keyvalue.KindUnknown, false},
+		{`{"outage":"unavailable"}`, keyvalue.KindUnavailable, false},
+		{`{"write-rate":0.001}`, keyvalue.KindLimited, false},
 	}
 	for _, test := range tests {
 		comment := qt.Commentf("%s", test.faults)
@@ -101,12 +102,12 @@
 		kvs, url := startPlatform(c)
 		kvs.Timeout = time.Second
 		servertest.Post(url+"/faults", test.faults, nil)
-		if test.kind == platform.KindLimited {
+		if test.kind == keyvalue.KindLimited {
 			_, err := kvs.Txn(ctx, create("first", "1"))
 			c.Assert(err, qt.IsNil, comment)
 		}
 		_, err := kvs.Txn(ctx, create("a", "1"))
-		c.Assert(platform.KindOf(err), qt.Equals, test.kind, comment)
+		c.Assert(keyvalue.KindOf(err), qt.Equals, test.kind, comment)
 		servertest.Post(url+"/faults", `{"outage":""}`, nil)
 		v, err := kvs.Get(ctx, "a")
 		c.Assert(err, qt.IsNil, comment)
--- a/configstore/errors.go
+++ b/configstore/errors.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the error type of this package.
@@ -86,5 +86,5 @@
 	if errors.As(err, &e) {
 		return err
 	}
-	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: platform.RetryAfter(err), Err: err}
+	return &Error{Op: op, Kind: KindUnavailable, RetryAfter: keyvalue.RetryAfter(err), Err: err}
 }
--- a/configstore/example_test.go
+++ b/configstore/example_test.go
@@ -7,7 +7,7 @@
 
 	"fescuelatch"
 	"fescuelatch/configstore"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // Two operators change the same generation. The second one learns which change
--- a/configstore/holder_test.go
+++ b/configstore/holder_test.go
@@ -13,7 +13,7 @@
 
 	"fescuelatch"
 	"fescuelatch/configstore"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests holders, followers and the start of a daemon.
--- a/configstore/linearizable_test.go
+++ b/configstore/linearizable_test.go
@@ -15,7 +15,7 @@
 
 	"fescuelatch"
 	"fescuelatch/configstore"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests that the changes of many operators at once are linearizable.
--- a/configstore/machine_test.go
+++ b/configstore/machine_test.go
@@ -10,7 +10,7 @@
 
 	"fescuelatch"
 	"fescuelatch/configstore"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests racing operators against lost, late and refused writes, as
--- a/configstore/propose.go
+++ b/configstore/propose.go
@@ -10,7 +10,7 @@
 
 	"fescuelatch"
 	"fescuelatch/internal/pause"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines how a change is proposed and how its outcome is decided
@@ -134,12 +134,12 @@
 
 // unwritten returns the error for a write that failed.
 func (p *proposal) unwritten(err error) error {
-	e := &Error{Op: opPropose, Kind: KindUnavailable, RetryAfter: platform.RetryAfter(err), Err: err}
-	switch platform.KindOf(err) {
-	case platform.KindUnknown:
+	e := &Error{Op: opPropose, Kind: KindUnavailable, RetryAfter: keyvalue.RetryAfter(err), Err: err}
+	switch keyvalue.KindOf(err) {
+	case keyvalue.KindUnknown:
 		p.unknown = true
 		e.Kind = KindUnknown
-	case platform.KindInvalid:
+	case keyvalue.KindInvalid:
 		e.Kind = KindInvalid
 	}
 	return e
--- a/configstore/store_test.go
+++ b/configstore/store_test.go
@@ -11,7 +11,7 @@
 
 	"fescuelatch"
 	"fescuelatch/configstore"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests the store with one operator, or two that race.
--- a/daemon/clock_test.go
+++ b/daemon/clock_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 	"fescuelatch/quality"
 )
 
@@ -18,11 +18,11 @@
 // answered.
 type wrongClock struct {
 	by    time.Duration
-	clock *platform.Clock
+	clock *keyvalue.Clock
 }
 
 func newWrongClock(by time.Duration) *wrongClock {
-	w := &wrongClock{by: by, clock: platform.NewClock(epoch.Add(by))}
+	w := &wrongClock{by: by, clock: keyvalue.NewClock(epoch.Add(by))}
 	w.clock.Answered(w.at(time.Minute), epoch.Add(time.Minute))
 	return w
 }
@@ -65,7 +65,7 @@
 func TestOwnTimeDoesNotStep(t *testing.T) {
 	c := qt.New(t)
 	now := time.Now()
-	k := platform.NewClock(now.Add(-time.Hour))
+	k := keyvalue.NewClock(now.Add(-time.Hour))
 	own := inOwnTime(k, inCommonTime(k, []fescuelatch.Evidence{{Since: now.Add(-time.Minute), Updated: now}}))
 	// Equal times with the same monotonic reading.
 	c.Check(own[0].Updated, qt.Equals, now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,9 +28,9 @@
 	"fescuelatch/decision"
 	"fescuelatch/engine"
 	"fescuelatch/fleetkey"
+	"fescuelatch/keyvalue"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
-	"fescuelatch/platform"
 	"fescuelatch/session"
 	"fescuelatch/token"
 )
@@ -51,7 +51,7 @@
 	KV        fescuelatch.KV
 	// Clock tells the time that daemons have in common; nil means that of
 	// this VM.
-	Clock   *platform.Clock
+	Clock   *keyvalue.Clock
 	VMs     fescuelatch.VMList
 	Rater   fescuelatch.Rater
 	Core    decision.Options
@@ -91,7 +91,7 @@
 	reporters *engine.Client
 	metrics   *metrics
 
-	batcher  *platform.Batcher
+	batcher  *keyvalue.Batcher
 	claims   *claim.Claimer
 	ledger   *billing.Ledger
 	keeper   *billing.Keeper
@@ -149,7 +149,7 @@
 func New(o Options) (*Daemon, error) {
 	now := time.Now()
 	if o.Clock == nil {
-		o.Clock = platform.NewClock(now)
+		o.Clock = keyvalue.NewClock(now)
 	}
 	t, err := ownership.New(o.VM, o.Incarnation, ownership.Settings{}, now)
 	if err != nil {
@@ -190,8 +190,8 @@
 
 // keep sets up what is kept at the platform.
 func (d *Daemon) keep(o Options) {
-	d.batcher = &platform.Batcher{KV: o.KV, Interval: batchInterval}
-	relay := &platform.Relay{Local: d.batcher, Remote: d.remote}
+	d.batcher = &keyvalue.Batcher{KV: o.KV, Interval: batchInterval}
+	relay := &keyvalue.Relay{Local: d.batcher, Remote: d.remote}
 	d.claims = &claim.Claimer{Submitter: relay, Granter: o.KV, Now: time.Now, Common: o.Clock.Now, MaxTime: claimTimeout}
 	d.bindings = &session.Store{Submitter: relay, Granter: o.KV, Now: time.Now, Common: o.Clock.Now, MaxTime: claimTimeout}
 	d.ledger = &billing.Ledger{
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -32,10 +32,10 @@
 	"fescuelatch/decision"
 	"fescuelatch/fleetkey"
 	"fescuelatch/gate"
+	"fescuelatch/keyvalue/memory"
 	"fescuelatch/operator"
 	"fescuelatch/peer"
 	"fescuelatch/placement"
-	"fescuelatch/platform/memory"
 	"fescuelatch/quality"
 	"fescuelatch/token"
 )
--- a/daemon/evidence.go
+++ b/daemon/evidence.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines which evidence two daemons tell each other: only what
@@ -56,13 +56,13 @@
 }
 
 // inCommonTime returns evidence with its times as all daemons tell them.
-func inCommonTime(k *platform.Clock, es []fescuelatch.Evidence) []fescuelatch.Evidence {
+func inCommonTime(k *keyvalue.Clock, es []fescuelatch.Evidence) []fescuelatch.Evidence {
 	return redated(es, k.Common)
 }
 
 // inOwnTime returns another daemon's evidence with its times as this process
 // tells them.
-func inOwnTime(k *platform.Clock, es []fescuelatch.Evidence) []fescuelatch.Evidence {
+func inOwnTime(k *keyvalue.Clock, es []fescuelatch.Evidence) []fescuelatch.Evidence {
 	return redated(es, k.Own)
 }
 
--- a/daemon/list_test.go
+++ b/daemon/list_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests that one daemon of a failure domain reads the list of VMs,
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -15,9 +15,9 @@
 	"fescuelatch/configstore"
 	"fescuelatch/decision"
 	"fescuelatch/gate"
+	"fescuelatch/keyvalue"
 	"fescuelatch/operator"
 	"fescuelatch/ownership"
-	"fescuelatch/platform"
 )
 
 // This file defines what a daemon answers to operators.
@@ -213,7 +213,7 @@
 	Gate        any                         `json:"gate,omitempty"`
 	Bills       billing.Stats               `json:"bills"`
 	Copies      billing.KeeperStats         `json:"bill-copies"`
-	Batches     platform.BatcherStats       `json:"platform-batches"`
+	Batches     keyvalue.BatcherStats       `json:"platform-batches"`
 	Reports     []fescuelatch.LoadReport    `json:"reports"`
 	Peers       []peerDump                  `json:"peers"`
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"fescuelatch/keyvalue"
 	"fescuelatch/peer"
-	"fescuelatch/platform"
 )
 
 // This file defines what a daemon answers to other daemons.
@@ -64,9 +64,9 @@
 }
 
 // Submit implements peer.Handler.
-func (p *peerHandler) Submit(r *peer.SubmitRequest, reply *platform.SubmitReply) error {
+func (p *peerHandler) Submit(r *peer.SubmitRequest, reply *keyvalue.SubmitReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Within)
 	defer cancel()
-	*reply = platform.NewSubmitReply((*Daemon)(p).batcher.Submit(ctx, r.Txn))
+	*reply = keyvalue.NewSubmitReply((*Daemon)(p).batcher.Submit(ctx, r.Txn))
 	return nil
 }
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -7,9 +7,9 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/keyvalue"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
-	"fescuelatch/platform"
 )
 
 // This file defines which daemon of a failure domain makes the calls to the
@@ -17,7 +17,7 @@
 
 // remote returns how to reach the daemon that makes the calls: the first live
 // one by identifier. It returns nil when that is this one.
-func (d *Daemon) remote() platform.Remote {
+func (d *Daemon) remote() keyvalue.Remote {
 	if !d.options.Relay || d.leaving.Load() {
 		return nil
 	}
@@ -29,7 +29,7 @@
 	if !ok {
 		return nil
 	}
-	return func(ctx context.Context, t fescuelatch.KVTxn) (platform.SubmitReply, error) {
+	return func(ctx context.Context, t fescuelatch.KVTxn) (keyvalue.SubmitReply, error) {
 		return d.submitTo(ctx, m, t)
 	}
 }
@@ -56,17 +56,17 @@
 	return first
 }
 
-func (d *Daemon) submitTo(ctx context.Context, m fescuelatch.VM, t fescuelatch.KVTxn) (platform.SubmitReply, error) {
+func (d *Daemon) submitTo(ctx context.Context, m fescuelatch.VM, t fescuelatch.KVTxn) (keyvalue.SubmitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	reply, err := d.peers.Submit(ctx, m.Peer, &peer.SubmitRequest{Txn: t, Within: claimTimeout})
 	if err == nil {
 		return *reply, nil
 	}
-	kind := platform.KindUnknown
+	kind := keyvalue.KindUnknown
 	var e *peer.Error
 	if errors.As(err, &e) && e.Op == peer.OpDial {
-		kind = platform.KindUnavailable
+		kind = keyvalue.KindUnavailable
 	}
-	return platform.SubmitReply{}, &platform.Error{Op: "relay", Kind: kind, Err: err}
+	return keyvalue.SubmitReply{}, &keyvalue.Error{Op: "relay", Kind: kind, Err: err}
 }
--- a/doc.go
+++ b/doc.go
@@ -10,7 +10,8 @@
 //	fescuelatch/gate       admission to the endpoints that a daemon owns
 //	fescuelatch/ownership  which daemon of a failure domain owns an endpoint
 //	fescuelatch/decision   the pure decision core that joins the four above
-//	fescuelatch/platform   the key-value service, and what is kept there
+//	fescuelatch/keyvalue   what works with any key-value service
+//	fescuelatch/etcd       the client of such a service by etcd's JSON gateway
 //	fescuelatch/engine, fescuelatch/service, fescuelatch/rating, fescuelatch/vmlist
 //	                       clients of the systems that the router meets
 //	fescuelatch/peer, fescuelatch/caller, fescuelatch/operator
--- a/platform/client.go
+++ b/etcd/client.go
@@ -1,4 +1,6 @@
-package platform
+// Package etcd is a client of a key-value service that speaks the published
+// JSON gateway of etcd v3.
+package etcd
 
 import (
 	"bytes"
@@ -16,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the client. Its main duty is to tell failures that
@@ -46,7 +49,7 @@
 	// Timeout replaces DefaultTimeout when set. Watches are not bounded.
 	Timeout time.Duration
 	// Clock, when set, is told the dates of answers.
-	Clock *Clock
+	Clock *keyvalue.Clock
 
 	calls atomic.Int64
 }
@@ -100,7 +103,7 @@
 		return 0, err
 	}
 	if r.Error != "" || r.ID == 0 {
-		return 0, &Error{Op: opGrant.name, Kind: KindInvalid, Err: errors.Errorf("lease %d: %s", r.ID, r.Error)}
+		return 0, &keyvalue.Error{Op: opGrant.name, Kind: keyvalue.KindInvalid, Err: errors.Errorf("lease %d: %s", r.ID, r.Error)}
 	}
 	return int64(r.ID), nil
 }
@@ -133,7 +136,7 @@
 	dec := json.NewDecoder(res.Body)
 	if err := awaitCreated(dec); err != nil {
 		closeBody(res)
-		return nil, &Error{Op: opWatch.name, Kind: KindUnavailable, Err: err}
+		return nil, &keyvalue.Error{Op: opWatch.name, Kind: keyvalue.KindUnavailable, Err: err}
 	}
 	ch := make(chan fescuelatch.KeyValue, watchBuffer)
 	go func() {
@@ -197,9 +200,9 @@
 // service has processed the call.
 func (o operation) undecoded(err error) error {
 	if o.write {
-		return &Error{Op: o.name, Kind: KindUnknown, Err: err}
+		return &keyvalue.Error{Op: o.name, Kind: keyvalue.KindUnknown, Err: err}
 	}
-	return &Error{Op: o.name, Kind: KindInvalid, Err: err}
+	return &keyvalue.Error{Op: o.name, Kind: keyvalue.KindInvalid, Err: err}
 }
 
 func writes(t fescuelatch.KVTxn) bool {
@@ -241,7 +244,7 @@
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
 	if !o.write && !errors.As(err, &syntax) && !errors.As(err, &kind) {
-		return &Error{Op: o.name, Kind: KindUnavailable, Err: errors.WithStack(err)}
+		return &keyvalue.Error{Op: o.name, Kind: keyvalue.KindUnavailable, Err: errors.WithStack(err)}
 	}
 	return o.undecoded(errors.WithStack(err))
 }
@@ -250,7 +253,7 @@
 func (c *Client) send(ctx context.Context, o operation, request any) (*http.Response, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
-		return nil, &Error{Op: o.name, Kind: KindInvalid, Err: errors.WithStack(err)}
+		return nil, &keyvalue.Error{Op: o.name, Kind: keyvalue.KindInvalid, Err: errors.WithStack(err)}
 	}
 	// Until a connection is there nothing can have been sent.
 	var connected atomic.Bool
@@ -259,21 +262,21 @@
 	})
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(o.path), bytes.NewReader(body))
 	if err != nil {
-		return nil, &Error{Op: o.name, Kind: KindInvalid, Err: errors.WithStack(err)}
+		return nil, &keyvalue.Error{Op: o.name, Kind: keyvalue.KindInvalid, Err: errors.WithStack(err)}
 	}
 	q.Header.Set("Content-Type", "application/json")
 	c.calls.Add(1)
 	began := time.Now()
 	res, err := c.client().Do(q)
 	if err == nil {
-		c.Clock.answered(began, res.Header)
+		c.Clock.Observe(began, res.Header)
 	}
 	if err != nil {
-		kind := KindUnavailable
+		kind := keyvalue.KindUnavailable
 		if o.write && connected.Load() {
-			kind = KindUnknown
+			kind = keyvalue.KindUnknown
 		}
-		return nil, &Error{Op: o.name, Kind: kind, Err: errors.WithStack(err)}
+		return nil, &keyvalue.Error{Op: o.name, Kind: kind, Err: errors.WithStack(err)}
 	}
 	if res.StatusCode != http.StatusOK {
 		defer closeBody(res)
@@ -300,21 +303,21 @@
 // refused returns the error for a response of another status than 200.
 func (o operation) refused(res *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
-	e := &Error{
+	e := &keyvalue.Error{
 		Op:         o.name,
-		Kind:       KindUnknown,
+		Kind:       keyvalue.KindUnknown,
 		RetryAfter: retryAfter(res.Header),
 		Err:        errors.Errorf("status %d: %s", res.StatusCode, strings.TrimSpace(string(text))),
 	}
 	switch {
 	case res.StatusCode == http.StatusTooManyRequests:
-		e.Kind = KindLimited
+		e.Kind = keyvalue.KindLimited
 	case res.StatusCode >= 400 && res.StatusCode < 500 && res.StatusCode != http.StatusRequestTimeout:
-		e.Kind = KindInvalid
+		e.Kind = keyvalue.KindInvalid
 	case !o.write:
-		e.Kind = KindUnavailable
+		e.Kind = keyvalue.KindUnavailable
 	case res.StatusCode == http.StatusServiceUnavailable && !ambiguous(string(text)):
-		e.Kind = KindUnavailable
+		e.Kind = keyvalue.KindUnavailable
 	}
 	return e
 }
--- a/platform/client_test.go
+++ b/etcd/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -14,16 +14,17 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/etcd"
+	"fescuelatch/keyvalue"
 )
 
 // This file tests the client against canned answers of the gateway.
 
-func serve(t *testing.T, h http.HandlerFunc) *platform.Client {
+func serve(t *testing.T, h http.HandlerFunc) *etcd.Client {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
-	return &platform.Client{
+	return &etcd.Client{
 		Server:  netip.MustParseAddrPort(s.Listener.Addr().String()),
 		HTTP:    s.Client(),
 		Timeout: 200 * time.Millisecond,
@@ -50,27 +51,27 @@
 	tests := []struct {
 		name  string
 		serve http.HandlerFunc
-		read  platform.ErrorKind
-		write platform.ErrorKind
+		read  keyvalue.ErrorKind
+		write keyvalue.ErrorKind
 	}{
-		{"rate limit", answer(429, "{}"), platform.KindLimited, platform.KindLimited},
-		{"refused at the door", answer(503, "busy"), platform.KindUnavailable, platform.KindUnavailable},
+		{"rate limit", answer(429, "{}"), keyvalue.KindLimited, keyvalue.KindLimited},
+		{"refused at the door", answer(503, "busy"), keyvalue.KindUnavailable, keyvalue.KindUnavailable},
 		{
 			"proposal timed out", answer(503, `{"message":"etcdserver: request timed out","code":14}`),
-			platform.KindUnavailable, platform.KindUnknown,
+			keyvalue.KindUnavailable, keyvalue.KindUnknown,
 		},
-		{"server error", answer(500, ""), platform.KindUnavailable, platform.KindUnknown},
-		{"gateway timeout", answer(504, ""), platform.KindUnavailable, platform.KindUnknown},
-		{"malformed", answer(400, `{"message":"key is not provided"}`), platform.KindInvalid, platform.KindInvalid},
-		{"not JSON", answer(200, "<html>"), platform.KindInvalid, platform.KindUnknown},
-		{"cut", answer(200, `{"header":{"revi`), platform.KindUnavailable, platform.KindUnknown},
-		{"silence", silent, platform.KindUnavailable, platform.KindUnknown},
+		{"server error", answer(500, ""), keyvalue.KindUnavailable, keyvalue.KindUnknown},
+		{"gateway timeout", answer(504, ""), keyvalue.KindUnavailable, keyvalue.KindUnknown},
+		{"malformed", answer(400, `{"message":"key is not provided"}`), keyvalue.KindInvalid, keyvalue.KindInvalid},
+		{"not JSON", answer(200, "<html>"), keyvalue.KindInvalid, keyvalue.KindUnknown},
+		{"cut", answer(200, `{"header":{"revi`), keyvalue.KindUnavailable, keyvalue.KindUnknown},
+		{"silence", silent, keyvalue.KindUnavailable, keyvalue.KindUnknown},
 		{
 			"connection broken after the request",
 			func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
-			platform.KindUnavailable, platform.KindUnknown,
+			keyvalue.KindUnavailable, keyvalue.KindUnknown,
 		},
-		{"answer of another shape", answer(200, `{"succeeded":true}`), "", platform.KindUnknown},
+		{"answer of another shape", answer(200, `{"succeeded":true}`), "", keyvalue.KindUnknown},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -80,11 +81,11 @@
 			if test.read == "" {
 				c.Check(err, qt.IsNil)
 			} else {
-				c.Check(platform.KindOf(err), qt.Equals, test.read, qt.Commentf("%v", err))
+				c.Check(keyvalue.KindOf(err), qt.Equals, test.read, qt.Commentf("%v", err))
 			}
 			_, err = k.Txn(context.Background(), put)
 			c.Check(err, qt.IsNotNil)
-			c.Check(platform.KindOf(err), qt.Equals, test.write, qt.Commentf("%v", err))
+			c.Check(keyvalue.KindOf(err), qt.Equals, test.write, qt.Commentf("%v", err))
 		})
 	}
 }
@@ -95,10 +96,10 @@
 	c.Assert(err, qt.IsNil)
 	address := netip.MustParseAddrPort(l.Addr().String())
 	c.Assert(l.Close(), qt.IsNil)
-	k := platform.Client{Server: address}
+	k := etcd.Client{Server: address}
 	_, err = k.Txn(context.Background(), put)
-	c.Check(platform.KindOf(err), qt.Equals, platform.KindUnavailable)
-	c.Check(platform.NoEffect(err), qt.IsTrue)
+	c.Check(keyvalue.KindOf(err), qt.Equals, keyvalue.KindUnavailable)
+	c.Check(keyvalue.NoEffect(err), qt.IsTrue)
 }
 
 func TestRetryAfter(t *testing.T) {
@@ -108,13 +109,13 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 	})
 	_, err := k.Txn(context.Background(), put)
-	c.Check(platform.RetryAfter(err), qt.Equals, 3*time.Second)
+	c.Check(keyvalue.RetryAfter(err), qt.Equals, 3*time.Second)
 }
 
 func TestKindOfForeignError(t *testing.T) {
 	c := qt.New(t)
-	c.Check(platform.KindOf(errors.New("x")), qt.Equals, platform.KindUnknown)
-	c.Check(platform.NoEffect(nil), qt.IsFalse)
+	c.Check(keyvalue.KindOf(errors.New("x")), qt.Equals, keyvalue.KindUnknown)
+	c.Check(keyvalue.NoEffect(nil), qt.IsFalse)
 }
 
 func TestAnswers(t *testing.T) {
@@ -169,5 +170,5 @@
 
 	k = serve(t, answer(200, `{"error":{"message":"compacted","code":11}}`))
 	_, err = k.Watch(context.Background(), "k", "l", 4)
-	c.Check(platform.KindOf(err), qt.Equals, platform.KindUnavailable)
+	c.Check(keyvalue.KindOf(err), qt.Equals, keyvalue.KindUnavailable)
 }
--- a/platform/wire.go
+++ b/etcd/wire.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"encoding/json"
--- a/platform/wire_test.go
+++ b/etcd/wire_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"testing"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/etcd"
 )
 
 // This file tests that no answer of the gateway, however malformed, is taken
@@ -26,7 +26,7 @@
 	var text []byte
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(text) }))
 	f.Cleanup(s.Close)
-	k := &platform.Client{Server: netip.MustParseAddrPort(s.Listener.Addr().String()), HTTP: s.Client()}
+	k := &etcd.Client{Server: netip.MustParseAddrPort(s.Listener.Addr().String()), HTTP: s.Client()}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		text = b
 		ctx := context.Background()
--- a/failure/configuration_test.go
+++ b/failure/configuration_test.go
@@ -20,10 +20,10 @@
 
 	"fescuelatch"
 	"fescuelatch/configstore"
+	"fescuelatch/etcd"
 	"fescuelatch/fleet"
 	"fescuelatch/inventory"
 	"fescuelatch/operator"
-	"fescuelatch/platform"
 )
 
 // This file tests that each accepted configuration comes into force
@@ -119,7 +119,7 @@
 // writeChange writes a change at the platform as a daemon does that then
 // ends at once.
 func (r *changesRun) writeChange(c *qt.C, edit func(*fescuelatch.Configuration)) fleet.Accepted {
-	s := configstore.Store{KV: &platform.Client{Server: r.Platform()}}
+	s := configstore.Store{KV: &etcd.Client{Server: r.Platform()}}
 	from, err := s.Load(r.ctx)
 	c.Assert(err, qt.IsNil)
 	change := changeOf(from, edit)
@@ -424,7 +424,7 @@
 
 // refuseAfter has the platform refuse all calls once it has stored a weight.
 func (r *changesRun) refuseAfter(weight float64) {
-	s := configstore.Store{KV: &platform.Client{Server: r.Platform()}}
+	s := configstore.Store{KV: &etcd.Client{Server: r.Platform()}}
 	_ = changesWithin(changeBound, func() bool {
 		f, err := s.Load(r.ctx)
 		return err == nil && weightOf(f, "triage@1") == weight
@@ -472,7 +472,7 @@
 			lostAnswer
 			outage
 		}{}), qt.IsNil)
-		s := configstore.Store{KV: &platform.Client{Server: r.Platform()}}
+		s := configstore.Store{KV: &etcd.Client{Server: r.Platform()}}
 		f, err := s.Load(r.ctx)
 		c.Assert(err, qt.IsNil)
 		stored := weightOf(f, "triage@1") == weight
--- a/platform/batcher_test.go
+++ b/keyvalue/batcher_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package keyvalue_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests the batcher against the service in memory.
@@ -27,7 +27,7 @@
 }
 
 // runBatcher runs b until the test ends or the function returned is called.
-func runBatcher(t testing.TB, b *platform.Batcher) context.CancelFunc {
+func runBatcher(t testing.TB, b *keyvalue.Batcher) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); b.Run(ctx) }()
@@ -39,7 +39,7 @@
 func TestBatcherGroups(t *testing.T) {
 	c := qt.New(t)
 	kv := new(memory.KV)
-	b := &platform.Batcher{KV: kv, Interval: 20 * time.Millisecond}
+	b := &keyvalue.Batcher{KV: kv, Interval: 20 * time.Millisecond}
 	runBatcher(t, b)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -74,7 +74,7 @@
 func TestBatcherBoundsACall(t *testing.T) {
 	c := qt.New(t)
 	kv := new(memory.KV)
-	b := &platform.Batcher{KV: kv, Interval: 50 * time.Millisecond}
+	b := &keyvalue.Batcher{KV: kv, Interval: 50 * time.Millisecond}
 	runBatcher(t, b)
 	large := strings.Repeat("x", 600<<10)
 	var wg sync.WaitGroup
@@ -89,23 +89,23 @@
 	tests := []struct {
 		name  string
 		fault memory.Fault
-		kind  platform.ErrorKind
+		kind  keyvalue.ErrorKind
 	}{
-		{"outage", memory.Fault{Before: memory.Unavailable("transaction")}, platform.KindUnavailable},
-		{"answer lost", memory.Fault{After: memory.Lost("transaction")}, platform.KindUnknown},
-		{"foreign error", memory.Fault{After: errors.New("x")}, platform.KindUnknown},
-		{"slow", memory.Fault{Delay: 200 * time.Millisecond}, platform.KindUnknown},
+		{"outage", memory.Fault{Before: memory.Unavailable("transaction")}, keyvalue.KindUnavailable},
+		{"answer lost", memory.Fault{After: memory.Lost("transaction")}, keyvalue.KindUnknown},
+		{"foreign error", memory.Fault{After: errors.New("x")}, keyvalue.KindUnknown},
+		{"slow", memory.Fault{Delay: 200 * time.Millisecond}, keyvalue.KindUnknown},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			kv := &memory.KV{Faults: func(memory.Call) memory.Fault { return test.fault }}
-			b := &platform.Batcher{KV: kv, Interval: time.Millisecond}
+			b := &keyvalue.Batcher{KV: kv, Interval: time.Millisecond}
 			runBatcher(t, b)
 			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 			defer cancel()
 			_, err := b.Submit(ctx, create("key", "v"))
-			c.Check(platform.KindOf(err), qt.Equals, test.kind, qt.Commentf("%v", err))
+			c.Check(keyvalue.KindOf(err), qt.Equals, test.kind, qt.Commentf("%v", err))
 		})
 	}
 }
@@ -116,7 +116,7 @@
 	return func(memory.Call) memory.Fault {
 		now := time.Now()
 		if now.Before(next) {
-			return memory.Fault{Before: &platform.Error{Op: "transaction", Kind: platform.KindLimited, RetryAfter: time.Second}}
+			return memory.Fault{Before: &keyvalue.Error{Op: "transaction", Kind: keyvalue.KindLimited, RetryAfter: time.Second}}
 		}
 		next = now.Add(period)
 		return memory.Fault{}
@@ -126,7 +126,7 @@
 func TestRateLimitSlowsCallsAndFailsNone(t *testing.T) {
 	c := qt.New(t)
 	kv := &memory.KV{Faults: limited(25 * time.Millisecond)}
-	b := &platform.Batcher{KV: kv, Interval: time.Millisecond}
+	b := &keyvalue.Batcher{KV: kv, Interval: time.Millisecond}
 	runBatcher(t, b)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -156,7 +156,7 @@
 func TestLimitedIsWithdrawn(t *testing.T) {
 	c := qt.New(t)
 	kv := &memory.KV{Faults: limited(time.Hour)}
-	b := &platform.Batcher{KV: kv, Interval: 100 * time.Millisecond}
+	b := &keyvalue.Batcher{KV: kv, Interval: 100 * time.Millisecond}
 	runBatcher(t, b)
 	_, err := b.Submit(context.Background(), create("first", "v"))
 	c.Assert(err, qt.IsNil)
@@ -173,19 +173,19 @@
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 	}
 	cancel()
-	c.Check(platform.KindOf(<-done), qt.Equals, platform.KindUnavailable)
+	c.Check(keyvalue.KindOf(<-done), qt.Equals, keyvalue.KindUnavailable)
 	c.Check(kv.Snapshot("second"), qt.HasLen, 0)
 }
 
 func TestUnsentIsWithdrawn(t *testing.T) {
 	c := qt.New(t)
 	kv := new(memory.KV)
-	b := &platform.Batcher{KV: kv, Interval: 50 * time.Millisecond}
+	b := &keyvalue.Batcher{KV: kv, Interval: 50 * time.Millisecond}
 	runBatcher(t, b)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 	defer cancel()
 	_, err := b.Submit(ctx, create("key", "v"))
-	c.Check(platform.KindOf(err), qt.Equals, platform.KindUnavailable)
+	c.Check(keyvalue.KindOf(err), qt.Equals, keyvalue.KindUnavailable)
 	_, err = b.Submit(context.Background(), create("other", "v"))
 	c.Assert(err, qt.IsNil)
 	c.Check(kv.Snapshot("key"), qt.HasLen, 0)
@@ -194,7 +194,7 @@
 func TestStoppedBatcher(t *testing.T) {
 	c := qt.New(t)
 	kv := new(memory.KV)
-	b := &platform.Batcher{KV: kv, Interval: time.Hour}
+	b := &keyvalue.Batcher{KV: kv, Interval: time.Hour}
 	stop := runBatcher(t, b)
 	done := make(chan error)
 	go func() {
@@ -205,15 +205,15 @@
 		time.Sleep(time.Millisecond)
 	}
 	stop()
-	c.Check(platform.KindOf(<-done), qt.Equals, platform.KindUnavailable)
+	c.Check(keyvalue.KindOf(<-done), qt.Equals, keyvalue.KindUnavailable)
 	_, err := b.Submit(context.Background(), create("key", "v"))
-	c.Check(platform.KindOf(err), qt.Equals, platform.KindUnavailable)
+	c.Check(keyvalue.KindOf(err), qt.Equals, keyvalue.KindUnavailable)
 	c.Check(kv.Snapshot("key"), qt.HasLen, 0)
 }
 
 func TestFullBatcher(t *testing.T) {
 	c := qt.New(t)
-	b := &platform.Batcher{KV: new(memory.KV), Interval: time.Hour, Queue: 1}
+	b := &keyvalue.Batcher{KV: new(memory.KV), Interval: time.Hour, Queue: 1}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -224,7 +224,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	_, err := b.Submit(ctx, create("other", "v"))
-	c.Check(platform.KindOf(err), qt.Equals, platform.KindUnavailable)
+	c.Check(keyvalue.KindOf(err), qt.Equals, keyvalue.KindUnavailable)
 	cancel()
 	<-done
 }
@@ -232,7 +232,7 @@
 func TestOneEndedLeaseDoesNotSpoilTheCall(t *testing.T) {
 	c := qt.New(t)
 	kv := new(memory.KV)
-	b := &platform.Batcher{KV: kv, Interval: 20 * time.Millisecond}
+	b := &keyvalue.Batcher{KV: kv, Interval: 20 * time.Millisecond}
 	runBatcher(t, b)
 	errs := make([]error, 9)
 	var wg sync.WaitGroup
@@ -248,7 +248,7 @@
 	wg.Wait()
 	for i, err := range errs {
 		if i == 4 {
-			c.Check(platform.KindOf(err), qt.Equals, platform.KindInvalid)
+			c.Check(keyvalue.KindOf(err), qt.Equals, keyvalue.KindInvalid)
 			continue
 		}
 		c.Check(err, qt.IsNil)
@@ -261,17 +261,17 @@
 	slow := func(memory.Call) memory.Fault { return memory.Fault{Delay: 2 * time.Millisecond} }
 	b.Run("direct", func(b *testing.B) {
 		kv := &memory.KV{Faults: slow}
-		submitAll(b, kv, platform.Direct{Transactor: kv})
+		submitAll(b, kv, keyvalue.Direct{Transactor: kv})
 	})
 	b.Run("batched", func(b *testing.B) {
 		kv := &memory.KV{Faults: slow}
-		batcher := &platform.Batcher{KV: kv}
+		batcher := &keyvalue.Batcher{KV: kv}
 		runBatcher(b, batcher)
 		submitAll(b, kv, batcher)
 	})
 }
 
-func submitAll(b *testing.B, kv *memory.KV, s platform.Submitter) {
+func submitAll(b *testing.B, kv *memory.KV, s keyvalue.Submitter) {
 	const submitters = 400
 	start := time.Now()
 	var wg sync.WaitGroup
--- a/platform/clock.go
+++ b/keyvalue/clock.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"net/http"
@@ -67,9 +67,9 @@
 	}
 }
 
-// answered takes in the date of an answer to a call that began at a time of
+// Observe takes in the date of an answer to a call that began at a time of
 // this process.
-func (c *Clock) answered(began time.Time, h http.Header) {
+func (c *Clock) Observe(began time.Time, h http.Header) {
 	now := time.Now()
 	if c == nil || now.Sub(began) > maxDateDelay {
 		return
--- a/platform/errors.go
+++ b/keyvalue/errors.go
@@ -1,7 +1,8 @@
-// Package platform is the client of the platform's key-value service. It
-// speaks the published JSON gateway of etcd v3 and groups independent
-// transactions of many goroutines into few calls.
-package platform
+// Package keyvalue holds what works with any key-value service of a platform:
+// the errors of its clients, which tell failures without effect from others,
+// the grouping of independent transactions into few calls, leases by epoch,
+// and the time that daemons have in common.
+package keyvalue
 
 import (
 	"time"
@@ -41,7 +42,7 @@
 
 // Error implements the error interface.
 func (e *Error) Error() string {
-	s := "platform: " + e.Op + ": " + string(e.Kind)
+	s := "key-value service: " + e.Op + ": " + string(e.Kind)
 	if e.Err == nil {
 		return s
 	}
--- a/platform/lease.go
+++ b/keyvalue/lease.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -57,7 +57,7 @@
 	case l.granting <- struct{}{}:
 		defer func() { <-l.granting }()
 	case <-ctx.Done():
-		return EpochLease{}, &Error{Op: opGrant.name, Kind: KindUnavailable, Err: errors.WithStack(ctx.Err())}
+		return EpochLease{}, &Error{Op: "grant lease", Kind: KindUnavailable, Err: errors.WithStack(ctx.Err())}
 	}
 	if e, ok := l.fresh(); ok {
 		return e, nil
--- a/platform/lease_test.go
+++ b/keyvalue/lease_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package keyvalue_test
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 )
 
 // This file tests the leases of epochs.
@@ -36,7 +36,7 @@
 			c := qt.New(t)
 			kv := new(memory.KV)
 			now := time.Date(2026, 11, 30, 12, 0, 0, 0, time.UTC)
-			l := platform.EpochLeases{Granter: kv, Now: func() time.Time { return now }, Retention: retention}
+			l := keyvalue.EpochLeases{Granter: kv, Now: func() time.Time { return now }, Retention: retention}
 			first, err := l.Current(context.Background())
 			c.Assert(err, qt.IsNil)
 			if test.drop {
@@ -54,7 +54,7 @@
 func TestConcurrentCallsShareAGrant(t *testing.T) {
 	c := qt.New(t)
 	kv := &memory.KV{Faults: func(memory.Call) memory.Fault { return memory.Fault{Delay: 5 * time.Millisecond} }}
-	l := platform.EpochLeases{Granter: kv, Now: time.Now, Retention: retention}
+	l := keyvalue.EpochLeases{Granter: kv, Now: time.Now, Retention: retention}
 	var wg sync.WaitGroup
 	for range 50 {
 		wg.Go(func() { _, _ = l.Current(context.Background()) })
@@ -67,9 +67,9 @@
 	c := qt.New(t)
 	kv := new(memory.KV)
 	kv.SetDown(true)
-	l := platform.EpochLeases{Granter: kv, Now: time.Now, Retention: retention}
+	l := keyvalue.EpochLeases{Granter: kv, Now: time.Now, Retention: retention}
 	_, err := l.Current(context.Background())
-	c.Check(platform.KindOf(err), qt.Equals, platform.KindUnavailable)
+	c.Check(keyvalue.KindOf(err), qt.Equals, keyvalue.KindUnavailable)
 	kv.SetDown(false)
 	_, err = l.Current(context.Background())
 	c.Check(err, qt.IsNil)
--- a/platform/memory/memory.go
+++ b/keyvalue/memory/memory.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the service.
@@ -140,7 +140,7 @@
 	var r fescuelatch.KVTxnResult
 	err := k.do(ctx, "transaction", true, func() error {
 		if err := k.check(t); err != nil {
-			return &platform.Error{Op: "transaction", Kind: platform.KindInvalid, Err: err}
+			return &keyvalue.Error{Op: "transaction", Kind: keyvalue.KindInvalid, Err: err}
 		}
 		r = k.txn(t)
 		return nil
@@ -225,7 +225,7 @@
 		}
 	}
 	if err := ctx.Err(); err != nil {
-		return &platform.Error{Op: op, Kind: platform.KindUnavailable, Err: errors.WithStack(err)}
+		return &keyvalue.Error{Op: op, Kind: keyvalue.KindUnavailable, Err: errors.WithStack(err)}
 	}
 	if fault.Before != nil {
 		return fault.Before
@@ -237,11 +237,11 @@
 }
 
 func lost(op string, write bool, err error) error {
-	kind := platform.KindUnavailable
+	kind := keyvalue.KindUnavailable
 	if write {
-		kind = platform.KindUnknown
+		kind = keyvalue.KindUnknown
 	}
-	return &platform.Error{Op: op, Kind: kind, Err: errors.WithStack(err)}
+	return &keyvalue.Error{Op: op, Kind: kind, Err: errors.WithStack(err)}
 }
 
 func (k *KV) begin(op string, write bool) Fault {
@@ -265,12 +265,12 @@
 
 // Unavailable returns the error of a call that had no effect.
 func Unavailable(op string) error {
-	return &platform.Error{Op: op, Kind: platform.KindUnavailable, Err: errors.New("outage")}
+	return &keyvalue.Error{Op: op, Kind: keyvalue.KindUnavailable, Err: errors.New("outage")}
 }
 
 // Lost returns the error of a write whose answer is lost.
 func Lost(op string) error {
-	return &platform.Error{Op: op, Kind: platform.KindUnknown, Err: errors.New("answer lost")}
+	return &keyvalue.Error{Op: op, Kind: keyvalue.KindUnknown, Err: errors.New("answer lost")}
 }
 
 func (k *KV) get(key string) fescuelatch.KeyValue {
--- a/platform/memory/network.go
+++ b/keyvalue/memory/network.go
@@ -35,7 +35,7 @@
 	late []fescuelatch.KVTxn
 }
 
-// Txn implements platform.Transactor.
+// Txn implements keyvalue.Transactor.
 func (n *Network) Txn(ctx context.Context, t fescuelatch.KVTxn) (fescuelatch.KVTxnResult, error) {
 	d := Deliver
 	if n.Next != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,7 +15,7 @@
 	"github.com/pkg/errors"
 
 	"fescuelatch/fleetkey"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the client side of the calls.
@@ -114,8 +114,8 @@
 }
 
 // Submit has a daemon run a transaction at the platform.
-func (c *Client) Submit(ctx context.Context, to netip.AddrPort, r *SubmitRequest) (*platform.SubmitReply, error) {
-	return call(ctx, c, to, "Submit", r, new(platform.SubmitReply))
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, r *SubmitRequest) (*keyvalue.SubmitReply, error) {
+	return call(ctx, c, to, "Submit", r, new(keyvalue.SubmitReply))
 }
 
 // Close closes all connections.
--- a/peer/server.go
+++ b/peer/server.go
@@ -8,7 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"fescuelatch/fleetkey"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the listener's handlers.
@@ -27,7 +27,7 @@
 	Changes(r *ChangesRequest, reply *ChangesReply) error
 	Hold(b *BillBatch, reply *Ack) error
 	Written(w *BillsWritten, reply *Ack) error
-	Submit(r *SubmitRequest, reply *platform.SubmitReply) error
+	Submit(r *SubmitRequest, reply *keyvalue.SubmitReply) error
 }
 
 // NewHandler returns the peers' front: net/rpc calls go to h, forwarded
--- a/peer/traffic_test.go
+++ b/peer/traffic_test.go
@@ -14,8 +14,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch/fleetkey"
+	"fescuelatch/keyvalue"
 	"fescuelatch/peer"
-	"fescuelatch/platform"
 )
 
 // This file tests that calls are counted at both ends and that forwarded
@@ -40,7 +40,7 @@
 func (handler) Written(*peer.BillsWritten, *peer.Ack) error { return nil }
 
 // Submit implements peer.Handler.
-func (handler) Submit(*peer.SubmitRequest, *platform.SubmitReply) error { return nil }
+func (handler) Submit(*peer.SubmitRequest, *keyvalue.SubmitReply) error { return nil }
 
 func TestTrafficIsCounted(t *testing.T) {
 	c := qt.New(t)
--- a/session/clock_test.go
+++ b/session/clock_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue/memory"
 	"fescuelatch/session"
 )
 
--- a/session/example_test.go
+++ b/session/example_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"fescuelatch"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 	"fescuelatch/session"
 )
 
@@ -17,7 +17,7 @@
 	kv := new(memory.KV)
 	id := session.Session{Account: "musanze-desk", ID: "thread-17"}
 	for _, wish := range []fescuelatch.VersionID{"triage-small@7", "triage-small@8"} {
-		daemon := &session.Store{Submitter: platform.Direct{Transactor: kv}, Granter: kv, Now: time.Now}
+		daemon := &session.Store{Submitter: keyvalue.Direct{Transactor: kv}, Granter: kv, Now: time.Now}
 		v, err := daemon.Bind(context.Background(), id, wish)
 		fmt.Println("wish", wish, "bound to", v, err)
 	}
--- a/session/machine_test.go
+++ b/session/machine_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"fescuelatch"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 	"fescuelatch/session"
 )
 
@@ -40,7 +40,7 @@
 
 func (m *machine) newStore() *session.Store {
 	return &session.Store{
-		Submitter: platform.Direct{Transactor: m.network}, Granter: m.kv, Now: func() time.Time { return m.now },
+		Submitter: keyvalue.Direct{Transactor: m.network}, Granter: m.kv, Now: func() time.Time { return m.now },
 		CacheSize: 1, MaxTime: time.Second,
 	}
 }
--- a/session/session.go
+++ b/session/session.go
@@ -13,7 +13,7 @@
 
 	"fescuelatch"
 	"fescuelatch/internal/pause"
-	"fescuelatch/platform"
+	"fescuelatch/keyvalue"
 )
 
 // This file defines the bindings of sessions to versions.
@@ -88,8 +88,8 @@
 // its version is withdrawn: then the caller must Reread it, and Forget those
 // that are not in use.
 type Store struct {
-	Submitter platform.Submitter
-	Granter   platform.Granter
+	Submitter keyvalue.Submitter
+	Granter   keyvalue.Granter
 	Now       func() time.Time
 	// Common tells the time that daemons have in common, by which bindings
 	// are dated; nil means Now.
@@ -100,7 +100,7 @@
 
 	once   sync.Once
 	cache  *lru.Cache[string, entry]
-	leases *platform.EpochLeases
+	leases *keyvalue.EpochLeases
 }
 
 func (s *Store) init() {
@@ -111,7 +111,7 @@
 		}
 		// A positive size is all that it takes.
 		s.cache, _ = lru.New[string, entry](size)
-		s.leases = &platform.EpochLeases{Granter: s.Granter, Now: s.Now, Retention: s.retention()}
+		s.leases = &keyvalue.EpochLeases{Granter: s.Granter, Now: s.Now, Retention: s.retention()}
 	})
 }
 
@@ -288,10 +288,10 @@
 			return e, nil
 		case err == nil:
 			return s.found(op, id, res)
-		case platform.KindOf(err) == platform.KindInvalid:
+		case keyvalue.KindOf(err) == keyvalue.KindInvalid:
 			s.leases.Drop(lease.ID)
 		}
-		if platform.NoEffect(err) || !pause.For(ctx, retryPause) {
+		if keyvalue.NoEffect(err) || !pause.For(ctx, retryPause) {
 			return entry{}, unavailable(op, err)
 		}
 	}
@@ -308,7 +308,7 @@
 }
 
 func unavailable(op string, err error) error {
-	after := platform.RetryAfter(err)
+	after := keyvalue.RetryAfter(err)
 	if after == 0 {
 		after = defaultRetryAfter
 	}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"fescuelatch"
-	"fescuelatch/platform"
-	"fescuelatch/platform/memory"
+	"fescuelatch/keyvalue"
+	"fescuelatch/keyvalue/memory"
 	"fescuelatch/session"
 )
 
@@ -24,7 +24,7 @@
 
 func newStore(kv *memory.KV, now *time.Time) *session.Store {
 	return &session.Store{
-		Submitter: platform.Direct{Transactor: kv}, Granter: kv,
+		Submitter: keyvalue.Direct{Transactor: kv}, Granter: kv,
 		Now: func() time.Time { return *now }, MaxTime: 100 * time.Millisecond,
 	}
 }
