--- /dev/null
+++ b/cascade/ladder.go
@@ -0,0 +1,172 @@
+package cascade
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"fescuelatch"
+)
+
+// This file defines Ladder, the policy for requests that name a ladder of
+// models of one service whose endpoints tell their own confidence in an
+// answer.
+
+var (
+	_ fescuelatch.VersionPolicy    = (*Ladder)(nil)
+	_ fescuelatch.EscalationPolicy = (*Ladder)(nil)
+)
+
+// LadderSettings tune a Ladder. A zero field takes its default.
+type LadderSettings struct {
+	// SessionTime is how long a session keeps its release after its last
+	// request. The default is 30 s.
+	SessionTime time.Duration
+	// Confidence is that below which an answer is given up for one of the
+	// largest model. The default is 0.6.
+	Confidence float64
+}
+
+// Defaults of LadderSettings.
+const (
+	defaultSessionTime = 30 * time.Second
+	defaultConfidence  = 0.6
+	// maxSessions bounds the sessions whose release is remembered.
+	maxSessions = 1 << 14
+)
+
+// Ladder plans the cheapest model of a request's ladder first and the largest
+// one after it. It answers the load of requests of unlike hardness: most are
+// answered well by a small model, which says so itself, and the few others
+// cost one short look by the small model.
+//
+// Of several releases, a session keeps the one it has. Other requests are
+// divided by the weights of the releases and the hash of their session, so
+// that daemons which have not met a session agree on its release, and a
+// growing weight moves sessions to that release only.
+type Ladder struct {
+	settings LadderSettings
+	sessions *simplelru.LRU[string, binding]
+}
+
+// binding is the release that a session has, and when it was last used.
+type binding struct {
+	release fescuelatch.ReleaseID
+	used    time.Time
+}
+
+// NewLadder returns a policy that knows of no session.
+func NewLadder(s LadderSettings) *Ladder {
+	if s.SessionTime == 0 {
+		s.SessionTime = defaultSessionTime
+	}
+	if s.Confidence == 0 {
+		s.Confidence = defaultConfidence
+	}
+	// The size is a positive constant, which is all that is checked.
+	sessions, _ := simplelru.NewLRU[string, binding](maxSessions, nil)
+	return &Ladder{settings: s, sessions: sessions}
+}
+
+// Plan implements fescuelatch.VersionPolicy.
+func (l *Ladder) Plan(now time.Time, r *fescuelatch.Request, list []fescuelatch.Candidate, u float64) []fescuelatch.VersionID {
+	release, ok := l.release(now, r, list, u)
+	if !ok {
+		return nil
+	}
+	if r.SessionKey != "" {
+		l.sessions.Add(r.SessionKey, binding{release, now})
+	}
+	var rungs []fescuelatch.VersionID
+	for _, m := range r.Ladder {
+		v := fescuelatch.NewVersionID(m, release)
+		if slices.ContainsFunc(list, func(c fescuelatch.Candidate) bool { return c.Version.ID == v }) {
+			rungs = append(rungs, v)
+		}
+	}
+	if len(rungs) > 2 {
+		rungs = []fescuelatch.VersionID{rungs[0], rungs[len(rungs)-1]}
+	}
+	return rungs
+}
+
+// Escalate implements fescuelatch.EscalationPolicy.
+func (l *Ladder) Escalate(_ time.Time, _ *fescuelatch.Request, _, _ fescuelatch.VersionID, confidence float64) bool {
+	return confidence < l.settings.Confidence
+}
+
+// offer is a release that could serve a request.
+type offer struct {
+	release fescuelatch.ReleaseID
+	weight  float64
+	spare   int
+}
+
+// release returns the release that serves a request. A session keeps its
+// release while that has any weight, or when no other one has.
+func (l *Ladder) release(now time.Time, r *fescuelatch.Request, list []fescuelatch.Candidate, u float64) (fescuelatch.ReleaseID, bool) {
+	offers := offersOf(list)
+	if len(offers) == 0 {
+		return "", false
+	}
+	if b, ok := l.sessions.Get(r.SessionKey); ok && now.Sub(b.used) < l.settings.SessionTime {
+		if slices.ContainsFunc(offers, func(o offer) bool { return o.release == b.release && o.weight > 0 }) {
+			return b.release, true
+		}
+	}
+	best, highest := -1, math.Inf(-1)
+	for _, needSpare := range []bool{true, false} {
+		for i, o := range offers {
+			if needSpare && o.spare <= 0 {
+				continue
+			}
+			if s := o.score(r.SessionKey, u); s > highest {
+				best, highest = i, s
+			}
+		}
+		if best >= 0 {
+			break
+		}
+	}
+	return offers[best].release, true
+}
+
+// offersOf returns the releases of the candidates, in the order of the list.
+func offersOf(list []fescuelatch.Candidate) []offer {
+	var offers []offer
+	for _, c := range list {
+		release := c.Version.ID.Release()
+		i := slices.IndexFunc(offers, func(o offer) bool { return o.release == release })
+		if i < 0 {
+			offers = append(offers, offer{release: release, weight: c.Version.Weight, spare: c.Spare})
+			continue
+		}
+		offers[i].spare = max(offers[i].spare, c.Spare)
+	}
+	return offers
+}
+
+// score is that of weighted rendezvous hashing. A release without weight comes
+// after all others.
+func (o offer) score(session string, u float64) float64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(o.release))
+	_, _ = d.WriteString("\x00")
+	if session != "" {
+		_, _ = d.WriteString(session)
+	} else {
+		var b [8]byte
+		binary.LittleEndian.PutUint64(b[:], math.Float64bits(u))
+		_, _ = d.Write(b[:])
+	}
+	x := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+	if o.weight <= 0 {
+		return math.Log(x) - math.MaxFloat64/2
+	}
+	return math.Log(x) / o.weight
+}
--- a/chart/chart.go
+++ b/chart/chart.go
@@ -45,6 +45,7 @@
 	modelVersion  = sync.OnceValue(func() *Chart { return mustLoad("model-version.yaml") })
 	daemon        = sync.OnceValue(func() *Chart { return mustLoad("daemon.yaml") })
 	failureDomain = sync.OnceValue(func() *Chart { return mustLoad("failure-domain.yaml") })
+	rollout       = sync.OnceValue(func() *Chart { return mustLoad("rollout.yaml") })
 )
 
 // Request returns the life cycle of a request at the daemon that accepted it.
@@ -62,9 +63,12 @@
 // FailureDomain returns the life cycle of a failure domain.
 func FailureDomain() *Chart { return failureDomain() }
 
+// Rollout returns the life cycle of a roll-out.
+func Rollout() *Chart { return rollout() }
+
 // All returns all charts, in the order of the documentation.
 func All() []*Chart {
-	return []*Chart{Request(), Endpoint(), ModelVersion(), Daemon(), FailureDomain()}
+	return []*Chart{Request(), Endpoint(), ModelVersion(), Daemon(), FailureDomain(), Rollout()}
 }
 
 // Name returns the name of the chart.
--- a/chart/names.go
+++ b/chart/names.go
@@ -57,6 +57,15 @@
 	FailureDomainRemoved   State = "removed"
 )
 
+// States of the roll-out chart.
+const (
+	RolloutTrial      State = "trial"
+	RolloutWidening   State = "widening"
+	RolloutMoved      State = "moved"
+	RolloutCompleted  State = "completed"
+	RolloutRolledBack State = "rolled-back"
+)
+
 // Events of all charts.
 const (
 	EventPlan       Event = "plan"
@@ -92,4 +101,8 @@
 	EventDrain      Event = "drain"
 	EventDrained    Event = "drained"
 	EventRestored   Event = "restored"
+	EventWiden      Event = "widen"
+	EventMoved      Event = "moved"
+	EventComplete   Event = "complete"
+	EventCondemn    Event = "condemn"
 )
--- /dev/null
+++ b/cmd/fescuelatchd/direct.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fescuelatch"
+	"fescuelatch/asynclog"
+	"fescuelatch/cascade"
+	"fescuelatch/direct"
+	"fescuelatch/gate/shared"
+	"fescuelatch/platform"
+	"fescuelatch/rollout"
+)
+
+// This file defines the assembly of a daemon that runs on the users' platform
+// and sends to every endpoint itself.
+
+const (
+	// memoryUse is the part of the VM's memory at which the garbage collector
+	// works harder.
+	memoryUse = 0.75
+	// leaseFactor is the lease of a daemon's record relative to the shortest
+	// one that the platform grants.
+	leaseFactor = 5
+	// storeIdle is how long a connection to the store is kept idle.
+	storeIdle = 5 * time.Second
+	// storeDialTimeout bounds the set-up of a connection to the store.
+	storeDialTimeout = 600 * time.Millisecond
+	megabyte         = 1 << 20
+)
+
+// directCommand is the subcommand. Its settings are those of the platform.
+type directCommand struct {
+	LogLevel    string `arg:"--log-level,env:FESCUELATCH_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	MetricsPort uint16 `arg:"--metrics-port,env:FESCUELATCH_METRICS_PORT" default:"9464" help:"port of the metrics on the callers' address; 0 leaves them to the control front"`
+	Check       bool   `arg:"--check" help:"check the settings and exit"`
+
+	level    slog.Level
+	platform *platform.Settings
+}
+
+// read reads and checks the settings.
+func (c *directCommand) read() error {
+	if err := c.level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return errors.Wrap(err, "settings: --log-level")
+	}
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	c.platform = s
+	return nil
+}
+
+// run runs the daemon until a signal ends it.
+func (c *directCommand) run() error {
+	if c.Check {
+		return nil
+	}
+	lines := asynclog.New(os.Stdout)
+	defer lines.Close()
+	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: c.level}))
+	if m := c.platform.Limits.MemoryMB; m > 0 {
+		debug.SetMemoryLimit(int64(memoryUse * float64(m) * megabyte))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	c.watchReloads(ctx, log)
+	scope, reporter, closer := newScope()
+	defer closeScope(closer)
+	o := c.options(log)
+	o.Scope, o.Scrape = scope, reporter.HTTPHandler()
+	o.Store = &platform.Store{Address: c.platform.Store.Address, HTTP: storeClient(), Called: direct.StoreCalls(scope)}
+	log.Info("starting", "vm", o.VM, "failure-domain", o.Domain, "store", c.platform.Store.Address.String())
+	err := direct.New(o).Run(ctx)
+	if err != nil {
+		log.Error("failed", "error", err.Error())
+	}
+	return err
+}
+
+// options translates the platform's settings.
+func (c *directCommand) options(log *slog.Logger) direct.Options {
+	s := c.platform
+	regions := make(map[fescuelatch.DomainID]string, len(s.Regions))
+	for domain, region := range s.Regions {
+		regions[fescuelatch.DomainID(domain)] = region
+	}
+	var metrics netip.AddrPort
+	if c.MetricsPort != 0 {
+		metrics = netip.AddrPortFrom(s.Listen.Callers.Addr(), c.MetricsPort)
+	}
+	return direct.Options{
+		VM: fescuelatch.VMID(s.VM), Domain: fescuelatch.DomainID(s.Domain), Regions: regions,
+		Notation: platform.Notation{}, Dialect: platform.Dialect{},
+		Callers: s.Listen.Callers, Readiness: s.Listen.Readiness, Control: s.Listen.Control, Metrics: metrics, Seeds: s.Seeds,
+		Retries:   shared.BudgetSettings{Ratio: s.Bounds.RetryRatio, Extra: s.Bounds.RetryExtra, Window: s.RetryWindow()},
+		Rollout:   rollout.Settings{Exposure: s.Bounds.ExposureShare},
+		Ladder:    cascade.LadderSettings{},
+		LeaseTime: leaseFactor * s.MinLease(), StopGrace: s.StopGrace(), Log: log,
+	}
+}
+
+// watchReloads checks the settings again on SIGHUP. Addresses and identity do
+// not change within the life of a process, and the rest is read at its start,
+// so a change only tells that the file is still sound.
+func (c *directCommand) watchReloads(ctx context.Context, log *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				if _, err := platform.ReadSettings(); err != nil {
+					log.Error("changed settings are not usable; those before stay in force", "error", err.Error())
+				} else {
+					log.Info("settings read again")
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// storeClient returns the HTTP client for the store.
+func storeClient() *http.Client {
+	d := net.Dialer{Timeout: storeDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, IdleConnTimeout: storeIdle, DisableCompression: true,
+	}}
+}
--- a/cmd/fescuelatchd/main.go
+++ b/cmd/fescuelatchd/main.go
@@ -46,6 +46,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
 	}
+	if s.Direct != nil {
+		if err := s.Direct.run(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailure)
+		}
+		return
+	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.level}))
 	if err := run(s, log); err != nil {
 		log.Error("failed", "error", err.Error())
@@ -56,11 +63,7 @@
 func run(s *settings, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "fescuelatch", CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
-		OmitCardinalityMetrics: true,
-	}, reportInterval)
+	scope, reporter, closer := newScope()
 	defer closeScope(closer)
 	tlsConfig, err := s.tls().Config()
 	if err != nil {
@@ -81,6 +84,16 @@
 	})
 }
 
+// newScope returns the root of all metrics, and what serves them.
+func newScope() (tally.Scope, tallyprometheus.Reporter, io.Closer) {
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "fescuelatch", CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return scope, reporter, closer
+}
+
 func closeScope(c io.Closer) { _ = c.Close() }
 
 // options assembles what the daemon works with.
--- a/cmd/fescuelatchd/settings.go
+++ b/cmd/fescuelatchd/settings.go
@@ -19,6 +19,8 @@
 // settings are read from flags and from environment variables with the
 // prefix FESCUELATCH_. A flag goes before its variable.
 type settings struct {
+	Direct *directCommand `arg:"subcommand:direct" help:"run on a platform that registers the endpoints, with the platform's settings"`
+
 	VM             string         `arg:"--vm,env:FESCUELATCH_VM" help:"identifier of this VM in the inventory"`
 	Domain         string         `arg:"--domain,env:FESCUELATCH_DOMAIN" help:"failure domain of this VM"`
 	PeerListen     netip.AddrPort `arg:"--peer-listen,env:FESCUELATCH_PEER_LISTEN" help:"address to listen on for other daemons"`
@@ -84,6 +86,9 @@
 func readSettings() (*settings, error) {
 	s := new(settings)
 	arg.MustParse(s)
+	if s.Direct != nil {
+		return s, s.Direct.read()
+	}
 	var faults []string
 	fault := func(err error) {
 		if err != nil {
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -78,13 +78,13 @@
 func (d *Daemon) platformFailed(err error) {
 	d.log.Warn("platform", "error", err.Error())
 	d.reach.set(false)
-	d.life.fireIfPossible(chart.EventCut)
+	d.life.FireIfPossible(chart.EventCut)
 }
 
 func (d *Daemon) platformReached(fescuelatch.Generation) {
 	d.reach.set(true)
 	d.becomeLearned()
-	d.life.fireIfPossible(chart.EventRejoin)
+	d.life.FireIfPossible(chart.EventRejoin)
 }
 
 func (d *Daemon) resignWhenSuperseded(ctx context.Context, cancel context.CancelFunc) {
@@ -217,7 +217,7 @@
 // becomeLearned lets the configuration held come into force.
 func (d *Daemon) becomeLearned() {
 	if d.learned.CompareAndSwap(false, true) {
-		d.life.fireIfPossible(chart.EventLearned)
+		d.life.FireIfPossible(chart.EventLearned)
 		close(d.learnedSignal)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,8 @@
 	"fescuelatch/decision"
 	"fescuelatch/engine"
 	"fescuelatch/fleetkey"
+	"fescuelatch/internal/graceful"
+	"fescuelatch/internal/lifecycle"
 	"fescuelatch/keyvalue"
 	"fescuelatch/ownership"
 	"fescuelatch/peer"
@@ -100,9 +102,9 @@
 	bindings *session.Store
 	breaker  breaker
 
-	life    *life
+	life    *lifecycle.Life
 	leaving atomic.Bool
-	closing closing
+	closing graceful.Closing
 	learned atomic.Bool
 	// learnedSignal is closed when learned is set.
 	learnedSignal chan struct{}
@@ -164,7 +166,7 @@
 		store:         &configstore.Store{KV: o.KV},
 		peers:         &peer.Client{Keys: o.FleetKeys, Dialer: o.Dialer.Counting(ControlTraffic(o.Metrics, TrafficPeer))},
 		metrics:       newMetrics(o.Metrics),
-		life:          newLife(o.Log),
+		life:          lifecycle.New(o.Log),
 		core:          decision.New(o.Core),
 		table:         t,
 		vmsOut:        make(map[string]bool),
@@ -292,7 +294,7 @@
 		_ = g.Wait()
 		return err
 	}
-	d.life.fire(chart.EventStarted)
+	d.life.Fire(chart.EventStarted)
 	d.loops(running, g)
 	g.Go(func() error {
 		select {
@@ -312,9 +314,9 @@
 // serves, at most for StopTimeout.
 func (d *Daemon) stop() {
 	d.log.Info("stopping", "open", d.open())
-	d.life.fire(chart.EventDrain)
+	d.life.Fire(chart.EventDrain)
 	d.leaving.Store(true)
-	d.closing.begun.Store(true)
+	d.closing.Begin()
 	d.mu.Lock()
 	d.table.Leave(time.Now())
 	d.decideLocked(decision.Stopping{})
@@ -330,8 +332,8 @@
 		d.log.Warn("requests were still open at the end of the stop timeout", "open", d.open())
 	}
 	d.handOn()
-	time.Sleep(d.closing.left(time.Now()))
-	d.life.fire(chart.EventDrained)
+	time.Sleep(d.closing.Left(time.Now()))
+	d.life.Fire(chart.EventDrained)
 	d.log.Info("stopped")
 }
 
--- a/daemon/fronts.go
+++ b/daemon/fronts.go
@@ -15,6 +15,7 @@
 
 	"fescuelatch"
 	"fescuelatch/caller"
+	"fescuelatch/internal/graceful"
 	"fescuelatch/operator"
 	"fescuelatch/peer"
 )
@@ -48,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	callers := d.closing.handler(caller.NewHandler(caller.Options{Backend: d, Now: time.Now, NewID: newRequestID}))
+	callers := d.closing.Handler(caller.NewHandler(caller.Options{Backend: d, Now: time.Now, NewID: newRequestID}))
 	operators := operator.NewHandler(operator.Options{Key: f.OperatorKey, Backend: (*operatorBackend)(d), Log: d.log})
 	for _, l := range []struct {
 		name    string
@@ -67,7 +68,7 @@
 			return errors.Wrapf(err, "listen for %ss", l.name)
 		}
 		if t, ok := listener.(*net.TCPListener); ok {
-			listener = &drainingListener{TCPListener: t}
+			listener = &graceful.Listener{TCPListener: t}
 		}
 		if l.tls != nil {
 			listener = tls.NewListener(listener, l.tls)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -86,7 +86,7 @@
 func (o *operatorBackend) Ready() error {
 	d := (*Daemon)(o)
 	v := d.holder.View()
-	switch state := d.life.state(); {
+	switch state := d.life.State(); {
 	case state != chart.DaemonReady && state != chart.DaemonCutOff:
 		return errors.New(string(state))
 	case v == nil:
@@ -242,7 +242,7 @@
 		VM: d.options.VM, Domain: d.options.Domain, Incarnation: d.incarnation, Started: d.started,
 		Generation: d.holder.Generation(), Digest: d.holder.Digest(),
 		Open: d.core.Open(), Members: d.table.Members(now), Owned: d.table.Owned(now), Versions: d.core.Versions(now),
-		Domains: d.core.Domains(), Life: d.life.state(),
+		Domains: d.core.Domains(), Life: d.life.State(),
 	}
 	s.Spares, s.Evidence = d.core.Summary(now)
 	if g, ok := d.options.Core.Gate.(dumper); ok {
--- a/decision/action.go
+++ b/decision/action.go
@@ -20,6 +20,7 @@
 	Attempt  fescuelatch.AttemptID
 	Endpoint fescuelatch.EndpointID
 	Version  fescuelatch.VersionID
+	Patience Patience
 }
 
 // Forward asks for an attempt through the daemon of VM, which owns an
@@ -31,6 +32,18 @@
 	Version fescuelatch.VersionID
 }
 
+// Relay asks for the answer of an attempt to be passed on as it comes.
+type Relay struct {
+	Request fescuelatch.RequestID
+	Attempt fescuelatch.AttemptID
+}
+
+// Abandon asks for an attempt to be cancelled; another one takes over.
+type Abandon struct {
+	Request fescuelatch.RequestID
+	Attempt fescuelatch.AttemptID
+}
+
 // Rate asks for a rating of the answer of an attempt before it is accepted.
 type Rate struct {
 	Request fescuelatch.RequestID
@@ -93,6 +106,12 @@
 // Of implements Action.
 func (a Forward) Of() fescuelatch.RequestID { return a.Request }
 
+// Of implements Action.
+func (a Relay) Of() fescuelatch.RequestID { return a.Request }
+
+// Of implements Action.
+func (a Abandon) Of() fescuelatch.RequestID { return a.Request }
+
 // Of implements Action.
 func (a Rate) Of() fescuelatch.RequestID { return a.Request }
 
@@ -111,6 +130,8 @@
 var (
 	_ Action = Start{}
 	_ Action = Forward{}
+	_ Action = Relay{}
+	_ Action = Abandon{}
 	_ Action = Rate{}
 	_ Action = Accept{}
 	_ Action = Refuse{}
--- a/decision/budget.go
+++ b/decision/budget.go
@@ -1,6 +1,12 @@
 package decision
 
-// This file defines the retry budget.
+import (
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the retry budget of a core that is given none.
 
 const (
 	// retryRatio is the number of retries that each accepted request earns.
@@ -13,9 +19,13 @@
 // retries cannot multiply the load of a failing fleet.
 type retryBudget struct{ tokens float64 }
 
-func (b *retryBudget) earn() { b.tokens = min(b.tokens+retryRatio, retryBurst) }
+// Earn implements fescuelatch.RetryBudget.
+func (b *retryBudget) Earn(time.Time, *fescuelatch.Request) {
+	b.tokens = min(b.tokens+retryRatio, retryBurst)
+}
 
-func (b *retryBudget) take() bool {
+// Take implements fescuelatch.RetryBudget.
+func (b *retryBudget) Take(time.Time, *fescuelatch.Request) bool {
 	if b.tokens < 1 {
 		return false
 	}
--- a/decision/core.go
+++ b/decision/core.go
@@ -32,6 +32,13 @@
 	Gate      fescuelatch.Gate
 	// Sampler decides which accepted answers are rated for learning.
 	Sampler fescuelatch.Sampler
+	// Direct reports that the gate reaches every endpoint, so that nothing
+	// is forwarded to other daemons.
+	Direct bool
+	// Retries bounds retries; nil means a budget of this daemon's own.
+	Retries fescuelatch.RetryBudget
+	// Escalation decides on answers that have begun; nil keeps them all.
+	Escalation fescuelatch.EscalationPolicy
 }
 
 // Core decides on the requests of one daemon. It is not safe for concurrent
@@ -44,7 +51,6 @@
 	attempts map[fescuelatch.AttemptID]*request
 	peers    peers
 	domains  map[fescuelatch.DomainID]*domainLife
-	budget   retryBudget
 	// now is the time of the event that is being handled.
 	now       time.Time
 	exposures exposures
@@ -68,6 +74,9 @@
 // New returns a core without a configuration: it refuses all requests until
 // Configured.
 func New(o Options) *Core {
+	if o.Retries == nil {
+		o.Retries = &retryBudget{tokens: retryBurst}
+	}
 	return &Core{
 		options:   o,
 		serves:    make(map[service]int),
@@ -75,7 +84,6 @@
 		attempts:  make(map[fescuelatch.AttemptID]*request),
 		peers:     newPeers(),
 		domains:   make(map[fescuelatch.DomainID]*domainLife),
-		budget:    retryBudget{tokens: retryBurst},
 		exposures: make(exposures),
 		spares:    make(map[service]fescuelatch.Spare),
 	}
@@ -99,6 +107,8 @@
 		c.arrived(now, v)
 	case FirstToken:
 		c.firstToken(now, v)
+	case Opened:
+		c.opened(now, v)
 	case Ended:
 		c.ended(now, v)
 	case Rated:
--- a/decision/event.go
+++ b/decision/event.go
@@ -44,6 +44,16 @@
 	Attempt fescuelatch.AttemptID
 }
 
+// Opened says that an endpoint has begun its answer to an opaque request.
+// Rated reports that it told its own confidence in the answer, from 0 to 1.
+// The core says whether the answer is relayed.
+type Opened struct {
+	Request    fescuelatch.RequestID
+	Attempt    fescuelatch.AttemptID
+	Confidence float64
+	Rated      bool
+}
+
 // Ended says that an attempt has ended.
 type Ended struct {
 	Request fescuelatch.RequestID
@@ -93,6 +103,7 @@
 func (Owned) event()      {}
 func (Arrived) event()    {}
 func (FirstToken) event() {}
+func (Opened) event()     {}
 func (Ended) event()      {}
 func (Rated) event()      {}
 func (Cancelled) event()  {}
--- /dev/null
+++ b/decision/opening.go
@@ -0,0 +1,100 @@
+package decision
+
+import (
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/chart"
+)
+
+// This file defines what follows when an endpoint begins its answer: the
+// answer is relayed, or given up for one of a better version while the caller
+// has received none of it.
+
+func (c *Core) opened(now time.Time, e Opened) {
+	q, ok := c.requests[e.Request]
+	if !ok || q.current.id != e.Attempt {
+		return
+	}
+	c.gate().First(now, e.Attempt)
+	if !q.relayed && c.escalates(now, q, e) && c.replace(now, q) {
+		return
+	}
+	q.current.first = true
+	q.relayed = true
+	c.emit(Relay{Request: q.ID, Attempt: q.current.id})
+}
+
+// escalates reports whether the next version of the plan should answer.
+func (c *Core) escalates(now time.Time, q *request, e Opened) bool {
+	if c.options.Escalation == nil || !e.Rated || q.step+1 >= len(q.plan) || q.attempts >= q.bound() {
+		return false
+	}
+	from, to := q.plan[q.step], q.plan[q.step+1]
+	if !c.view.MayRun(q.Request, to) || !c.options.Escalation.Escalate(now, q.Request, from, to, e.Confidence) {
+		return false
+	}
+	return now.Add(retryMargin + c.options.Gate.Latency(to)).Before(q.Deadline)
+}
+
+// replace starts an attempt on the next version in place of the current one,
+// if that can start at once and the budget allows it.
+func (c *Core) replace(now time.Time, q *request) bool {
+	if !c.options.Retries.Take(now, q.Request) {
+		return false
+	}
+	old := q.current
+	q.step++
+	c.newAttempt(q, c.options.VM)
+	a := c.gate().Offer(now, c.work(q))
+	if a.Verdict == fescuelatch.AdmissionStart {
+		c.fire(q, chart.EventEscalate)
+		c.emit(Abandon{Request: q.ID, Attempt: old.id})
+		c.admit(now, []fescuelatch.Admission{a})
+		return true
+	}
+	if a.Verdict == fescuelatch.AdmissionQueue {
+		q.current.queued = true
+		c.withdraw(now, q)
+	}
+	delete(c.attempts, q.current.id)
+	q.step--
+	q.attempts--
+	q.current = old
+	c.attempts[old.id] = q
+	return false
+}
+
+// failed repeats a request that an endpoint answered with a failure of its
+// own, or passes that answer on.
+func (c *Core) failed(now time.Time, q *request) {
+	if q.best.id == "" {
+		q.best = q.current
+	}
+	if !q.Idempotent || q.relayed || q.attempts >= q.bound() || c.late(now, q) || !c.options.Retries.Take(now, q.Request) {
+		c.accept(q, q.current, false)
+		return
+	}
+	c.fire(q, chart.EventRetry)
+	c.exclude(q)
+	c.place(now, q)
+}
+
+// exclude keeps further attempts of q away from where the last one was made.
+func (c *Core) exclude(q *request) {
+	if !c.options.Direct {
+		q.tried[q.current.vm] = true
+		return
+	}
+	if q.current.endpoint != "" {
+		q.avoid = append(q.avoid, q.current.endpoint)
+	}
+}
+
+// bound returns the number of endpoints that q may be sent to.
+func (q *request) bound() int {
+	if q.MaxAttempts > 0 {
+		return q.MaxAttempts
+	}
+	return maxAttempts
+}
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -43,6 +43,8 @@
 		c.notStarted(now, q, r)
 	case fescuelatch.AttemptExpired:
 		c.expired(q)
+	case fescuelatch.AttemptFailed:
+		c.failed(now, q)
 	case fescuelatch.AttemptCancelled:
 		c.end(q, chart.EventCancel)
 		c.emit(Drop{Request: q.ID})
@@ -55,7 +57,7 @@
 // the plan could do better.
 func (c *Core) answered(now time.Time, q *request) {
 	left := q.Deadline.Sub(now)
-	if q.Streamed || q.step+1 >= len(q.plan) || left < 2*ratingTimeout {
+	if q.Streamed || q.relayed || q.step+1 >= len(q.plan) || left < 2*ratingTimeout {
 		c.accept(q, q.current, c.sampled(now, q))
 		return
 	}
@@ -103,18 +105,30 @@
 
 // notStarted tries the request elsewhere, or refuses it.
 func (c *Core) notStarted(now time.Time, q *request, r fescuelatch.AttemptResult) {
-	if q.Forwarded {
+	if q.Forwarded || (c.options.Direct && r.Endpoint == "") {
 		c.refuse(q, refusalReason(r), r.RetryAfter)
 		return
 	}
-	q.tried[q.current.vm] = true
-	if q.attempts >= maxAttempts || !c.budget.take() {
+	c.exclude(q)
+	if !c.again(now, q, r) {
 		c.refuse(q, refusalReason(r), defaultRetryAfter)
 		return
 	}
 	c.place(now, q)
 }
 
+// again reports whether a request that was not started may be tried once
+// more. A direct attempt of which nothing was sent reached no endpoint, so it
+// neither counts nor costs.
+func (c *Core) again(now time.Time, q *request, r fescuelatch.AttemptResult) bool {
+	if c.options.Direct && r.Unsent {
+		q.attempts--
+		q.unsent++
+		return q.unsent <= maxUnsent
+	}
+	return q.attempts < q.bound() && c.options.Retries.Take(now, q.Request)
+}
+
 func refusalReason(r fescuelatch.AttemptResult) Reason {
 	if r.Overloaded {
 		return ReasonNoCapacity
@@ -135,8 +149,8 @@
 // broken repeats an idempotent request unless part of its answer has been
 // streamed to the caller.
 func (c *Core) broken(now time.Time, q *request) {
-	streamed := q.Streamed && q.current.first
-	if !q.Idempotent || streamed || q.Forwarded || q.attempts >= maxAttempts || !c.budget.take() {
+	streamed := q.Streamed && q.relayedAny() && !q.Resumable
+	if !q.Idempotent || streamed || q.Forwarded || q.attempts >= q.bound() || !c.options.Retries.Take(now, q.Request) {
 		if q.best.id != "" {
 			c.accept(q, q.best, false)
 			return
@@ -145,6 +159,6 @@
 		return
 	}
 	c.fire(q, chart.EventRetry)
-	q.tried[q.current.vm] = true
+	c.exclude(q)
 	c.place(now, q)
 }
--- /dev/null
+++ b/decision/patience.go
@@ -0,0 +1,37 @@
+package decision
+
+import "time"
+
+// This file defines how long a silent endpoint is waited for. It answers the
+// load of endpoints that have gone dark: their connections stay open, and only
+// time tells. An endpoint's silence ends an attempt only while another
+// endpoint may still answer the request in its place.
+
+const (
+	// leastPatience is longer than an endpoint under load takes.
+	leastPatience = 600 * time.Millisecond
+	// firstPatience is relative to the latency that is aimed at: another
+	// attempt then still has a part of it.
+	firstPatience = 0.8
+	// gapPatience is relative to the gap between outputs that is aimed at.
+	gapPatience = 0.8
+)
+
+// Patience bounds the silence of an endpoint; zero means no bound.
+type Patience struct {
+	// First is for the first output, and Gap for each further one.
+	First time.Duration
+	Gap   time.Duration
+}
+
+// patience returns that for the current attempt of q.
+func (c *Core) patience(q *request) Patience {
+	if !c.options.Direct || !q.Idempotent || q.attempts >= q.bound() {
+		return Patience{}
+	}
+	p := Patience{First: max(leastPatience, time.Duration(firstPatience*float64(q.TargetLatency)))}
+	if q.Resumable && q.TargetGap > 0 {
+		p.Gap = max(leastPatience, time.Duration(gapPatience*float64(q.TargetGap)))
+	}
+	return p
+}
--- a/decision/place.go
+++ b/decision/place.go
@@ -109,13 +109,13 @@
 func (c *Core) spots(now time.Time, q *request) []fescuelatch.Spot {
 	s := q.service()
 	var spots []fescuelatch.Spot
-	if c.serves[s] > 0 && !q.tried[c.options.VM] {
+	if c.serves[s] > 0 && (c.options.Direct || !q.tried[c.options.VM]) {
 		w := c.ownSpare(now, s)
 		spots = append(spots, fescuelatch.Spot{
 			VM: c.options.VM, Domain: c.options.Domain, Own: true, Local: true, Spare: w.Free - w.Queued, Seen: now,
 		})
 	}
-	if q.Forwarded {
+	if q.Forwarded || c.options.Direct {
 		return spots
 	}
 	for _, p := range c.peers.sorted {
@@ -139,11 +139,17 @@
 		c.emit(Forward{Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version})
 		return
 	}
-	w := fescuelatch.Work{
+	w := c.work(q)
+	w.Endpoint = s.Endpoint
+	c.admit(now, []fescuelatch.Admission{c.gate().Offer(now, w)})
+}
+
+// work returns the current attempt of q as the gate takes it.
+func (c *Core) work(q *request) fescuelatch.Work {
+	return fescuelatch.Work{
 		Attempt: q.current.id, Request: q.Request, Version: q.current.version,
-		Endpoint: s.Endpoint, Share: q.share,
+		Share: q.share, Avoid: q.avoid,
 	}
-	c.admit(now, []fescuelatch.Admission{c.gate().Offer(now, w)})
 }
 
 // admit carries out the gate's decisions.
@@ -160,8 +166,9 @@
 			c.fire(q, chart.EventQueue)
 		case fescuelatch.AdmissionStart:
 			q.current.queued = false
+			q.current.endpoint = a.Endpoint
 			c.fire(q, chart.EventDispatch)
-			c.emit(Start{Request: q.ID, Attempt: a.Attempt, Endpoint: a.Endpoint, Version: q.current.version})
+			c.emit(Start{Request: q.ID, Attempt: a.Attempt, Endpoint: a.Endpoint, Version: q.current.version, Patience: c.patience(q)})
 		case fescuelatch.AdmissionRefuse:
 			if q.current.queued {
 				q.current.queued = false
--- a/decision/plan.go
+++ b/decision/plan.go
@@ -61,7 +61,7 @@
 		return ReasonNoVersion
 	}
 	why := ReasonNoVersion
-	for _, v := range c.view.VersionsOf(q.Model) {
+	for _, v := range c.versionsFor(q) {
 		if !c.view.Allowed(account, v) || (q.pinned() != "" && v.ID != q.pinned()) {
 			continue
 		}
@@ -81,6 +81,18 @@
 	return q.Session
 }
 
+// versionsFor returns the versions of the models that q may run on.
+func (c *Core) versionsFor(q *request) []fescuelatch.Version {
+	if len(q.Ladder) == 0 {
+		return c.view.VersionsOf(q.Model)
+	}
+	var vs []fescuelatch.Version
+	for _, m := range q.Ladder {
+		vs = append(vs, c.view.VersionsOf(m)...)
+	}
+	return vs
+}
+
 // candidates returns the versions that the request may run on. A session or
 // a pinned version leaves at most that one. A quarantined version remains
 // for its own sessions and for requests that pin it.
@@ -91,7 +103,7 @@
 	}
 	pinned := q.pinned()
 	var cs []fescuelatch.Candidate
-	for _, v := range c.view.VersionsOf(q.Model) {
+	for _, v := range c.versionsFor(q) {
 		if pinned != "" && v.ID != pinned {
 			continue
 		}
--- a/decision/request.go
+++ b/decision/request.go
@@ -17,6 +17,9 @@
 	ratingTimeout = 500 * time.Millisecond
 	// maxAttempts bounds the attempts of one request over all versions.
 	maxAttempts = 6
+	// maxUnsent bounds the direct attempts of one request of which nothing
+	// could be sent.
+	maxUnsent = 3
 	// retryMargin is the part of the time to the deadline that a further
 	// attempt is not expected to use.
 	retryMargin = 250 * time.Millisecond
@@ -37,8 +40,15 @@
 	plan     []fescuelatch.VersionID
 	step     int
 	attempts int
+	// sequence counts all attempts, also those that were not sent.
+	sequence int
+	unsent   int
 	tried    map[fescuelatch.VMID]bool
-	current  attempt
+	// avoid lists the endpoints of direct attempts.
+	avoid []fescuelatch.EndpointID
+	// relayed reports that the caller is receiving an answer.
+	relayed bool
+	current attempt
 	// best is the answered attempt with the highest score so far.
 	best      attempt
 	bestScore float64
@@ -55,10 +65,15 @@
 	id      fescuelatch.AttemptID
 	version fescuelatch.VersionID
 	vm      fescuelatch.VMID
-	queued  bool
-	first   bool
+	// endpoint is set once a direct attempt has started.
+	endpoint fescuelatch.EndpointID
+	queued   bool
+	first    bool
 }
 
+// relayedAny reports whether the caller may have received a part of an answer.
+func (q *request) relayedAny() bool { return q.relayed || q.current.first }
+
 func (q *request) service() service {
 	if q.IsService() {
 		return service{plain: q.Service}
@@ -77,7 +92,7 @@
 		q.retryAfter = e.RetryAfter
 	}
 	c.requests[q.ID] = q
-	c.budget.earn()
+	c.options.Retries.Earn(now, q.Request)
 	switch {
 	case c.view == nil:
 		c.refuse(q, ReasonNoConfig, defaultRetryAfter)
@@ -153,9 +168,10 @@
 func (c *Core) newAttempt(q *request, vm fescuelatch.VMID) {
 	delete(c.attempts, q.current.id)
 	q.attempts++
+	q.sequence++
 	id := q.given
 	if id == "" {
-		id = fescuelatch.AttemptID(string(q.ID) + "." + strconv.Itoa(q.attempts))
+		id = fescuelatch.AttemptID(string(q.ID) + "." + strconv.Itoa(q.sequence))
 	}
 	q.current = attempt{id: id, version: q.plan[q.step], vm: vm}
 	c.attempts[id] = q
--- /dev/null
+++ b/direct/control.go
@@ -0,0 +1,115 @@
+package direct
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"fescuelatch"
+	"fescuelatch/chart"
+	"fescuelatch/rollout"
+)
+
+// This file defines the front for operators and other daemons.
+
+// Paths of the control front.
+const (
+	pathPeers   = "/peer"
+	pathMetrics = "/metrics"
+	pathStatus  = "/status"
+	pathState   = "/state"
+)
+
+func (d *Daemon) controlHandler() http.Handler {
+	m := mux.NewRouter()
+	peers := rpc.NewServer()
+	if err := peers.RegisterName(peerService, &peerServer{d}); err != nil {
+		d.log.Error("peers cannot be served", "error", err.Error())
+	}
+	m.Path(pathPeers).Handler(peers)
+	if d.options.Scrape != nil {
+		m.Methods(http.MethodGet).Path(pathMetrics).Handler(d.options.Scrape)
+	}
+	m.Methods(http.MethodGet).Path(pathStatus).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { d.writeJSON(w, d.Status()) })
+	m.Methods(http.MethodGet).Path(pathState).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { d.writeJSON(w, d.State()) })
+	return m
+}
+
+func (d *Daemon) writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		d.log.Debug("answer to an operator broke off", "error", err.Error())
+	}
+}
+
+// Status is the short state of a daemon.
+type Status struct {
+	VM         fescuelatch.VMID                  `json:"vm"`
+	Domain     fescuelatch.DomainID              `json:"failure-domain"`
+	Life       chart.State                       `json:"state"`
+	Ready      bool                              `json:"ready"`
+	Generation fescuelatch.Generation            `json:"generation"`
+	StoreAge   string                            `json:"store-age"`
+	Daemons    int                               `json:"daemons"`
+	Endpoints  int                               `json:"endpoints"`
+	Open       int                               `json:"open-requests"`
+	Rollouts   map[fescuelatch.ServiceID]Rolling `json:"roll-outs"`
+	DomainsOut []fescuelatch.DomainID            `json:"failure-domains-out"`
+}
+
+// Rolling is the state of a roll-out.
+type Rolling struct {
+	Release  fescuelatch.ReleaseID `json:"release"`
+	State    chart.State           `json:"state"`
+	Share    float64               `json:"share"`
+	Evidence rollout.Evidence      `json:"evidence"`
+}
+
+// Status returns the short state of the daemon.
+func (d *Daemon) Status() Status {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := Status{
+		VM: d.options.VM, Domain: d.options.Domain, Life: d.life.State(), Ready: d.ready(),
+		StoreAge: d.store.age(now).Round(time.Millisecond).String(), Daemons: d.members,
+		Endpoints: len(d.known.endpoints), Open: len(d.servings),
+		Rollouts: make(map[fescuelatch.ServiceID]Rolling),
+	}
+	if d.known.deployment != nil {
+		s.Generation = d.known.deployment.Generation
+	}
+	for id, r := range d.rollouts {
+		s.Rollouts[id] = Rolling{r.Order().Target, r.State(), r.Share(now), r.Rollout.Evidence()}
+	}
+	for id := range d.known.out {
+		s.DomainsOut = append(s.DomainsOut, id)
+	}
+	return s
+}
+
+// State is a dump of what a daemon believes, for operators.
+type State struct {
+	Status
+	Endpoints []EndpointState `json:"endpoints"`
+}
+
+// EndpointState is what a daemon believes of an endpoint.
+type EndpointState struct {
+	fescuelatch.Registration
+	Age string `json:"age"`
+}
+
+// State returns a dump of what the daemon believes.
+func (d *Daemon) State() State {
+	s := State{Status: d.Status()}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.known.endpoints {
+		s.Endpoints = append(s.Endpoints, EndpointState{e.Registration, time.Since(e.at).Round(time.Millisecond).String()})
+	}
+	return s
+}
--- /dev/null
+++ b/direct/daemon.go
@@ -0,0 +1,264 @@
+package direct
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"fescuelatch"
+	"fescuelatch/cascade"
+	"fescuelatch/chart"
+	"fescuelatch/decision"
+	"fescuelatch/endpoint"
+	"fescuelatch/gate/shared"
+	"fescuelatch/internal/graceful"
+	"fescuelatch/internal/lifecycle"
+	"fescuelatch/internal/pause"
+	"fescuelatch/placement"
+	"fescuelatch/quality"
+	"fescuelatch/rollout"
+)
+
+// This file defines the daemon and the serialised access to its decisions.
+
+// Options configure a daemon.
+type Options struct {
+	VM     fescuelatch.VMID
+	Domain fescuelatch.DomainID
+	// Regions are those of the failure domains that are known beforehand.
+	Regions  map[fescuelatch.DomainID]string
+	Store    fescuelatch.Store
+	Notation fescuelatch.Notation
+	Dialect  fescuelatch.Dialect
+	// Callers, Readiness, Control and Metrics are the addresses to listen
+	// on. Control and Metrics may be left out.
+	Callers   netip.AddrPort
+	Readiness netip.AddrPort
+	Control   netip.AddrPort
+	Metrics   netip.AddrPort
+	// Seeds are control addresses of daemons to learn from while the store
+	// is away.
+	Seeds   []netip.AddrPort
+	Retries shared.BudgetSettings
+	Rollout rollout.Settings
+	Ladder  cascade.LadderSettings
+	// LeaseTime is how long the record of a daemon outlives it.
+	LeaseTime time.Duration
+	// StopGrace is the time from the signal to stop until the process is
+	// killed.
+	StopGrace time.Duration
+	Log       *slog.Logger
+	Scope     tally.Scope
+	// Scrape serves the metrics.
+	Scrape http.Handler
+}
+
+// Daemon is the daemon of one entry VM.
+type Daemon struct {
+	options   Options
+	log       *slog.Logger
+	metrics   *metrics
+	life      *lifecycle.Life
+	closing   graceful.Closing
+	endpoints *endpoint.Client
+	// view and deployment are in force together.
+	inForce  atomic.Pointer[inForce]
+	stopping atomic.Bool
+	// open counts the requests of callers that are being served.
+	open  sync.WaitGroup
+	store storeState
+
+	// mu guards the fields below it, which make up the decisions.
+	mu       sync.Mutex
+	core     *decision.Core
+	gate     *shared.Gate
+	known    *knowledge
+	rollouts map[fescuelatch.ServiceID]*rolling
+	servings map[fescuelatch.RequestID]*serving
+	members  int
+}
+
+// inForce is a deployment with the view that was composed of it.
+type inForce struct {
+	deployment *fescuelatch.Deployment
+	view       *fescuelatch.View
+	addresses  map[fescuelatch.EndpointID]netip.AddrPort
+}
+
+// New returns a daemon that has not been started.
+func New(o Options) *Daemon {
+	log := o.Log.With("vm", o.VM)
+	d := &Daemon{
+		options: o, log: log, metrics: newMetrics(o.Scope), life: lifecycle.New(log),
+		known:    newKnowledge(o.Notation, log),
+		rollouts: make(map[fescuelatch.ServiceID]*rolling),
+		servings: make(map[fescuelatch.RequestID]*serving),
+		members:  1,
+	}
+	d.endpoints = &endpoint.Client{
+		Identify:    func(h http.Header) string { return o.Dialect.ReadAnswer(h).Call },
+		IdleTimeout: func(h http.Header) time.Duration { return o.Dialect.ReadAnswer(h).IdleTimeout },
+		Opened:      func() { d.metrics.connections.Inc(1) },
+	}
+	random := decision.NewRandom()
+	d.gate = shared.New(shared.Settings{Domain: string(o.Domain)}, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())))
+	ladder := cascade.NewLadder(o.Ladder)
+	d.core = decision.New(decision.Options{
+		VM: o.VM, Domain: o.Domain, Random: random, Direct: true,
+		Quality: new(quality.Static), Versions: ladder, Escalation: ladder,
+		Placement: new(placement.Policy), Gate: d.gate, Sampler: quality.FixedShare{},
+		Retries: shared.NewBudget(o.Retries, func() int { return d.members }),
+	})
+	return d
+}
+
+// decide hands an event to the core and passes the actions on to the requests
+// that they belong to.
+func (d *Daemon) decide(e decision.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decideLocked(time.Now(), e)
+}
+
+func (d *Daemon) decideLocked(now time.Time, e decision.Event) {
+	for _, a := range d.core.Handle(now, e) {
+		s, ok := d.servings[a.Of()]
+		if !ok {
+			d.log.Error("action for an unknown request", "request", a.Of())
+			continue
+		}
+		s.actions <- a
+	}
+	for _, err := range d.core.Faults() {
+		d.log.Error("fault of the decision core", "error", err.Error())
+	}
+}
+
+// refreshLocked brings the decisions up to what is known.
+func (d *Daemon) refreshLocked(now time.Time) {
+	if d.known.deployment == nil {
+		return
+	}
+	d.followRollouts(now)
+	v, err := compose(d.known, d.options.Regions, d.share(now))
+	if err != nil {
+		d.log.Error("what is known makes no configuration; the one before stays in force", "error", err.Error())
+		return
+	}
+	endpoints := owned(d.known, v)
+	f := &inForce{deployment: d.known.deployment, view: v, addresses: make(map[fescuelatch.EndpointID]netip.AddrPort, len(endpoints))}
+	for _, o := range endpoints {
+		f.addresses[o.Endpoint.ID] = o.Endpoint.Address
+	}
+	d.inForce.Store(f)
+	d.countMembersLocked()
+	d.decideLocked(now, decision.Configured{View: v})
+	d.decideLocked(now, decision.Owned{Endpoints: endpoints})
+	d.metrics.generation.Update(float64(f.deployment.Generation))
+	d.metrics.endpoints.Update(float64(len(endpoints)))
+	if d.known.usable() {
+		d.life.FireIfPossible(chart.EventLearned)
+	}
+}
+
+// countMembersLocked tells the gate how many daemons share the endpoints.
+func (d *Daemon) countMembersLocked() {
+	vms := d.known.daemons()
+	vms[d.options.VM] = true
+	d.members = len(vms)
+	d.gate.SetMembers(d.members)
+	d.metrics.members.Update(float64(d.members))
+}
+
+// ready reports whether the balancer should send callers here.
+func (d *Daemon) ready() bool {
+	return d.inForce.Load() != nil && !d.stopping.Load() && d.life.State() != chart.DaemonLearningConfiguration
+}
+
+// tickInterval is that at which waiting requests are looked at.
+const tickInterval = 40 * time.Millisecond
+
+// Run runs the daemon until ctx ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, running := errgroup.WithContext(running)
+	stopFronts, err := d.serveFronts(running, g)
+	if err != nil {
+		cancel()
+		_ = g.Wait()
+		return err
+	}
+	d.life.Fire(chart.EventStarted)
+	for _, loop := range []func(context.Context){d.follow, d.keepRecord, d.tick, d.driveRollouts, d.sweep, d.learnFromPeers} {
+		g.Go(func() error {
+			loop(running)
+			return nil
+		})
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.stop(stopFronts)
+		case <-running.Done():
+		}
+		cancel()
+		return nil
+	})
+	return g.Wait() //nolint:wrapcheck // The loops wrap their errors.
+}
+
+// tick lets time pass for the decisions.
+func (d *Daemon) tick(ctx context.Context) {
+	for pause.For(ctx, tickInterval) {
+		d.decide(decision.Tick{})
+	}
+}
+
+// sweepInterval is that at which idle connections are looked at.
+const sweepInterval = time.Second
+
+// sweep closes connections to endpoints that are not needed any more.
+func (d *Daemon) sweep(ctx context.Context) {
+	for pause.For(ctx, sweepInterval) {
+		used := make(map[netip.AddrPort]bool)
+		if f := d.inForce.Load(); f != nil {
+			for _, a := range f.addresses {
+				used[a] = true
+			}
+		}
+		d.endpoints.Sweep(time.Now(), func(a netip.AddrPort) bool { return used[a] })
+	}
+}
+
+// drainTime is how long a stopping daemon goes on to take requests: until the
+// balancer has missed it twice and callers have been told on their
+// connections.
+const drainTime = 2500 * time.Millisecond
+
+// stopMargin is left of the grace for the end of the process.
+const stopMargin = 700 * time.Millisecond
+
+// stop ends the service of callers without losing a request.
+func (d *Daemon) stop(fronts func(context.Context)) {
+	began := time.Now()
+	d.log.Info("stopping", "grace", d.options.StopGrace.String())
+	d.life.FireIfPossible(chart.EventDrain)
+	d.stopping.Store(true)
+	d.closing.Begin()
+	time.Sleep(min(drainTime, d.options.StopGrace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.options.StopGrace-stopMargin))
+	defer cancel()
+	fronts(ctx)
+	d.removeRecord()
+	d.life.FireIfPossible(chart.EventDrained)
+	d.log.Info("stopped", "took", time.Since(began).String())
+}
--- /dev/null
+++ b/direct/knowledge.go
@@ -0,0 +1,226 @@
+package direct
+
+import (
+	"log/slog"
+	"strings"
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines what a daemon knows from the platform's store.
+
+// lapseTime is how long removals are held after the store was away. Entries
+// of endpoints and daemons lapse while it is, and live ones write theirs again
+// within about two seconds.
+const lapseTime = 2 * time.Second
+
+// knowledge is what the store says, as far as it is known here. It is not safe
+// for concurrent use.
+type knowledge struct {
+	notation fescuelatch.Notation
+	log      *slog.Logger
+
+	deployment *fescuelatch.Deployment
+	endpoints  map[fescuelatch.EndpointID]registered
+	out        map[fescuelatch.DomainID]bool
+	orders     map[fescuelatch.ServiceID]fescuelatch.RolloutOrder
+	statuses   map[fescuelatch.ServiceID]fescuelatch.RolloutStatus
+	records    map[string]fescuelatch.KeyValue
+
+	// items holds every key, for daemons that start while the store is away.
+	items map[string]fescuelatch.KeyValue
+	// revision is that up to which the store is known.
+	revision int64
+	// heldUntil is the end of the time in which removals are held, and held
+	// the keys that were removed.
+	heldUntil time.Time
+	held      map[string]bool
+}
+
+// registered is an endpoint's registration and when it was learned.
+type registered struct {
+	fescuelatch.Registration
+	at time.Time
+}
+
+func newKnowledge(n fescuelatch.Notation, log *slog.Logger) *knowledge {
+	return &knowledge{
+		notation: n, log: log,
+		endpoints: make(map[fescuelatch.EndpointID]registered),
+		out:       make(map[fescuelatch.DomainID]bool),
+		orders:    make(map[fescuelatch.ServiceID]fescuelatch.RolloutOrder),
+		statuses:  make(map[fescuelatch.ServiceID]fescuelatch.RolloutStatus),
+		records:   make(map[string]fescuelatch.KeyValue),
+		items:     make(map[string]fescuelatch.KeyValue),
+		held:      make(map[string]bool),
+	}
+}
+
+// hold begins the time after an outage in which removals are held.
+func (k *knowledge) hold(now time.Time) { k.heldUntil = now.Add(lapseTime) }
+
+// apply takes in changes in the order of their revisions.
+func (k *knowledge) apply(now time.Time, c fescuelatch.Changes) {
+	for _, i := range c.Items {
+		if i.Removed {
+			k.remove(now, i.Key, i.Revision)
+		} else {
+			k.put(now, i.KeyValue)
+		}
+	}
+	k.revision = max(k.revision, c.Revision)
+}
+
+// replace takes in everything that the store holds: what is missing has been
+// removed.
+func (k *knowledge) replace(now time.Time, c fescuelatch.Changes) {
+	present := make(map[string]bool, len(c.Items))
+	for _, i := range c.Items {
+		present[i.Key] = true
+	}
+	for key := range k.items {
+		if !present[key] {
+			k.remove(now, key, c.Revision)
+		}
+	}
+	k.revision = 0
+	k.apply(now, c)
+}
+
+// settle carries out the removals that were held, once their time is over. It
+// reports whether there were any.
+func (k *knowledge) settle(now time.Time) bool {
+	if now.Before(k.heldUntil) || len(k.held) == 0 {
+		return false
+	}
+	for key := range k.held {
+		k.forget(key)
+	}
+	clear(k.held)
+	return true
+}
+
+func (k *knowledge) put(now time.Time, kv fescuelatch.KeyValue) {
+	if before, ok := k.items[kv.Key]; ok && before.Revision >= kv.Revision {
+		delete(k.held, kv.Key)
+		return
+	}
+	k.items[kv.Key] = kv
+	delete(k.held, kv.Key)
+	subject := k.notation.Subject(kv.Key)
+	if err := k.decode(now, subject, kv); err != nil {
+		k.log.Warn("entry of the store cannot be used", "key", kv.Key, "revision", kv.Revision, "error", err.Error())
+	}
+}
+
+// decode takes in one entry. An entry that cannot be decoded takes the place
+// of what its key said before: it names nothing.
+func (k *knowledge) decode(now time.Time, s fescuelatch.Subject, kv fescuelatch.KeyValue) error {
+	switch s.Kind {
+	case fescuelatch.SubjectDeployment:
+		d, err := k.notation.Deployment(kv.Value)
+		if err != nil {
+			return err //nolint:wrapcheck // The caller logs it with the key.
+		}
+		if k.deployment == nil || d.Generation > k.deployment.Generation {
+			k.deployment = d
+			k.log.Info("configuration in force", "generation", d.Generation, "revision", kv.Revision,
+				"routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
+		}
+	case fescuelatch.SubjectEndpoint:
+		r, err := k.notation.Registration(s.ID, kv.Value)
+		if err != nil {
+			delete(k.endpoints, fescuelatch.EndpointID(s.ID))
+			return err //nolint:wrapcheck // The caller logs it with the key.
+		}
+		k.register(now, r, kv.Revision)
+	case fescuelatch.SubjectDomainOut:
+		k.out[fescuelatch.DomainID(s.ID)] = true
+		k.log.Info("failure domain taken out", "failure-domain", s.ID, "revision", kv.Revision)
+	case fescuelatch.SubjectRollout:
+		o, err := k.notation.RolloutOrder(kv)
+		if err != nil {
+			return err //nolint:wrapcheck // The caller logs it with the key.
+		}
+		k.orders[o.Service] = o
+	case fescuelatch.SubjectStatus:
+		st, err := k.notation.RolloutStatus(kv)
+		if err != nil {
+			return err //nolint:wrapcheck // The caller logs it with the key.
+		}
+		k.statuses[st.Service] = st
+	case fescuelatch.SubjectRecord:
+		k.records[s.ID] = kv
+	}
+	return nil
+}
+
+func (k *knowledge) register(now time.Time, r fescuelatch.Registration, revision int64) {
+	id := r.Endpoint.ID
+	before, known := k.endpoints[id]
+	k.endpoints[id] = registered{r, now}
+	if !known || before.Born != r.Born || before.Leaving != r.Leaving {
+		k.log.Info("endpoint registered", "endpoint", id, "service", r.Service, "release", r.Release,
+			"failure-domain", r.Endpoint.Domain, "leaving", r.Leaving, "cold-for", r.ColdFor.String(), "revision", revision)
+	}
+}
+
+func (k *knowledge) remove(now time.Time, key string, revision int64) {
+	before, known := k.items[key]
+	if !known || before.Revision > revision {
+		return
+	}
+	if now.Before(k.heldUntil) && k.lapses(key) {
+		k.held[key] = true
+		return
+	}
+	k.forget(key)
+}
+
+// lapses reports whether a key may vanish because its writer could not reach
+// the store.
+func (k *knowledge) lapses(key string) bool {
+	s := k.notation.Subject(key)
+	return s.Kind == fescuelatch.SubjectEndpoint || s.Kind == fescuelatch.SubjectRecord
+}
+
+func (k *knowledge) forget(key string) {
+	delete(k.items, key)
+	s := k.notation.Subject(key)
+	switch s.Kind {
+	case fescuelatch.SubjectEndpoint:
+		delete(k.endpoints, fescuelatch.EndpointID(s.ID))
+		k.log.Info("endpoint gone", "endpoint", s.ID)
+	case fescuelatch.SubjectDomainOut:
+		delete(k.out, fescuelatch.DomainID(s.ID))
+		k.log.Info("failure domain back", "failure-domain", s.ID)
+	case fescuelatch.SubjectRollout:
+		delete(k.orders, fescuelatch.ServiceID(s.ID))
+	case fescuelatch.SubjectStatus:
+		delete(k.statuses, fescuelatch.ServiceID(s.ID))
+	case fescuelatch.SubjectRecord:
+		delete(k.records, s.ID)
+	}
+}
+
+// usable reports whether requests can be served by what is known.
+func (k *knowledge) usable() bool { return k.deployment != nil && len(k.endpoints) > 0 }
+
+// Records of the daemons' own, by the beginning of their identifiers.
+const (
+	recordDaemon   = "daemons/"
+	recordProgress = "progress/"
+	recordEvidence = "evidence/"
+)
+
+// daemons returns the identifiers of the daemons that are known to live.
+func (k *knowledge) daemons() map[fescuelatch.VMID]bool {
+	vms := make(map[fescuelatch.VMID]bool)
+	for id := range k.records {
+		if vm, ok := strings.CutPrefix(id, recordDaemon); ok {
+			vms[fescuelatch.VMID(vm)] = true
+		}
+	}
+	return vms
+}
--- /dev/null
+++ b/direct/members.go
@@ -0,0 +1,66 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/internal/pause"
+)
+
+// This file defines the record by which the daemons know how many they are.
+
+// renewals is the number of times that a lease is renewed within its time.
+const renewals = 3
+
+// keepRecord keeps this daemon's record in the store until ctx ends.
+func (d *Daemon) keepRecord(ctx context.Context) {
+	var lease int64
+	interval := d.options.LeaseTime / renewals
+	for ctx.Err() == nil {
+		if lease == 0 {
+			lease = d.writeRecord(ctx)
+		} else if left, err := d.options.Store.KeepAlive(ctx, lease); err == nil && left == 0 {
+			d.log.Info("lease of this daemon's record has ended", "lease", lease)
+			lease = 0
+			continue
+		}
+		if !pause.For(ctx, interval/2+rand.N(interval/2)) {
+			return
+		}
+	}
+}
+
+// writeRecord writes the record with a new lease, which it returns, or 0 when
+// it could not be written.
+func (d *Daemon) writeRecord(ctx context.Context) int64 {
+	lease, err := d.options.Store.Grant(ctx, d.options.LeaseTime)
+	if err != nil {
+		d.log.Debug("no lease for this daemon's record", "error", err.Error())
+		return 0
+	}
+	put := fescuelatch.KVPut{Key: d.recordKey(), Value: []byte(d.options.Domain), Lease: lease}
+	if _, err := d.options.Store.Txn(ctx, fescuelatch.KVTxn{Then: []fescuelatch.KVOp{{Put: &put}}}); err != nil {
+		d.log.Debug("record of this daemon not written", "error", err.Error())
+		return 0
+	}
+	return lease
+}
+
+func (d *Daemon) recordKey() string {
+	return d.options.Notation.RecordKey(recordDaemon + string(d.options.VM))
+}
+
+// removeTimeout bounds the removal of the record at the end.
+const removeTimeout = 300 * time.Millisecond
+
+// removeRecord lets the other daemons know at once that this one has gone.
+func (d *Daemon) removeRecord() {
+	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+	defer cancel()
+	_, err := d.options.Store.Txn(ctx, fescuelatch.KVTxn{Then: []fescuelatch.KVOp{{Delete: d.recordKey()}}})
+	if err != nil {
+		d.log.Info("record of this daemon not removed; it lapses", "error", err.Error())
+	}
+}
--- /dev/null
+++ b/direct/metrics.go
@@ -0,0 +1,66 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"fescuelatch"
+)
+
+// This file defines the metrics of a daemon. Their labels take values of the
+// deployment only: routes, versions and kinds.
+
+type metrics struct {
+	scope       tally.Scope
+	connections tally.Counter
+	generation  tally.Gauge
+	endpoints   tally.Gauge
+	members     tally.Gauge
+	storeAge    tally.Gauge
+	logDropped  tally.Gauge
+}
+
+// latencyBuckets spans 1 ms to about half a minute.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+func newMetrics(s tally.Scope) *metrics {
+	return &metrics{
+		scope:       s,
+		connections: s.Counter("endpoint_connections"),
+		generation:  s.Gauge("generation"),
+		endpoints:   s.Gauge("endpoints"),
+		members:     s.Gauge("daemons"),
+		storeAge:    s.Gauge("store_age_seconds"),
+		logDropped:  s.Gauge("log_lines_dropped"),
+	}
+}
+
+// ended counts a request by its route, outcome and the reason for it.
+func (m *metrics) ended(route fescuelatch.RouteID, o fescuelatch.Outcome, reason string, took time.Duration) {
+	t := m.scope.Tagged(map[string]string{"route": string(route), "outcome": string(o), "reason": reason})
+	t.Counter("requests").Inc(1)
+	t.Histogram("request_duration", latencyBuckets).RecordDuration(took)
+}
+
+// attempted counts an attempt by its version and how it ended.
+func (m *metrics) attempted(r fescuelatch.AttemptResult) {
+	t := m.scope.Tagged(map[string]string{"version": string(r.Version), "status": string(r.Status)})
+	t.Counter("attempts").Inc(1)
+	if r.FirstToken > 0 {
+		t.Histogram("first_output", latencyBuckets).RecordDuration(r.FirstToken)
+	}
+}
+
+// StoreCalls returns a function that counts the calls to the store.
+func StoreCalls(scope tally.Scope) func(name string, took time.Duration, err error) {
+	return func(name string, took time.Duration, err error) {
+		outcome := "ok"
+		if err != nil {
+			outcome = "failed"
+		}
+		t := scope.Tagged(map[string]string{"call": name, "outcome": outcome})
+		t.Counter("store_calls").Inc(1)
+		t.Histogram("store_call_duration", latencyBuckets).RecordDuration(took)
+	}
+}
--- /dev/null
+++ b/direct/output.go
@@ -0,0 +1,100 @@
+package direct
+
+import (
+	"net/http"
+	"strconv"
+
+	"fescuelatch"
+	"fescuelatch/endpoint"
+	"fescuelatch/sse"
+)
+
+// This file defines what a caller receives.
+
+// wholeAnswer is an endpoint's answer that has been read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// output is the answer to a caller. Only one attempt at a time writes to it.
+type output struct {
+	begun bool
+	// cut reports that the answer must not look whole.
+	cut bool
+	// last is the last event that the caller has been sent.
+	last string
+}
+
+// begin writes the head of an answer, which stays that of the first attempt
+// that was relayed.
+func (o *output) begin(w http.ResponseWriter, dialect fescuelatch.Dialect, a *endpoint.Answer) error {
+	if o.begun {
+		return nil
+	}
+	o.begun = true
+	dialect.WriteAnswer(w.Header(), a.Header, false)
+	if _, dated := w.Header()["Date"]; !dated {
+		w.Header()["Date"] = nil
+	}
+	w.WriteHeader(a.Status)
+	return nil
+}
+
+// event writes one event. Of a stream that another endpoint goes on with,
+// events that the caller already has are left out.
+func (o *output) event(w http.ResponseWriter, e sse.Event, flush bool) error {
+	if e.ID != "" {
+		if !later(e.ID, o.last) {
+			return nil
+		}
+		o.last = e.ID
+	}
+	if _, err := w.Write(e.Bytes); err != nil {
+		return err //nolint:wrapcheck // It only says that the caller has left.
+	}
+	if !flush {
+		return nil
+	}
+	return http.NewResponseController(w).Flush() //nolint:wrapcheck // As above.
+}
+
+// later reports whether an event follows another one. Identifiers are
+// increasing numbers; others cannot be compared and count as later.
+func later(id, last string) bool {
+	a, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	b, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || a > b
+}
+
+// whole writes an answer that has been read to its end. A status by which an
+// endpoint would promise that a request has not run, though it may have, is
+// replaced by one that promises nothing.
+func (o *output) whole(w http.ResponseWriter, dialect fescuelatch.Dialect, a *wholeAnswer) {
+	o.begun = true
+	status := a.status
+	if promisesNotRun(status) {
+		status = http.StatusBadGateway
+	}
+	dialect.WriteAnswer(w.Header(), a.header, status != a.status)
+	if _, dated := w.Header()["Date"]; !dated {
+		w.Header()["Date"] = nil
+	}
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	w.WriteHeader(status)
+	// An error means that the caller has left.
+	_, _ = w.Write(a.body)
+}
+
+// keep holds the whole answer of an attempt.
+func (s *serving) keep(id fescuelatch.AttemptID, a *wholeAnswer) {
+	s.daemon.mu.Lock()
+	defer s.daemon.mu.Unlock()
+	s.answers[id] = a
+}
--- /dev/null
+++ b/direct/rollouts.go
@@ -0,0 +1,231 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"strings"
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/internal/pause"
+	"fescuelatch/rollout"
+)
+
+// This file defines how the daemons carry out roll-outs together. Each follows
+// the same order and judges by the evidence of all. Whoever is first in the
+// order of the daemons records the outcome, and the others step in one after
+// the other while it does not. Records are written under a condition, so that
+// two who believe to be first do no harm.
+
+const (
+	// driveInterval is that at which roll-outs are looked at.
+	driveInterval = 250 * time.Millisecond
+	// tellInterval is the least time between two records of evidence.
+	tellInterval = 700 * time.Millisecond
+	// turnTime is how long each daemon leaves a record to those before it.
+	turnTime = 1500 * time.Millisecond
+	// shareStep is the change of the share that makes a new view worth while.
+	shareStep = 0.04
+	// progressStep is the part of an order's time between two records of its
+	// progress.
+	progressStep = 0.1
+)
+
+// rolling is a roll-out with what this daemon has written and waits for.
+type rolling struct {
+	*rollout.Rollout
+	share    float64 // in the view
+	told     rollout.Evidence
+	toldAt   time.Time
+	progress float64 // part of the time that was recorded last
+	// wanted is the state to be recorded, and since when.
+	wanted fescuelatch.RolloutState
+	since  time.Time
+}
+
+// progress is the record of how long an order has been carried out.
+type progress struct {
+	Revision int64         `json:"revision"`
+	Elapsed  time.Duration `json:"elapsed-ns"`
+}
+
+// share returns the shares of the roll-outs at a time.
+func (d *Daemon) share(now time.Time) shares {
+	return func(s fescuelatch.ServiceID) (fescuelatch.ReleaseID, float64, bool) {
+		r := d.rollouts[s]
+		if r == nil {
+			return "", 0, false
+		}
+		r.share = r.Share(now)
+		return r.Order().Target, r.share, true
+	}
+}
+
+// followRollouts begins and ends roll-outs as ordered, and takes in what the
+// other daemons have recorded.
+func (d *Daemon) followRollouts(now time.Time) {
+	for s, r := range d.rollouts {
+		if o, ok := d.known.orders[s]; !ok || o.Revision != r.Order().Revision {
+			delete(d.rollouts, s)
+		}
+	}
+	for s, o := range d.known.orders {
+		if d.rollouts[s] == nil {
+			d.rollouts[s] = &rolling{Rollout: rollout.New(d.options.Rollout, o, now)}
+			d.log.Info("roll-out begins", "service", s, "release", o.Target, "within", o.Within.String(), "revision", o.Revision)
+		}
+	}
+	for id, kv := range d.known.records {
+		d.takeRecord(now, id, kv)
+	}
+	for s, st := range d.known.statuses {
+		if r := d.rollouts[s]; r != nil && st.Target == r.Order().Target && st.Revision > r.Order().Revision {
+			r.Recorded(st.State)
+		}
+	}
+}
+
+// takeRecord takes in the evidence or progress of another daemon.
+func (d *Daemon) takeRecord(now time.Time, id string, kv fescuelatch.KeyValue) {
+	if s, ok := strings.CutPrefix(id, recordProgress); ok {
+		var p progress
+		if r := d.rollouts[fescuelatch.ServiceID(s)]; r != nil && d.decodeRecord(kv, &p) && p.Revision == r.Order().Revision {
+			r.Began(now, p.Elapsed)
+		}
+		return
+	}
+	if name, ok := strings.CutPrefix(id, recordEvidence); ok {
+		s, vm, _ := strings.Cut(name, "/")
+		var e rollout.Evidence
+		if r := d.rollouts[fescuelatch.ServiceID(s)]; r != nil && vm != string(d.options.VM) && d.decodeRecord(kv, &e) {
+			r.Merge(fescuelatch.VMID(vm), e)
+		}
+	}
+}
+
+func (d *Daemon) decodeRecord(kv fescuelatch.KeyValue, to any) bool {
+	if err := json.Unmarshal(kv.Value, to); err != nil {
+		d.log.Warn("record cannot be used", "key", kv.Key, "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// driveRollouts advances roll-outs until ctx ends.
+func (d *Daemon) driveRollouts(ctx context.Context) {
+	for pause.For(ctx, driveInterval) {
+		for _, t := range d.advanceRollouts(time.Now()) {
+			r, err := d.options.Store.Txn(ctx, t)
+			if err != nil {
+				d.log.Debug("record of a roll-out not written", "error", err.Error())
+			} else if !r.Succeeded {
+				d.log.Debug("another daemon has recorded the roll-out first")
+			}
+		}
+	}
+}
+
+// advanceRollouts moves roll-outs on and returns what is to be recorded.
+func (d *Daemon) advanceRollouts(now time.Time) []fescuelatch.KVTxn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var writes []fescuelatch.KVTxn
+	refresh := false
+	for s, r := range d.rollouts {
+		if r.Advance(now) {
+			d.log.Info("roll-out", "service", s, "release", r.Order().Target, "state", r.State(),
+				"elapsed", r.Elapsed(now).String(), "evidence", r.Rollout.Evidence())
+			refresh = true
+		}
+		if math.Abs(r.Share(now)-r.share) >= shareStep {
+			refresh = true
+		}
+		writes = append(writes, d.recordsOf(now, s, r)...)
+	}
+	if refresh {
+		d.refreshLocked(now)
+	}
+	return writes
+}
+
+// recordsOf returns what this daemon should record of a roll-out.
+func (d *Daemon) recordsOf(now time.Time, s fescuelatch.ServiceID, r *rolling) []fescuelatch.KVTxn {
+	status, recorded := d.known.statuses[s]
+	recorded = recorded && status.Target == r.Order().Target && status.Revision > r.Order().Revision
+	if recorded && status.State != fescuelatch.RolloutInProgress {
+		return nil
+	}
+	var writes []fescuelatch.KVTxn
+	if now.Sub(r.toldAt) >= tellInterval && r.News(r.told) {
+		r.told, r.toldAt = r.Rollout.Evidence(), now
+		writes = append(writes, d.record(recordEvidence+string(s)+"/"+string(d.options.VM), r.told)...)
+	}
+	part := float64(r.Elapsed(now)) / float64(r.Order().Within)
+	if d.turn() == 0 && part-r.progress >= progressStep {
+		r.progress = part
+		writes = append(writes, d.record(recordProgress+string(s), progress{r.Order().Revision, r.Elapsed(now)})...)
+	}
+	return append(writes, d.recordStatus(now, r, status, recorded)...)
+}
+
+// recordStatus returns the write of the state for operators, once it is this
+// daemon's turn.
+func (d *Daemon) recordStatus(now time.Time, r *rolling, status fescuelatch.RolloutStatus, recorded bool) []fescuelatch.KVTxn {
+	verdict := r.Verdict(now)
+	if recorded && status.State == verdict {
+		return nil
+	}
+	if r.wanted != verdict {
+		r.wanted, r.since = verdict, now
+	}
+	if now.Sub(r.since) < time.Duration(d.turn())*turnTime {
+		return nil
+	}
+	r.since = now.Add(turnTime) // A lost write is repeated after a while.
+	o := r.Order()
+	key, value, err := d.options.Notation.EncodeStatus(fescuelatch.RolloutStatus{Service: o.Service, Target: o.Target, State: verdict})
+	if err != nil {
+		d.log.Error("state of a roll-out cannot be recorded", "error", err.Error())
+		return nil
+	}
+	d.log.Info("roll-out is recorded", "service", o.Service, "release", o.Target, "state", verdict, "expected-revision", status.Revision)
+	return []fescuelatch.KVTxn{{
+		If:   []fescuelatch.KVCompare{{Key: key, Revision: status.Revision}},
+		Then: []fescuelatch.KVOp{{Put: &fescuelatch.KVPut{Key: key, Value: value}}},
+	}}
+}
+
+// record returns the write of a record of the daemons' own.
+func (d *Daemon) record(id string, v any) []fescuelatch.KVTxn {
+	b, err := json.Marshal(v)
+	if err != nil {
+		d.log.Error("record cannot be written", "record", id, "error", err.Error())
+		return nil
+	}
+	put := fescuelatch.KVPut{Key: d.options.Notation.RecordKey(id), Value: b}
+	return []fescuelatch.KVTxn{{Then: []fescuelatch.KVOp{{Put: &put}}}}
+}
+
+// turn returns the place of this daemon in the order of all that are known to
+// live.
+func (d *Daemon) turn() int {
+	before := 0
+	for vm := range d.known.daemons() {
+		if vm < d.options.VM {
+			before++
+		}
+	}
+	return before
+}
+
+// observe counts the answer of an attempt for the roll-out of its service.
+func (d *Daemon) observe(v fescuelatch.VersionID, a rollout.Answer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	service, _, _ := strings.Cut(string(v.Model()), ":")
+	if r := d.rollouts[fescuelatch.ServiceID(service)]; r != nil {
+		a.Release = v.Release()
+		r.Observe(a)
+	}
+}
--- /dev/null
+++ b/endpoint/errors.go
@@ -0,0 +1,64 @@
+package endpoint
+
+import (
+	"errors"
+	"net"
+)
+
+// This file defines the error type of this package.
+
+// ErrorKind says what may have become of a request.
+type ErrorKind string
+
+// Kinds of errors.
+const (
+	// KindUnsent means that nothing was sent.
+	KindUnsent ErrorKind = "unsent"
+	// KindBroken means that the exchange broke off. The request may have
+	// run.
+	KindBroken ErrorKind = "broken"
+	// KindSilent means that the endpoint sent nothing for longer than the
+	// request had patience. It may have run.
+	KindSilent ErrorKind = "silent"
+	// KindCancelled means that the context was cancelled.
+	KindCancelled ErrorKind = "cancelled"
+	// KindExpired means that the context's deadline passed.
+	KindExpired ErrorKind = "expired"
+)
+
+// Error reports that operation Op failed for a reason of kind Kind.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	s := "endpoint: " + e.Op + ": " + string(e.Kind)
+	if e.Err == nil {
+		return s
+	}
+	return s + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of the first Error in err's chain. An error of
+// another type counts as KindBroken, the kind that promises least.
+func KindOf(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindBroken
+}
+
+func kindOf(err error) ErrorKind {
+	var n net.Error
+	if errors.As(err, &n) && n.Timeout() {
+		return KindSilent
+	}
+	return KindBroken
+}
--- a/errors.go
+++ b/errors.go
@@ -31,3 +31,7 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// ErrHistoryGone is the cause of a store's error when the changes that were
+// asked for are no longer available.
+var ErrHistoryGone = &Error{Op: "read changes", Kind: KindStale}
--- /dev/null
+++ b/gate/shared/budget.go
@@ -0,0 +1,106 @@
+package shared
+
+import (
+	"time"
+
+	"fescuelatch"
+)
+
+// This file defines the retry budget that all daemons share.
+
+var _ fescuelatch.RetryBudget = (*Budget)(nil)
+
+// BudgetSettings bound the requests that all daemons together send again to
+// the endpoints of one service.
+type BudgetSettings struct {
+	// Ratio is the bound relative to the requests of callers within Window,
+	// and Extra is added to it.
+	Ratio  float64
+	Extra  float64
+	Window time.Duration
+}
+
+// budgetUse is the part of the bound that is used: daemons count their
+// windows apart, and one that dies takes its count with it.
+const budgetUse = 0.7
+
+// budgetSteps is the number of steps in which a window slides.
+const budgetSteps = 10
+
+// Budget bounds retries by the requests that this daemon had in a sliding
+// window, and by its part of what all daemons may add. It is not safe for
+// concurrent use.
+type Budget struct {
+	settings BudgetSettings
+	members  func() int
+	services map[fescuelatch.ModelID]*window
+}
+
+// NewBudget returns a budget. members tells the number of live daemons.
+func NewBudget(s BudgetSettings, members func() int) *Budget {
+	return &Budget{settings: s, members: members, services: make(map[fescuelatch.ModelID]*window)}
+}
+
+// Earn implements fescuelatch.RetryBudget.
+func (b *Budget) Earn(now time.Time, r *fescuelatch.Request) {
+	if w := b.window(now, r); w != nil {
+		w.steps[w.at].requests++
+	}
+}
+
+// Take implements fescuelatch.RetryBudget.
+func (b *Budget) Take(now time.Time, r *fescuelatch.Request) bool {
+	w := b.window(now, r)
+	if w == nil {
+		return false
+	}
+	requests, repeats := w.sums()
+	allowed := budgetUse * (b.settings.Ratio*requests + b.settings.Extra/float64(max(b.members(), 1)))
+	if repeats+1 > allowed {
+		return false
+	}
+	w.steps[w.at].repeats++
+	return true
+}
+
+// window returns the counts of the service behind a ladder, whose first model
+// stands for it.
+func (b *Budget) window(now time.Time, r *fescuelatch.Request) *window {
+	if len(r.Ladder) == 0 {
+		return nil
+	}
+	w := b.services[r.Ladder[0]]
+	if w == nil {
+		w = &window{since: now}
+		b.services[r.Ladder[0]] = w
+	}
+	w.advance(now, b.settings.Window/budgetSteps)
+	return w
+}
+
+// window counts requests and repeats in steps of time.
+type window struct {
+	steps [budgetSteps]struct{ requests, repeats float64 }
+	at    int
+	since time.Time // start of the present step
+}
+
+func (w *window) advance(now time.Time, step time.Duration) {
+	for n := 0; now.Sub(w.since) >= step; n++ {
+		if n == budgetSteps {
+			w.since = now
+			return
+		}
+		w.at = (w.at + 1) % budgetSteps
+		w.steps[w.at].requests, w.steps[w.at].repeats = 0, 0
+		w.since = w.since.Add(step)
+	}
+}
+
+func (w *window) sums() (requests, repeats float64) {
+	for _, s := range w.steps {
+		requests += s.requests
+		repeats += s.repeats
+	}
+	return requests, repeats
+}
--- /dev/null
+++ b/gate/shared/choose.go
@@ -0,0 +1,152 @@
+package shared
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuelatch"
+)
+
+// This file defines the choice of an endpoint for one attempt: the one that is
+// expected to give its first output soonest.
+
+// choose returns the endpoint for w, or nil when none has room. It answers
+// two loads: short requests go by the number of requests at an endpoint, long
+// prompts by what is still to be read there, with what a prompt cache saves.
+func (g *Gate) choose(now time.Time, w fescuelatch.Work) *place {
+	places := g.serving[w.Version]
+	home := homes(places, w)
+	var best *place
+	var least time.Duration
+	for i, p := range places {
+		if !g.admits(now, p, places, w) {
+			continue
+		}
+		c := g.cost(now, p, w, p == home[0] || p == home[1])
+		// Equal costs are drawn from, so that daemons do not all take the
+		// first endpoint of the same list.
+		c += time.Duration(g.random.Float64() * float64(time.Millisecond))
+		if best == nil || c < least {
+			best, least = places[i], c
+		}
+	}
+	return best
+}
+
+// admits reports whether p may get w now. Endpoints that fail are left alone,
+// unless too many of them fail at once.
+func (g *Gate) admits(now time.Time, p *place, places []*place, w fescuelatch.Work) bool {
+	p.advance(now, g.coldGap(max(p.owned.ColdRate, 1)))
+	if p.owned.Out || slices.Contains(w.Avoid, p.owned.Endpoint.ID) {
+		return false
+	}
+	if w.Endpoint != "" && w.Endpoint != p.owned.Endpoint.ID {
+		return false
+	}
+	if !p.open(now) && (p.cold(now) || !crowded(now, places)) {
+		return false
+	}
+	if p.ejections > 0 && !w.Request.Idempotent && !crowded(now, places) {
+		return false // Only a request that may be repeated is tried there.
+	}
+	if len(p.running) >= g.connections(p) {
+		return false
+	}
+	return float64(p.busy(now)) < overbooking*float64(p.slots())
+}
+
+// connections returns how many requests of this daemon may be at p at once.
+func (g *Gate) connections(p *place) int {
+	if p.owned.Connections == 0 {
+		return 1 << 30
+	}
+	return max(minConnections, int(connectionUse*float64(p.owned.Connections))/g.members)
+}
+
+// crowded reports whether so many endpoints are left alone that the others
+// may not bear the load.
+func crowded(now time.Time, places []*place) bool {
+	out, n := 0, 0
+	for _, p := range places {
+		if p.owned.Out {
+			continue
+		}
+		n++
+		if now.Before(p.ejected) || p.trial != "" {
+			out++
+		}
+	}
+	return float64(out) > maxEjected*float64(n)
+}
+
+// cost estimates the time to the first output of w at p. Prompts that are
+// being read there come first, and what is generated slows reading down.
+func (g *Gate) cost(now time.Time, p *place, w fescuelatch.Work, home bool) time.Duration {
+	pc := g.paceOf(w.Version)
+	fresh := p.fresh(w)
+	if home && len(w.Request.Parts) > 1 {
+		// Other daemons send the same parts here.
+		fresh = min(fresh, w.Request.PromptTokens-shared(w.Request.Parts))
+	}
+	ahead := 0
+	for _, a := range p.running {
+		if a.first.IsZero() {
+			ahead += a.fresh
+		}
+	}
+	busy, slots := float64(p.busy(now)), float64(p.slots())
+	c := pc.expected(max(fresh, 0))
+	if ahead > 0 {
+		c += pc.expected(ahead)
+	}
+	c += time.Duration(float64(c) * busy / slots)
+	if over := busy + 1 - slots; over > 0 {
+		c += time.Duration(over / slots * float64(pc.whole()))
+	}
+	c = time.Duration(float64(c) * max(1, p.slow))
+	if string(p.owned.Endpoint.Domain) != g.settings.Domain {
+		c += crossDomainCost
+	}
+	return c
+}
+
+// shared returns the tokens of the parts that other requests share, which are
+// all but the last.
+func shared(parts []fescuelatch.PromptPart) int {
+	n := 0
+	for _, p := range parts[:len(parts)-1] {
+		n += p.Tokens
+	}
+	return n
+}
+
+// homes returns the two endpoints of the highest rendezvous scores for the
+// shared parts of a prompt. All daemons agree on them without telling each
+// other, so that the parts are read in few places.
+func homes(places []*place, w fescuelatch.Work) [2]*place {
+	var best [2]*place
+	if len(w.Request.Parts) < 2 {
+		return best
+	}
+	part := w.Request.Parts[len(w.Request.Parts)-2].ID
+	var scores [2]uint64
+	for _, p := range places {
+		if p.owned.Out {
+			continue
+		}
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString(string(p.owned.Endpoint.ID))
+		switch s := d.Sum64(); {
+		case s > scores[0]:
+			best[1], scores[1] = best[0], scores[0]
+			best[0], scores[0] = p, s
+		case s > scores[1]:
+			best[1], scores[1] = p, s
+		}
+	}
+	return best
+}
--- a/identity.go
+++ b/identity.go
@@ -1,5 +1,7 @@
 package fescuelatch
 
+import "strings"
+
 // This file defines the identifiers of the domain and the generation number
 // of a configuration.
 
@@ -22,6 +24,13 @@
 // ModelID names a model, for example "triage-small".
 type ModelID string
 
+// Name returns the part of an identifier "service:model" after the service,
+// which is how the endpoints of the service call the model.
+func (m ModelID) Name() string {
+	_, name, _ := strings.Cut(string(m), ":")
+	return name
+}
+
 // VersionID names one version of a model, written "model@version".
 type VersionID string
 
--- a/daemon/closing.go
+++ b/internal/graceful/closing.go
@@ -1,4 +1,7 @@
-package daemon
+// Package graceful stops HTTP servers without losing a request: connections
+// that the kernel has opened are handed over, and answers announce that their
+// connection closes.
+package graceful
 
 import (
 	"net/http"
@@ -15,17 +18,23 @@
 // stays open for one more request, which is then refused.
 const keptTime = 500 * time.Millisecond
 
-// closing announces the close of connections once it has begun. The zero
+// Closing announces the close of connections once it has begun. The zero
 // value has not begun.
-type closing struct {
+type Closing struct {
 	begun atomic.Bool
 	// kept is when an answer last ended that did not announce the close, in
 	// Unix nanoseconds.
 	kept atomic.Int64
 }
 
-// handler returns h with answers that announce the close.
-func (k *closing) handler(h http.Handler) http.Handler {
+// Begin announces the close with all answers whose head is not yet written.
+func (k *Closing) Begin() { k.begun.Store(true) }
+
+// Begun reports whether Begin was called.
+func (k *Closing) Begun() bool { return k.begun.Load() }
+
+// Handler returns h with answers that announce the close.
+func (k *Closing) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a := &closingWriter{ResponseWriter: w, closing: k}
 		h.ServeHTTP(a, r)
@@ -35,8 +44,8 @@
 	})
 }
 
-// left returns how much longer the connections should be kept open.
-func (k *closing) left(now time.Time) time.Duration {
+// Left returns how much longer the connections should be kept open.
+func (k *Closing) Left(now time.Time) time.Duration {
 	return max(0, time.Unix(0, k.kept.Load()).Add(keptTime).Sub(now))
 }
 
@@ -44,7 +53,7 @@
 // have begun since its request came.
 type closingWriter struct {
 	http.ResponseWriter
-	closing *closing
+	closing *Closing
 	written bool
 	closes  bool
 }
--- a/daemon/closing_test.go
+++ b/internal/graceful/closing_test.go
@@ -1,4 +1,4 @@
-package daemon
+package graceful
 
 import (
 	"net/http"
@@ -24,13 +24,13 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			k := new(closing)
+			k := new(Closing)
 			begin := func(at string) {
 				if at == test.begins {
-					k.begun.Store(true)
+					k.Begin()
 				}
 			}
-			s := httptest.NewServer(k.handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			s := httptest.NewServer(k.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				begin("head")
 				_, _ = w.Write([]byte("first"))
 				_ = http.NewResponseController(w).Flush()
@@ -44,8 +44,8 @@
 			s.Close()
 			c.Check(resp.Close, qt.Equals, test.closes)
 			now := time.Now()
-			c.Check(k.left(now) > 0, qt.Equals, !test.closes)
-			c.Check(k.left(now.Add(keptTime)), qt.Equals, time.Duration(0))
+			c.Check(k.Left(now) > 0, qt.Equals, !test.closes)
+			c.Check(k.Left(now.Add(keptTime)), qt.Equals, time.Duration(0))
 		})
 	}
 }
--- a/daemon/draining.go
+++ b/internal/graceful/listener.go
@@ -1,4 +1,4 @@
-package daemon
+package graceful
 
 import (
 	"net"
@@ -14,16 +14,16 @@
 // still wait when their listener closes. Their callers cannot tell whether
 // what they have sent was received.
 
-// drainingListener accepts what the kernel holds when it is closed. Accept
+// Listener accepts what the kernel holds when it is closed. Accept
 // returns those connections before it fails.
-type drainingListener struct {
+type Listener struct {
 	*net.TCPListener
 	mu   sync.Mutex
 	held []net.Conn
 }
 
 // Accept implements net.Listener.
-func (l *drainingListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	if err == nil {
 		return c, nil
@@ -39,7 +39,7 @@
 }
 
 // Close implements net.Listener.
-func (l *drainingListener) Close() error {
+func (l *Listener) Close() error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return errors.WithStack(err)
--- a/daemon/draining_test.go
+++ b/internal/graceful/listener_test.go
@@ -1,4 +1,4 @@
-package daemon
+package graceful
 
 import (
 	"fmt"
@@ -8,13 +8,13 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestDrainingListener checks that connections which the kernel has opened,
+// TestListener checks that connections which the kernel has opened,
 // and nobody has accepted, outlive the close of their listener.
-func TestDrainingListener(t *testing.T) {
+func TestListener(t *testing.T) {
 	c := qt.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	d := &drainingListener{TCPListener: l.(*net.TCPListener)}
+	d := &Listener{TCPListener: l.(*net.TCPListener)}
 	const waiting = 20
 	for i := range waiting {
 		caller, err := net.Dial("tcp", l.Addr().String())
--- a/policy.go
+++ b/policy.go
@@ -127,6 +127,23 @@
 	Plan(now time.Time, r *Request, candidates []Candidate, u float64) []VersionID
 }
 
+// EscalationPolicy decides whether an answer that an endpoint has begun is
+// given up for one of the next version of a plan.
+type EscalationPolicy interface {
+	// Escalate is told the endpoint's own confidence in its answer, from 0
+	// to 1.
+	Escalate(now time.Time, r *Request, from, to VersionID, confidence float64) bool
+}
+
+// RetryBudget bounds how much requests that are sent again add to the load
+// of a service.
+type RetryBudget interface {
+	// Earn counts a request for the models of a ladder.
+	Earn(now time.Time, r *Request)
+	// Take reports whether a request may be sent once more, and counts it.
+	Take(now time.Time, r *Request) bool
+}
+
 // Spot is a place where an attempt can be made: this daemon (Own set), whose
 // gate chooses among its endpoints unless Endpoint is set, or another daemon
 // that owns endpoints.
@@ -162,6 +179,20 @@
 	After time.Time
 	// Out reports that the endpoint gets no new work.
 	Out bool
+
+	// The fields below are set where many daemons send to the endpoint.
+
+	// Process tells apart successive processes at the endpoint.
+	Process int64
+	// ColdUntil is the end of a cold start, and ColdRate the requests a
+	// second that the endpoint bears from all daemons until then; zero means
+	// no bound.
+	ColdUntil time.Time
+	ColdRate  float64
+	// Connections bounds those from all daemons; zero means no bound.
+	Connections int
+	// CacheTokens is the size of the prompt cache.
+	CacheTokens int
 }
 
 // Work is one attempt that asks a gate for admission.
@@ -172,6 +203,8 @@
 	// Endpoint, when set, is the only endpoint that will do.
 	Endpoint EndpointID
 	Share    float64 // the account's weight; zero counts as one
+	// Avoid lists the endpoints that the request was sent to before.
+	Avoid []EndpointID
 }
 
 // Admission is a gate's decision on one attempt.
--- a/request.go
+++ b/request.go
@@ -57,6 +57,28 @@
 	// Forwarded reports that another daemon accepted the request and asks
 	// for an attempt at an endpoint that this daemon owns.
 	Forwarded bool `json:"forwarded,omitempty"`
+
+	// Route is that of an opaque request, and Ladder the models that it may
+	// run on, cheapest first; Model is then empty.
+	Route  RouteID   `json:"route,omitempty"`
+	Ladder []ModelID `json:"ladder,omitempty"`
+	// Resumable reports that an endpoint can go on with a stream that
+	// another one began.
+	Resumable bool `json:"resumable,omitempty"`
+	// MaxAttempts bounds the endpoints that the request is sent to; zero
+	// means the bound of the decision core.
+	MaxAttempts int `json:"max-attempts,omitempty"`
+	// Rank orders opaque requests under load; 0 is the most urgent.
+	Rank int `json:"rank,omitempty"`
+	// TargetLatency is the time to the first output that is aimed at; zero
+	// means none.
+	TargetLatency time.Duration `json:"target-latency,omitempty"`
+	// TargetGap is the time between two outputs that is aimed at.
+	TargetGap time.Duration `json:"target-gap,omitempty"`
+	// Parts are the leading parts of the prompt, in order.
+	Parts []PromptPart `json:"parts,omitempty"`
+	// SessionKey identifies the session of an opaque request.
+	SessionKey string `json:"session-key,omitempty"`
 }
 
 // IsService reports whether r addresses a plain service.
@@ -77,8 +99,12 @@
 	// AttemptExpired means that the request's deadline passed while the
 	// attempt was under way. It may have run.
 	AttemptExpired AttemptStatus = "expired"
-	// AttemptCancelled means that the caller left.
+	// AttemptCancelled means that the caller left, or that another attempt
+	// has taken over.
 	AttemptCancelled AttemptStatus = "cancelled"
+	// AttemptFailed means that the endpoint ran the request and answered
+	// with a failure of its own.
+	AttemptFailed AttemptStatus = "failed"
 )
 
 // AttemptResult describes an ended attempt.
--- /dev/null
+++ b/sse/errors.go
@@ -0,0 +1,18 @@
+package sse
+
+// This file defines the error type of this package.
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// Kinds of errors.
+const KindTooLarge ErrorKind = "too-large"
+
+// Error reports that operation Op failed for a reason of kind Kind.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return "sse: " + e.Op + ": " + string(e.Kind) }
--- /dev/null
+++ b/sse/scanner.go
@@ -0,0 +1,97 @@
+// Package sse splits streams of server-sent events into whole events, byte for
+// byte, and reads their identifiers.
+package sse
+
+import (
+	"bytes"
+	"io"
+)
+
+// This file defines the scanner.
+
+const (
+	readBytes = 4 << 10
+	// maxEventBytes bounds an event that has not ended.
+	maxEventBytes = 4 << 20
+)
+
+// Event is one whole event with the blank line that ends it. ID is empty when
+// the event has none.
+type Event struct {
+	Bytes []byte
+	ID    string
+}
+
+// Scanner reads events from a stream.
+type Scanner struct {
+	source io.Reader
+	buffer []byte
+	next   int // end of the event that was returned last
+	err    error
+}
+
+// NewScanner returns a scanner of source.
+func NewScanner(source io.Reader) *Scanner { return &Scanner{source: source} }
+
+// Next returns the next whole event. It is valid until the next call. At the
+// end of the stream the error is io.EOF, or that of the source.
+func (s *Scanner) Next() (Event, error) {
+	s.buffer = s.buffer[:copy(s.buffer, s.buffer[s.next:])]
+	s.next = 0
+	for {
+		if n := end(s.buffer); n > 0 {
+			s.next = n
+			return Event{Bytes: s.buffer[:n], ID: identifier(s.buffer[:n])}, nil
+		}
+		if s.err != nil {
+			return Event{}, s.err
+		}
+		if len(s.buffer) > maxEventBytes {
+			return Event{}, &Error{Op: "read event", Kind: KindTooLarge}
+		}
+		s.fill()
+	}
+}
+
+// Buffered reports whether a whole event can be returned without reading.
+func (s *Scanner) Buffered() bool { return end(s.buffer[s.next:]) > 0 }
+
+// Rest returns what has been read and is no whole event.
+func (s *Scanner) Rest() []byte { return s.buffer[s.next:] }
+
+func (s *Scanner) fill() {
+	n := len(s.buffer)
+	if cap(s.buffer)-n < readBytes/2 {
+		s.buffer = append(make([]byte, 0, 2*cap(s.buffer)+readBytes), s.buffer...)
+	}
+	m, err := s.source.Read(s.buffer[n:cap(s.buffer)])
+	s.buffer = s.buffer[:n+m]
+	s.err = err
+}
+
+// end returns the length of the first event with its blank line, or 0.
+func end(b []byte) int {
+	for i := 0; i < len(b); {
+		j := bytes.IndexByte(b[i:], '\n')
+		if j < 0 {
+			return 0
+		}
+		line := bytes.TrimSuffix(b[i:i+j], []byte("\r"))
+		i += j + 1
+		if len(line) == 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// identifier returns the value of the last id field.
+func identifier(b []byte) string {
+	id := ""
+	for line := range bytes.SplitSeq(b, []byte("\n")) {
+		if v, ok := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), []byte("id:")); ok {
+			id = string(bytes.TrimPrefix(v, []byte(" ")))
+		}
+	}
+	return id
+}
