--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -120,7 +120,7 @@
 	a, err := d.endpoints.Do(t.ctx, to, &endpoint.Request{
 		Identifier: s.call.Call, Method: s.request.Method, Target: s.request.RequestURI, Host: s.request.Host,
 		Header: d.options.Dialect.WriteAttempt(s.request.Header, h), Body: s.body,
-		Fresh: !s.details.Idempotent, Patience: t.start.Patience.First,
+		Fresh: !s.details.Idempotent || s.sent > 1, Patience: t.start.Patience.First,
 	})
 	if err != nil {
 		return err //nolint:wrapcheck // Its kind decides.
