--- a/decision/budget.go
+++ b/decision/budget.go
@@ -25,7 +25,7 @@
 }
 
 // Take implements fescuelatch.RetryBudget.
-func (b *retryBudget) Take(time.Time, *fescuelatch.Request) bool {
+func (b *retryBudget) Take(time.Time, *fescuelatch.Request, fescuelatch.RetryReason) bool {
 	if b.tokens < 1 {
 		return false
 	}
--- a/decision/opening.go
+++ b/decision/opening.go
@@ -40,7 +40,7 @@
 // replace starts an attempt on the next version in place of the current one,
 // if that can start at once and the budget allows it.
 func (c *Core) replace(now time.Time, q *request) bool {
-	if !c.options.Retries.Take(now, q.Request) {
+	if !c.options.Retries.Take(now, q.Request, fescuelatch.RetryEscalation) {
 		return false
 	}
 	old := q.current
@@ -71,7 +71,7 @@
 	if q.best.id == "" {
 		q.best = q.current
 	}
-	if !q.Idempotent || q.relayed || q.attempts >= q.bound() || c.late(now, q) || !c.options.Retries.Take(now, q.Request) {
+	if !q.Idempotent || q.relayed || q.attempts >= q.bound() || c.late(now, q) || !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
 		c.accept(q, q.current, false)
 		return
 	}
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -126,7 +126,7 @@
 		q.unsent++
 		return q.unsent <= maxUnsent
 	}
-	return q.attempts < q.bound() && c.options.Retries.Take(now, q.Request)
+	return q.attempts < q.bound() && c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure)
 }
 
 func refusalReason(r fescuelatch.AttemptResult) Reason {
@@ -150,7 +150,7 @@
 // streamed to the caller.
 func (c *Core) broken(now time.Time, q *request) {
 	streamed := q.Streamed && q.relayedAny() && !q.Resumable
-	if !q.Idempotent || streamed || q.Forwarded || q.attempts >= q.bound() || !c.options.Retries.Take(now, q.Request) {
+	if !q.Idempotent || streamed || q.Forwarded || q.attempts >= q.bound() || !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
 		if q.best.id != "" {
 			c.accept(q, q.best, false)
 			return
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -219,7 +219,13 @@
 // tick lets time pass for the decisions.
 func (d *Daemon) tick(ctx context.Context) {
 	for pause.For(ctx, tickInterval) {
-		d.decide(decision.Tick{})
+		now := time.Now()
+		d.mu.Lock()
+		if d.known.settle(now) {
+			d.refreshLocked(now)
+		}
+		d.decideLocked(now, decision.Tick{})
+		d.mu.Unlock()
 	}
 }
 
--- a/direct/follow.go
+++ b/direct/follow.go
@@ -25,7 +25,7 @@
 	followJitter = 100 * time.Millisecond
 	// backoffLeast and backoffMost bound the pause after a failed call.
 	backoffLeast = 150 * time.Millisecond
-	backoffMost  = time.Second
+	backoffMost  = 400 * time.Millisecond
 	// awayAfter is how long calls fail before the store counts as away.
 	awayAfter = 800 * time.Millisecond
 )
@@ -123,7 +123,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if back {
-		d.known.hold(now)
+		d.known.returned(now, c)
 	}
 	if scan {
 		d.known.replace(now, c)
--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -57,8 +57,32 @@
 	}
 }
 
-// hold begins the time after an outage in which removals are held.
-func (k *knowledge) hold(now time.Time) { k.heldUntil = now.Add(lapseTime) }
+// returned begins the time after an outage in which removals are held, unless
+// the changes show that the store was there all the while and only this daemon
+// could not reach it: then endpoints have gone on writing and none has lapsed.
+func (k *knowledge) returned(now time.Time, missed fescuelatch.Changes) {
+	writes := make(map[string]int)
+	for _, i := range missed.Items {
+		if !i.Removed && k.notation.Subject(i.Key).Kind == fescuelatch.SubjectEndpoint {
+			writes[i.Key]++
+		}
+	}
+	regular := 0
+	for _, n := range writes {
+		if n >= regularWrites {
+			regular++
+		}
+	}
+	if 2*regular > len(k.endpoints) {
+		k.log.Info("the store was there while this daemon could not reach it", "endpoints-writing", regular)
+		return
+	}
+	k.heldUntil = now.Add(lapseTime)
+}
+
+// regularWrites is the number of writes that show that an endpoint has reached
+// the store for longer than a store that has just returned is there.
+const regularWrites = 2
 
 // apply takes in changes in the order of their revisions.
 func (k *knowledge) apply(now time.Time, c fescuelatch.Changes) {
--- a/gate/shared/budget.go
+++ b/gate/shared/budget.go
@@ -20,9 +20,13 @@
 	Window time.Duration
 }
 
-// budgetUse is the part of the bound that is used: daemons count their
-// windows apart, and one that dies takes its count with it.
-const budgetUse = 0.7
+// Parts of the bound that are used. Daemons count their windows apart, and one
+// that dies takes its count with it. Escalations leave a part to requests that
+// would otherwise get no answer.
+const (
+	failureUse    = 0.85
+	escalationUse = 0.65
+)
 
 // budgetSteps is the number of steps in which a window slides.
 const budgetSteps = 10
@@ -49,13 +53,17 @@
 }
 
 // Take implements fescuelatch.RetryBudget.
-func (b *Budget) Take(now time.Time, r *fescuelatch.Request) bool {
+func (b *Budget) Take(now time.Time, r *fescuelatch.Request, why fescuelatch.RetryReason) bool {
 	w := b.window(now, r)
 	if w == nil {
 		return false
 	}
 	requests, repeats := w.sums()
-	allowed := budgetUse * (b.settings.Ratio*requests + b.settings.Extra/float64(max(b.members(), 1)))
+	use := failureUse
+	if why == fescuelatch.RetryEscalation {
+		use = escalationUse
+	}
+	allowed := use * (b.settings.Ratio*requests + b.settings.Extra/float64(max(b.members(), 1)))
 	if repeats+1 > allowed {
 		return false
 	}
--- a/policy.go
+++ b/policy.go
@@ -140,10 +140,24 @@
 type RetryBudget interface {
 	// Earn counts a request for the models of a ladder.
 	Earn(now time.Time, r *Request)
-	// Take reports whether a request may be sent once more, and counts it.
-	Take(now time.Time, r *Request) bool
+	// Take reports whether a request may be sent once more for a reason, and
+	// counts it.
+	Take(now time.Time, r *Request, why RetryReason) bool
 }
 
+// RetryReason is why a request is sent once more.
+type RetryReason string
+
+// Reasons to send a request once more.
+const (
+	// RetryFailure follows an attempt that failed. Without it the caller
+	// gets nothing.
+	RetryFailure RetryReason = "failure"
+	// RetryEscalation replaces an answer by one of a better version. Without
+	// it the caller still gets an answer.
+	RetryEscalation RetryReason = "escalation"
+)
+
 // Spot is a place where an attempt can be made: this daemon (Own set), whose
 // gate chooses among its endpoints unless Endpoint is set, or another daemon
 // that owns endpoints.
