--- a/decision/place.go
+++ b/decision/place.go
@@ -62,9 +62,10 @@
 
 // late reports whether the deadline has passed or, when an attempt was made
 // before, whether another one could not end before it. As long as nothing has
-// run, the request can be refused truly.
+// run, the request can be refused truly. A stream that the caller is receiving
+// goes on as long as there is time at all: the alternative is to cut it.
 func (c *Core) late(now time.Time, q *request) bool {
-	if q.attempts == 0 {
+	if q.attempts == 0 || q.relayed {
 		return !now.Before(q.Deadline)
 	}
 	latency := c.options.Gate.Latency(q.plan[q.step])
