--- a/cascade/ladder.go
+++ b/cascade/ladder.go
@@ -27,14 +27,14 @@
 	// request. The default is 30 s.
 	SessionTime time.Duration
 	// Confidence is that below which an answer is given up for one of the
-	// largest model. The default is 0.6.
+	// largest model. The default is 0.55.
 	Confidence float64
 }
 
 // Defaults of LadderSettings.
 const (
 	defaultSessionTime = 30 * time.Second
-	defaultConfidence  = 0.6
+	defaultConfidence  = 0.55
 	// maxSessions bounds the sessions whose release is remembered.
 	maxSessions = 1 << 14
 )
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -84,10 +84,13 @@
 	if errors.Is(err, errRefused) {
 		return
 	}
-	switch endpoint.KindOf(err) {
-	case endpoint.KindUnsent:
+	kind := endpoint.KindOf(err)
+	r.Unreachable = kind == endpoint.KindUnreachable || kind == endpoint.KindSilent
+	switch kind {
+	case endpoint.KindUnsent, endpoint.KindUnreachable:
 		r.Status = fescuelatch.AttemptNotStarted
 		r.Unsent = true
+		r.Unreachable = r.Unreachable && t.ctx.Err() == nil
 		return
 	case endpoint.KindCancelled, endpoint.KindExpired:
 		r.Status = fescuelatch.AttemptCancelled
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -25,7 +25,7 @@
 const (
 	// dialTimeout bounds the set-up of a connection. Endpoints are a few
 	// milliseconds away; one that does not answer by then is tried later.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// userTimeout is how long sent data may stay unacknowledged.
 	userTimeout = 2 * time.Second
 	// keepAlive is the interval of the probes that find a silent peer.
@@ -243,7 +243,7 @@
 	}, Control: setUserTimeout}
 	n, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
-		return nil, &Error{Op: "connect", Kind: KindUnsent, Err: errors.WithStack(err)}
+		return nil, &Error{Op: "connect", Kind: KindUnreachable, Err: errors.WithStack(err)}
 	}
 	if c.Opened != nil {
 		c.Opened()
--- a/endpoint/errors.go
+++ b/endpoint/errors.go
@@ -14,6 +14,9 @@
 const (
 	// KindUnsent means that nothing was sent.
 	KindUnsent ErrorKind = "unsent"
+	// KindUnreachable means that no connection could be made, so that nothing
+	// was sent.
+	KindUnreachable ErrorKind = "unreachable"
 	// KindBroken means that the exchange broke off. The request may have
 	// run.
 	KindBroken ErrorKind = "broken"
--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -45,6 +45,9 @@
 	if w.Endpoint != "" && w.Endpoint != p.owned.Endpoint.ID {
 		return false
 	}
+	if g.domainOf(p).dark(now) && !g.allDark(now, places) {
+		return false
+	}
 	if !p.open(now) && (p.cold(now) || !crowded(now, places)) {
 		return false
 	}
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -26,6 +26,7 @@
 	// members is the number of live daemons, this one included.
 	members  int
 	places   map[fescuelatch.EndpointID]*place
+	domains  map[fescuelatch.DomainID]*domain
 	order    []*place
 	attempts map[fescuelatch.AttemptID]*attempt
 	serving  map[fescuelatch.VersionID][]*place
@@ -39,6 +40,7 @@
 	return &Gate{
 		settings: s, random: r, members: 1, waiting: queue{limit: s.QueueLimit},
 		places:   make(map[fescuelatch.EndpointID]*place),
+		domains:  make(map[fescuelatch.DomainID]*domain),
 		attempts: make(map[fescuelatch.AttemptID]*attempt),
 		serving:  make(map[fescuelatch.VersionID][]*place),
 		pace:     make(map[fescuelatch.VersionID]*pace),
@@ -117,6 +119,7 @@
 	a := &attempt{work: w, place: p, started: now, fresh: p.fresh(w)}
 	g.attempts[w.Attempt] = a
 	p.start(now, a, g.coldGap(p.owned.ColdRate))
+	g.domainOf(p).start(now)
 	return fescuelatch.Admission{Attempt: w.Attempt, Verdict: fescuelatch.AdmissionStart, Endpoint: p.owned.Endpoint.ID}
 }
 
@@ -128,6 +131,7 @@
 	}
 	a.first = now
 	a.place.heard(now)
+	g.domainOf(a.place).heard()
 	a.place.cached(a.work)
 	took := now.Sub(a.started)
 	g.paceOf(a.work.Version).observeFirst(took, a.fresh)
@@ -143,6 +147,7 @@
 	}
 	delete(g.attempts, r.Attempt)
 	a.place.end(now, a, r, g.settings)
+	g.domainOf(a.place).end(r)
 	if r.Status == fescuelatch.AttemptAnswered {
 		g.paceOf(a.work.Version).observeTotal(now.Sub(a.started))
 	}
--- a/gate/shared/place.go
+++ b/gate/shared/place.go
@@ -141,6 +141,13 @@
 		p.failing -= failureMemory * p.failing
 		p.ejections = 0
 	case fescuelatch.AttemptNotStarted:
+		if r.Unsent && !r.Unreachable {
+			return // The attempt tells nothing of the endpoint.
+		}
+		if r.Unreachable {
+			p.rest(now, s)
+			return
+		}
 		if r.Overloaded {
 			p.others = max(p.others, float64(p.slots()))
 			p.reported = now
@@ -160,9 +167,13 @@
 // to the request; weight adds to the latter's.
 func (p *place) failure(now time.Time, weight float64, tried bool, s Settings) {
 	p.failing += failureMemory * (1 + weight) * (1 - p.failing)
-	if p.failing < failureLimit && !tried {
-		return
+	if p.failing >= failureLimit || tried {
+		p.rest(now, s)
 	}
+}
+
+// rest leaves the endpoint alone for a while.
+func (p *place) rest(now time.Time, s Settings) {
 	rest := min(s.Eject<<min(p.ejections, maxDoublings), s.EjectMost)
 	p.ejections++
 	p.ejected = now.Add(rest)
--- a/request.go
+++ b/request.go
@@ -130,6 +130,9 @@
 	// Unsent reports that the attempt ended before anything was sent to the
 	// endpoint, so that it tells nothing about it.
 	Unsent bool `json:"unsent,omitempty"`
+	// Unreachable reports that the endpoint could not be connected to, or fell
+	// silent.
+	Unreachable bool `json:"unreachable,omitempty"`
 }
 
 // Bill is the record of one answered request.
