--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -49,6 +49,9 @@
 		c.end(q, chart.EventCancel)
 		c.emit(Drop{Request: q.ID})
 	default:
+		if r.Gone && c.options.Direct && q.sequence < maxSequence {
+			q.attempts--
+		}
 		c.broken(now, q)
 	}
 }
--- a/decision/request.go
+++ b/decision/request.go
@@ -17,6 +17,9 @@
 	ratingTimeout = 500 * time.Millisecond
 	// maxAttempts bounds the attempts of one request over all versions.
 	maxAttempts = 6
+	// maxSequence bounds the attempts of one request, those that do not count
+	// included.
+	maxSequence = 8
 	// maxUnsent bounds the direct attempts of one request of which nothing
 	// could be sent.
 	maxUnsent = 3
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -66,6 +66,9 @@
 	if err != nil {
 		t.classify(&r, err)
 	}
+	if r.Status == fescuelatch.AttemptBroken && !t.reachable() {
+		r.Gone, r.Unreachable = true, true
+	}
 	if r.Status != fescuelatch.AttemptNotStarted {
 		t.serving.ran.Store(true)
 	}
@@ -102,6 +105,14 @@
 	}
 }
 
+// reachable reports whether the endpoint of a broken attempt still takes
+// connections. It tells an endpoint that has ended from one that has lost an
+// answer.
+func (t *attempt) reachable() bool {
+	to, ok := t.serving.daemon.inForce.Load().addresses[t.start.Endpoint]
+	return ok && t.serving.daemon.endpoints.Reachable(t.ctx, to)
+}
+
 // exchange sends the request, and reads and passes on the answer.
 func (t *attempt) exchange(r *fescuelatch.AttemptResult) error {
 	s := t.serving
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -231,11 +231,27 @@
 	a.conn.close()
 }
 
+// Reachable reports whether an endpoint takes a new connection, which is kept
+// for the next request.
+func (c *Client) Reachable(ctx context.Context, to netip.AddrPort) bool {
+	k, err := c.dial(ctx, to)
+	if err != nil {
+		return false
+	}
+	k.keep(0)
+	c.keep(k)
+	return true
+}
+
 // connect returns a kept connection, or a new one.
 func (c *Client) connect(ctx context.Context, to netip.AddrPort, fresh bool) (*connection, error) {
 	if k := c.take(to, fresh); k != nil {
 		return k, nil
 	}
+	return c.dial(ctx, to)
+}
+
+func (c *Client) dial(ctx context.Context, to netip.AddrPort) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
--- a/request.go
+++ b/request.go
@@ -133,6 +133,9 @@
 	// Unreachable reports that the endpoint could not be connected to, or fell
 	// silent.
 	Unreachable bool `json:"unreachable,omitempty"`
+	// Gone reports that the endpoint ended, or was cut off, during the
+	// attempt. The attempt does not count against the bound of the request.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // Bill is the record of one answered request.
