--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -53,6 +53,7 @@
 	// Opened, when set, is told of each new connection.
 	Opened func()
 
+	ears  ears
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*pool
 }
@@ -71,8 +72,8 @@
 	// for requests that must not be lost with a connection that broke while
 	// idle.
 	Fresh bool
-	// Patience bounds the wait for the head of the answer; zero means no
-	// bound but that of the context.
+	// Patience bounds the silence of the endpoint until the head of the
+	// answer; zero means no bound but that of the context.
 	Patience time.Duration
 }
 
@@ -120,9 +121,7 @@
 	if err := h.Write(k.Conn); err != nil {
 		return nil, broken(ctx, "write request", err)
 	}
-	if r.Patience > 0 {
-		_ = k.SetReadDeadline(time.Now().Add(r.Patience))
-	}
+	k.setPatience(r.Patience)
 	for range maxStrangers + 1 {
 		res, err := readFinal(k.reader, h)
 		if err != nil {
@@ -138,9 +137,7 @@
 		if res.Header.Get("Content-Encoding") != "" {
 			return nil, broken(ctx, "read answer", errors.New("the body is encoded, though no encoding was accepted"))
 		}
-		if r.Patience > 0 {
-			_ = k.SetReadDeadline(time.Time{})
-		}
+		k.setPatience(0)
 		return &Answer{
 			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body,
 			reuse: !res.Close && res.ProtoAtLeast(1, 1),
@@ -195,14 +192,10 @@
 	}
 }
 
-// SetPatience bounds the wait for the next part of the body; zero ends the
-// bound.
+// SetPatience bounds the silence of the endpoint while the body is read; zero
+// ends the bound.
 func (a *Answer) SetPatience(d time.Duration) {
-	at := time.Time{}
-	if d > 0 {
-		at = time.Now().Add(d)
-	}
-	_ = a.conn.SetReadDeadline(at)
+	a.conn.setPatience(d)
 }
 
 // finish keeps the connection for another request, unless there are bytes on
@@ -216,7 +209,7 @@
 		a.conn.close()
 		return
 	}
-	_ = a.conn.SetReadDeadline(time.Time{})
+	a.conn.setPatience(0)
 	a.client.keep(a.conn)
 }
 
@@ -264,7 +257,10 @@
 	if c.Opened != nil {
 		c.Opened()
 	}
-	return &connection{Conn: n, to: to, reader: bufio.NewReaderSize(n, bufferBytes), opened: time.Now()}, nil
+	k := &connection{Conn: n, to: to, opened: time.Now(), hearing: c.ears.of(to), start: c.ears.start}
+	k.reader = bufio.NewReaderSize(k, bufferBytes)
+	k.heard()
+	return k, nil
 }
 
 func broken(ctx context.Context, op string, err error) error {
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -36,6 +36,10 @@
 	used   time.Time
 	idle   time.Duration
 	closed atomic.Bool
+	// hearing is that of the endpoint, in time since start.
+	hearing  *hearing
+	start    time.Time
+	patience time.Duration
 }
 
 // cut ends an exchange from another goroutine.
