Escalations yield to load

While the largest model has no time left for its target, only the least confident answers are given to it.

--- a/cascade/ladder.go
+++ b/cascade/ladder.go
@@ -94,11 +94,28 @@
 	return rungs
 }
 
-// Escalate implements fescuelatch.EscalationPolicy.
-func (l *Ladder) Escalate(_ time.Time, _ *fescuelatch.Request, _, _ fescuelatch.VersionID, confidence float64) bool {
-	return confidence < l.settings.Confidence
+// Escalate implements fescuelatch.EscalationPolicy. A larger model costs its
+// endpoint many times the work. When it has become slow for want of capacity,
+// only the answers that need it most are given to it, and all others keep
+// their time.
+func (l *Ladder) Escalate(now time.Time, r *fescuelatch.Request, e fescuelatch.Escalation) bool {
+	limit := l.settings.Confidence
+	if r.TargetLatency > 0 && e.Latency > 0 {
+		left := r.TargetLatency - now.Sub(r.Arrived)
+		limit *= min(1, max(leastEscalation, float64(left)/float64(slack*e.Latency)))
+	}
+	return e.Confidence < limit
 }
 
+const (
+	// leastEscalation is the part of the confidence limit that stays under
+	// any load.
+	leastEscalation = 0.3
+	// slack is how many times its usual latency a larger model must have
+	// left, or else it counts as short of capacity.
+	slack = 2
+)
+
 // offer is a release that could serve a request.
 type offer struct {
 	release fescuelatch.ReleaseID
--- a/decision/opening.go
+++ b/decision/opening.go
@@ -31,10 +31,13 @@
 		return false
 	}
 	from, to := q.plan[q.step], q.plan[q.step+1]
-	if !c.view.MayRun(q.Request, to) || !c.options.Escalation.Escalate(now, q.Request, from, to, e.Confidence) {
+	latency := c.options.Gate.Latency(to)
+	if !c.view.MayRun(q.Request, to) || !now.Add(retryMargin+latency).Before(q.Deadline) {
 		return false
 	}
-	return now.Add(retryMargin + c.options.Gate.Latency(to)).Before(q.Deadline)
+	return c.options.Escalation.Escalate(now, q.Request, fescuelatch.Escalation{
+		From: from, To: to, Confidence: e.Confidence, Latency: latency,
+	})
 }
 
 // replace starts an attempt on the next version in place of the current one,
--- a/policy.go
+++ b/policy.go
@@ -130,9 +130,18 @@
 // EscalationPolicy decides whether an answer that an endpoint has begun is
 // given up for one of the next version of a plan.
 type EscalationPolicy interface {
-	// Escalate is told the endpoint's own confidence in its answer, from 0
-	// to 1.
-	Escalate(now time.Time, r *Request, from, to VersionID, confidence float64) bool
+	// Escalate reports whether the answer is given up.
+	Escalate(now time.Time, r *Request, e Escalation) bool
+}
+
+// Escalation is what is known when an answer could be given up for another.
+type Escalation struct {
+	From, To VersionID
+	// Confidence is the endpoint's own in its answer, from 0 to 1.
+	Confidence float64
+	// Latency is the expected time to the first output of To; zero when it
+	// is not known.
+	Latency time.Duration
 }
 
 // RetryBudget bounds how much requests that are sent again add to the load
