--- a/decision/patience.go
+++ b/decision/patience.go
@@ -13,7 +13,10 @@
 	// firstPatience is relative to the latency that is aimed at: another
 	// attempt then still has a part of it.
 	firstPatience = 0.8
-	// gapPatience is relative to the gap between outputs that is aimed at.
+	// leastGap is longer than the pauses of an endpoint that is streaming.
+	leastGap = 600 * time.Millisecond
+	// gapPatience is relative to the gap between outputs that is aimed at, of
+	// which the next endpoint needs a part to go on.
 	gapPatience = 0.8
 )
 
@@ -31,7 +34,7 @@
 	}
 	p := Patience{First: max(leastPatience, time.Duration(firstPatience*float64(q.TargetLatency)))}
 	if q.Resumable && q.TargetGap > 0 {
-		p.Gap = max(leastPatience, time.Duration(gapPatience*float64(q.TargetGap)))
+		p.Gap = max(leastGap, time.Duration(gapPatience*float64(q.TargetGap)))
 	}
 	return p
 }
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -225,10 +225,26 @@
 			d.refreshLocked(now)
 		}
 		d.decideLocked(now, decision.Tick{})
+		probes := d.gate.Probes(now)
 		d.mu.Unlock()
+		for _, id := range probes {
+			go d.probe(ctx, id)
+		}
 	}
 }
 
+// probe tries whether an endpoint takes connections again.
+func (d *Daemon) probe(ctx context.Context, id fescuelatch.EndpointID) {
+	to, ok := d.inForce.Load().addresses[id]
+	if !ok || !d.endpoints.Reachable(ctx, to) {
+		return
+	}
+	d.log.Info("endpoint can be reached again", "endpoint", id)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gate.Reached(id)
+}
+
 // sweepInterval is that at which idle connections are looked at.
 const sweepInterval = time.Second
 
--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -45,7 +45,7 @@
 	if w.Endpoint != "" && w.Endpoint != p.owned.Endpoint.ID {
 		return false
 	}
-	if g.domainOf(p).dark(now) && !g.allDark(now, places) {
+	if (p.unreachable || g.domainOf(p).dark()) && !allLost(g, places) {
 		return false
 	}
 	if !p.open(now) && (p.cold(now) || !crowded(now, places)) {
@@ -77,7 +77,7 @@
 			continue
 		}
 		n++
-		if now.Before(p.ejected) || p.trial != "" {
+		if p.unreachable || now.Before(p.ejected) || p.trial != "" {
 			out++
 		}
 	}
--- a/gate/shared/domain.go
+++ b/gate/shared/domain.go
@@ -6,23 +6,17 @@
 	"fescuelatch"
 )
 
-// This file defines what the gate knows of a failure domain as a whole. When a
-// domain is cut off, each of its endpoints would otherwise cost a request the
-// time to find that out.
+// This file defines which endpoints can be reached. One that cannot be gets no
+// requests until a connection alone has shown that it can be again, and so
+// does a whole failure domain: otherwise each of its endpoints would cost a
+// request the time to find that out.
 
-const (
-	// darkAfter is the number of endpoints in a row that could not be reached
-	// in a domain, with none heard of, at which it counts as dark.
-	darkAfter = 2
-	// darkTrial is the time between requests that try a dark domain.
-	darkTrial = 400 * time.Millisecond
-)
+// darkAfter is the number of endpoints in a row that could not be reached in a
+// failure domain, with none heard of, at which it counts as dark.
+const darkAfter = 2
 
 // domain is a failure domain as it is reached from here.
-type domain struct {
-	unreachable int
-	next        time.Time // of a trial
-}
+type domain struct{ unreachable int }
 
 // heard notes that an endpoint of the domain has answered.
 func (d *domain) heard() { d.unreachable = 0 }
@@ -37,15 +31,8 @@
 	}
 }
 
-// start notes that a request tries the domain.
-func (d *domain) start(now time.Time) {
-	if d.unreachable >= darkAfter {
-		d.next = now.Add(darkTrial)
-	}
-}
-
-// dark reports whether the domain gets no work now.
-func (d *domain) dark(now time.Time) bool { return d.unreachable >= darkAfter && now.Before(d.next) }
+// dark reports whether the domain gets no work.
+func (d *domain) dark() bool { return d.unreachable >= darkAfter }
 
 func (g *Gate) domainOf(p *place) *domain {
 	id := p.owned.Endpoint.Domain
@@ -57,12 +44,35 @@
 	return d
 }
 
-// allDark reports whether none of the places is in a domain that is reached.
-func (g *Gate) allDark(now time.Time, places []*place) bool {
+// allLost reports whether none of the places is known to be reached. Then all
+// are tried: the fault may lie here.
+func allLost(g *Gate, places []*place) bool {
 	for _, p := range places {
-		if !p.owned.Out && !g.domainOf(p).dark(now) {
+		if !p.owned.Out && !p.unreachable && !g.domainOf(p).dark() {
 			return false
 		}
 	}
 	return true
 }
+
+// Probes returns the endpoints to which a connection should be tried now, of
+// which Reached is then told.
+func (g *Gate) Probes(now time.Time) []fescuelatch.EndpointID {
+	var ids []fescuelatch.EndpointID
+	for _, p := range g.order {
+		if p.owned.Out || now.Before(p.probe) || (!p.unreachable && !g.domainOf(p).dark()) {
+			continue
+		}
+		p.probe = now.Add(probeInterval)
+		ids = append(ids, p.owned.Endpoint.ID)
+	}
+	return ids
+}
+
+// Reached tells that an endpoint has taken a connection.
+func (g *Gate) Reached(id fescuelatch.EndpointID) {
+	if p := g.places[id]; p != nil {
+		p.unreachable = false
+		g.domainOf(p).heard()
+	}
+}
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -119,7 +119,6 @@
 	a := &attempt{work: w, place: p, started: now, fresh: p.fresh(w)}
 	g.attempts[w.Attempt] = a
 	p.start(now, a, g.coldGap(p.owned.ColdRate))
-	g.domainOf(p).start(now)
 	return fescuelatch.Admission{Attempt: w.Attempt, Verdict: fescuelatch.AdmissionStart, Endpoint: p.owned.Endpoint.ID}
 }
 
--- a/gate/shared/place.go
+++ b/gate/shared/place.go
@@ -33,6 +33,10 @@
 	// whether the endpoint is left alone again.
 	ejections int
 	trial     fescuelatch.AttemptID
+	// unreachable reports that the endpoint gets no work until it has taken a
+	// connection; probe is when that is tried next.
+	unreachable bool
+	probe       time.Time
 	// silent is since when the endpoint has owed a first output.
 	lastHeard time.Time
 }
@@ -89,7 +93,7 @@
 // endpoint that was not taken in time lapses, or else the turns of many
 // daemons would be taken at once.
 func (p *place) open(now time.Time) bool {
-	if p.owned.Out || now.Before(p.ejected) || p.trial != "" {
+	if p.owned.Out || p.unreachable || now.Before(p.ejected) || p.trial != "" {
 		return false
 	}
 	return !p.cold(now) || (!now.Before(p.turn) && now.Before(p.turn.Add(coldWindow)))
@@ -145,7 +149,7 @@
 			return // The attempt tells nothing of the endpoint.
 		}
 		if r.Unreachable {
-			p.rest(now, s)
+			p.lose(now)
 			return
 		}
 		if r.Overloaded {
@@ -155,6 +159,10 @@
 		}
 		p.failure(now, 1, tried, s)
 	case fescuelatch.AttemptBroken:
+		if r.Unreachable {
+			p.lose(now)
+			return
+		}
 		p.failure(now, 1, tried, s)
 	case fescuelatch.AttemptFailed:
 		p.heard(now)
@@ -172,6 +180,12 @@
 	}
 }
 
+// lose leaves the endpoint alone until it takes a connection.
+func (p *place) lose(now time.Time) {
+	p.unreachable = true
+	p.probe = now.Add(probeInterval)
+}
+
 // rest leaves the endpoint alone for a while.
 func (p *place) rest(now time.Time, s Settings) {
 	rest := min(s.Eject<<min(p.ejections, maxDoublings), s.EjectMost)
--- a/gate/shared/settings.go
+++ b/gate/shared/settings.go
@@ -54,6 +54,9 @@
 	crossDomainCost = 20 * time.Millisecond
 	// reportHalfLife is the age at which a reported load counts for half.
 	reportHalfLife = 500 * time.Millisecond
+	// probeInterval is the time between connections that try whether an
+	// endpoint, or one of a failure domain, can be reached again.
+	probeInterval = 500 * time.Millisecond
 	// maxEjected is the part of the endpoints of a version that is left
 	// alone at most: the others must bear their load.
 	maxEjected = 0.5
