--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
@@ -75,6 +76,10 @@
 	// open counts the requests of callers that are being served.
 	open  sync.WaitGroup
 	store storeState
+	// process tells apart successive processes of this VM.
+	process string
+	// sources is used by the loop that follows the store only.
+	sources sources
 
 	// mu guards the fields below it, which make up the decisions.
 	mu       sync.Mutex
@@ -102,6 +107,7 @@
 		rollouts: make(map[fescuelatch.ServiceID]*rolling),
 		servings: make(map[fescuelatch.RequestID]*serving),
 		members:  1,
+		process:  uuid.NewString(),
 	}
 	d.endpoints = &endpoint.Client{
 		Identify:    func(h http.Header) string { return o.Dialect.ReadAnswer(h).Call },
--- a/direct/follow.go
+++ b/direct/follow.go
@@ -70,6 +70,15 @@
 	backoff := backoffLeast
 	scan := true
 	for ctx.Err() == nil {
+		if s := d.chooseSource(time.Now()); s != nil && !scan {
+			if err := d.followSource(ctx, s); err == nil {
+				pause.For(ctx, followInterval+rand.N(followJitter))
+				continue
+			} else if ctx.Err() == nil {
+				d.log.Info("source is not relied on for a while", "source", s.vm, "error", err.Error())
+				d.sources.fail(time.Now())
+			}
+		}
 		err := d.followOnce(ctx, scan)
 		wait := followInterval + rand.N(followJitter)
 		switch {
--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -36,6 +36,9 @@
 	// the keys that were removed.
 	heldUntil time.Time
 	held      map[string]bool
+	// journal holds the changes in substance, for daemons that follow the
+	// store through this one.
+	journal journal
 }
 
 // registered is an endpoint's registration and when it was learned.
@@ -44,6 +47,14 @@
 	at time.Time
 }
 
+// same reports whether a registration says the same in substance: endpoints
+// write theirs again and again, and a cold start goes on by itself.
+func (r registered) same(o fescuelatch.Registration) bool {
+	longer := o.ColdFor > 0 && (r.ColdFor == 0 || o.ColdFor > r.ColdFor)
+	o.ColdFor = r.ColdFor
+	return r.Registration == o && !longer
+}
+
 func newKnowledge(n fescuelatch.Notation, log *slog.Logger) *knowledge {
 	return &knowledge{
 		notation: n, log: log,
@@ -54,6 +65,7 @@
 		records:   make(map[string]fescuelatch.KeyValue),
 		items:     make(map[string]fescuelatch.KeyValue),
 		held:      make(map[string]bool),
+		journal:   newJournal(),
 	}
 }
 
@@ -133,7 +145,13 @@
 	k.items[kv.Key] = kv
 	delete(k.held, kv.Key)
 	subject := k.notation.Subject(kv.Key)
-	if err := k.decode(now, subject, kv); err != nil {
+	before, registered := k.endpoints[fescuelatch.EndpointID(subject.ID)]
+	err := k.decode(now, subject, kv)
+	if err != nil || subject.Kind != fescuelatch.SubjectEndpoint || !registered ||
+		!before.same(k.endpoints[fescuelatch.EndpointID(subject.ID)].Registration) {
+		k.journal.add(fescuelatch.StoredItem{KeyValue: kv})
+	}
+	if err != nil {
 		k.log.Warn("entry of the store cannot be used", "key", kv.Key, "revision", kv.Revision, "error", err.Error())
 	}
 }
@@ -210,6 +228,8 @@
 }
 
 func (k *knowledge) forget(key string) {
+	revision := max(k.revision, k.items[key].Revision)
+	k.journal.add(fescuelatch.StoredItem{KeyValue: fescuelatch.KeyValue{Key: key, Revision: revision}, Removed: true})
 	delete(k.items, key)
 	s := k.notation.Subject(key)
 	switch s.Kind {
@@ -228,6 +248,15 @@
 	}
 }
 
+// everything returns all keys.
+func (k *knowledge) everything() []fescuelatch.StoredItem {
+	all := make([]fescuelatch.StoredItem, 0, len(k.items))
+	for _, kv := range k.items {
+		all = append(all, fescuelatch.StoredItem{KeyValue: kv})
+	}
+	return all
+}
+
 // usable reports whether requests can be served by what is known.
 func (k *knowledge) usable() bool { return k.deployment != nil && len(k.endpoints) > 0 }
 
--- a/direct/members.go
+++ b/direct/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -40,7 +41,12 @@
 		d.log.Debug("no lease for this daemon's record", "error", err.Error())
 		return 0
 	}
-	put := fescuelatch.KVPut{Key: d.recordKey(), Value: []byte(d.options.Domain), Lease: lease}
+	value, err := json.Marshal(member{d.options.Domain, d.options.Control})
+	if err != nil {
+		d.log.Error("record of this daemon cannot be written", "error", err.Error())
+		return 0
+	}
+	put := fescuelatch.KVPut{Key: d.recordKey(), Value: value, Lease: lease}
 	if _, err := d.options.Store.Txn(ctx, fescuelatch.KVTxn{Then: []fescuelatch.KVOp{{Put: &put}}}); err != nil {
 		d.log.Debug("record of this daemon not written", "error", err.Error())
 		return 0
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -20,8 +20,6 @@
 
 const (
 	peerService = "Daemon"
-	// peerTimeout bounds a call to another daemon.
-	peerTimeout = time.Second
 	// learnAfter is how long a starting daemon waits for the store before it
 	// asks another daemon, and the time between two rounds.
 	learnAfter = 400 * time.Millisecond
@@ -30,31 +28,6 @@
 // peerServer serves the calls of other daemons.
 type peerServer struct{ daemon *Daemon }
 
-// SnapshotRequest asks for what a daemon knows from the store.
-type SnapshotRequest struct{ From fescuelatch.VMID }
-
-// Snapshot is what a daemon knows from the store as of a revision.
-type Snapshot struct {
-	Revision int64
-	Items    []fescuelatch.KeyValue
-}
-
-// Snapshot is called by net/rpc.
-func (p *peerServer) Snapshot(q SnapshotRequest, reply *Snapshot) error {
-	d := p.daemon
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.known.usable() {
-		return &Error{"snapshot", KindPeer, errors.New("this daemon knows nothing yet")}
-	}
-	reply.Revision = d.known.revision
-	d.log.Info("peer learns what is in force", "peer", q.From, "revision", reply.Revision)
-	for _, kv := range d.known.items {
-		reply.Items = append(reply.Items, kv)
-	}
-	return nil
-}
-
 // learnFromPeers asks the seeds until something is known, from them or from
 // the store.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
@@ -66,50 +39,65 @@
 			if seed == d.options.Control {
 				continue
 			}
-			s, err := askPeer(ctx, seed, d.options.VM)
-			if err != nil {
+			if err := d.learnFrom(ctx, seed); err != nil {
 				d.log.Debug("peer does not tell what is in force", "peer", seed.String(), "error", err.Error())
 				continue
 			}
-			d.learn(seed, s)
 			break
 		}
 	}
 }
 
-// learn takes in what another daemon knows, unless the store has answered in
-// the meantime.
-func (d *Daemon) learn(from netip.AddrPort, s *Snapshot) {
+// learnFrom takes in what another daemon knows, unless the store has answered
+// in the meantime.
+func (d *Daemon) learnFrom(ctx context.Context, seed netip.AddrPort) error {
+	s := &source{address: seed}
+	defer func() {
+		if s.client != nil {
+			// The connection is not used any more, however its close ends.
+			_ = s.client.Close()
+		}
+	}()
+	reply, err := s.ask(ctx, d.options.VM)
+	if err != nil {
+		return err
+	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.known.usable() {
-		return
-	}
-	c := fescuelatch.Changes{Revision: s.Revision}
-	for _, kv := range s.Items {
-		c.Items = append(c.Items, fescuelatch.StoredItem{KeyValue: kv})
+	if d.known.usable() || len(reply.Items) == 0 {
+		return nil
 	}
-	d.known.apply(now, c)
-	d.log.Info("learned from a peer what is in force", "peer", from.String(), "revision", s.Revision)
+	d.known.apply(now, fescuelatch.Changes{Revision: reply.Revision, Items: reply.Items})
+	d.log.Info("learned from a peer what is in force", "peer", seed.String(), "revision", reply.Revision, "age", reply.Age.String())
 	d.refreshLocked(now)
+	return nil
 }
 
-// askPeer calls another daemon.
-func askPeer(ctx context.Context, to netip.AddrPort, from fescuelatch.VMID) (*Snapshot, error) {
+// dialPeer connects to another daemon.
+func dialPeer(ctx context.Context, to netip.AddrPort) (*rpc.Client, error) {
 	const op = "ask peer"
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	c, err := new(net.Dialer).DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, &Error{op, KindPeer, err}
 	}
-	defer func() { _ = c.Close() }()
 	if at, ok := ctx.Deadline(); ok {
-		if err := c.SetDeadline(at); err != nil {
-			return nil, &Error{op, KindPeer, err}
-		}
+		// A deadline that cannot be set shows in the calls below.
+		_ = c.SetDeadline(at)
+	}
+	client, err := handshake(c)
+	if err != nil {
+		_ = c.Close()
+		return nil, err
 	}
+	// Calls are bounded one by one.
+	_ = c.SetDeadline(time.Time{})
+	return client, nil
+}
+
+// handshake turns a connection to the control front into one of net/rpc.
+func handshake(c net.Conn) (*rpc.Client, error) {
+	const op = "ask peer"
 	if _, err := io.WriteString(c, "CONNECT "+pathPeers+" HTTP/1.0\n\n"); err != nil {
 		return nil, &Error{op, KindPeer, err}
 	}
@@ -121,13 +109,7 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, &Error{op, KindPeer, errors.New(res.Status)}
 	}
-	client := rpc.NewClient(&buffered{c, r})
-	defer func() { _ = client.Close() }()
-	s := new(Snapshot)
-	if err := client.Call(peerService+".Snapshot", SnapshotRequest{from}, s); err != nil {
-		return nil, &Error{op, KindPeer, err}
-	}
-	return s, nil
+	return rpc.NewClient(&buffered{c, r}), nil
 }
 
 // buffered is a connection of which a part has been read ahead.
--- /dev/null
+++ b/direct/relay.go
@@ -0,0 +1,268 @@
+package direct
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/netip"
+	"net/rpc"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuelatch"
+)
+
+// This file defines how most daemons follow the store through another daemon
+// of their failure domain. Calls to the store are limited and paid for by the
+// whole fleet, so only a few daemons of each domain follow it themselves, and
+// pass on what has changed in substance. A daemon whose source is silent, or
+// has not heard from the store of late, asks the store itself.
+
+const (
+	// readers is the number of daemons of a failure domain that follow the
+	// store themselves: one may be killed at any time.
+	readers = 2
+	// sourceTimeout bounds a call to a source besides its wait.
+	sourceTimeout = 600 * time.Millisecond
+	// sourceAge is the time since the last answer of the store beyond which a
+	// source is not relied on.
+	sourceAge = 1200 * time.Millisecond
+	// sourceRest is how long a source that failed is not asked.
+	sourceRest = 3 * time.Second
+	// journalLength bounds the changes that are kept for others. One that has
+	// missed more gets everything.
+	journalLength = 2048
+)
+
+// member is a daemon's record.
+type member struct {
+	Domain  fescuelatch.DomainID `json:"failure-domain"`
+	Control netip.AddrPort       `json:"control-address"`
+}
+
+// journal holds the last changes in substance, numbered without gaps.
+type journal struct {
+	next    int64
+	changes []fescuelatch.StoredItem
+	// changed is closed when there is a further change.
+	changed chan struct{}
+}
+
+func newJournal() journal { return journal{changed: make(chan struct{})} }
+
+func (j *journal) add(i fescuelatch.StoredItem) {
+	if len(j.changes) == journalLength {
+		j.changes = append(j.changes[:0], j.changes[journalLength/2:]...)
+	}
+	j.changes = append(j.changes, i)
+	j.next++
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// since returns the changes from a number on, or false when they are gone.
+func (j *journal) since(number int64) ([]fescuelatch.StoredItem, bool) {
+	first := j.next - int64(len(j.changes))
+	if number < first || number > j.next {
+		return nil, false
+	}
+	return slices.Clone(j.changes[number-first:]), true
+}
+
+// ChangesRequest asks for what has changed since an earlier answer of the same
+// process.
+type ChangesRequest struct {
+	From    fescuelatch.VMID
+	Process string
+	Next    int64
+	Wait    time.Duration
+}
+
+// ChangesReply is what has changed, or everything when Full is set.
+type ChangesReply struct {
+	Process  string
+	Next     int64
+	Full     bool
+	Revision int64
+	// Age is the time since the store last answered.
+	Age   time.Duration
+	Items []fescuelatch.StoredItem
+}
+
+// Changes is called by net/rpc.
+func (p *peerServer) Changes(q ChangesRequest, reply *ChangesReply) error {
+	d := p.daemon
+	d.mu.Lock()
+	changed := d.known.journal.changed
+	waits := q.Process == d.process && q.Next == d.known.journal.next
+	d.mu.Unlock()
+	if waits {
+		t := time.NewTimer(min(q.Wait, watchWait))
+		defer t.Stop()
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := d.known
+	*reply = ChangesReply{Process: d.process, Next: k.journal.next, Revision: k.revision, Age: d.store.age(time.Now())}
+	if q.Process == d.process {
+		var ok bool
+		if reply.Items, ok = k.journal.since(q.Next); ok {
+			return nil
+		}
+	}
+	reply.Full = true
+	reply.Items = k.everything()
+	return nil
+}
+
+// source is the daemon through which the store is followed.
+type source struct {
+	vm      fescuelatch.VMID
+	address netip.AddrPort
+	client  *rpc.Client
+	process string
+	next    int64
+}
+
+// sources chooses sources and remembers which have failed. Only the loop that
+// follows the store uses it.
+type sources struct {
+	current *source
+	failed  map[fescuelatch.VMID]time.Time
+}
+
+// choose returns the source to use, or nil when this daemon is to follow the
+// store itself.
+func (d *Daemon) chooseSource(now time.Time) *source {
+	d.mu.Lock()
+	candidates := readersOf(d.known, d.options.Domain, d.options.VM)
+	d.mu.Unlock()
+	if slices.Contains(slices.Collect(maps.Keys(candidates)), d.options.VM) || d.inForce.Load() == nil {
+		return nil
+	}
+	order := slices.SortedFunc(maps.Keys(candidates), func(a, b fescuelatch.VMID) int {
+		return cmp.Compare(xxhash.Sum64String(string(d.options.VM+a)), xxhash.Sum64String(string(d.options.VM+b)))
+	})
+	s := &d.sources
+	for _, vm := range order {
+		if now.Sub(s.failed[vm]) < sourceRest {
+			continue
+		}
+		if s.current == nil || s.current.vm != vm || s.current.address != candidates[vm] {
+			s.drop()
+			s.current = &source{vm: vm, address: candidates[vm]}
+		}
+		return s.current
+	}
+	return nil
+}
+
+// readersOf returns the daemons of a failure domain that follow the store
+// themselves, with their control addresses.
+func readersOf(k *knowledge, domain fescuelatch.DomainID, self fescuelatch.VMID) map[fescuelatch.VMID]netip.AddrPort {
+	local := make(map[fescuelatch.VMID]netip.AddrPort)
+	for id, kv := range k.records {
+		vm, ok := strings.CutPrefix(id, recordDaemon)
+		if !ok {
+			continue
+		}
+		var m member
+		if err := json.Unmarshal(kv.Value, &m); err != nil {
+			k.log.Warn("record of a daemon cannot be used", "key", kv.Key, "error", err.Error())
+			continue
+		}
+		if m.Domain == domain && (m.Control.IsValid() || vm == string(self)) {
+			local[fescuelatch.VMID(vm)] = m.Control
+		}
+	}
+	if _, ok := local[self]; !ok {
+		local[self] = netip.AddrPort{}
+	}
+	order := slices.SortedFunc(maps.Keys(local), func(a, b fescuelatch.VMID) int {
+		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
+	})
+	chosen := make(map[fescuelatch.VMID]netip.AddrPort, readers)
+	for _, vm := range order[:min(readers, len(order))] {
+		chosen[vm] = local[vm]
+	}
+	return chosen
+}
+
+func (s *sources) drop() {
+	if s.current != nil && s.current.client != nil {
+		// The connection is not used any more, however its close ends.
+		_ = s.current.client.Close()
+	}
+	s.current = nil
+}
+
+func (s *sources) fail(now time.Time) {
+	if s.failed == nil {
+		s.failed = make(map[fescuelatch.VMID]time.Time)
+	}
+	if s.current != nil {
+		s.failed[s.current.vm] = now
+	}
+	s.drop()
+}
+
+// followSource takes in what the source says has changed.
+func (d *Daemon) followSource(ctx context.Context, s *source) error {
+	reply, err := s.ask(ctx, d.options.VM)
+	if err != nil {
+		return err
+	}
+	if reply.Age > sourceAge {
+		return &Error{"follow source", KindPeer, errors.New("it has not heard from the store for " + reply.Age.String())}
+	}
+	s.process, s.next = reply.Process, reply.Next
+	now := time.Now()
+	d.store.answered(now.Add(-reply.Age))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := fescuelatch.Changes{Revision: reply.Revision, Items: reply.Items}
+	if reply.Full {
+		d.known.replace(now, c)
+	} else {
+		d.known.apply(now, c)
+	}
+	if len(c.Items) > 0 {
+		d.refreshLocked(now)
+	}
+	return nil
+}
+
+// ask calls the source within its time.
+func (s *source) ask(ctx context.Context, self fescuelatch.VMID) (*ChangesReply, error) {
+	const op = "follow source"
+	ctx, cancel := context.WithTimeout(ctx, watchWait+sourceTimeout)
+	defer cancel()
+	if s.client == nil {
+		c, err := dialPeer(ctx, s.address)
+		if err != nil {
+			return nil, err
+		}
+		s.client = c
+	}
+	reply := new(ChangesReply)
+	q := ChangesRequest{From: self, Process: s.process, Next: s.next, Wait: watchWait}
+	call := s.client.Go(peerService+".Changes", q, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			return nil, &Error{op, KindPeer, call.Error}
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, &Error{op, KindPeer, ctx.Err()}
+	}
+}
