--- a/decision/opening.go
+++ b/decision/opening.go
@@ -71,10 +71,15 @@
 // failed repeats a request that an endpoint answered with a failure of its
 // own, or passes that answer on.
 func (c *Core) failed(now time.Time, q *request) {
+	if q.relayed {
+		// The caller has a part of another answer already.
+		c.broken(now, q)
+		return
+	}
 	if q.best.id == "" {
 		q.best = q.current
 	}
-	if !q.Idempotent || q.relayed || q.attempts >= q.bound() || c.late(now, q) || !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
+	if !q.Idempotent || q.attempts >= q.bound() || c.late(now, q) || !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
 		c.accept(q, q.current, false)
 		return
 	}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -82,6 +82,9 @@
 // errRefused is that of an attempt which the endpoint did not run.
 var errRefused = errors.New("the endpoint did not run the request")
 
+// errPartialEvent is that of a stream which ends within an event.
+var errPartialEvent = errors.New("the stream ends within an event")
+
 // classify sets the status of an attempt that ended with an error.
 func (t *attempt) classify(r *fescuelatch.AttemptResult, err error) {
 	if errors.Is(err, errRefused) {
@@ -242,10 +245,8 @@
 	if err := s.output.begin(s.writer, s.daemon.options.Dialect, a); err != nil {
 		return err
 	}
-	if rest := events.Rest(); len(rest) > 0 {
-		if _, err := s.writer.Write(rest); err != nil {
-			return err //nolint:wrapcheck // The caller has left.
-		}
+	if len(events.Rest()) > 0 {
+		return errPartialEvent
 	}
 	r.Status = fescuelatch.AttemptAnswered
 	return nil
--- a/direct/catalogue.go
+++ b/direct/catalogue.go
@@ -23,8 +23,12 @@
 // roll-out gets, and whether there is a roll-out.
 type shares func(fescuelatch.ServiceID) (target fescuelatch.ReleaseID, share float64, ok bool)
 
+// condemnations returns the release of a service that was rolled back, and
+// whether there is one.
+type condemnations func(fescuelatch.ServiceID) (fescuelatch.ReleaseID, bool)
+
 // compose returns the view of what is known.
-func compose(k *knowledge, regions map[fescuelatch.DomainID]string, target shares) (*fescuelatch.View, error) {
+func compose(k *knowledge, regions map[fescuelatch.DomainID]string, target shares, condemned condemnations) (*fescuelatch.View, error) {
 	c := &fescuelatch.Configuration{Generation: k.deployment.Generation}
 	releases := releasesOf(k)
 	var models []fescuelatch.ModelID
@@ -34,7 +38,7 @@
 			c.Inventory.Models = append(c.Inventory.Models, fescuelatch.Model{ID: m.ID})
 			c.Inventory.Versions = append(c.Inventory.Versions, versionsOf(s.ID, m, releases[s.ID], target)...)
 		}
-		if t, share, ok := target(s.ID); ok && share == 0 {
+		if t, bad := condemned(s.ID); bad {
 			c.Overrides.Withdrawn = append(c.Overrides.Withdrawn, withdrawn(s, t, releases[s.ID])...)
 		}
 	}
@@ -100,7 +104,8 @@
 
 // domainsOf returns all failure domains, and those that are taken out.
 func domainsOf(k *knowledge, regions map[fescuelatch.DomainID]string) ([]fescuelatch.FailureDomain, []fescuelatch.DomainID) {
-	all := maps.Clone(regions)
+	all := make(map[fescuelatch.DomainID]string, len(regions))
+	maps.Copy(all, regions)
 	for _, e := range k.endpoints {
 		if _, ok := all[e.Endpoint.Domain]; !ok {
 			all[e.Endpoint.Domain] = ""
--- /dev/null
+++ b/direct/daemon_test.go
@@ -0,0 +1,498 @@
+package direct_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"fescuelatch"
+	"fescuelatch/direct"
+	"fescuelatch/gate/shared"
+	"fescuelatch/internal/fakeplatform"
+	"fescuelatch/platform"
+	"fescuelatch/rollout"
+)
+
+// This file tests whole daemons against a stand-in of the platform: what
+// callers get and what endpoints see.
+
+// site is a platform with endpoints and one daemon.
+type site struct {
+	*qt.C
+	store     *fakeplatform.Store
+	endpoints []*fakeplatform.Endpoint
+	callers   netip.AddrPort
+	ready     netip.AddrPort
+	control   netip.AddrPort
+	grace     time.Duration
+	stop      context.CancelFunc
+	stopped   chan struct{} // closed when the daemon has ended
+}
+
+const configuration = `{"version":%d,
+ "routes":[
+  {"name":"once","host":"desk.example","path_prefix":"/ban/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"desk","max_attempts":1},
+  {"name":"look","host":"desk.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"desk","max_attempts":3},
+  {"name":"open","host":"desk.example","path_prefix":"/open/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"desk","max_attempts":1,"public":true},
+  {"name":"write","host":"lm.example","path_prefix":"/write/","kind":"streaming","resumable":true,"timeout_ms":4000,"target_latency_ms":1000,"gap_aim_ms":1000,"service":"lm","max_attempts":3,"sizes":["small","large"]},
+  {"name":"whole","host":"lm.example","path_prefix":"/whole/","kind":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"lm","max_attempts":3,"sizes":["small"]}],
+ "services":[{"name":"desk"},{"name":"lm","engine":{"kv_capacity":1000,"models":[{"name":"small","cost":0.1},{"name":"large","cost":1}]}}],
+ "limits":{"max_body_bytes":1000},
+ "tenants":[{"name":"kigali","api_keys":["%s"],"priority":1}]}`
+
+// shortGrace is that of daemons whose stop is not looked at.
+const shortGrace = 100 * time.Millisecond
+
+const callerKey = "key-of-kigali"
+
+func freeAddress(c *qt.C) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// newSite starts a platform with endpoints of a service and a daemon.
+func newSite(t *testing.T, service string, endpoints int) *site {
+	return newSiteWithGrace(t, service, endpoints, shortGrace)
+}
+
+func newSiteWithGrace(t *testing.T, service string, endpoints int, grace time.Duration) *site {
+	c := qt.New(t)
+	s := &site{C: c, store: fakeplatform.NewStore(), grace: grace}
+	t.Cleanup(s.store.Close)
+	s.store.Put("op/config", fmt.Sprintf(configuration, 1, callerKey))
+	for n := range endpoints {
+		e := fakeplatform.NewEndpoint(fmt.Sprintf("i-%d", n))
+		t.Cleanup(e.Close)
+		s.endpoints = append(s.endpoints, e)
+		s.store.Put("servers/"+e.ID, e.Entry(service, "v1", "ready"))
+	}
+	s.startDaemon(t, "vm-1")
+	return s
+}
+
+// startDaemon starts the site's daemon and waits until it listens.
+func (s *site) startDaemon(t *testing.T, vm string, seeds ...netip.AddrPort) {
+	s.callers, s.ready, s.control = freeAddress(s.C), freeAddress(s.C), freeAddress(s.C)
+	d := direct.New(direct.Options{
+		VM: fescuelatch.VMID(vm), Domain: "a", Store: &platform.Store{Address: s.store.Address(), HTTP: &http.Client{Transport: &http.Transport{}}},
+		Notation: platform.Notation{}, Dialect: platform.Dialect{},
+		Callers: s.callers, Readiness: s.ready, Control: s.control, Seeds: seeds,
+		Retries: shared.BudgetSettings{Ratio: 0.9, Extra: 50, Window: 10 * time.Second},
+		Rollout: rollout.Settings{Exposure: 0.15}, LeaseTime: 5 * time.Second, StopGrace: s.grace,
+		Log: slog.New(slog.NewJSONHandler(io.Discard, nil)), Scope: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	s.stop, s.stopped = cancel, stopped
+	go func() {
+		defer close(stopped)
+		s.Check(d.Run(ctx), qt.IsNil)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+	})
+	s.eventually(func() bool { return s.statusOf(s.ready, "/") != 0 })
+}
+
+// eventually waits until something holds.
+func (s *site) eventually(holds func() bool) {
+	s.Helper()
+	for range 400 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.Fatal("it has not come about")
+}
+
+// statusOf returns the status of an answer, or 0.
+func (s *site) statusOf(a netip.AddrPort, path string) int {
+	res, err := http.Get("http://" + a.String() + path)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+func (s *site) awaitReady() {
+	s.Helper()
+	s.eventually(func() bool { return s.statusOf(s.ready, "/v1/readyz") == http.StatusOK })
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+var lastCall int
+
+// call sends a request as a caller does.
+func (s *site) call(method, host, path, body string, header ...string) answer {
+	s.Helper()
+	lastCall++
+	q, err := http.NewRequest(method, "http://"+s.callers.String()+path, strings.NewReader(body))
+	s.Assert(err, qt.IsNil)
+	q.Host = host
+	q.Header.Set("Fescuelatch-Attempt-Id", fmt.Sprintf("call-%d", lastCall))
+	q.Header.Set("Fescuelatch-Deadline-Ms", "3000")
+	q.Header.Set("X-Api-Key", callerKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
+	s.Assert(err, qt.IsNil)
+	b, err := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	return answer{res.StatusCode, res.Header, string(b), err}
+}
+
+// events returns the events of a stream up to a number.
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func (s *site) runs() []fakeplatform.Run {
+	var all []fakeplatform.Run
+	for _, e := range s.endpoints {
+		all = append(all, e.Runs()...)
+	}
+	return all
+}
+
+func TestPassThrough(t *testing.T) {
+	s := newSite(t, "desk", 1)
+	s.awaitReady()
+	a := s.call(http.MethodPost, "desk.example", "/ban/a%2Fb?x=%20&y", "body", "Fescuelatch-Tenant", "forged",
+		"Fescuelatch-Pin-Ms", "900", "Kv-From", "x", "X-Other", "kept", "Connection", "X-Hop", "X-Hop", "dropped")
+	s.Check(a.status, qt.Equals, http.StatusOK)
+	s.Check(a.body, qt.Equals, "i-0")
+	s.Check(a.header.Get("Fescuelatch-Response-Signature"), qt.Equals, "by-i-0")
+	s.Assert(s.runs(), qt.HasLen, 1)
+	r := s.runs()[0]
+	s.Check(r.Target, qt.Equals, "/ban/a%2Fb?x=%20&y")
+	s.Check(r.Method+" "+r.Host+" "+r.Body, qt.Equals, "POST desk.example body")
+	for _, test := range []struct{ header, value string }{
+		{"Fescuelatch-Tenant", "kigali"},
+		{"X-Api-Key", ""},
+		{"Fescuelatch-Pin-Ms", ""},
+		{"Kv-From", ""},
+		{"X-Other", "kept"},
+		{"X-Hop", ""},
+	} {
+		s.Check(r.Header.Get(test.header), qt.Equals, test.value, qt.Commentf("%s", test.header))
+	}
+}
+
+func TestRejections(t *testing.T) {
+	s := newSite(t, "desk", 1)
+	s.awaitReady()
+	tests := []struct {
+		name, host, path, body string
+		header                 []string
+		status                 int
+	}{
+		{"no route", "desk.example", "/other/", "", nil, http.StatusNotFound},
+		{"no host", "other.example", "/ban/", "", nil, http.StatusNotFound},
+		{"unknown key", "desk.example", "/ban/", "", []string{"X-Api-Key", "wrong"}, http.StatusUnauthorized},
+		{"bad deadline", "desk.example", "/ban/", "", []string{"Fescuelatch-Deadline-Ms", "soon"}, http.StatusBadRequest},
+		{"too large", "desk.example", "/ban/", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge},
+	}
+	for _, test := range tests {
+		a := s.call(http.MethodPost, test.host, test.path, test.body, test.header...)
+		s.Check(a.status, qt.Equals, test.status, qt.Commentf("%s", test.name))
+	}
+	s.Check(s.runs(), qt.HasLen, 0)
+	a := s.call(http.MethodGet, "desk.example", "/open/", "", "X-Api-Key", "")
+	s.Check(a.status, qt.Equals, http.StatusOK)
+}
+
+// TestSmuggling checks that requests whose length can be read in two ways run
+// nowhere.
+func TestSmuggling(t *testing.T) {
+	s := newSite(t, "desk", 1)
+	s.awaitReady()
+	head := "POST /ban/ HTTP/1.1\r\nHost: desk.example\r\nFescuelatch-Attempt-Id: x\r\nX-Api-Key: " + callerKey + "\r\n"
+	tests := []struct{ name, rest string }{
+		{"two lengths", "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd"},
+		{"a length and an unknown coding", "Content-Length: 4\r\nTransfer-Encoding: xchunked\r\n\r\nabcd"},
+		{"a bad chunk", "Transfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n0\r\n\r\n"},
+		{"a space before the colon", "Content-Length : 4\r\n\r\nabcd"},
+	}
+	for _, test := range tests {
+		c, err := net.Dial("tcp", s.callers.String())
+		s.Assert(err, qt.IsNil)
+		_, err = io.WriteString(c, head+test.rest)
+		s.Assert(err, qt.IsNil)
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			s.Check(res.StatusCode >= 400 && res.StatusCode < 600, qt.IsTrue, qt.Commentf("%s: %d", test.name, res.StatusCode))
+			_ = res.Body.Close()
+		}
+		_ = c.Close()
+	}
+	s.Check(s.runs(), qt.HasLen, 0)
+}
+
+// TestOnce checks what becomes of a request that must not be repeated.
+func TestOnce(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour fakeplatform.Behaviour
+		status    int
+		again     bool // a time to come back is told
+	}{
+		{"answered", nil, http.StatusOK, false},
+		{"failed", fakeplatform.Status(http.StatusInternalServerError), http.StatusInternalServerError, false},
+		{"not run", fakeplatform.NotRun, http.StatusServiceUnavailable, true},
+		{"the answer is lost", fakeplatform.Reset, http.StatusBadGateway, false},
+		{"no promise that it has not run", fakeplatform.Status(http.StatusServiceUnavailable), http.StatusBadGateway, false},
+		{"silence", fakeplatform.Hang, http.StatusGatewayTimeout, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, "desk", 2)
+			s.awaitReady()
+			for _, e := range s.endpoints {
+				e.Behave(test.behaviour)
+			}
+			a := s.call(http.MethodPost, "desk.example", "/ban/", "")
+			s.Check(a.status, qt.Equals, test.status)
+			s.Check(a.header.Get("Retry-After") != "", qt.Equals, test.again)
+			s.Check(s.runs(), qt.HasLen, 1)
+		})
+	}
+}
+
+// TestRepeatable checks that a request that may be repeated is, elsewhere.
+func TestRepeatable(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour fakeplatform.Behaviour
+	}{
+		{"failed", fakeplatform.Status(http.StatusInternalServerError)},
+		{"not run", fakeplatform.NotRun},
+		{"the answer is lost", fakeplatform.Reset},
+		{"silence", fakeplatform.Hang},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, "desk", 2)
+			s.awaitReady()
+			s.endpoints[0].Behave(test.behaviour)
+			for range 4 {
+				a := s.call(http.MethodGet, "desk.example", "/look/", "")
+				s.Check(a.status, qt.Equals, http.StatusOK)
+				s.Check(a.body, qt.Equals, "i-1")
+			}
+		})
+	}
+}
+
+// TestStream checks that a caller gets a whole stream, or sees that it is not.
+func TestStream(t *testing.T) {
+	tests := []struct {
+		name          string
+		path          string
+		first, second fakeplatform.Behaviour
+		whole         bool
+	}{
+		{"unbroken", "/write/", fakeplatform.Stream(5, 0, "90", 0), fakeplatform.Stream(5, 0, "90", 0), true},
+		{"resumed by another endpoint", "/write/", fakeplatform.Stream(5, 2, "90", 0), fakeplatform.Stream(5, 0, "90", 0), true},
+		{"silent midway", "/write/", stall(2), fakeplatform.Stream(5, 0, "90", 0), true},
+		{"broken everywhere", "/write/", fakeplatform.Stream(9, 1, "90", 0), fakeplatform.Stream(9, 1, "90", 0), false},
+		{"the next endpoint fails", "/write/", fakeplatform.Stream(5, 2, "90", 0), fakeplatform.Status(http.StatusInternalServerError), false},
+		{"not to be resumed", "/whole/", fakeplatform.Stream(5, 2, "", 0), fakeplatform.Stream(5, 2, "", 0), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, "lm", 2)
+			s.awaitReady()
+			s.endpoints[0].Behave(test.first)
+			s.endpoints[1].Behave(test.second)
+			for range 3 {
+				a := s.call(http.MethodPost, "lm.example", test.path, "", "Fescuelatch-Model", "*")
+				if test.whole {
+					s.Check(a.err, qt.IsNil)
+					s.Check(a.body, qt.Equals, events(5))
+					continue
+				}
+				s.Check(a.err != nil || a.status != http.StatusOK, qt.IsTrue)
+				s.Check(a.status != http.StatusOK || strings.HasPrefix(events(9), a.body), qt.IsTrue, qt.Commentf("%q", a.body))
+			}
+		})
+	}
+}
+
+// stall streams some events and then nothing.
+func stall(after int) fakeplatform.Behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fakeplatform.Stream(after, 0, "90", 0)(w, r)
+		<-r.Context().Done()
+	}
+}
+
+// TestEscalation checks that an answer of little confidence is given up before
+// the caller has received any of it, and its run ended.
+func TestEscalation(t *testing.T) {
+	s := newSite(t, "lm", 1)
+	s.awaitReady()
+	left := make(chan struct{}, 1)
+	s.endpoints[0].Behave(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Fescuelatch-Model") == "large" {
+			fakeplatform.Stream(3, 0, "95", 0)(w, r)
+			return
+		}
+		w.Header().Set("Fescuelatch-Confidence", "10")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		left <- struct{}{}
+	})
+	a := s.call(http.MethodPost, "lm.example", "/write/", "", "Fescuelatch-Model", "*")
+	s.Check(a.body, qt.Equals, events(3))
+	s.Check(a.header.Get("Fescuelatch-Confidence"), qt.Equals, "95")
+	select {
+	case <-left:
+	case <-time.After(time.Second):
+		s.Error("the run of the small model goes on")
+	}
+}
+
+// TestCallerLeaves checks that an endpoint's run ends when the caller leaves.
+func TestCallerLeaves(t *testing.T) {
+	s := newSite(t, "desk", 1)
+	s.awaitReady()
+	left := make(chan struct{})
+	s.endpoints[0].Behave(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	})
+	c, err := net.Dial("tcp", s.callers.String())
+	s.Assert(err, qt.IsNil)
+	_, err = io.WriteString(c, "GET /look/ HTTP/1.1\r\nHost: desk.example\r\nFescuelatch-Attempt-Id: leaves\r\nX-Api-Key: "+callerKey+"\r\n\r\n")
+	s.Assert(err, qt.IsNil)
+	s.eventually(func() bool { return len(s.runs()) == 1 })
+	s.Assert(c.Close(), qt.IsNil)
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		s.Error("the run goes on")
+	}
+}
+
+// TestChangesInForce checks that what operators and endpoints write is in force
+// soon.
+func TestChangesInForce(t *testing.T) {
+	const soon = 2 * time.Second
+	tests := []struct {
+		name   string
+		change func(s *site)
+		status int
+	}{
+		{"a key is taken away", func(s *site) { s.store.Put("op/config", fmt.Sprintf(configuration, 2, "another")) }, http.StatusUnauthorized},
+		{"the endpoint leaves", func(s *site) { s.store.Put("servers/i-0", s.endpoints[0].Entry("desk", "v1", "draining")) }, http.StatusServiceUnavailable},
+		{"the endpoint is gone", func(s *site) { s.store.Delete("servers/i-0") }, http.StatusServiceUnavailable},
+		{"the failure domain is taken out", func(s *site) { s.store.Put("op/evacuate/a", "{}") }, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSite(t, "desk", 1)
+			s.awaitReady()
+			test.change(s)
+			began := time.Now()
+			s.eventually(func() bool { return s.call(http.MethodGet, "desk.example", "/look/", "").status == test.status })
+			s.Check(time.Since(began) < soon, qt.IsTrue)
+			runs := len(s.runs())
+			s.call(http.MethodGet, "desk.example", "/look/", "")
+			s.Check(s.runs(), qt.HasLen, runs)
+		})
+	}
+}
+
+// TestStoreFaults checks that a daemon goes on serving while the store fails,
+// and catches up when it is back.
+func TestStoreFaults(t *testing.T) {
+	for _, fault := range []fakeplatform.Fault{
+		fakeplatform.FaultBusy, fakeplatform.FaultLimit, fakeplatform.FaultSilent, fakeplatform.FaultReset,
+		fakeplatform.FaultLost, fakeplatform.FaultGone,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			s := newSite(t, "desk", 1)
+			s.awaitReady()
+			s.store.SetFault(fault)
+			time.Sleep(time.Second)
+			s.Check(s.call(http.MethodGet, "desk.example", "/look/", "").status, qt.Equals, http.StatusOK)
+			s.Check(s.statusOf(s.ready, "/"), qt.Equals, http.StatusOK)
+			s.store.SetFault(fakeplatform.FaultNone)
+			s.store.Put("op/config", fmt.Sprintf(configuration, 3, "another"))
+			s.eventually(func() bool {
+				return s.call(http.MethodGet, "desk.example", "/look/", "").status == http.StatusUnauthorized
+			})
+		})
+	}
+}
+
+// TestStartWithoutStore checks that a daemon which starts while the store is
+// away is not ready and refuses, until it learns from a peer.
+func TestStartWithoutStore(t *testing.T) {
+	s := newSite(t, "desk", 1)
+	s.awaitReady()
+	seed := s.control
+	s.store.SetFault(fakeplatform.FaultSilent)
+	alone := &site{C: s.C, store: s.store, endpoints: s.endpoints, grace: shortGrace}
+	alone.startDaemon(t, "vm-2")
+	alone.Check(alone.statusOf(alone.ready, "/"), qt.Equals, http.StatusServiceUnavailable)
+	a := alone.call(http.MethodGet, "desk.example", "/look/", "")
+	alone.Check(a.status, qt.Equals, http.StatusServiceUnavailable)
+	alone.Check(a.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	taught := &site{C: s.C, store: s.store, endpoints: s.endpoints, grace: shortGrace}
+	taught.startDaemon(t, "vm-3", seed)
+	taught.awaitReady()
+	taught.Check(taught.call(http.MethodGet, "desk.example", "/look/", "").status, qt.Equals, http.StatusOK)
+}
+
+// TestStop checks that a stopping daemon is no longer ready, ends what it has
+// begun, and announces the close of connections.
+func TestStop(t *testing.T) {
+	s := newSiteWithGrace(t, "lm", 1, 4*time.Second)
+	s.awaitReady()
+	s.endpoints[0].Behave(fakeplatform.Stream(10, 0, "90", 100*time.Millisecond))
+	got := make(chan answer, 1)
+	go func() { got <- s.call(http.MethodPost, "lm.example", "/write/", "", "Fescuelatch-Model", "*") }()
+	s.eventually(func() bool { return len(s.runs()) == 1 })
+	s.stop()
+	s.eventually(func() bool { return s.statusOf(s.ready, "/") == http.StatusServiceUnavailable })
+	late := s.call(http.MethodPost, "lm.example", "/write/", "", "Fescuelatch-Model", "*")
+	s.Check(late.body, qt.Equals, events(10))
+	a := <-got
+	s.Check(a.err, qt.IsNil)
+	s.Check(a.body, qt.Equals, events(10))
+	<-s.stopped
+	_, there := s.store.Get("fescuelatch/daemons/vm-1")
+	s.Check(there, qt.IsFalse)
+}
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
 	"net/netip"
 	"net/rpc"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"fescuelatch"
 )
@@ -89,9 +89,11 @@
 	Next     int64
 	Full     bool
 	Revision int64
-	// Age is the time since the store last answered.
-	Age   time.Duration
-	Items []fescuelatch.StoredItem
+	// Age is the time since the store last answered. Settling reports that
+	// the store has been away and that what has lapsed is not known yet.
+	Age      time.Duration
+	Settling bool
+	Items    []fescuelatch.StoredItem
 }
 
 // Changes is called by net/rpc.
@@ -112,7 +114,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k := d.known
-	*reply = ChangesReply{Process: d.process, Next: k.journal.next, Revision: k.revision, Age: d.store.age(time.Now())}
+	now := time.Now()
+	*reply = ChangesReply{
+		Process: d.process, Next: k.journal.next, Revision: k.revision,
+		Age: d.store.age(now), Settling: now.Before(k.heldUntil),
+	}
 	if q.Process == d.process {
 		var ok bool
 		if reply.Items, ok = k.journal.since(q.Next); ok {
@@ -221,14 +227,22 @@
 	if err != nil {
 		return err
 	}
-	if reply.Age > sourceAge {
-		return &Error{"follow source", KindPeer, errors.New("it has not heard from the store for " + reply.Age.String())}
+	return d.takeReply(time.Now(), s, reply)
+}
+
+// takeReply takes in the answer of a source, unless the source knows less than
+// this daemon.
+func (d *Daemon) takeReply(now time.Time, s *source, reply *ChangesReply) error {
+	if reply.Age > sourceAge || reply.Settling {
+		return &Error{"follow source", KindPeer, errors.Errorf("it has not heard from the store for %s, or has only just again", reply.Age)}
 	}
-	s.process, s.next = reply.Process, reply.Next
-	now := time.Now()
-	d.store.answered(now.Add(-reply.Age))
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if reply.Revision < d.known.revision {
+		return &Error{"follow source", KindPeer, errors.Errorf("it is at revision %d, behind %d", reply.Revision, d.known.revision)}
+	}
+	s.process, s.next = reply.Process, reply.Next
+	d.store.answered(now.Add(-reply.Age))
 	c := fescuelatch.Changes{Revision: reply.Revision, Items: reply.Items}
 	if reply.Full {
 		d.known.replace(now, c)
--- /dev/null
+++ b/direct/relay_test.go
@@ -0,0 +1,136 @@
+package direct
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"fescuelatch"
+	"fescuelatch/platform"
+)
+
+// This file tests what a daemon that follows the store through another one
+// gets to know.
+
+// pass brings a follower up to what a reader knows, from a number of its
+// journal on.
+func pass(c *qt.C, reader, follower *knowledge, next int64) int64 {
+	c.Helper()
+	items, ok := reader.journal.since(next)
+	changes := fescuelatch.Changes{Revision: reader.revision, Items: items}
+	if !ok {
+		changes.Items = reader.everything()
+		follower.replace(epoch, changes)
+	} else {
+		follower.apply(epoch, changes)
+	}
+	return reader.journal.next
+}
+
+// TestFollower plays changes to a reader and checks that its follower knows
+// the same after each of them.
+func TestFollower(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := known(0), known(0)
+	next := reader.journal.next
+	revision := int64(20)
+	steps := []struct {
+		name string
+		item func() fescuelatch.StoredItem
+	}{
+		{"an endpoint registers", func() fescuelatch.StoredItem { return beat(1, "ready", revision) }},
+		{"it writes again", func() fescuelatch.StoredItem { return beat(1, "ready", revision) }},
+		{"another one registers", func() fescuelatch.StoredItem { return beat(2, "ready", revision) }},
+		{"it leaves", func() fescuelatch.StoredItem { return beat(2, "draining", revision) }},
+		{"it is gone", func() fescuelatch.StoredItem { return removal("servers/i-2", revision) }},
+		{"a failure domain is taken out", func() fescuelatch.StoredItem { return entry("op/evacuate/a", "{}", revision) }},
+		{"it is back", func() fescuelatch.StoredItem { return removal("op/evacuate/a", revision) }},
+		{"an entry becomes unusable", func() fescuelatch.StoredItem { return entry("servers/i-1", "{}", revision) }},
+	}
+	for _, step := range steps {
+		revision++
+		reader.apply(epoch, fescuelatch.Changes{Revision: revision, Items: []fescuelatch.StoredItem{step.item()}})
+		next = pass(c, reader, follower, next)
+		c.Check(len(follower.endpoints), qt.Equals, len(reader.endpoints), qt.Commentf("%s", step.name))
+		for id, e := range reader.endpoints {
+			c.Check(follower.endpoints[id].same(e.Registration), qt.IsTrue, qt.Commentf("%s: %s", step.name, id))
+		}
+		c.Check(follower.out, qt.DeepEquals, reader.out, qt.Commentf("%s", step.name))
+	}
+}
+
+// TestWriteAndRemoval checks that a key which is written and removed between
+// two looks of the reader is gone for its follower as well.
+func TestWriteAndRemoval(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := known(1), known(1)
+	next := reader.journal.next
+	reader.apply(epoch, fescuelatch.Changes{Revision: 60, Items: []fescuelatch.StoredItem{
+		beat(1, "draining", 50), removal("servers/i-1", 55),
+	}})
+	pass(c, reader, follower, next)
+	c.Check(follower.endpoints, qt.HasLen, 0)
+}
+
+// TestQuietJournal checks that endpoints which only write again do not cost
+// the followers anything.
+func TestQuietJournal(t *testing.T) {
+	c := qt.New(t)
+	reader := known(3)
+	next := reader.journal.next
+	for n := range 3 {
+		reader.apply(epoch, fescuelatch.Changes{Revision: 70, Items: []fescuelatch.StoredItem{beat(n+1, "ready", int64(70+n))}})
+	}
+	c.Check(reader.journal.next, qt.Equals, next)
+}
+
+// TestLongAbsence checks that a follower which has missed more than is kept
+// gets everything.
+func TestLongAbsence(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := known(2), known(2)
+	next := reader.journal.next
+	for n := range journalLength {
+		state := []string{"ready", "draining"}[n%2]
+		reader.apply(epoch, fescuelatch.Changes{Revision: int64(100 + n), Items: []fescuelatch.StoredItem{beat(1, state, int64(100+n))}})
+	}
+	reader.apply(epoch, fescuelatch.Changes{Revision: 9000, Items: []fescuelatch.StoredItem{removal("servers/i-2", 9000)}})
+	_, ok := reader.journal.since(next)
+	c.Assert(ok, qt.IsFalse)
+	pass(c, reader, follower, next)
+	c.Check(follower.endpoints, qt.HasLen, 1)
+}
+
+// TestUnreliableSource checks that what a source says is not taken in when the
+// daemon may know better.
+func TestUnreliableSource(t *testing.T) {
+	tests := []struct {
+		name  string
+		reply ChangesReply
+		taken bool
+	}{
+		{"sound", ChangesReply{Revision: 60}, true},
+		{"behind", ChangesReply{Revision: 9}, false},
+		{"cut off from the store", ChangesReply{Revision: 60, Age: 2 * sourceAge}, false},
+		{"with removals held", ChangesReply{Revision: 60, Settling: true}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := New(Options{
+				VM: "vm-1", Domain: "a", Notation: platform.Notation{}, Dialect: platform.Dialect{},
+				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope,
+			})
+			d.known = known(1)
+			test.reply.Full = true
+			test.reply.Items = []fescuelatch.StoredItem{beat(1, "ready", 2), beat(2, "ready", 2)}
+			err := d.takeReply(epoch, new(source), &test.reply)
+			c.Check(err == nil, qt.Equals, test.taken)
+			_, there := d.known.endpoints["i-2"]
+			c.Check(there, qt.Equals, test.taken)
+		})
+	}
+}
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuelatch"
+	"fescuelatch/chart"
 	"fescuelatch/internal/pause"
 	"fescuelatch/rollout"
 )
@@ -62,6 +63,15 @@
 	}
 }
 
+// condemned returns the release of a service that was rolled back.
+func (d *Daemon) condemned(s fescuelatch.ServiceID) (fescuelatch.ReleaseID, bool) {
+	r := d.rollouts[s]
+	if r == nil || r.State() != chart.RolloutRolledBack {
+		return "", false
+	}
+	return r.Order().Target, true
+}
+
 // followRollouts begins and ends roll-outs as ordered, and takes in what the
 // other daemons have recorded.
 func (d *Daemon) followRollouts(now time.Time) {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -185,7 +185,11 @@
 func (s *serving) accept(a decision.Accept) {
 	whole := s.answers[a.Attempt]
 	reason := "answered"
-	if whole != nil {
+	switch {
+	case whole != nil && s.output.begun:
+		s.output.cut = true
+		reason = "not-whole"
+	case whole != nil:
 		reason = "status-" + strconv.Itoa(whole.status)
 		s.output.whole(s.writer, s.daemon.options.Dialect, whole)
 	}
@@ -249,7 +253,7 @@
 	s.daemon.metrics.ended(s.route.ID, o, reason, took)
 	args := []any{
 		"outcome", o, "reason", reason, "account", s.details.Account, "version", v, "endpoint", s.lastEndpoint,
-		"attempts", s.sent, "took", took.String(), "generation", s.inForce.deployment.Generation,
+		"session", s.details.SessionKey != "", "attempts", s.sent, "took", took.String(), "generation", s.inForce.deployment.Generation,
 		"store-age", s.daemon.store.age(time.Now()).Round(time.Millisecond).String(),
 	}
 	if s.lastError != nil {
--- /dev/null
+++ b/internal/fakeplatform/endpoint.go
@@ -0,0 +1,157 @@
+package fakeplatform
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// This file defines endpoints.
+
+// Run is a request that an endpoint has been sent.
+type Run struct {
+	Call    string
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    string
+	Refused bool
+}
+
+// Behaviour is how an endpoint answers a request. A nil one answers with the
+// status 200 and its identifier.
+type Behaviour func(w http.ResponseWriter, r *http.Request)
+
+// Endpoint is one endpoint. It is safe for concurrent use.
+type Endpoint struct {
+	ID     string
+	server *httptest.Server
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	runs      []Run
+}
+
+// NewEndpoint starts an endpoint.
+func NewEndpoint(id string) *Endpoint {
+	e := &Endpoint{ID: id}
+	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
+	return e
+}
+
+// Close ends the endpoint and cuts its connections.
+func (e *Endpoint) Close() {
+	e.server.CloseClientConnections()
+	e.server.Close()
+}
+
+// Address returns the address of the endpoint.
+func (e *Endpoint) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(e.server.Listener.Addr().String())
+}
+
+// Entry returns the registration of the endpoint.
+func (e *Endpoint) Entry(service, release, state string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":%q,"capacity":8,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
+		service, e.Address(), release, state)
+}
+
+// Behave sets how requests are answered.
+func (e *Endpoint) Behave(b Behaviour) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.behaviour = b
+}
+
+// Runs returns the requests that were sent to the endpoint so far.
+func (e *Endpoint) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	refused := r.Header.Get("Fescuelatch-Target-Instance") != e.ID
+	e.mu.Lock()
+	e.runs = append(e.runs, Run{
+		Call: r.Header.Get("Fescuelatch-Attempt-Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		Header: r.Header.Clone(), Body: string(body), Refused: refused,
+	})
+	b := e.behaviour
+	e.mu.Unlock()
+	w.Header().Set("Fescuelatch-Attempt-Id", r.Header.Get("Fescuelatch-Attempt-Id"))
+	if refused {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Fescuelatch-Response-Signature", "by-"+e.ID)
+	if b != nil {
+		b(w, r)
+		return
+	}
+	_, _ = io.WriteString(w, e.ID)
+}
+
+// Status answers with a status and no body.
+func Status(code int) Behaviour {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+// NotRun answers that the request was not run.
+func NotRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Del("Fescuelatch-Response-Signature")
+	w.Header().Set("Fescuelatch-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Reset breaks the connection instead of an answer.
+func Reset(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// Hang answers nothing until the caller leaves.
+func Hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// Stream answers with events up to a number. It breaks off after cutAfter of
+// them, unless that is 0, and waits gap between two.
+func Stream(events, cutAfter int, confidence string, gap time.Duration) Behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if confidence != "" {
+			w.Header().Set("Fescuelatch-Confidence", confidence)
+		}
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		w.WriteHeader(http.StatusOK)
+		flush := http.NewResponseController(w).Flush
+		_ = flush()
+		for n := first + 1; n <= events; n++ {
+			if cutAfter > 0 && n > first+cutAfter {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: half", n) // Breaks off within an event.
+				_ = flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
+			_ = flush()
+			time.Sleep(gap)
+		}
+	}
+}
+
+// DeadAddress returns an address that nothing listens on.
+func DeadAddress() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // It is closed at once.
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -20,6 +20,10 @@
 
 // Stages of a roll-out, as parts of the time that the order gives.
 const (
+	// trialFrom leaves the endpoints of the release time for their cold start:
+	// while they bear little, whether a session gets the release would depend
+	// on the daemon that it meets.
+	trialFrom = 0.2
 	// trialUntil is late, since a release may turn bad after a while and
 	// sessions keep their release in the first half.
 	trialUntil = 0.55
@@ -101,6 +105,9 @@
 	trial := trialUse * r.settings.Exposure
 	switch r.life.State() {
 	case chart.RolloutTrial:
+		if float64(r.Elapsed(now)) < trialFrom*float64(r.order.Within) {
+			return 0
+		}
 		return trial
 	case chart.RolloutWidening:
 		part := float64(r.Elapsed(now)) / float64(r.order.Within)
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,166 @@
+package rollout_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/chart"
+	"fescuelatch/rollout"
+)
+
+// This file tests roll-outs against a service whose new release is good, or
+// bad in one of several ways.
+
+var epoch = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// release answers requests as a release of some quality does.
+type release struct {
+	name string
+	// bad returns the share of bad answers at a part of the order's time, for
+	// a route, at a share of the requests.
+	bad  func(part float64, route string, share float64) float64
+	slow bool
+}
+
+const (
+	usualLatency = 150 * time.Millisecond
+	usualBad     = 0.02
+	exposure     = 0.15
+	within       = 24 * time.Second
+	rate         = 100 // requests a second over all daemons
+	daemons      = 6
+)
+
+// play runs a roll-out over its time and returns its last state, the share of
+// all requests that the release got, and the bad answers that it gave.
+func play(r release, seed uint64) (chart.State, float64, int) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	order := fescuelatch.RolloutOrder{Service: "lm", Target: "v2", Within: within, Revision: 5}
+	fleet := make([]*rollout.Rollout, daemons)
+	for i := range fleet {
+		fleet[i] = rollout.New(rollout.Settings{Exposure: exposure}, order, epoch)
+	}
+	sent, exposed, bad := 0, 0, 0
+	const step = time.Second / rate
+	for at := time.Duration(0); at < within; at += step {
+		now := epoch.Add(at)
+		d := random.IntN(daemons)
+		f := fleet[d]
+		route := []string{"review", "triage", "label"}[random.IntN(3)]
+		a := rollout.Answer{Route: fescuelatch.RouteID(route), Release: "v1", Latency: usualLatency}
+		share := usualBad
+		if random.Float64() < f.Share(now) {
+			a.Release = "v2"
+			exposed++
+			share = max(share, r.bad(float64(at)/float64(within), route, f.Share(now)))
+		}
+		if random.Float64() < share {
+			if r.slow {
+				a.Latency = 8 * usualLatency
+			} else {
+				a.Failed = true
+			}
+			if a.Release == "v2" {
+				bad++
+			}
+		}
+		sent++
+		f.Observe(a)
+		if sent%(rate/2) == 0 { // Twice a second all know of each other.
+			exchange(fleet, now)
+		}
+	}
+	return fleet[0].State(), float64(exposed) / float64(sent), bad
+}
+
+func exchange(fleet []*rollout.Rollout, now time.Time) {
+	for i, f := range fleet {
+		for j, o := range fleet {
+			if i != j {
+				f.Merge(fescuelatch.VMID(rune('a'+j)), o.Evidence())
+			}
+		}
+	}
+	for _, f := range fleet {
+		f.Advance(now)
+		f.Recorded(f.Verdict(now))
+	}
+}
+
+func TestBadReleases(t *testing.T) {
+	always := func(share float64) func(float64, string, float64) float64 {
+		return func(float64, string, float64) float64 { return share }
+	}
+	tests := []release{
+		{name: "half of all answers fail", bad: always(0.5)},
+		{name: "a third is slow", bad: always(0.3), slow: true},
+		{name: "on one route only", bad: func(_ float64, route string, _ float64) float64 {
+			if route == "label" {
+				return 0.5
+			}
+			return 0
+		}},
+		{name: "after a while", bad: func(part float64, _ string, _ float64) float64 {
+			if part > 0.3 {
+				return 0.5
+			}
+			return 0
+		}},
+		{name: "under load", bad: func(_ float64, _ string, share float64) float64 {
+			if share > 0.3 {
+				return 0.5
+			}
+			return 0
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(20) {
+				state, share, bad := play(test, seed)
+				c.Check(state, qt.Equals, chart.RolloutRolledBack, qt.Commentf("seed %d", seed))
+				c.Check(share <= exposure, qt.IsTrue, qt.Commentf("seed %d: the release got %.3f of all requests", seed, share))
+				c.Check(bad < 100, qt.IsTrue, qt.Commentf("seed %d: %d bad answers", seed, bad))
+			}
+		})
+	}
+}
+
+func TestGoodRelease(t *testing.T) {
+	c := qt.New(t)
+	completed := 0
+	const seeds = 50
+	for seed := range uint64(seeds) {
+		state, _, _ := play(release{bad: func(float64, string, float64) float64 { return usualBad }}, seed)
+		if state == chart.RolloutCompleted {
+			completed++
+		}
+	}
+	c.Check(completed >= seeds*98/100, qt.IsTrue, qt.Commentf("%d of %d completed", completed, seeds))
+}
+
+// TestLateDaemon checks that a daemon which starts in the middle takes over
+// the time, and with it the stage, of the others.
+func TestLateDaemon(t *testing.T) {
+	c := qt.New(t)
+	order := fescuelatch.RolloutOrder{Service: "lm", Target: "v2", Within: within, Revision: 5}
+	r := rollout.New(rollout.Settings{Exposure: exposure}, order, epoch)
+	r.Began(epoch, within*3/4)
+	r.Merge("other", rollout.Evidence{Revision: 5, Target: map[fescuelatch.RouteID]rollout.Count{"label": {Answers: 50}}})
+	r.Advance(epoch)
+	c.Check(r.State(), qt.Equals, chart.RolloutMoved)
+	c.Check(r.Share(epoch), qt.Equals, 1.0)
+}
+
+// TestOtherOrder checks that evidence on an earlier order does not count.
+func TestOtherOrder(t *testing.T) {
+	c := qt.New(t)
+	order := fescuelatch.RolloutOrder{Service: "lm", Target: "v2", Within: within, Revision: 5}
+	r := rollout.New(rollout.Settings{Exposure: exposure}, order, epoch)
+	r.Merge("other", rollout.Evidence{Revision: 4, Target: map[fescuelatch.RouteID]rollout.Count{"label": {Answers: 50, Bad: 50}}})
+	c.Check(r.Bad(), qt.IsFalse)
+}
