--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -202,7 +202,7 @@
 	if err := s.output.begin(s.writer, s.daemon.options.Dialect, a); err != nil {
 		return err
 	}
-	if _, err := s.writer.Write(head); err != nil {
+	if _, err := s.writer.Write(head); err != nil { //nolint:gosec // The endpoint's answer passes unchanged.
 		return err //nolint:wrapcheck // The caller has left.
 	}
 	if _, err := io.Copy(s.writer, a); err != nil {
--- a/direct/control.go
+++ b/direct/control.go
@@ -83,7 +83,7 @@
 		s.Generation = d.known.deployment.Generation
 	}
 	for id, r := range d.rollouts {
-		s.Rollouts[id] = Rolling{r.Order().Target, r.State(), r.Share(now), r.Rollout.Evidence()}
+		s.Rollouts[id] = Rolling{r.Order().Target, r.State(), r.Share(now), r.Evidence()}
 	}
 	for id := range d.known.out {
 		s.DomainsOut = append(s.DomainsOut, id)
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -73,9 +73,7 @@
 	// view and deployment are in force together.
 	inForce  atomic.Pointer[inForce]
 	stopping atomic.Bool
-	// open counts the requests of callers that are being served.
-	open  sync.WaitGroup
-	store storeState
+	store    storeState
 	// process tells apart successive processes of this VM.
 	process string
 	// sources is used by the loop that follows the store only.
--- a/direct/output.go
+++ b/direct/output.go
@@ -89,7 +89,7 @@
 	}
 	w.WriteHeader(status)
 	// An error means that the caller has left.
-	_, _ = w.Write(a.body)
+	_, _ = w.Write(a.body) //nolint:gosec // The endpoint's answer passes unchanged.
 }
 
 // keep holds the whole answer of an attempt.
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -102,7 +102,8 @@
 		return nil, &Error{op, KindPeer, err}
 	}
 	r := bufio.NewReader(c)
-	res, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect})
+	// The answer to CONNECT has no body; the connection goes on.
+	res, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect}) //nolint:bodyclose
 	if err != nil {
 		return nil, &Error{op, KindPeer, err}
 	}
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -145,7 +145,7 @@
 	for s, r := range d.rollouts {
 		if r.Advance(now) {
 			d.log.Info("roll-out", "service", s, "release", r.Order().Target, "state", r.State(),
-				"elapsed", r.Elapsed(now).String(), "evidence", r.Rollout.Evidence())
+				"elapsed", r.Elapsed(now).String(), "evidence", r.Evidence())
 			refresh = true
 		}
 		if math.Abs(r.Share(now)-r.share) >= shareStep {
@@ -168,7 +168,7 @@
 	}
 	var writes []fescuelatch.KVTxn
 	if now.Sub(r.toldAt) >= tellInterval && r.News(r.told) {
-		r.told, r.toldAt = r.Rollout.Evidence(), now
+		r.told, r.toldAt = r.Evidence(), now
 		writes = append(writes, d.record(recordEvidence+string(s)+"/"+string(d.options.VM), r.told)...)
 	}
 	part := float64(r.Elapsed(now)) / float64(r.Order().Within)
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -123,7 +123,7 @@
 	}
 	k.setPatience(r.Patience)
 	for range maxStrangers + 1 {
-		res, err := readFinal(k.reader, h)
+		res, err := readFinal(k.reader, h) //nolint:bodyclose // The answer reads it to its end.
 		if err != nil {
 			return nil, broken(ctx, "read answer", err)
 		}
@@ -159,11 +159,10 @@
 // http returns the request as net/http writes it. An opaque URL keeps the path
 // and query as they are.
 func (r *Request) http() (*http.Request, error) {
-	u, err := url.ParseRequestURI(r.Target)
-	if err != nil {
+	if _, err := url.ParseRequestURI(r.Target); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	u = &url.URL{Scheme: "http", Host: r.Host, Opaque: r.Target, RawQuery: ""}
+	u := &url.URL{Scheme: "http", Host: r.Host, Opaque: r.Target, RawQuery: ""}
 	h := &http.Request{
 		Method: r.Method, URL: u, Host: r.Host, Header: r.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- /dev/null
+++ b/endpoint/client_test.go
@@ -0,0 +1,225 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/endpoint"
+)
+
+// This file tests the client against endpoints that answer byte by byte as a
+// test says.
+
+// script is what an endpoint writes after each request on one connection. Nil
+// closes the connection.
+type script []string
+
+// start listens and answers the connections with one script each.
+func start(c *qt.C, scripts ...script) (netip.AddrPort, *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
+	go func() {
+		for _, s := range scripts {
+			k, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go play(k, s, &requests)
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String()), &requests
+}
+
+func play(k net.Conn, s script, requests *atomic.Int64) {
+	defer func() { _ = k.Close() }()
+	r := bufio.NewReader(k)
+	for _, text := range s {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		requests.Add(1)
+		_, _ = io.WriteString(k, strings.TrimSuffix(text, hang))
+		if strings.HasSuffix(text, hang) {
+			time.Sleep(2 * time.Second)
+		}
+	}
+}
+
+// hang at the end of a text keeps the connection open without a further byte.
+const hang = "\x00"
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func client() *endpoint.Client {
+	return &endpoint.Client{
+		Identify:    func(h http.Header) string { return h.Get("Id") },
+		IdleTimeout: func(http.Header) time.Duration { return 0 },
+	}
+}
+
+func send(cl *endpoint.Client, to netip.AddrPort, q endpoint.Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	q.Method, q.Target, q.Host, q.Header = http.MethodPost, "/a%2Fb?c", "host.example", http.Header{}
+	a, err := cl.Do(ctx, to, &q)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := io.ReadAll(a)
+	return string(b), err
+}
+
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		body   string
+		kind   endpoint.ErrorKind
+	}{
+		{"whole", ok("me", "body"), "body", ""},
+		{"without an identifier", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "body", ""},
+		{"after an informational one", "HTTP/1.1 100 Continue\r\n\r\n" + ok("me", "body"), "body", ""},
+		{"after one to another request", ok("other", "late") + ok("me", "body"), "body", ""},
+		{"to another request only", ok("other", "late"), "", endpoint.KindBroken},
+		{"truncated", "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 9\r\n\r\nbody", "", endpoint.KindBroken},
+		{"truncated chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "", endpoint.KindBroken},
+		{"until the end of the connection", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody", "body", ""},
+		{"no HTTP", "rubbish\r\n\r\n", "", endpoint.KindBroken},
+		{"encoded", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody", "", endpoint.KindBroken},
+		{"nothing", "", "", endpoint.KindBroken},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			to, requests := start(c, script{test.answer})
+			body, err := send(client(), to, endpoint.Request{Identifier: "me", Body: []byte("question")})
+			if test.kind == "" {
+				c.Check(err, qt.IsNil)
+				c.Check(body, qt.Equals, test.body)
+			} else {
+				c.Assert(err, qt.IsNotNil)
+				c.Check(endpoint.KindOf(err), qt.Equals, test.kind)
+			}
+			c.Check(requests.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestReuse checks which connections carry a second request.
+func TestReuse(t *testing.T) {
+	tests := []struct {
+		name        string
+		first       string
+		connections int64
+	}{
+		{"clean", ok("me", "body"), 1},
+		{"with bytes left over", ok("me", "body") + "extra", 2},
+		{"with another answer left over", ok("me", "body") + ok("other", "x"), 2},
+		{"announced to close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			to, _ := start(c, script{test.first, ok("me", "second")}, script{ok("me", "second")})
+			cl := client()
+			var opened atomic.Int64
+			cl.Opened = func() { opened.Add(1) }
+			_, err := send(cl, to, endpoint.Request{Identifier: "me"})
+			c.Assert(err, qt.IsNil)
+			time.Sleep(20 * time.Millisecond) // What is left over arrives.
+			body, err := send(cl, to, endpoint.Request{Identifier: "me"})
+			c.Assert(err, qt.IsNil)
+			c.Check(body, qt.Equals, "second")
+			c.Check(opened.Load(), qt.Equals, test.connections)
+		})
+	}
+}
+
+// TestFresh checks that a request which must not be lost with an idle
+// connection gets a new one.
+func TestFresh(t *testing.T) {
+	c := qt.New(t)
+	to, _ := start(c, script{ok("me", "first")}, script{ok("me", "second")})
+	cl := client()
+	_, err := send(cl, to, endpoint.Request{Identifier: "me"})
+	c.Assert(err, qt.IsNil)
+	time.Sleep(350 * time.Millisecond)
+	body, err := send(cl, to, endpoint.Request{Identifier: "me", Fresh: true})
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "second")
+}
+
+func TestUnreachable(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	to := netip.MustParseAddrPort(l.Addr().String())
+	c.Assert(l.Close(), qt.IsNil)
+	_, err = send(client(), to, endpoint.Request{})
+	c.Check(endpoint.KindOf(err), qt.Equals, endpoint.KindUnreachable)
+	c.Check(client().Reachable(context.Background(), to), qt.IsFalse)
+}
+
+// TestPatience checks that silence ends an exchange with an endpoint that is
+// silent, and not with one that is heard on another connection.
+func TestPatience(t *testing.T) {
+	const patience = 200 * time.Millisecond
+	tests := []struct {
+		name        string
+		heard       bool
+		least, most time.Duration
+	}{
+		{"dark", false, patience, 2 * patience},
+		{"busy", true, 2 * patience, 4 * patience},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			others := make([]script, 30)
+			for i := range others {
+				others[i] = script{"HTTP/1.1 200 OK\r\nId: me\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"}
+			}
+			to, _ := start(c, append([]script{{hang}}, others...)...)
+			cl := client()
+			began := time.Now()
+			done := make(chan error, 1)
+			go func() {
+				_, err := send(cl, to, endpoint.Request{Identifier: "me", Patience: patience})
+				done <- err
+			}()
+			time.Sleep(20 * time.Millisecond)
+			var err error
+			for waiting := true; waiting; {
+				select {
+				case err = <-done:
+					waiting = false
+				case <-time.After(patience / 4):
+					if test.heard {
+						_, _ = send(cl, to, endpoint.Request{Identifier: "me"})
+					}
+				}
+			}
+			took := time.Since(began)
+			c.Check(endpoint.KindOf(err), qt.Equals, endpoint.KindSilent, qt.Commentf("%v", err))
+			c.Check(took >= test.least && took <= test.most, qt.IsTrue, qt.Commentf("%s", took))
+		})
+	}
+}
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -47,7 +47,7 @@
 
 func (k *connection) close() {
 	if !k.closed.Swap(true) {
-		_ = k.Conn.Close()
+		_ = k.Close()
 	}
 }
 
--- /dev/null
+++ b/gate/shared/gate_test.go
@@ -0,0 +1,253 @@
+package shared_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/gate/shared"
+)
+
+// This file plays loads against the gate and checks what endpoints get.
+
+const version fescuelatch.VersionID = "lm@v1"
+
+func endpointAt(id, domain string, slots int) fescuelatch.OwnedEndpoint {
+	return fescuelatch.OwnedEndpoint{
+		Endpoint: fescuelatch.Endpoint{ID: fescuelatch.EndpointID(id), Domain: fescuelatch.DomainID(domain), Address: netip.MustParseAddrPort("127.0.0.1:1")},
+		Pool:     fescuelatch.Pool{Slots: slots, Versions: []fescuelatch.VersionID{version}},
+	}
+}
+
+func newGate(seed uint64, members int, endpoints ...fescuelatch.OwnedEndpoint) *shared.Gate {
+	g := shared.New(shared.Settings{Domain: "a"}, rand.New(rand.NewPCG(seed, 3)))
+	g.SetMembers(members)
+	g.Own(epoch, endpoints)
+	return g
+}
+
+var lastAttempt int
+
+func work(repeatable bool, parts ...fescuelatch.PromptPart) fescuelatch.Work {
+	lastAttempt++
+	tokens := 0
+	for _, p := range parts {
+		tokens += p.Tokens
+	}
+	return fescuelatch.Work{
+		Attempt: fescuelatch.AttemptID(fmt.Sprint(lastAttempt)), Version: version,
+		Request: &fescuelatch.Request{Idempotent: repeatable, TargetLatency: time.Second, PromptTokens: tokens, Parts: parts},
+	}
+}
+
+func end(w fescuelatch.Work, a fescuelatch.Admission, status fescuelatch.AttemptStatus) fescuelatch.AttemptResult {
+	return fescuelatch.AttemptResult{Attempt: w.Attempt, Endpoint: a.Endpoint, Version: version, Status: status}
+}
+
+// TestColdEndpoint checks that all daemons together stay within what a cold
+// endpoint bears in any second, though none knows what the others send.
+func TestColdEndpoint(t *testing.T) {
+	const bears = 23.0
+	const bound = bears*1.5 + 5
+	for _, members := range []int{1, 6, 60, 82} {
+		t.Run(fmt.Sprint(members), func(t *testing.T) {
+			c := qt.New(t)
+			e := endpointAt("cold", "a", 64)
+			e.ColdRate, e.ColdUntil = bears, epoch.Add(10*time.Second)
+			gates := make([]*shared.Gate, members)
+			for i := range gates {
+				gates[i] = newGate(uint64(i), members, e)
+			}
+			var starts []time.Duration
+			for at := time.Duration(0); at < 10*time.Second; at += 20 * time.Millisecond {
+				now := epoch.Add(at)
+				for _, g := range gates {
+					for {
+						w := work(true)
+						a := g.Offer(now, w)
+						if a.Verdict != fescuelatch.AdmissionStart {
+							g.End(now, end(w, a, fescuelatch.AttemptCancelled))
+							break
+						}
+						starts = append(starts, at)
+						g.First(now, w.Attempt)
+						g.End(now, end(w, a, fescuelatch.AttemptAnswered))
+					}
+				}
+			}
+			c.Check(len(starts) > 40, qt.IsTrue, qt.Commentf("only %d starts", len(starts)))
+			from := 0
+			for i, at := range starts {
+				for at-starts[from] >= time.Second {
+					from++
+				}
+				c.Assert(float64(i-from+1) <= bound, qt.IsTrue, qt.Commentf("%d starts within a second at %s", i-from+1, at))
+			}
+		})
+	}
+}
+
+// TestDarkDomain checks that a failure domain that is cut off costs few
+// requests, and is used again after it has taken a connection.
+func TestDarkDomain(t *testing.T) {
+	c := qt.New(t)
+	g := newGate(1, 2, endpointAt("a1", "b", 8), endpointAt("a2", "b", 8), endpointAt("a3", "b", 8), endpointAt("b1", "c", 8))
+	lost := 0
+	now := epoch
+	for range 50 {
+		now = now.Add(20 * time.Millisecond)
+		w := work(true)
+		a := g.Offer(now, w)
+		c.Assert(a.Verdict, qt.Equals, fescuelatch.AdmissionStart)
+		r := end(w, a, fescuelatch.AttemptAnswered)
+		if a.Endpoint != "b1" {
+			lost++
+			r.Status, r.Unsent, r.Unreachable = fescuelatch.AttemptNotStarted, true, true
+		} else {
+			g.First(now, w.Attempt)
+		}
+		g.End(now, r)
+	}
+	c.Check(lost <= 2, qt.IsTrue, qt.Commentf("%d requests were tried in the dark domain", lost))
+	probes := g.Probes(now)
+	c.Assert(probes, qt.HasLen, 3)
+	for _, id := range probes {
+		g.Reached(id)
+	}
+	used := map[fescuelatch.EndpointID]bool{}
+	for range 40 {
+		w := work(true)
+		a := g.Offer(now, w)
+		used[a.Endpoint] = true
+		now = now.Add(5 * time.Millisecond)
+	}
+	c.Check(len(used), qt.Equals, 4)
+}
+
+// TestAllLost checks that requests are still tried when no endpoint seems to
+// be reachable: the fault may lie with this daemon.
+func TestAllLost(t *testing.T) {
+	c := qt.New(t)
+	g := newGate(1, 1, endpointAt("a1", "a", 8))
+	w := work(true)
+	a := g.Offer(epoch, w)
+	r := end(w, a, fescuelatch.AttemptNotStarted)
+	r.Unsent, r.Unreachable = true, true
+	g.End(epoch, r)
+	c.Check(g.Offer(epoch, work(true)).Verdict, qt.Equals, fescuelatch.AdmissionStart)
+}
+
+// TestFailing checks that an endpoint that fails is left alone, is tried again
+// with a request that may be repeated, and then returns.
+func TestFailing(t *testing.T) {
+	c := qt.New(t)
+	g := newGate(1, 1, endpointAt("bad", "a", 8), endpointAt("good", "a", 8))
+	now := epoch
+	failures := 0
+	serve := func(repeatable, healed bool) fescuelatch.EndpointID {
+		now = now.Add(20 * time.Millisecond)
+		w := work(repeatable)
+		a := g.Offer(now, w)
+		status := fescuelatch.AttemptAnswered
+		if a.Endpoint == "bad" && !healed {
+			failures++
+			status = fescuelatch.AttemptBroken
+		} else {
+			g.First(now, w.Attempt)
+		}
+		g.End(now, end(w, a, status))
+		return a.Endpoint
+	}
+	for range 100 {
+		serve(true, false)
+	}
+	c.Check(failures <= 5, qt.IsTrue, qt.Commentf("%d failures", failures))
+	now = now.Add(10 * time.Second)
+	for range 20 {
+		c.Check(serve(false, false), qt.Equals, fescuelatch.EndpointID("good"))
+	}
+	healed := 0
+	for range 60 {
+		if serve(true, true) == "bad" {
+			healed++
+		}
+	}
+	c.Check(healed > 10, qt.IsTrue, qt.Commentf("%d of 60 after it healed", healed))
+}
+
+// TestAffinity checks that prompts that share a part go to few endpoints, and
+// to others when these are busy.
+func TestAffinity(t *testing.T) {
+	c := qt.New(t)
+	endpoints := make([]fescuelatch.OwnedEndpoint, 8)
+	for i := range endpoints {
+		endpoints[i] = endpointAt(fmt.Sprint("e", i), "a", 8)
+	}
+	g := newGate(1, 1, endpoints...)
+	prompt := func(n int) fescuelatch.Work {
+		return work(true, fescuelatch.PromptPart{ID: "document", Tokens: 5000}, fescuelatch.PromptPart{ID: fmt.Sprint("own", n), Tokens: 100})
+	}
+	used := map[fescuelatch.EndpointID]bool{}
+	for n := range 30 {
+		w := prompt(n)
+		a := g.Offer(epoch, w)
+		used[a.Endpoint] = true
+		g.First(epoch.Add(50*time.Millisecond), w.Attempt)
+		g.End(epoch.Add(100*time.Millisecond), end(w, a, fescuelatch.AttemptAnswered))
+	}
+	c.Check(len(used) <= 2, qt.IsTrue, qt.Commentf("%d endpoints read the same document", len(used)))
+	clear(used)
+	started := 0
+	for n := range 60 {
+		if a := g.Offer(epoch.Add(time.Second), prompt(100+n)); a.Verdict == fescuelatch.AdmissionStart {
+			used[a.Endpoint] = true
+			started++
+		}
+	}
+	c.Check(len(used) > 4, qt.IsTrue, qt.Commentf("%d endpoints shared a burst", len(used)))
+	c.Check(started >= 60, qt.IsTrue)
+}
+
+// TestOverload checks that what cannot be served soon is refused soon, with a
+// time to come back that differs between callers.
+func TestOverload(t *testing.T) {
+	c := qt.New(t)
+	g := newGate(1, 1, endpointAt("e", "a", 4))
+	queued, times := 0, map[time.Duration]bool{}
+	for range 40 {
+		switch a := g.Offer(epoch, work(true)); a.Verdict {
+		case fescuelatch.AdmissionQueue:
+			queued++
+		case fescuelatch.AdmissionRefuse:
+			times[a.RetryAfter] = true
+		}
+	}
+	c.Check(queued > 0, qt.IsTrue)
+	for _, a := range g.Poll(epoch.Add(150 * time.Millisecond)) {
+		c.Check(a.Verdict, qt.Equals, fescuelatch.AdmissionRefuse)
+		times[a.RetryAfter] = true
+	}
+	c.Check(len(times) > 10, qt.IsTrue, qt.Commentf("%d times to come back", len(times)))
+}
+
+// TestLeaving checks that an endpoint that leaves gets nothing, also not what
+// waits.
+func TestLeaving(t *testing.T) {
+	c := qt.New(t)
+	e := endpointAt("e", "a", 1)
+	g := newGate(1, 1, e)
+	first := work(true)
+	a := g.Offer(epoch, first)
+	g.Offer(epoch, work(true))
+	waiting := work(true)
+	c.Assert(g.Offer(epoch, waiting).Verdict, qt.Not(qt.Equals), fescuelatch.AdmissionStart)
+	e.Out = true
+	g.Own(epoch, []fescuelatch.OwnedEndpoint{e})
+	c.Check(g.End(epoch, end(first, a, fescuelatch.AttemptAnswered)), qt.HasLen, 0)
+	c.Check(g.Offer(epoch, work(true)).Verdict, qt.Equals, fescuelatch.AdmissionRefuse)
+}
--- /dev/null
+++ b/sse/scanner_test.go
@@ -0,0 +1,68 @@
+package sse_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/sse"
+)
+
+func ExampleScanner() {
+	s := sse.NewScanner(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3"))
+	for {
+		e, err := s.Next()
+		if err != nil {
+			break
+		}
+		fmt.Println(e.ID, len(e.Bytes))
+	}
+	fmt.Printf("%q\n", s.Rest())
+	// Output:
+	// 1 15
+	// 2 15
+	// "id: 3"
+}
+
+// TestScanner checks that events are whole, byte for byte, however they arrive.
+func TestScanner(t *testing.T) {
+	tests := []struct {
+		name, stream, rest string
+		ids                []string
+	}{
+		{"plain", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", "", []string{"1", "2"}},
+		{"with carriage returns", "id:1\r\ndata: x\r\n\r\ndata: y\r\n\r\n", "", []string{"1", ""}},
+		{"a first line of another kind", "fescuelatch-weight-versions:3\nid: 7\ndata: x\n\n", "", []string{"7"}},
+		{"an event that breaks off", "id: 1\n\nid: 2\nda", "id: 2\nda", []string{"1"}},
+		{"a large event", "id: 1\ndata: " + strings.Repeat("x", 20000) + "\n\n", "", []string{"1"}},
+		{"empty", "", "", nil},
+	}
+	for _, test := range tests {
+		for _, r := range []io.Reader{
+			strings.NewReader(test.stream), iotest.OneByteReader(strings.NewReader(test.stream)), iotest.DataErrReader(strings.NewReader(test.stream)),
+		} {
+			t.Run(test.name, func(t *testing.T) {
+				c := qt.New(t)
+				s := sse.NewScanner(r)
+				var all strings.Builder
+				var ids []string
+				for {
+					e, err := s.Next()
+					if err != nil {
+						c.Check(err, qt.Equals, io.EOF)
+						break
+					}
+					all.Write(e.Bytes)
+					ids = append(ids, e.ID)
+				}
+				c.Check(ids, qt.DeepEquals, test.ids)
+				c.Check(string(s.Rest()), qt.Equals, test.rest)
+				c.Check(all.String()+test.rest, qt.Equals, test.stream)
+			})
+		}
+	}
+}
