Endpoints that take requests and never answer get no further ones

An endpoint that has been silent for four times the usual time gets no further work while others can.

--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -48,10 +48,13 @@
 	if (p.unreachable || g.domainOf(p).dark()) && !allLost(g, places) {
 		return false
 	}
-	if !p.open(now) && (p.cold(now) || !crowded(now, places)) {
+	if !p.open(now) && (p.cold(now) || !g.crowded(now, places)) {
 		return false
 	}
-	if p.ejections > 0 && !w.Request.Idempotent && !crowded(now, places) {
+	if g.silent(now, p) && !g.crowded(now, places) {
+		return false
+	}
+	if p.ejections > 0 && !w.Request.Idempotent && !g.crowded(now, places) {
 		return false // Only a request that may be repeated is tried there.
 	}
 	if len(p.running) >= g.connections(p) {
@@ -60,6 +63,23 @@
 	return float64(p.busy(now)) < overbooking*float64(p.slots())
 }
 
+// silent reports whether an attempt has waited for its first output for much
+// longer than usual while nothing was heard from the endpoint. Requests that
+// must not be repeated wait there to the end, and no further ones should join
+// them.
+func (g *Gate) silent(now time.Time, p *place) bool {
+	for _, a := range p.running {
+		if !a.first.IsZero() || !p.lastHeard.Before(a.started) {
+			continue
+		}
+		usual := g.paceOf(a.work.Version).expected(a.fresh)
+		if now.Sub(a.started) > max(silentLeast, silentFactor*usual) {
+			return true
+		}
+	}
+	return false
+}
+
 // connections returns how many requests of this daemon may be at p at once.
 func (g *Gate) connections(p *place) int {
 	if p.owned.Connections == 0 {
@@ -70,14 +90,14 @@
 
 // crowded reports whether so many endpoints are left alone that the others
 // may not bear the load.
-func crowded(now time.Time, places []*place) bool {
+func (g *Gate) crowded(now time.Time, places []*place) bool {
 	out, n := 0, 0
 	for _, p := range places {
 		if p.owned.Out {
 			continue
 		}
 		n++
-		if p.unreachable || now.Before(p.ejected) || p.trial != "" {
+		if p.unreachable || now.Before(p.ejected) || p.trial != "" || g.silent(now, p) {
 			out++
 		}
 	}
--- a/gate/shared/gate_test.go
+++ b/gate/shared/gate_test.go
@@ -251,3 +251,35 @@
 	c.Check(g.End(epoch, end(first, a, fescuelatch.AttemptAnswered)), qt.HasLen, 0)
 	c.Check(g.Offer(epoch, work(true)).Verdict, qt.Equals, fescuelatch.AdmissionRefuse)
 }
+
+// TestHanging checks that an endpoint which takes requests and never answers
+// gets few that must not be repeated, and so wait there to their end.
+func TestHanging(t *testing.T) {
+	c := qt.New(t)
+	g := newGate(1, 1, endpointAt("hangs", "a", 8), endpointAt("e1", "a", 8), endpointAt("e2", "a", 8))
+	type waiting struct {
+		work  fescuelatch.Work
+		start fescuelatch.Admission
+		at    time.Time
+	}
+	var held []waiting
+	hung := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 50 * time.Millisecond {
+		now := epoch.Add(at)
+		for len(held) > 0 && now.Sub(held[0].at) >= 2*time.Second {
+			g.End(now, end(held[0].work, held[0].start, fescuelatch.AttemptCancelled))
+			held = held[1:]
+		}
+		w := work(false)
+		a := g.Offer(now, w)
+		c.Assert(a.Verdict, qt.Equals, fescuelatch.AdmissionStart)
+		if a.Endpoint == "hangs" {
+			hung++
+			held = append(held, waiting{w, a, now})
+			continue
+		}
+		g.First(now.Add(20*time.Millisecond), w.Attempt)
+		g.End(now.Add(20*time.Millisecond), end(w, a, fescuelatch.AttemptAnswered))
+	}
+	c.Check(hung <= 10, qt.IsTrue, qt.Commentf("%d of 200 requests hung", hung))
+}
--- a/gate/shared/place.go
+++ b/gate/shared/place.go
@@ -37,7 +37,7 @@
 	// connection; probe is when that is tried next.
 	unreachable bool
 	probe       time.Time
-	// silent is since when the endpoint has owed a first output.
+	// lastHeard is when an attempt last began or ended its output.
 	lastHeard time.Time
 }
 
@@ -112,9 +112,6 @@
 }
 
 func (p *place) start(now time.Time, a *attempt, gap time.Duration) {
-	if len(p.running) == 0 {
-		p.lastHeard = now
-	}
 	p.running[a.work.Attempt] = a
 	if p.cold(now) {
 		p.turn = now.Add(gap)
@@ -136,6 +133,7 @@
 func (p *place) end(now time.Time, a *attempt, r fescuelatch.AttemptResult, s Settings) {
 	delete(p.running, a.work.Attempt)
 	tried := p.trial == a.work.Attempt
+	silence := a.first.IsZero() && p.lastHeard.Before(a.started) && now.Sub(a.started) > silentLeast
 	if tried {
 		p.trial = ""
 	}
@@ -158,6 +156,10 @@
 			return
 		}
 		p.failure(now, 1, tried, s)
+	case fescuelatch.AttemptCancelled, fescuelatch.AttemptExpired:
+		if silence {
+			p.failure(now, 1, tried, s)
+		}
 	case fescuelatch.AttemptBroken:
 		if r.Unreachable {
 			p.lose(now)
--- a/gate/shared/settings.go
+++ b/gate/shared/settings.go
@@ -68,6 +68,11 @@
 	// slowLimit is the ratio of the time to the first output to the expected
 	// one at which an endpoint counts as slow.
 	slowLimit = 4.0
+	// silentFactor is how many times the usual time to the first output an
+	// endpoint may be silent, and silentLeast is a time that it may be in any
+	// case.
+	silentFactor = 4
+	silentLeast  = 400 * time.Millisecond
 	// defaultTokenTime is the time to read a prompt token before any has been
 	// measured; a mid-sized model reads some ten thousand a second.
 	defaultTokenTime = 20 * time.Microsecond
