--- a/direct/serve.go
+++ b/direct/serve.go
@@ -263,6 +263,9 @@
 		s.log("request ended", args...)
 		return
 	}
+	s.daemon.mu.Lock()
+	args = append(args, "endpoints", s.daemon.gate.Census(time.Now(), s.details.Ladder[0]))
+	s.daemon.mu.Unlock()
 	s.warn("request ended", args...)
 }
 
