--- /dev/null
+++ b/cascade/ladder_test.go
@@ -0,0 +1,109 @@
+package cascade_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/cascade"
+)
+
+// This file tests the policy for ladders of models in several releases.
+
+var ladderEpoch = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// offered returns the candidates of two models in releases v1 and v2, of which
+// v2 has a share and perhaps no spare capacity.
+func offered(share float64, spare int) []fescuelatch.Candidate {
+	var list []fescuelatch.Candidate
+	for _, m := range []fescuelatch.ModelID{"lm:small", "lm:mid", "lm:large"} {
+		list = append(list,
+			fescuelatch.Candidate{Version: fescuelatch.Version{ID: fescuelatch.NewVersionID(m, "v1"), Weight: 1 - share}, Spare: 9},
+			fescuelatch.Candidate{Version: fescuelatch.Version{ID: fescuelatch.NewVersionID(m, "v2"), Weight: share}, Spare: spare})
+	}
+	return list
+}
+
+func ladderRequest(session string) *fescuelatch.Request {
+	return &fescuelatch.Request{
+		Ladder: []fescuelatch.ModelID{"lm:small", "lm:mid", "lm:large"}, SessionKey: session,
+		Arrived: ladderEpoch, TargetLatency: time.Second,
+	}
+}
+
+func TestLadderPlan(t *testing.T) {
+	c := qt.New(t)
+	plan := cascade.NewLadder(cascade.LadderSettings{}).Plan(ladderEpoch, ladderRequest(""), offered(0, 9), 0.5)
+	c.Check(plan, qt.DeepEquals, []fescuelatch.VersionID{"lm:small@v1", "lm:large@v1"})
+	c.Check(cascade.NewLadder(cascade.LadderSettings{}).Plan(ladderEpoch, ladderRequest(""), nil, 0.5), qt.HasLen, 0)
+}
+
+// TestLadderSessions checks that daemons agree on the release of a session that
+// they have not met, that a growing share moves sessions one way only, and that
+// the share is kept.
+func TestLadderSessions(t *testing.T) {
+	c := qt.New(t)
+	moved := map[string]bool{}
+	for _, share := range []float64{0.08, 0.3, 0.6, 1} {
+		n := 0
+		for i := range 2000 {
+			session := fmt.Sprint("session-", i)
+			first := cascade.NewLadder(cascade.LadderSettings{}).Plan(ladderEpoch, ladderRequest(session), offered(share, 9), 0.1)
+			second := cascade.NewLadder(cascade.LadderSettings{}).Plan(ladderEpoch, ladderRequest(session), offered(share, 9), 0.9)
+			c.Assert(first, qt.DeepEquals, second)
+			isNew := first[0].Release() == "v2"
+			c.Assert(isNew || !moved[session], qt.IsTrue, qt.Commentf("%s moved back at %v", session, share))
+			moved[session] = isNew
+			if isNew {
+				n++
+			}
+		}
+		c.Check(float64(n) > 2000*share*0.8 && float64(n) < 2000*share*1.2+1, qt.IsTrue, qt.Commentf("%d of 2000 at %v", n, share))
+	}
+}
+
+// TestLadderKeepsRelease checks that a session keeps its release while that has
+// any weight, and leaves one that has none.
+func TestLadderKeepsRelease(t *testing.T) {
+	c := qt.New(t)
+	l := cascade.NewLadder(cascade.LadderSettings{})
+	release := func(share float64) fescuelatch.ReleaseID {
+		return l.Plan(ladderEpoch, ladderRequest("s"), offered(share, 9), 0.5)[0].Release()
+	}
+	c.Check(release(0), qt.Equals, fescuelatch.ReleaseID("v1"))
+	c.Check(release(0.99), qt.Equals, fescuelatch.ReleaseID("v1"))
+	c.Check(release(1), qt.Equals, fescuelatch.ReleaseID("v2"))
+	c.Check(release(0.01), qt.Equals, fescuelatch.ReleaseID("v2"))
+}
+
+// TestLadderEscalation plays answers of all confidences at an idle and at an
+// overloaded large model. Under load only the least confident ones go on to it.
+func TestLadderEscalation(t *testing.T) {
+	tests := []struct {
+		name        string
+		latency     time.Duration
+		least, most int // of 100 answers
+	}{
+		{"idle", 100 * time.Millisecond, 50, 60},
+		{"slow", 2 * time.Second, 10, 20},
+		{"not known", 0, 50, 60},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := cascade.NewLadder(cascade.LadderSettings{})
+			n := 0
+			for confidence := range 100 {
+				if l.Escalate(ladderEpoch.Add(100*time.Millisecond), ladderRequest(""), fescuelatch.Escalation{
+					From: "lm:small@v1", To: "lm:large@v1", Confidence: float64(confidence) / 100, Latency: test.latency,
+				}) {
+					n++
+				}
+			}
+			c.Check(n >= test.least && n <= test.most, qt.IsTrue, qt.Commentf("%d of 100", n))
+		})
+	}
+}
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -231,6 +231,7 @@
 		d.decideLocked(now, decision.Tick{})
 		probes := d.gate.Probes(now)
 		d.mu.Unlock()
+		d.metrics.storeAge.Update(d.store.age(now).Seconds())
 		for _, id := range probes {
 			go d.probe(ctx, id)
 		}
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -18,7 +18,6 @@
 	endpoints   tally.Gauge
 	members     tally.Gauge
 	storeAge    tally.Gauge
-	logDropped  tally.Gauge
 }
 
 // latencyBuckets spans 1 ms to about half a minute.
@@ -32,7 +31,6 @@
 		endpoints:   s.Gauge("endpoints"),
 		members:     s.Gauge("daemons"),
 		storeAge:    s.Gauge("store_age_seconds"),
-		logDropped:  s.Gauge("log_lines_dropped"),
 	}
 }
 
--- a/direct/relay_test.go
+++ b/direct/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -134,3 +135,24 @@
 		})
 	}
 }
+
+// TestJournalBytes checks that large configurations in quick succession do not
+// fill the memory of a reader.
+func TestJournalBytes(t *testing.T) {
+	c := qt.New(t)
+	j := newJournal()
+	for n := range 100 {
+		j.add(entry("op/config", strings.Repeat("x", 1<<20), int64(n)))
+	}
+	held := 0
+	for _, i := range j.changes {
+		held += len(i.Value)
+	}
+	c.Check(held <= journalBytes, qt.IsTrue, qt.Commentf("%d bytes are held", held))
+	c.Check(held, qt.Equals, j.bytes)
+	_, ok := j.since(0)
+	c.Check(ok, qt.IsFalse)
+	last, ok := j.since(99)
+	c.Check(ok, qt.IsTrue)
+	c.Check(last, qt.HasLen, 1)
+}
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, k.cut)
+	stop := context.AfterFunc(ctx, k.close)
 	a, err := k.exchange(ctx, r, c.Identify)
 	if err != nil {
 		stop()
@@ -256,7 +256,7 @@
 	if c.Opened != nil {
 		c.Opened()
 	}
-	k := &connection{Conn: n, to: to, opened: time.Now(), hearing: c.ears.of(to), start: c.ears.start}
+	k := &connection{Conn: n, to: to, hearing: c.ears.of(to), start: c.ears.start}
 	k.reader = bufio.NewReaderSize(k, bufferBytes)
 	k.heard()
 	return k, nil
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -32,7 +32,6 @@
 	net.Conn
 	to     netip.AddrPort
 	reader *bufio.Reader
-	opened time.Time
 	used   time.Time
 	idle   time.Duration
 	closed atomic.Bool
@@ -42,9 +41,8 @@
 	patience time.Duration
 }
 
-// cut ends an exchange from another goroutine.
-func (k *connection) cut() { k.close() }
-
+// close ends the connection, also from another goroutine than that of the
+// exchange.
 func (k *connection) close() {
 	if !k.closed.Swap(true) {
 		_ = k.Close()
