--- a/cmd/fescuelatchd/direct.go
+++ b/cmd/fescuelatchd/direct.go
@@ -71,9 +71,7 @@
 	lines := asynclog.New(os.Stdout)
 	defer lines.Close()
 	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: c.level}))
-	if m := c.platform.Limits.MemoryMB; m > 0 {
-		debug.SetMemoryLimit(int64(memoryUse * float64(m) * megabyte))
-	}
+	limitMemory(c.platform)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	c.watchReloads(ctx, log)
@@ -112,20 +110,28 @@
 	}
 }
 
-// watchReloads checks the settings again on SIGHUP. Addresses and identity do
-// not change within the life of a process, and the rest is read at its start,
-// so a change only tells that the file is still sound.
+// reloadInterval is that at which the settings are looked at for a change that
+// no signal told of.
+const reloadInterval = 2 * time.Second
+
+// watchReloads reads the settings again on SIGHUP and when their file has
+// changed. Addresses and identity do not change within the life of a process;
+// the memory limit comes into force at once, and the bounds at the next start.
 func (c *directCommand) watchReloads(ctx context.Context, log *slog.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
+		changed := settingsChanged()
+		ticks := time.NewTicker(reloadInterval)
+		defer ticks.Stop()
 		for {
 			select {
 			case <-hangups:
-				if _, err := platform.ReadSettings(); err != nil {
-					log.Error("changed settings are not usable; those before stay in force", "error", err.Error())
-				} else {
-					log.Info("settings read again")
+				c.reload(log, "signal")
+			case <-ticks.C:
+				if at := settingsChanged(); !at.Equal(changed) {
+					changed = at
+					c.reload(log, "file")
 				}
 			case <-ctx.Done():
 				return
@@ -134,6 +140,33 @@
 	}()
 }
 
+// settingsChanged returns when the file of the settings was last changed; a
+// file that cannot be seen has not changed.
+func settingsChanged() time.Time {
+	info, err := os.Stat(os.Getenv(platform.SettingsVariable)) //nolint:gosec // The platform names the file.
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+func (c *directCommand) reload(log *slog.Logger, cause string) {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		log.Error("changed settings are not usable; those before stay in force", "cause", cause, "error", err.Error())
+		return
+	}
+	limitMemory(s)
+	log.Info("settings read again", "cause", cause, "memory-mb", s.Limits.MemoryMB)
+}
+
+// limitMemory has the garbage collector keep within the VM's memory.
+func limitMemory(s *platform.Settings) {
+	if m := s.Limits.MemoryMB; m > 0 {
+		debug.SetMemoryLimit(int64(memoryUse * float64(m) * megabyte))
+	}
+}
+
 // storeClient returns the HTTP client for the store.
 func storeClient() *http.Client {
 	d := net.Dialer{Timeout: storeDialTimeout}
