A caller who does not read no longer holds its request beyond its end

Found on reading: the goroutine that writes to a caller whose connection is full waited without a bound, and with it the request, its endpoint's run and a stop. The stand-in of the platform lies beside its adapter.

--- a/asynclog/writer_test.go
+++ b/asynclog/writer_test.go
@@ -13,7 +13,7 @@
 	"fescuelatch/asynclog"
 )
 
-// stopped is a reader that takes nothing until it is let go.
+// stopped is a reader that blocks until it is released.
 type stopped struct {
 	let  chan struct{}
 	mu   sync.Mutex
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -24,6 +24,9 @@
 	// startWithin bounds the time between the decision to start an attempt
 	// and its dispatch. A process that was paused in between decides anew.
 	startWithin = 250 * time.Millisecond
+	// unreadWithin is how long a write to a caller may go on after the end of
+	// its request.
+	unreadWithin = 150 * time.Millisecond
 )
 
 // attempt is one attempt. Its goroutine reads the endpoint's answer and, once
@@ -51,9 +54,19 @@
 // relay lets the answer be passed on.
 func (t *attempt) relay() { close(t.relays) }
 
-// stop cancels the attempt and waits until it no longer writes to the caller.
+// stop cancels the attempt and waits until it no longer writes to the caller. A
+// caller that does not read would hold it for ever, so its connection is given
+// up after a while.
 func (t *attempt) stop() {
 	t.cancel()
+	select {
+	case <-t.done:
+		return
+	case <-time.After(unreadWithin):
+	}
+	// A deadline that cannot be set means that the connection is gone.
+	_ = http.NewResponseController(t.serving.writer).SetWriteDeadline(time.Now())
+	t.serving.output.cut = true
 	<-t.done
 }
 
--- a/direct/daemon_test.go
+++ b/direct/daemon_test.go
@@ -19,8 +19,8 @@
 	"fescuelatch"
 	"fescuelatch/direct"
 	"fescuelatch/gate/shared"
-	"fescuelatch/internal/fakeplatform"
 	"fescuelatch/platform"
+	"fescuelatch/platform/fakeplatform"
 	"fescuelatch/rollout"
 )
 
@@ -405,6 +405,43 @@
 	}
 }
 
+// TestCallerDoesNotRead checks that a caller who reads nothing holds neither an
+// endpoint nor the daemon beyond the end of its request.
+func TestCallerDoesNotRead(t *testing.T) {
+	s := newSite(t, "lm", 1)
+	s.awaitReady()
+	ended := make(chan struct{})
+	s.endpoints[0].Behave(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for n := 1; r.Context().Err() == nil; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 1<<16)); err != nil {
+				return
+			}
+		}
+	})
+	c, err := net.Dial("tcp", s.callers.String())
+	s.Assert(err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /whole/ HTTP/1.1\r\nHost: lm.example\r\nFescuelatch-Attempt-Id: unread\r\n"+
+		"Fescuelatch-Deadline-Ms: 500\r\nContent-Length: 0\r\nX-Api-Key: "+callerKey+"\r\n\r\n")
+	s.Assert(err, qt.IsNil)
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		s.Fatal("the endpoint's run goes on")
+	}
+	s.eventually(func() bool {
+		res, err := http.Get("http://" + s.control.String() + "/status")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = res.Body.Close() }()
+		b, err := io.ReadAll(res.Body)
+		return err == nil && strings.Contains(string(b), `"open-requests":0`)
+	})
+}
+
 // TestChangesInForce checks that what operators and endpoints write is in force
 // soon.
 func TestChangesInForce(t *testing.T) {
--- a/direct/relay_test.go
+++ b/direct/relay_test.go
@@ -105,7 +105,7 @@
 	c.Check(follower.endpoints, qt.HasLen, 1)
 }
 
-// TestUnreliableSource checks that what a source says is not taken in when the
+// TestUnreliableSource checks that the answer of a source is rejected when the
 // daemon may know better.
 func TestUnreliableSource(t *testing.T) {
 	tests := []struct {
--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -89,7 +89,7 @@
 }
 
 // crowded reports whether so many endpoints are left alone that the others
-// may not bear the load.
+// may not carry the load.
 func (g *Gate) crowded(now time.Time, places []*place) bool {
 	out, n := 0, 0
 	for _, p := range places {
--- a/gate/shared/gate_test.go
+++ b/gate/shared/gate_test.go
@@ -49,16 +49,16 @@
 	return fescuelatch.AttemptResult{Attempt: w.Attempt, Endpoint: a.Endpoint, Version: version, Status: status}
 }
 
-// TestColdEndpoint checks that all daemons together stay within what a cold
-// endpoint bears in any second, though none knows what the others send.
+// TestColdEndpoint checks that all daemons together stay within the rate that a cold
+// endpoint tolerates in any second, though none knows what the others send.
 func TestColdEndpoint(t *testing.T) {
-	const bears = 23.0
-	const bound = bears*1.5 + 5
+	const coldRate = 23.0
+	const bound = coldRate*1.5 + 5
 	for _, members := range []int{1, 6, 60, 82} {
 		t.Run(fmt.Sprint(members), func(t *testing.T) {
 			c := qt.New(t)
 			e := endpointAt("cold", "a", 64)
-			e.ColdRate, e.ColdUntil = bears, epoch.Add(10*time.Second)
+			e.ColdRate, e.ColdUntil = coldRate, epoch.Add(10*time.Second)
 			gates := make([]*shared.Gate, members)
 			for i := range gates {
 				gates[i] = newGate(uint64(i), members, e)
--- a/gate/shared/settings.go
+++ b/gate/shared/settings.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// coldUse is the part of what a cold endpoint bears that all daemons
+	// coldUse is the part of the request rate of a cold endpoint that all daemons
 	// together use; the rest is for daemons that do not know of each other.
 	coldUse = 0.8
 	// coldWindow is how long a turn at a cold endpoint lasts that is not
@@ -58,7 +58,7 @@
 	// endpoint, or one of a failure domain, can be reached again.
 	probeInterval = 500 * time.Millisecond
 	// maxEjected is the part of the endpoints of a version that is left
-	// alone at most: the others must bear their load.
+	// alone at most: the others must carry their load.
 	maxEjected = 0.5
 	// failureMemory weighs the outcomes of the last attempts at an endpoint.
 	failureMemory = 0.25
--- a/internal/graceful/closing.go
+++ b/internal/graceful/closing.go
@@ -1,5 +1,5 @@
 // Package graceful stops HTTP servers without losing a request: connections
-// that the kernel has opened are handed over, and answers announce that their
+// that the kernel has opened are passed to the server, and answers announce that their
 // connection closes.
 package graceful
 
--- a/policy.go
+++ b/policy.go
@@ -208,7 +208,7 @@
 	// Process tells apart successive processes at the endpoint.
 	Process int64
 	// ColdUntil is the end of a cold start, and ColdRate the requests a
-	// second that the endpoint bears from all daemons until then; zero means
+	// second that the endpoint tolerates from all daemons until then; zero means
 	// no bound.
 	ColdUntil time.Time
 	ColdRate  float64
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -21,7 +21,7 @@
 // Stages of a roll-out, as parts of the time that the order gives.
 const (
 	// trialFrom leaves the endpoints of the release time for their cold start:
-	// while they bear little, whether a session gets the release would depend
+	// while they accept little, whether a session gets the release would depend
 	// on the daemon that it meets.
 	trialFrom = 0.2
 	// trialUntil is late, since a release may turn bad after a while and
--- a/route.go
+++ b/route.go
@@ -98,7 +98,7 @@
 	// Connections bounds those to one endpoint from all daemons; zero means
 	// no bound.
 	Connections int
-	// ColdRate is the number of requests a second that an endpoint bears
+	// ColdRate is the number of requests a second that an endpoint tolerates
 	// while it is cold; zero means no bound.
 	ColdRate float64
 	// CacheTokens is the size of an engine's prompt cache.
