Tests take ports that the kernel gives to no connection

Its daemon's ports were free when the test chose them and lay in the range from which connections get theirs; the new tests of package direct open many beside it. Tests that must know a port before it is in use now choose below that range. Ruled out: a listener left behind, as each test chooses anew and waits for its daemons.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -32,6 +32,7 @@
 	"fescuelatch/decision"
 	"fescuelatch/fleetkey"
 	"fescuelatch/gate"
+	"fescuelatch/internal/loopback"
 	"fescuelatch/keyvalue/memory"
 	"fescuelatch/operator"
 	"fescuelatch/peer"
@@ -105,10 +106,9 @@
 }
 
 func freePort(c *qt.C) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := loopback.Free()
 	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return a
 }
 
 // engineServer is a model engine that answers with the attempt.
--- a/direct/daemon_test.go
+++ b/direct/daemon_test.go
@@ -19,6 +19,7 @@
 	"fescuelatch"
 	"fescuelatch/direct"
 	"fescuelatch/gate/shared"
+	"fescuelatch/internal/loopback"
 	"fescuelatch/platform"
 	"fescuelatch/platform/fakeplatform"
 	"fescuelatch/rollout"
@@ -57,10 +58,9 @@
 const callerKey = "key-of-kigali"
 
 func freeAddress(c *qt.C) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := loopback.Free()
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return a
 }
 
 // newSite starts a platform with endpoints of a service and a daemon.
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,32 @@
+package loopback_test
+
+import (
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/internal/loopback"
+)
+
+// TestFree checks that a free address stays free while many connections open,
+// each of which takes a port.
+func TestFree(t *testing.T) {
+	c := qt.New(t)
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = server.Close() }()
+	for range 50 {
+		a, err := loopback.Free()
+		c.Assert(err, qt.IsNil)
+		for range 10 {
+			k, err := net.Dial("tcp", server.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = k.Close() }()
+			c.Assert(k.LocalAddr().String(), qt.Not(qt.Equals), a.String())
+		}
+		l, err := net.Listen("tcp", a.String())
+		c.Assert(err, qt.IsNil)
+		c.Assert(l.Close(), qt.IsNil)
+	}
+}
