--- /dev/null
+++ b/decision/direct_test.go
@@ -0,0 +1,92 @@
+package decision_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch"
+	"fescuelatch/cascade"
+	"fescuelatch/decision"
+	"fescuelatch/gate/shared"
+	"fescuelatch/placement"
+	"fescuelatch/quality"
+)
+
+// This file tests the core with a gate that reaches every endpoint.
+
+// directCore returns a core with two endpoints of one service.
+func directCore(c *qt.C) *decision.Core {
+	view, err := fescuelatch.NewView(&fescuelatch.Configuration{
+		Generation: 1,
+		Inventory: fescuelatch.Inventory{
+			Domains:  []fescuelatch.FailureDomain{{ID: "d1"}},
+			Models:   []fescuelatch.Model{{ID: "lm"}},
+			Versions: []fescuelatch.Version{{ID: "lm@v1", Model: "lm", Quality: 1, Weight: 1}},
+		},
+		Rules: fescuelatch.Rules{Accounts: []fescuelatch.Account{
+			{ID: "a", KeyHashes: []string{fescuelatch.HashKey("a")}, Models: []fescuelatch.ModelID{"lm"}},
+		}},
+	})
+	c.Assert(err, qt.IsNil)
+	ladder := cascade.NewLadder(cascade.LadderSettings{})
+	core := decision.New(decision.Options{
+		VM: self, Domain: domain, Random: rand.New(rand.NewPCG(1, 2)), Direct: true,
+		Quality: new(quality.Static), Versions: ladder, Escalation: ladder, Placement: new(placement.Policy),
+		Gate: shared.New(shared.Settings{}, rand.New(rand.NewPCG(1, 3))), Sampler: quality.FixedShare{},
+	})
+	core.Handle(epoch, decision.Configured{View: view})
+	var owned []fescuelatch.OwnedEndpoint
+	for _, id := range []fescuelatch.EndpointID{"e1", "e2", "e3"} {
+		owned = append(owned, fescuelatch.OwnedEndpoint{
+			Endpoint: fescuelatch.Endpoint{ID: id, Domain: "d1", Address: netip.MustParseAddrPort("127.0.0.1:1")},
+			Pool:     fescuelatch.Pool{Slots: 8, Versions: []fescuelatch.VersionID{"lm@v1"}},
+		})
+	}
+	core.Handle(epoch, decision.Owned{Endpoints: owned})
+	return core
+}
+
+// TestResume breaks a stream that a caller is receiving and checks whether
+// another endpoint is asked to go on with it.
+func TestResume(t *testing.T) {
+	tests := []struct {
+		name        string
+		maxAttempts int
+		opens       time.Duration // after the start, so that a next one is expected to take as long
+		gone        bool
+		resumes     bool
+	}{
+		{"attempts are left", 2, time.Second, false, true},
+		{"no attempt is left", 1, time.Second, false, false},
+		{"no attempt is left, but the endpoint has ended", 1, time.Second, true, true},
+		{"the next one is expected to begin too late", 2, 4 * time.Second, false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			core := directCore(c)
+			q := &fescuelatch.Request{
+				ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: epoch, Deadline: epoch.Add(5 * time.Second),
+				Idempotent: true, Streamed: true, Resumable: true, MaxAttempts: test.maxAttempts,
+			}
+			first, ok := core.Handle(epoch, decision.Arrived{Request: q})[0].(decision.Start)
+			c.Assert(ok, qt.IsTrue)
+			now := epoch.Add(test.opens)
+			_, ok = core.Handle(now, decision.Opened{Request: "q", Attempt: first.Attempt})[0].(decision.Relay)
+			c.Assert(ok, qt.IsTrue)
+			actions := core.Handle(now.Add(100*time.Millisecond), decision.Ended{Request: "q", Result: fescuelatch.AttemptResult{
+				Attempt: first.Attempt, Endpoint: first.Endpoint, Version: first.Version,
+				Status: fescuelatch.AttemptBroken, Gone: test.gone, Unreachable: test.gone,
+			}})
+			c.Assert(actions, qt.HasLen, 1)
+			next, resumes := actions[0].(decision.Start)
+			c.Check(resumes, qt.Equals, test.resumes)
+			c.Check(resumes && next.Endpoint == first.Endpoint, qt.IsFalse)
+			c.Check(core.Faults(), qt.HasLen, 0)
+		})
+	}
+}
