--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -212,9 +212,7 @@
 		return t.ctx.Err()
 	}
 	s := t.serving
-	if err := s.output.begin(s.writer, s.daemon.options.Dialect, a); err != nil {
-		return err
-	}
+	s.output.begin(s.writer, s.daemon.options.Dialect, a)
 	if _, err := s.writer.Write(head); err != nil { //nolint:gosec // The endpoint's answer passes unchanged.
 		return err //nolint:wrapcheck // The caller has left.
 	}
@@ -247,17 +245,13 @@
 			t.observe(r, false)
 		}
 		patience = t.start.Patience.Gap
-		if err := s.output.begin(s.writer, s.daemon.options.Dialect, a); err != nil {
-			return err
-		}
+		s.output.begin(s.writer, s.daemon.options.Dialect, a)
 		if err := s.output.event(s.writer, e, !events.Buffered()); err != nil {
 			t.cancel()
 			return err
 		}
 	}
-	if err := s.output.begin(s.writer, s.daemon.options.Dialect, a); err != nil {
-		return err
-	}
+	s.output.begin(s.writer, s.daemon.options.Dialect, a)
 	if len(events.Rest()) > 0 {
 		return errPartialEvent
 	}
--- a/direct/output.go
+++ b/direct/output.go
@@ -29,17 +29,22 @@
 
 // begin writes the head of an answer, which stays that of the first attempt
 // that was relayed.
-func (o *output) begin(w http.ResponseWriter, dialect fescuelatch.Dialect, a *endpoint.Answer) error {
+func (o *output) begin(w http.ResponseWriter, dialect fescuelatch.Dialect, a *endpoint.Answer) {
 	if o.begun {
-		return nil
+		return
 	}
 	o.begun = true
-	dialect.WriteAnswer(w.Header(), a.Header, false)
+	copyHead(w, dialect, a.Header, false)
+	w.WriteHeader(a.Status)
+}
+
+// copyHead copies the headers of an endpoint's answer, and no date that the
+// endpoint has not given.
+func copyHead(w http.ResponseWriter, dialect fescuelatch.Dialect, from http.Header, plain bool) {
+	dialect.WriteAnswer(w.Header(), from, plain)
 	if _, dated := w.Header()["Date"]; !dated {
 		w.Header()["Date"] = nil
 	}
-	w.WriteHeader(a.Status)
-	return nil
 }
 
 // event writes one event. Of a stream that another endpoint goes on with,
@@ -80,10 +85,7 @@
 	if promisesNotRun(status) {
 		status = http.StatusBadGateway
 	}
-	dialect.WriteAnswer(w.Header(), a.header, status != a.status)
-	if _, dated := w.Header()["Date"]; !dated {
-		w.Header()["Date"] = nil
-	}
+	copyHead(w, dialect, a.header, status != a.status)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -163,13 +163,13 @@
 	failed  map[fescuelatch.VMID]time.Time
 }
 
-// choose returns the source to use, or nil when this daemon is to follow the
+// chooseSource returns the source to use, or nil when this daemon is to follow the
 // store itself.
 func (d *Daemon) chooseSource(now time.Time) *source {
 	d.mu.Lock()
 	candidates := readersOf(d.known, d.options.Domain, d.options.VM)
 	d.mu.Unlock()
-	if slices.Contains(slices.Collect(maps.Keys(candidates)), d.options.VM) || d.inForce.Load() == nil {
+	if _, reader := candidates[d.options.VM]; reader || d.inForce.Load() == nil {
 		return nil
 	}
 	order := slices.SortedFunc(maps.Keys(candidates), func(a, b fescuelatch.VMID) int {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -82,8 +82,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is that of the body, or -1.
-	Length int64
 	body   io.Reader
 	conn   *connection
 	client *Client
@@ -139,7 +137,7 @@
 		}
 		k.setPatience(0)
 		return &Answer{
-			Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body,
+			Status: res.StatusCode, Header: res.Header, body: res.Body,
 			reuse: !res.Close && res.ProtoAtLeast(1, 1),
 		}, nil
 	}
--- a/etcd/client.go
+++ b/etcd/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -255,11 +254,7 @@
 	if err != nil {
 		return nil, &keyvalue.Error{Op: o.name, Kind: keyvalue.KindInvalid, Err: errors.WithStack(err)}
 	}
-	// Until a connection is there nothing can have been sent.
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	ctx, connected := keyvalue.TraceConnection(ctx)
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(o.path), bytes.NewReader(body))
 	if err != nil {
 		return nil, &keyvalue.Error{Op: o.name, Kind: keyvalue.KindInvalid, Err: errors.WithStack(err)}
--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -20,7 +20,7 @@
 	home := g.homes(places, w)
 	var best *place
 	var least time.Duration
-	for i, p := range places {
+	for _, p := range places {
 		if !g.admits(now, p, places, w) {
 			continue
 		}
@@ -29,7 +29,7 @@
 		// first endpoint of the same list.
 		c += time.Duration(g.random.Float64() * float64(time.Millisecond))
 		if best == nil || c < least {
-			best, least = places[i], c
+			best, least = p, c
 		}
 	}
 	return best
