Endpoints that say they leave, or want no work for a while, are obeyed

Cause: the advice in an endpoint's answers was read for neither. An endpoint that drains was known to do so from the store alone, which a daemon may not reach, and the time to come back of a refusal was passed to callers instead of being kept by the daemon.

The gate keeps the advice by process, also while a registration has lapsed. It is no ejection: nothing overrides it, and the endpoint serves at once afterwards. Callers are told a time of the gate rather than that of one endpoint of many.

The gate with owned endpoints has both already: load reports say that an endpoint is leaving, and a refusal's time holds back further starts.

--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -37,7 +37,11 @@
 	case fescuelatch.AttemptAnswered:
 		c.answered(now, q)
 	case fescuelatch.AttemptNotStarted:
-		q.retryAfter = max(q.retryAfter, r.RetryAfter)
+		if !c.options.Direct {
+			// The advice of a direct attempt is that of one endpoint of many,
+			// which the gate follows.
+			q.retryAfter = max(q.retryAfter, r.RetryAfter)
+		}
 		q.away = q.away || r.PlatformAway
 		c.fire(q, chart.EventNotStarted)
 		c.notStarted(now, q, r)
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -163,10 +163,7 @@
 	}
 	defer a.Close()
 	said := a.Said
-	if said.Reported {
-		said.Load.Endpoint, said.Load.Generated = t.start.Endpoint, sent
-		d.decide(decision.Reported{Report: said.Load})
-	}
+	t.report(said, sent)
 	if said.NotRun || a.Status == http.StatusMisdirectedRequest {
 		return t.refused(a, r, said)
 	}
@@ -177,6 +174,19 @@
 	return t.answer(a, r, said, sent)
 }
 
+// report tells the core what the endpoint says of itself.
+func (t *attempt) report(said fescuelatch.AnswerHeaders, sent time.Time) {
+	l := said.Load
+	l.Endpoint, l.Generated = t.start.Endpoint, sent
+	if said.Leaving {
+		l.State = fescuelatch.EndpointLeaving
+		t.serving.log("endpoint says that it is leaving", "endpoint", t.start.Endpoint)
+	}
+	if said.Reported || said.Leaving {
+		t.serving.daemon.decide(decision.Reported{Report: l})
+	}
+}
+
 // refused ends an attempt that the endpoint did not run.
 func (t *attempt) refused(a *endpoint.Answer, r *fescuelatch.AttemptResult, said fescuelatch.AnswerHeaders) error {
 	// The rest is read so that the connection can be used again. What cannot
@@ -185,10 +195,19 @@
 	r.Status = fescuelatch.AttemptNotStarted
 	r.Misplaced = a.Status == http.StatusMisdirectedRequest
 	r.Overloaded = a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
-	r.RetryAfter = said.RetryAfter
+	r.RetryAfter = retryAfter(a.Status, said)
 	return errors.Wrapf(errRefused, "status %d", a.Status)
 }
 
+// retryAfter returns the time for which an endpoint wants no work, which only a
+// refusal for want of capacity tells.
+func retryAfter(status int, said fescuelatch.AnswerHeaders) time.Duration {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0
+	}
+	return said.RetryAfter
+}
+
 // answer reads an answer that is no stream of events.
 func (t *attempt) answer(a *endpoint.Answer, r *fescuelatch.AttemptResult, said fescuelatch.AnswerHeaders, sent time.Time) error {
 	b, err := io.ReadAll(io.LimitReader(a, wholeBytes))
@@ -200,6 +219,7 @@
 		return t.pass(a, r, b)
 	}
 	failed := a.Status >= http.StatusInternalServerError || promisesNotRun(a.Status)
+	r.RetryAfter = retryAfter(a.Status, said)
 	t.observe(r, failed)
 	t.serving.keep(t.start.Attempt, &wholeAnswer{status: a.Status, header: a.Header, body: b})
 	if failed {
--- a/gate/shared/census.go
+++ b/gate/shared/census.go
@@ -18,6 +18,7 @@
 	Unreachable int `json:"unreachable"`
 	Silent      int `json:"silent"`
 	Resting     int `json:"resting"`
+	Paused      int `json:"paused"`
 	Cold        int `json:"cold"`
 }
 
@@ -38,12 +39,14 @@
 // counter returns the count that an endpoint belongs to.
 func (g *Gate) counter(now time.Time, c *Census, p *place) *int {
 	switch {
-	case p.owned.Out:
+	case p.out():
 		return &c.Out
 	case p.away(now) || g.domainOf(p).dark():
 		return &c.Unreachable
 	case g.silent(now, p):
 		return &c.Silent
+	case p.paused(now):
+		return &c.Paused
 	case now.Before(p.ejected) || p.trial != "":
 		return &c.Resting
 	case !p.open(now):
--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -52,7 +52,7 @@
 // unless too many of them fail at once.
 func (g *Gate) admits(now time.Time, p *place, all overview, w fescuelatch.Work) bool {
 	p.advance(now, g.coldGap(max(p.owned.ColdRate, 1)))
-	if p.owned.Out || p.moved(now) || slices.Contains(w.Avoid, p.owned.Endpoint.ID) {
+	if p.out() || p.paused(now) || p.moved(now) || slices.Contains(w.Avoid, p.owned.Endpoint.ID) {
 		return false
 	}
 	if w.Endpoint != "" && w.Endpoint != p.owned.Endpoint.ID {
@@ -106,11 +106,11 @@
 func (g *Gate) crowded(now time.Time, places []*place) bool {
 	out, n := 0, 0
 	for _, p := range places {
-		if p.owned.Out {
+		if p.out() {
 			continue
 		}
 		n++
-		if p.away(now) || now.Before(p.ejected) || p.trial != "" || g.silent(now, p) {
+		if p.paused(now) || p.away(now) || now.Before(p.ejected) || p.trial != "" || g.silent(now, p) {
 			out++
 		}
 	}
@@ -171,7 +171,7 @@
 	part := w.Request.Parts[len(w.Request.Parts)-2].ID
 	var scores [2]uint64
 	for _, p := range places {
-		if p.owned.Out || string(p.owned.Endpoint.Domain) != g.settings.Domain {
+		if p.out() || string(p.owned.Endpoint.Domain) != g.settings.Domain {
 			continue
 		}
 		var d xxhash.Digest
--- a/gate/shared/domain.go
+++ b/gate/shared/domain.go
@@ -48,7 +48,7 @@
 // are tried: the fault may lie here.
 func allLost(now time.Time, g *Gate, places []*place) bool {
 	for _, p := range places {
-		if !p.owned.Out && !p.away(now) && !g.domainOf(p).dark() {
+		if !p.out() && !p.away(now) && !g.domainOf(p).dark() {
 			return false
 		}
 	}
@@ -60,7 +60,7 @@
 func (g *Gate) Probes(now time.Time) []fescuelatch.EndpointID {
 	var ids []fescuelatch.EndpointID
 	for _, p := range g.order {
-		if p.owned.Out || p.moved(now) || now.Before(p.probe) || (!p.unreachable && !g.domainOf(p).dark()) {
+		if p.out() || p.paused(now) || p.moved(now) || now.Before(p.probe) || (!p.unreachable && !g.domainOf(p).dark()) {
 			continue
 		}
 		p.probe = now.Add(probeInterval)
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -32,6 +32,7 @@
 	serving  map[fescuelatch.VersionID][]*place
 	pace     map[fescuelatch.VersionID]*pace
 	waiting  queue
+	advices  advices
 }
 
 // New returns a gate without endpoints.
@@ -44,6 +45,7 @@
 		attempts: make(map[fescuelatch.AttemptID]*attempt),
 		serving:  make(map[fescuelatch.VersionID][]*place),
 		pace:     make(map[fescuelatch.VersionID]*pace),
+		advices:  newAdvices(),
 	}
 }
 
@@ -72,6 +74,7 @@
 		p := g.places[o.Endpoint.ID]
 		if p == nil || p.owned.Process != o.Process || p.owned.Endpoint.Address != o.Endpoint.Address {
 			p = newPlace(now, o, p)
+			p.advice = g.advices.of(o)
 			g.places[o.Endpoint.ID] = p
 		}
 		p.update(now, o, g.phase(o))
@@ -109,7 +112,8 @@
 	if p := g.choose(now, w); p != nil {
 		return g.start(now, p, w)
 	}
-	if !g.reachable(w) || !g.waiting.push(now, w, g.patience(w)) {
+	patience := g.patience(w)
+	if !g.reachable(now.Add(patience), w) || !g.waiting.push(now, w, patience) {
 		return refuse(w, g.comeBack(now, w))
 	}
 	return fescuelatch.Admission{Attempt: w.Attempt, Verdict: fescuelatch.AdmissionQueue}
@@ -146,6 +150,9 @@
 	}
 	delete(g.attempts, r.Attempt)
 	a.place.end(now, a, r, g.settings)
+	if r.RetryAfter > 0 {
+		g.advices.pause(now, a.place, r.RetryAfter)
+	}
 	g.domainOf(a.place).end(r)
 	if r.Status == fescuelatch.AttemptAnswered {
 		g.paceOf(a.work.Version).observeTotal(now.Sub(a.started))
@@ -153,14 +160,19 @@
 	return g.drain(now, nil)
 }
 
-// Report implements fescuelatch.Gate. Only the load counts here: endpoints
-// say by their registration whether they are cold or leaving.
+// Report implements fescuelatch.Gate. A report without slots tells no load.
+// Whether endpoints are cold is told by their registration.
 func (g *Gate) Report(now time.Time, r fescuelatch.LoadReport) []fescuelatch.Admission {
 	p := g.places[r.Endpoint]
 	if p == nil {
 		return nil
 	}
-	p.report(now, r)
+	if r.State == fescuelatch.EndpointLeaving {
+		g.advices.leave(p)
+	}
+	if r.Slots > 0 {
+		p.report(now, r)
+	}
 	return g.drain(now, nil)
 }
 
@@ -196,7 +208,7 @@
 	for v, places := range g.serving {
 		s := fescuelatch.Spare{Version: v}
 		for _, p := range places {
-			if p.owned.Out {
+			if p.out() {
 				continue
 			}
 			s.Slots += p.slots()
--- a/gate/shared/place.go
+++ b/gate/shared/place.go
@@ -14,6 +14,7 @@
 	owned   fescuelatch.OwnedEndpoint
 	running map[fescuelatch.AttemptID]*attempt
 	cache   cache
+	advice  advice
 
 	// others is the load that other daemons caused at reported.
 	others   float64
@@ -96,7 +97,7 @@
 // endpoint expires when it is not used in time, or else many daemons would use
 // theirs at once.
 func (p *place) open(now time.Time) bool {
-	if p.owned.Out || p.away(now) || now.Before(p.ejected) || p.trial != "" {
+	if p.out() || p.paused(now) || p.away(now) || now.Before(p.ejected) || p.trial != "" {
 		return false
 	}
 	return !p.cold(now) || (!now.Before(p.turn) && now.Before(p.turn.Add(coldWindow)))
--- a/gate/shared/wait.go
+++ b/gate/shared/wait.go
@@ -72,22 +72,24 @@
 	return time.Duration(waitShare * float64(w.Request.TargetLatency))
 }
 
-// reachable reports whether any endpoint could take w at all.
-func (g *Gate) reachable(w fescuelatch.Work) bool {
+// reachable reports whether any endpoint could take w by a time at all.
+func (g *Gate) reachable(by time.Time, w fescuelatch.Work) bool {
 	return slices.ContainsFunc(g.serving[w.Version], func(p *place) bool {
-		return !p.owned.Out && !slices.Contains(w.Avoid, p.owned.Endpoint.ID)
+		return !p.out() && !p.paused(by) && !slices.Contains(w.Avoid, p.owned.Endpoint.ID)
 	})
 }
 
 // comeBack estimates when there will be room for w: when the work that is
-// ahead of it has ended, shared by the endpoints. Callers are spread, so that
-// they do not come back at once.
+// ahead of it has ended, shared by the endpoints, and one of these wants work.
+// Callers are spread, so that they do not come back at once.
 func (g *Gate) comeBack(now time.Time, w fescuelatch.Work) time.Duration {
 	busy, slots := 0, 0
+	pause := maxRetryAfter
 	for _, p := range g.serving[w.Version] {
-		if !p.owned.Out {
+		if !p.out() {
 			busy += p.busy(now)
 			slots += p.slots()
+			pause = min(pause, max(0, p.advice.paused.Sub(now)))
 		}
 	}
 	d := maxRetryAfter
@@ -95,7 +97,7 @@
 		over := max(0, float64(busy+len(g.waiting.waiters)-slots)/float64(slots))
 		d = time.Duration((0.25 + over) * float64(g.paceOf(w.Version).whole()))
 	}
-	d = min(max(d, minRetryAfter), maxRetryAfter)
+	d = min(max(d, minRetryAfter, pause), maxRetryAfter)
 	return time.Duration(float64(d) * (1 + retrySpread*g.random.Float64()))
 }
 
--- a/surroundings.go
+++ b/surroundings.go
@@ -126,8 +126,10 @@
 	// IdleTimeout is how long the endpoint keeps an idle connection; zero
 	// when it does not say.
 	IdleTimeout time.Duration
-	// RetryAfter is the endpoint's advice to a request that was not run.
+	// RetryAfter is the time for which the endpoint wants no further work.
 	RetryAfter time.Duration
+	// Leaving reports that the endpoint is leaving.
+	Leaving bool
 }
 
 // Dialect reads and writes the headers of a platform.
