The reserve of the retry budget follows the failures of late

Cause: on the large site a daemon has 23 requests for models in a window of the budget.

The reserve is now 1.5 times the failures in the window, within 0.03 and 0.2 of the bound. The bound itself is as before; where much fails, so is the reserve.

Ruled out: lending among daemons, for now: the fleet's need is half of its bound, and local spread is what was missing.

--- a/gate/shared/budget.go
+++ b/gate/shared/budget.go
@@ -21,11 +21,16 @@
 }
 
 // Parts of the bound that are used. Daemons count their windows apart, and one
-// that dies takes its count with it. Escalations leave a part to requests that
-// would otherwise get no answer.
+// that dies takes its count with it. Escalations leave a reserve to requests
+// that would otherwise get no answer: more of it the more requests have failed
+// of late. A fixed one is too much for a daemon with few requests, whose share of
+// hard ones varies, while none fail.
 const (
-	failureUse    = 0.85
-	escalationUse = 0.65
+	failureUse   = 0.85
+	leastReserve = 0.03
+	mostReserve  = 0.2
+	// reserveFactor is the reserve for each failure in the window.
+	reserveFactor = 1.5
 )
 
 // budgetSteps is the number of steps in which a window slides.
@@ -61,6 +66,9 @@
 	if w == nil {
 		return false
 	}
+	if why == fescuelatch.RetryFailure {
+		w.steps[w.at].failures++
+	}
 	allowed, repeats := b.state(w, why)
 	if repeats+1 > allowed {
 		return false
@@ -81,12 +89,13 @@
 
 // state returns how many repeats a window allows for a reason, and has.
 func (b *Budget) state(w *window, why fescuelatch.RetryReason) (allowed, repeats float64) {
-	requests, repeats := w.sums()
-	use := failureUse
+	s := w.sum()
+	bound := b.settings.Ratio*s.requests + b.settings.Extra/float64(max(b.members(), 1))
+	allowed = failureUse * bound
 	if why == fescuelatch.RetryEscalation {
-		use = escalationUse
+		allowed -= min(max(reserveFactor*s.failures, leastReserve*bound), mostReserve*bound)
 	}
-	return use * (b.settings.Ratio*requests + b.settings.Extra/float64(max(b.members(), 1))), repeats
+	return allowed, s.repeats
 }
 
 // window returns the counts of the service behind a ladder, whose first model
@@ -104,9 +113,13 @@
 	return w
 }
 
-// window counts requests and repeats in steps of time.
+// counts are those of a span of time. Failures count also when they were not
+// repeated.
+type counts struct{ requests, repeats, failures float64 }
+
+// window counts in steps of time.
 type window struct {
-	steps [budgetSteps]struct{ requests, repeats float64 }
+	steps [budgetSteps]counts
 	at    int
 	since time.Time // start of the present step
 }
@@ -118,15 +131,17 @@
 			return
 		}
 		w.at = (w.at + 1) % budgetSteps
-		w.steps[w.at].requests, w.steps[w.at].repeats = 0, 0
+		w.steps[w.at] = counts{}
 		w.since = w.since.Add(step)
 	}
 }
 
-func (w *window) sums() (requests, repeats float64) {
+func (w *window) sum() counts {
+	var c counts
 	for _, s := range w.steps {
-		requests += s.requests
-		repeats += s.repeats
+		c.requests += s.requests
+		c.repeats += s.repeats
+		c.failures += s.failures
 	}
-	return requests, repeats
+	return c
 }
--- a/gate/shared/budget_test.go
+++ b/gate/shared/budget_test.go
@@ -136,3 +136,37 @@
 	b.Set(shared.BudgetSettings{Extra: 10, Window: 10 * time.Second})
 	c.Check(b.Take(epoch, q, fescuelatch.RetryFailure), qt.IsTrue)
 }
+
+// TestFewRequestsEach plays a large fleet of daemons with few requests each, of
+// which hardly any fail, and checks that nearly every answer of little
+// confidence can be replaced: the fleet as a whole may replace far more.
+func TestFewRequestsEach(t *testing.T) {
+	const (
+		daemons = 195
+		rate    = 2.3 // requests a second of each daemon
+		hard    = 0.47
+		failed  = 0.01
+	)
+	c := qt.New(t)
+	settings := shared.BudgetSettings{Ratio: 0.9, Extra: 430, Window: 10 * time.Second}
+	random := rand.New(rand.NewPCG(5, 6))
+	q := &fescuelatch.Request{Ladder: []fescuelatch.ModelID{"lm:small"}}
+	asked, denied := 0, 0
+	for range daemons {
+		b := shared.NewBudget(settings, func() int { return daemons })
+		for at := time.Duration(0); at < 34*time.Second; at += time.Duration(random.ExpFloat64() / rate * float64(time.Second)) {
+			now := epoch.Add(at)
+			b.Earn(now, q)
+			if random.Float64() < failed {
+				b.Take(now, q, fescuelatch.RetryFailure)
+			}
+			if random.Float64() < hard {
+				asked++
+				if !b.Take(now, q, fescuelatch.RetryEscalation) {
+					denied++
+				}
+			}
+		}
+	}
+	c.Check(float64(denied) < 0.01*float64(asked), qt.IsTrue, qt.Commentf("%d of %d answers were not replaced", denied, asked))
+}
