Answers, messages and bodies without end cost bounded memory and time

Found by tests, each of which failed first: - the status line and headers of an endpoint's answer, informational answers and answers to others were read without a bound; - a byte now and then renewed the patience with a silent endpoint, so that a stalled stream or head was never given up. Patience is now with the next head or event, and bytes alone are no progress; - an event was held up to 4 MiB and searched anew with each read: half a MiB one byte at a time took minutes of processor time; - a peer's head and messages were taken up to what package gob allows; - a caller's body had no time of its own: 408 at the end of the request's time; - the body of a refusal was read to its end before the next endpoint was tried.

Silence now ends an attempt only after the core says that another one may take its place.

--- a/cmd/fescuelatchd/direct.go
+++ b/cmd/fescuelatchd/direct.go
@@ -39,7 +39,9 @@
 	storeIdle = 5 * time.Second
 	// storeDialTimeout bounds the set-up of a connection to the store.
 	storeDialTimeout = 600 * time.Millisecond
-	megabyte         = 1 << 20
+	// storeHeadBytes bounds the head of an answer of the store.
+	storeHeadBytes = 64 << 10
+	megabyte       = 1 << 20
 )
 
 // directCommand is the subcommand. Its settings are those of the platform.
@@ -185,5 +187,6 @@
 	d := net.Dialer{Timeout: storeDialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, IdleConnTimeout: storeIdle, DisableCompression: true,
+		MaxResponseHeaderBytes: storeHeadBytes,
 	}}
 }
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -157,11 +157,17 @@
 	c.giveUp(q, ReasonDeadline)
 }
 
+// mayRepeat reports whether the kind of q and its attempts so far allow another
+// one after one that may have run.
+func (c *Core) mayRepeat(q *request) bool {
+	streamed := q.Streamed && q.relayedAny() && !q.Resumable
+	return q.Idempotent && !streamed && !q.Forwarded && q.attempts < q.bound()
+}
+
 // broken repeats an idempotent request unless part of its answer has been
 // streamed to the caller.
 func (c *Core) broken(now time.Time, q *request) {
-	streamed := q.Streamed && q.relayedAny() && !q.Resumable
-	if !q.Idempotent || streamed || q.Forwarded || q.attempts >= q.bound() || !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
+	if !c.mayRepeat(q) || !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
 		if q.best.id != "" {
 			c.accept(q, q.best, false)
 			return
--- a/decision/patience.go
+++ b/decision/patience.go
@@ -1,6 +1,10 @@
 package decision
 
-import "time"
+import (
+	"time"
+
+	"fescuelatch"
+)
 
 // This file defines how long a silent endpoint is waited for. It answers the
 // load of endpoints that have gone dark: their connections stay open, and only
@@ -27,6 +31,19 @@
 	Gap   time.Duration
 }
 
+// MayMoveOn reports whether another attempt may take the place of the current
+// one of a request. It changes nothing. What allowed it at the start may be gone:
+// the account's key, the retry budget or the other endpoints.
+func (c *Core) MayMoveOn(now time.Time, id fescuelatch.RequestID) bool {
+	q, ok := c.requests[id]
+	if !ok {
+		return true // It has ended already.
+	}
+	c.sparesKnown = false
+	return c.mayRepeat(q) && !c.late(now, q) && c.usable(q) && len(c.spots(now, q)) > 0 &&
+		c.options.Retries.Left(now, q.Request, fescuelatch.RetryFailure) > 0
+}
+
 // patience returns that for the current attempt of q.
 func (c *Core) patience(q *request) Patience {
 	if !c.options.Direct || !q.Idempotent || q.attempts >= q.bound() {
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -22,6 +22,10 @@
 	// wholeBytes bounds an answer that is read as a whole before it is passed
 	// on. A larger one is passed on as it comes.
 	wholeBytes = 1 << 20
+	// refusalBytes and refusalPatience bound what is read of the body of a
+	// refusal, on which nothing depends.
+	refusalBytes    = 16 << 10
+	refusalPatience = 50 * time.Millisecond
 	// startWithin bounds the time between the decision to start an attempt
 	// and its dispatch. A process that was paused in between decides anew.
 	startWithin = 250 * time.Millisecond
@@ -98,6 +102,19 @@
 	t.serving.daemon.decide(decision.Ended{Request: t.serving.details.ID, Result: r})
 }
 
+// mayMoveOn reports whether another attempt may take the place of this one
+// while its endpoint is silent.
+func (t *attempt) mayMoveOn() bool {
+	d := t.serving.daemon
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	may := d.core.MayMoveOn(time.Now(), t.serving.details.ID)
+	if !may {
+		t.serving.log("endpoint is silent, but no other one may go on", "endpoint", t.start.Endpoint)
+	}
+	return may
+}
+
 // errRefused is that of an attempt which the endpoint did not run.
 var errRefused = errors.New("the endpoint did not run the request")
 
@@ -157,6 +174,7 @@
 		Identifier: s.call.Call, Method: s.request.Method, Target: s.request.RequestURI, Host: s.request.Host,
 		Header: d.options.Dialect.WriteAttempt(s.request.Header, h), Body: s.body,
 		Fresh: !s.details.Idempotent || s.sent > 1, Patience: t.start.Patience.First,
+		Insists: t.mayMoveOn,
 	})
 	if err != nil {
 		return err //nolint:wrapcheck // Its kind decides.
@@ -189,9 +207,10 @@
 
 // refused ends an attempt that the endpoint did not run.
 func (t *attempt) refused(a *endpoint.Answer, r *fescuelatch.AttemptResult, said fescuelatch.AnswerHeaders) error {
-	// The rest is read so that the connection can be used again. What cannot
-	// be read changes nothing.
-	_, _ = io.Copy(io.Discard, io.LimitReader(a, wholeBytes))
+	// The rest is read so that the connection can be used again, unless it is
+	// long or slow. What cannot be read changes nothing.
+	a.SetPatience(refusalPatience)
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, refusalBytes))
 	r.Status = fescuelatch.AttemptNotStarted
 	r.Misplaced = a.Status == http.StatusMisdirectedRequest
 	r.Overloaded = a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
--- a/direct/control.go
+++ b/direct/control.go
@@ -31,7 +31,7 @@
 	if err := peers.RegisterName(peerService, &peerServer{d}); err != nil {
 		d.log.Error("peers cannot be served", "error", err.Error())
 	}
-	m.Path(pathPeers).Handler(peers)
+	m.Path(pathPeers).HandlerFunc(d.servePeer(peers))
 	if d.options.Scrape != nil {
 		m.Methods(http.MethodGet).Path(pathMetrics).Handler(d.options.Scrape)
 	}
--- a/direct/daemon_test.go
+++ b/direct/daemon_test.go
@@ -191,6 +191,30 @@
 	}
 }
 
+// TestKeyRevokedDuringGap checks that a stream whose account loses its key while
+// the endpoint pauses is not cut: no other endpoint may go on with it.
+func TestKeyRevokedDuringGap(t *testing.T) {
+	s := newSite(t, "lm", 2)
+	s.awaitReady()
+	paused := func(w http.ResponseWriter, r *http.Request) {
+		fakeplatform.Stream(2, 0, "90", 0)(w, r)
+		time.Sleep(1500 * time.Millisecond)
+		r.Header.Set("Last-Event-Id", "2")
+		fakeplatform.Stream(5, 0, "90", 0)(w, r)
+	}
+	for _, e := range s.endpoints {
+		e.Behave(paused)
+	}
+	got := make(chan answer, 1)
+	go func() { got <- s.call(http.MethodPost, "lm.example", "/write/", "", "Fescuelatch-Model", "*") }()
+	s.eventually(func() bool { return len(s.runs()) == 1 })
+	s.store.Put(fakeplatform.ConfigurationKey, strings.Replace(fakeplatform.Configuration(2, "none"), `["none"]`, "[]", 1))
+	a := <-got
+	s.Check(a.err, qt.IsNil)
+	s.Check(a.body, qt.Equals, events(5))
+	s.Check(s.runs(), qt.HasLen, 1)
+}
+
 // TestEscalation checks that an answer of little confidence is given up before
 // the caller has received any of it, and its run ended.
 func TestEscalation(t *testing.T) {
@@ -278,6 +302,30 @@
 	})
 }
 
+// TestSlowBody checks that a caller whose body does not come in time is told so,
+// and that its request reaches no endpoint.
+func TestSlowBody(t *testing.T) {
+	s := newSite(t, "desk", 1)
+	s.awaitReady()
+	c, err := net.Dial("tcp", s.callers.String())
+	s.Assert(err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /ban/ HTTP/1.1\r\nHost: desk.example\r\nFescuelatch-Attempt-Id: slow\r\n"+
+		"Fescuelatch-Deadline-Ms: 500\r\nContent-Length: 900\r\nX-Api-Key: "+callerKey+"\r\n\r\n")
+	s.Assert(err, qt.IsNil)
+	go func() {
+		for err := error(nil); err == nil; time.Sleep(20 * time.Millisecond) {
+			_, err = io.WriteString(c, "x")
+		}
+	}()
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	s.Assert(err, qt.IsNil)
+	_ = res.Body.Close()
+	s.Check(res.StatusCode, qt.Equals, http.StatusRequestTimeout)
+	s.Check(s.runs(), qt.HasLen, 0)
+}
+
 // TestChangesInForce checks that what operators and endpoints write is in force
 // soon.
 func TestChangesInForce(t *testing.T) {
--- a/direct/front.go
+++ b/direct/front.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -114,6 +115,7 @@
 	codeInvalid    = "invalid"
 	codeTooLarge   = "too-large"
 	codeNotReady   = "not-ready"
+	codeSlowBody   = "body-too-slow"
 	codeCallerLeft = "caller-left"
 )
 
@@ -145,7 +147,7 @@
 		}
 		account = a.ID
 	}
-	body, ok := d.readBody(w, r, f.deployment, route)
+	body, ok := d.readBody(w, r, f.deployment, route, arrived.Add(timeOf(route, call)))
 	if !ok {
 		return
 	}
@@ -154,19 +156,30 @@
 	s.serve()
 }
 
-// readBody reads the whole body, which may have to be sent more than once.
-func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request, f *fescuelatch.Deployment, route *fescuelatch.Route) ([]byte, bool) {
+// readBody reads the whole body, which may have to be sent more than once. What
+// has not come by the end of the request's time does not run any more.
+func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request, f *fescuelatch.Deployment, route *fescuelatch.Route, by time.Time) ([]byte, bool) {
 	limit := f.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if r.Body == http.NoBody {
+		return nil, true
+	}
+	c := http.NewResponseController(w)
+	// A deadline that cannot be set shows in the read.
+	_ = c.SetReadDeadline(by)
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = c.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
 		return b, true
 	case errors.As(err, &large):
 		d.reject(w, r, route.ID, http.StatusRequestEntityTooLarge, codeTooLarge, 0)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		d.reject(w, r, route.ID, http.StatusRequestTimeout, codeSlowBody, 0)
 	case r.Context().Err() != nil:
 		d.metrics.ended(route.ID, fescuelatch.OutcomeNotRun, codeCallerLeft, 0)
 	default:
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"fescuelatch"
@@ -105,7 +106,9 @@
 	if _, err := io.WriteString(c, "CONNECT "+pathPeers+" HTTP/1.0\n\n"); err != nil {
 		return nil, &Error{op, KindPeer, err}
 	}
-	r := bufio.NewReader(c)
+	b := &boundedReader{source: c}
+	b.limit.Store(maxHeaderBytes)
+	r := bufio.NewReader(b)
 	// The answer to CONNECT has no body; the connection goes on.
 	res, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect}) //nolint:bodyclose
 	if err != nil {
@@ -114,16 +117,66 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, &Error{op, KindPeer, errors.New(res.Status)}
 	}
-	return rpc.NewClient(&buffered{c, r}), nil
+	return rpc.NewClient(&peerConnection{Conn: c, buffered: r, bounded: b}), nil
 }
 
-// buffered is a connection of which a part has been read ahead.
-type buffered struct {
+// maxMessageBytes bounds a message of another daemon: everything that the store
+// holds, with a configuration of a few megabytes.
+const maxMessageBytes = 32 << 20
+
+// boundedReader fails once more has been read than its limit.
+type boundedReader struct {
+	source io.Reader
+	limit  atomic.Int64
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if b.limit.Add(-int64(n)) < 0 {
+		return 0, &Error{"read from peer", KindPeer, errors.New("the message is too long")}
+	}
+	return n, err //nolint:wrapcheck // It stands in for the connection.
+}
+
+// peerConnection is a connection to another daemon, of which a part may have been read
+// ahead. It bounds what is received between two messages that are sent: package
+// gob takes a message of any length.
+type peerConnection struct {
 	net.Conn
-	reader *bufio.Reader
+	buffered *bufio.Reader
+	bounded  *boundedReader
 }
 
 // Read implements io.Reader.
-func (b *buffered) Read(p []byte) (int, error) {
-	return b.reader.Read(p) //nolint:wrapcheck // It stands in for the connection.
+func (c *peerConnection) Read(p []byte) (int, error) {
+	return c.buffered.Read(p) //nolint:wrapcheck // It stands in for the connection.
+}
+
+// Write implements io.Writer.
+func (c *peerConnection) Write(p []byte) (int, error) {
+	c.bounded.limit.Store(maxMessageBytes)
+	return c.Conn.Write(p) //nolint:wrapcheck // It stands in for the connection.
+}
+
+// servePeer serves the calls of another daemon on the connection of a CONNECT
+// request.
+func (d *Daemon) servePeer(peers *rpc.Server) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodConnect {
+			w.WriteHeader(http.StatusMethodNotAllowed)
+			return
+		}
+		c, b, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			d.log.Error("connection of a peer cannot be taken over", "error", err.Error())
+			return
+		}
+		if _, err := io.WriteString(c, "HTTP/1.0 200 OK\n\n"); err != nil {
+			d.log.Debug("peer has left", "error", err.Error())
+		}
+		bounded := &boundedReader{source: b.Reader}
+		bounded.limit.Store(maxMessageBytes)
+		peers.ServeConn(&peerConnection{Conn: c, buffered: bufio.NewReader(bounded), bounded: bounded}) // It closes the connection.
+	}
 }
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -56,10 +56,6 @@
 var lastRequest atomic.Uint64
 
 func newServing(d *Daemon, f *inForce, route *fescuelatch.Route, c fescuelatch.CallHeaders, a fescuelatch.AccountID, now time.Time) *serving {
-	limit := route.Timeout
-	if c.Deadline > 0 {
-		limit = min(limit, c.Deadline)
-	}
 	rank := route.Rank
 	if r, ok := f.deployment.AccountRanks[a]; ok {
 		rank = r
@@ -67,7 +63,7 @@
 	q := &fescuelatch.Request{
 		ID:      fescuelatch.RequestID(c.Call + "#" + strconv.FormatUint(lastRequest.Add(1), 10)),
 		Account: a, Route: route.ID, Ladder: targetOf(route, c.Session).Ladder,
-		Arrived: now, Deadline: now.Add(limit),
+		Arrived: now, Deadline: now.Add(timeOf(route, c)),
 		Idempotent: route.Kind.Repeatable(), Streamed: route.Kind.Streamed(), Resumable: route.Kind == fescuelatch.RequestResumable,
 		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, Parts: c.Parts,
 		MaxAttempts: route.MaxAttempts, Rank: rank, TargetLatency: route.TargetLatency, TargetGap: route.TargetGap,
@@ -81,6 +77,14 @@
 	return s
 }
 
+// timeOf returns the time that a request has.
+func timeOf(r *fescuelatch.Route, c fescuelatch.CallHeaders) time.Duration {
+	if c.Deadline > 0 {
+		return min(r.Timeout, c.Deadline)
+	}
+	return r.Timeout
+}
+
 // targetOf chooses the service of a request by the weights of its route. A
 // session stays with the same one.
 func targetOf(r *fescuelatch.Route, session string) *fescuelatch.RouteTarget {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -39,7 +39,7 @@
 	// before the one that is waited for.
 	maxStrangers = 2
 	// maxStrangerBytes bounds each of them.
-	maxStrangerBytes = 1 << 20
+	maxStrangerBytes = 64 << 10
 	// bufferBytes is the size of a connection's read buffer.
 	bufferBytes = 4 << 10
 )
@@ -73,6 +73,9 @@
 	// Patience bounds the silence of the endpoint until the head of the
 	// answer; zero means no bound but that of the context.
 	Patience time.Duration
+	// Insists, when set, is asked before silence ends the exchange. When it
+	// reports false the wait goes on.
+	Insists func() bool
 }
 
 // Answer is the answer of an endpoint. Body must be read to its end or the
@@ -119,7 +122,10 @@
 	if err := h.Write(k.Conn); err != nil {
 		return nil, broken(ctx, "write request", err)
 	}
+	k.insists = r.Insists
 	k.setPatience(r.Patience)
+	k.head.begin()
+	defer k.head.end()
 	for range maxStrangers + 1 {
 		res, err := readFinal(k.reader, h) //nolint:bodyclose // The answer reads it to its end.
 		if err != nil {
@@ -190,8 +196,8 @@
 	}
 }
 
-// SetPatience bounds the silence of the endpoint while the body is read; zero
-// ends the bound.
+// SetPatience bounds the wait for the next part of the body, which begins
+// anew; zero ends the bound.
 func (a *Answer) SetPatience(d time.Duration) {
 	a.conn.setPatience(d)
 }
@@ -208,6 +214,7 @@
 		return
 	}
 	a.conn.setPatience(0)
+	a.conn.insists = nil
 	a.client.keep(a.conn)
 }
 
--- a/endpoint/patience.go
+++ b/endpoint/patience.go
@@ -36,38 +36,52 @@
 func (k *connection) heard() { k.hearing.last.Store(int64(time.Since(k.start))) }
 
 // Read implements io.Reader. With a patience it fails when the endpoint has
-// been silent on all connections for longer, or on this one for hangFactor
-// times longer.
+// been silent on all connections for longer, or when what is awaited has not
+// come within hangFactor times as long: bytes alone are no progress.
 func (k *connection) Read(b []byte) (int, error) {
+	if k.head.exceeded() {
+		return 0, errLongHead
+	}
 	if k.patience <= 0 {
 		n, err := k.Conn.Read(b)
-		if n > 0 {
-			k.heard()
-		}
+		k.received(n)
 		return n, err //nolint:wrapcheck // The exchange wraps it.
 	}
-	began := time.Since(k.start)
-	until := began + k.patience
+	until := min(time.Since(k.start)+k.patience, k.awaited+hangFactor*k.patience)
 	for {
 		// A deadline that cannot be set shows in the read.
 		_ = k.SetReadDeadline(k.start.Add(until))
 		n, err := k.Conn.Read(b)
-		if n > 0 {
-			k.heard()
-		}
+		k.received(n)
 		if n > 0 || err == nil || kindOf(err) != KindSilent {
 			return n, err //nolint:wrapcheck // The exchange wraps it.
 		}
-		until = min(time.Duration(k.hearing.last.Load())+k.patience, began+hangFactor*k.patience)
-		if until <= time.Since(k.start) {
+		now := time.Since(k.start)
+		until = min(time.Duration(k.hearing.last.Load())+k.patience, k.awaited+hangFactor*k.patience)
+		if until > now {
+			continue
+		}
+		if k.insists == nil || k.insists() {
 			return n, err //nolint:wrapcheck // The exchange wraps it.
 		}
+		k.awaited = now
+		until = now + k.patience
+	}
+}
+
+// received notes bytes of the endpoint.
+func (k *connection) received(n int) {
+	if n > 0 {
+		k.heard()
+		k.head.add(n)
 	}
 }
 
-// setPatience bounds the silence in reads to come; zero ends the bound.
+// setPatience bounds the wait for what comes next, a head or an event; zero
+// ends the bound.
 func (k *connection) setPatience(d time.Duration) {
 	k.patience = d
+	k.awaited = time.Since(k.start)
 	if d <= 0 {
 		_ = k.SetReadDeadline(time.Time{})
 	}
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -39,6 +39,11 @@
 	hearing  *hearing
 	start    time.Time
 	patience time.Duration
+	// awaited is since when the next part is waited for, in time since start.
+	awaited time.Duration
+	// insists, when set, is asked before silence ends the exchange.
+	insists func() bool
+	head    headBudget
 }
 
 // close ends the connection, also from another goroutine than that of the
--- a/sse/scanner.go
+++ b/sse/scanner.go
@@ -12,7 +12,7 @@
 const (
 	readBytes = 4 << 10
 	// maxEventBytes bounds an event that has not ended.
-	maxEventBytes = 4 << 20
+	maxEventBytes = 512 << 10
 )
 
 // Event is one whole event with the blank line that ends it. ID is empty when
@@ -38,8 +38,9 @@
 func (s *Scanner) Next() (Event, error) {
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[s.next:])]
 	s.next = 0
+	var found search
 	for {
-		if n := end(s.buffer); n > 0 {
+		if n := found.end(s.buffer); n > 0 {
 			s.next = n
 			return Event{Bytes: s.buffer[:n], ID: identifier(s.buffer[:n])}, nil
 		}
@@ -54,7 +55,7 @@
 }
 
 // Buffered reports whether a whole event can be returned without reading.
-func (s *Scanner) Buffered() bool { return end(s.buffer[s.next:]) > 0 }
+func (s *Scanner) Buffered() bool { return new(search).end(s.buffer[s.next:]) > 0 }
 
 // Rest returns what has been read and is no whole event.
 func (s *Scanner) Rest() []byte { return s.buffer[s.next:] }
@@ -69,20 +70,27 @@
 	s.err = err
 }
 
+// search is how far a buffer has been searched for the end of an event.
+type search struct {
+	line int // where the last line begins
+	seen int // bytes of the buffer that have been looked at
+}
+
 // end returns the length of the first event with its blank line, or 0.
-func end(b []byte) int {
-	for i := 0; i < len(b); {
-		j := bytes.IndexByte(b[i:], '\n')
+func (s *search) end(b []byte) int {
+	for {
+		j := bytes.IndexByte(b[s.seen:], '\n')
 		if j < 0 {
+			s.seen = len(b)
 			return 0
 		}
-		line := bytes.TrimSuffix(b[i:i+j], []byte("\r"))
-		i += j + 1
+		line := bytes.TrimSuffix(b[s.line:s.seen+j], []byte("\r"))
+		s.seen += j + 1
+		s.line = s.seen
 		if len(line) == 0 {
-			return i
+			return s.seen
 		}
 	}
-	return 0
 }
 
 // identifier returns the value of the last id field.
--- a/sse/scanner_test.go
+++ b/sse/scanner_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -66,3 +67,30 @@
 		}
 	}
 }
+
+// endless is a stream of one event without end.
+type endless struct{ step int }
+
+func (e endless) Read(b []byte) (int, error) {
+	n := min(e.step, len(b))
+	for i := range n {
+		b[i] = 'x'
+	}
+	return n, nil
+}
+
+// TestEndlessEvent checks that an event without end is given up in time and
+// memory that do not grow with the steps in which it comes.
+func TestEndlessEvent(t *testing.T) {
+	for _, step := range []int{1, 100, 1 << 20} {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			c := qt.New(t)
+			s := sse.NewScanner(endless{step})
+			began := time.Now()
+			_, err := s.Next()
+			c.Assert(err, qt.ErrorMatches, "sse: read event: too-large")
+			c.Check(len(s.Rest()) < 1<<20, qt.IsTrue)
+			c.Check(time.Since(began) < 2*time.Second, qt.IsTrue)
+		})
+	}
+}
