Homes of prompt parts are chosen among the endpoints of all failure domains

Cause: each failure domain had two homes for a part, so that the six of the large site read a long part a dozen times. All daemons now agree on one home, wherever it is, and on a second one for when the first has more work; the second is taken to hold half of the shared tokens, or each part would be read at both.

--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -26,7 +26,7 @@
 		if !g.admits(now, p, all, w) {
 			continue
 		}
-		c := g.cost(now, p, w, p == home[0] || p == home[1])
+		c := g.cost(now, p, w, home.cached(p))
 		// Equal costs are drawn from, so that daemons do not all take the
 		// first endpoint of the same list.
 		c += time.Duration(g.random.Float64() * float64(time.Millisecond))
@@ -119,12 +119,13 @@
 
 // cost estimates the time to the first output of w at p. Prompts that are
 // being read there come first, and what is generated slows reading down.
-func (g *Gate) cost(now time.Time, p *place, w fescuelatch.Work, home bool) time.Duration {
+// cached is the part of the shared parts of the prompt that is taken to be held
+// there because other daemons send them to p.
+func (g *Gate) cost(now time.Time, p *place, w fescuelatch.Work, cached float64) time.Duration {
 	pc := g.paceOf(w.Version)
 	fresh := p.fresh(w)
-	if home && len(w.Request.Parts) > 1 {
-		// Other daemons send the same parts here.
-		fresh = min(fresh, w.Request.PromptTokens-shared(w.Request.Parts))
+	if cached > 0 {
+		fresh = min(fresh, w.Request.PromptTokens-int(cached*float64(shared(w.Request.Parts))))
 	}
 	ahead := 0
 	for _, a := range p.running {
@@ -158,20 +159,38 @@
 	return n
 }
 
+// homes are the endpoints to which all daemons send a prompt's shared parts: the
+// first, and the second while the first has more work than others.
+type homes [2]*place
+
+// secondHome is the part of the shared tokens that the second home is taken to
+// hold. It is less than all, or each part would be read at both.
+const secondHome = 0.5
+
+// cached returns the part of the shared tokens that p is taken to hold.
+func (h homes) cached(p *place) float64 {
+	switch p {
+	case h[0]:
+		return 1
+	case h[1]:
+		return secondHome
+	}
+	return 0
+}
+
 // homes returns the two endpoints of the highest rendezvous scores for the
-// shared parts of a prompt among those of this failure domain. All daemons of
-// the domain agree on them without telling each other, so that the parts are
-// read in few places and what one of them knows of an endpoint is most of what
-// happens there.
-func (g *Gate) homes(places []*place, w fescuelatch.Work) [2]*place {
-	var best [2]*place
+// shared parts of a prompt. All daemons agree on them without telling each other,
+// so that the parts are read in few places. The endpoints of other failure domains
+// count as well: the way there costs far less than reading a long part again.
+func (g *Gate) homes(places []*place, w fescuelatch.Work) homes {
+	var best homes
 	if len(w.Request.Parts) < 2 {
 		return best
 	}
 	part := w.Request.Parts[len(w.Request.Parts)-2].ID
 	var scores [2]uint64
 	for _, p := range places {
-		if p.out() || string(p.owned.Endpoint.Domain) != g.settings.Domain {
+		if p.out() {
 			continue
 		}
 		var d xxhash.Digest
--- a/gate/shared/gate_test.go
+++ b/gate/shared/gate_test.go
@@ -213,6 +213,34 @@
 	c.Check(started >= 60, qt.IsTrue)
 }
 
+// TestPartsAreReadOnce plays many daemons of several failure domains that know
+// nothing of each other, with prompts that share long parts, and checks that
+// nearly all daemons send the prompts of a part to the same endpoint.
+func TestPartsAreReadOnce(t *testing.T) {
+	const (
+		domains   = 6
+		documents = 50
+		prompts   = 20 // of each document
+	)
+	c := qt.New(t)
+	var endpoints []fescuelatch.OwnedEndpoint
+	for i := range 12 * domains {
+		endpoints = append(endpoints, endpointAt(fmt.Sprint("e", i), fmt.Sprint("d", i%domains), 16))
+	}
+	read := map[string]bool{}
+	for document := range documents {
+		for n := range prompts {
+			g := shared.New(shared.Settings{Domain: fmt.Sprint("d", n%domains)}, rand.New(rand.NewPCG(uint64(n), 5)))
+			g.Own(epoch, endpoints)
+			w := work(true, fescuelatch.PromptPart{ID: fmt.Sprint("document", document), Tokens: 5000}, fescuelatch.PromptPart{ID: fmt.Sprint("own", n), Tokens: 100})
+			a := g.Offer(epoch, w)
+			c.Assert(a.Verdict, qt.Equals, fescuelatch.AdmissionStart)
+			read[fmt.Sprint(document, a.Endpoint)] = true
+		}
+	}
+	c.Check(len(read) <= documents*11/10, qt.IsTrue, qt.Commentf("%d documents were read %d times", documents, len(read)))
+}
+
 // TestOverload checks that what cannot be served soon is refused soon, with a
 // time to come back that differs between callers.
 func TestOverload(t *testing.T) {
