After a cut the store's revision tells whether the store was there

The revision grows with each write, so its usual progress shows whether endpoints have gone on writing meanwhile.

--- a/direct/knowledge_test.go
+++ b/direct/knowledge_test.go
@@ -80,6 +80,42 @@
 	}
 }
 
+// TestReturnToALostHistory checks how a daemon that reads everything anew after
+// a cut tells by the revision whether the store was there meanwhile.
+func TestReturnToALostHistory(t *testing.T) {
+	const usual = 20 // writes a second
+	tests := []struct {
+		name   string
+		away   time.Duration
+		writes int64
+		held   bool
+	}{
+		{"only this daemon was cut off", 8 * time.Second, 8 * usual, false},
+		{"the store was away", 8 * time.Second, 0, true},
+		{"the store was away for half of it", 8 * time.Second, 4 * usual, true},
+		{"too short to tell", 300 * time.Millisecond, usual / 3, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := known(3)
+			now, revision := epoch, int64(100)
+			for range 10 {
+				now, revision = now.Add(time.Second), revision+usual
+				k.apply(now, fescuelatch.Changes{Revision: revision})
+			}
+			now, revision = now.Add(test.away), revision+test.writes
+			everything := fescuelatch.Changes{Revision: revision, Items: []fescuelatch.StoredItem{
+				entry("op/config", smallConfiguration, 1), beat(1, "ready", revision-1), beat(2, "ready", revision),
+			}}
+			k.returned(now, everything)
+			k.replace(now, everything)
+			_, there := k.endpoints["i-3"]
+			c.Check(there, qt.Equals, test.held)
+		})
+	}
+}
+
 // TestLapsedReturns checks that an endpoint which writes its entry again while
 // removals are held is never given up.
 func TestLapsedReturns(t *testing.T) {
