--- a/direct/relay.go
+++ b/direct/relay.go
@@ -24,10 +24,13 @@
 
 const (
 	// readers is the number of daemons of a failure domain that follow the
-	// store themselves: one may be killed at any time.
-	readers = 2
+	// store themselves.
+	readers = 1
+	// standBys is the number of daemons after the readers through which the
+	// others follow the store when a reader fails. They ask the store then.
+	standBys = 1
 	// followers is the number of daemons that one passes changes on to. With
-	// the readers, failure domains of 222 daemons are two steps deep.
+	// the reader, failure domains of 111 daemons are two steps deep.
 	followers = 10
 	// sourceTimeout bounds a call to a source besides its wait.
 	sourceTimeout = 600 * time.Millisecond
@@ -201,8 +204,8 @@
 }
 
 // sourcesOf returns the daemons through which a daemon may follow the store,
-// the best first: the one whose part it is, then the readers. There is none for
-// a reader.
+// the best first: the one whose part it is, then the readers and those that
+// stand by. There is none for a reader.
 func sourcesOf(k *knowledge, domain fescuelatch.DomainID, self fescuelatch.VMID) []candidate {
 	local := localDaemons(k, domain, self)
 	order := slices.SortedFunc(maps.Keys(local), func(a, b fescuelatch.VMID) int { return cmp.Compare(rank(a), rank(b)) })
@@ -212,7 +215,14 @@
 	}
 	parent := (place - readers) / followers
 	var cs []candidate
-	for _, i := range []int{parent, place % readers, (place + 1) % readers} {
+	for n := range 1 + readers + standBys {
+		i := parent
+		if n > 0 {
+			i = n - 1
+		}
+		if i >= place {
+			break // Those after it may follow the store through it.
+		}
 		vm := order[i]
 		if !slices.ContainsFunc(cs, func(c candidate) bool { return c.vm == vm }) {
 			cs = append(cs, candidate{vm, local[vm], stepsOf(i)})
--- a/direct/site_test.go
+++ b/direct/site_test.go
@@ -119,6 +119,20 @@
 	return res.StatusCode
 }
 
+// status returns what the daemon says of itself, or nothing.
+func (s *site) status() string {
+	res, err := http.Get("http://" + s.control.String() + "/status")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
+
 func (s *site) awaitReady() {
 	s.Helper()
 	s.eventually(func() bool { return s.statusOf(s.ready, "/v1/readyz") == http.StatusOK })
