Followers log a sum of what they are told of endpoints

A daemon that is told by another one logs one line for each answer; the registrations are in the reader's log, and at level debug in its own.

--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"strings"
@@ -38,6 +39,8 @@
 	revision int64
 	// writes is the usual progress of the revision.
 	writes writeRate
+	// passedOn reports that the changes being taken in come from another daemon.
+	passedOn bool
 	// heldUntil is the end of the time in which removals are held, and held
 	// the keys that were removed.
 	heldUntil time.Time
@@ -271,11 +274,21 @@
 	before, known := k.endpoints[id]
 	k.endpoints[id] = registered{r, now}
 	if !known || before.Born != r.Born || before.Leaving != r.Leaving {
-		k.log.Info("endpoint registered", "endpoint", id, "address", r.Endpoint.Address.String(), "service", r.Service, "release", r.Release,
+		k.logEndpoint("endpoint registered", "endpoint", id, "address", r.Endpoint.Address.String(), "service", r.Service, "release", r.Release,
 			"failure-domain", r.Endpoint.Domain, "leaving", r.Leaving, "cold-for", r.ColdFor.String(), "revision", revision)
 	}
 }
 
+// logEndpoint logs what is learned of an endpoint: in full where the store has
+// said it, and for debugging only where another daemon has, whose log has it.
+func (k *knowledge) logEndpoint(message string, args ...any) {
+	level := slog.LevelInfo
+	if k.passedOn {
+		level = slog.LevelDebug
+	}
+	k.log.Log(context.Background(), level, message, args...)
+}
+
 func (k *knowledge) remove(now time.Time, key string, revision int64) {
 	before, known := k.items[key]
 	if !known || before.Revision > revision {
@@ -303,7 +316,7 @@
 	switch s.Kind {
 	case fescuelatch.SubjectEndpoint:
 		delete(k.endpoints, fescuelatch.EndpointID(s.ID))
-		k.log.Info("endpoint gone", "endpoint", s.ID)
+		k.logEndpoint("endpoint gone", "endpoint", s.ID)
 	case fescuelatch.SubjectDomainOut:
 		delete(k.out, fescuelatch.DomainID(s.ID))
 		k.log.Info("failure domain back", "failure-domain", s.ID)
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -298,12 +298,16 @@
 	s.process, s.next = reply.Process, reply.Next
 	d.store.answered(now.Add(-reply.Age))
 	c := fescuelatch.Changes{Revision: reply.Revision, Items: reply.Items}
+	d.known.passedOn = true
 	if reply.Full {
 		d.known.replace(now, c)
 	} else {
 		d.known.apply(now, c)
 	}
+	d.known.passedOn = false
 	if len(c.Items) > 0 {
+		d.log.Info("changes taken in from a source", "source", s.vm, "keys", len(c.Items), "everything", reply.Full,
+			"revision", reply.Revision, "age", reply.Age.Round(time.Millisecond).String(), "endpoints", len(d.known.endpoints))
 		d.refreshLocked(now)
 	}
 	return nil
--- a/direct/relay_test.go
+++ b/direct/relay_test.go
@@ -64,6 +64,26 @@
 	}
 }
 
+// TestFollowersLogSums checks that a daemon which is told of many endpoints by
+// another one logs a sum, as their registrations are in the other's log.
+func TestFollowersLogSums(t *testing.T) {
+	c := qt.New(t)
+	var lines strings.Builder
+	d := New(Options{
+		VM: "vm-1", Domain: "a", Notation: platform.Notation{}, Dialect: platform.Dialect{},
+		Log: slog.New(slog.NewTextHandler(&lines, nil)), Scope: tally.NoopScope,
+	})
+	reply := &ChangesReply{Full: true, Revision: 60, Items: []fescuelatch.StoredItem{entry("op/config", smallConfiguration, 1)}}
+	for n := range 100 {
+		reply.Items = append(reply.Items, beat(n, "ready", 2))
+	}
+	c.Assert(d.takeReply(epoch, &source{vm: "vm-2"}, reply), qt.IsNil)
+	c.Check(strings.Count(lines.String(), "\n") < 5, qt.IsTrue, qt.Commentf("%s", lines.String()))
+	c.Check(lines.String(), qt.Contains, "endpoints=100")
+	d.known.apply(epoch, fescuelatch.Changes{Revision: 70, Items: []fescuelatch.StoredItem{removal("servers/i-1", 70)}})
+	c.Check(lines.String(), qt.Contains, "endpoint gone")
+}
+
 // TestWriteAndRemoval checks that a key which is written and removed between
 // two looks of the reader is gone for its follower as well.
 func TestWriteAndRemoval(t *testing.T) {
