--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -122,7 +122,6 @@
 	}
 	random := decision.NewRandom()
 	d.gate = shared.New(shared.Settings{Domain: string(o.Domain)}, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())))
-	o.Ladder.Retries = d.budget
 	ladder := cascade.NewLadder(o.Ladder)
 	d.core = decision.New(decision.Options{
 		VM: o.VM, Domain: o.Domain, Random: random, Direct: true,
