--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -79,49 +79,6 @@
 	}
 }
 
-// writeRate is how fast the revision of the store grows while it can be reached:
-// endpoints write their entries at a regular pace.
-type writeRate struct {
-	perSecond float64
-	revision  int64
-	at        time.Time
-}
-
-const (
-	// rateInterval is the least time over which the rate is measured.
-	rateInterval = time.Second
-	// rateMemory weighs the last measurement against the earlier ones.
-	rateMemory = 0.3
-	// presentShare is the part of the usual writes that shows that the store was
-	// there for nearly all of a time.
-	presentShare = 0.7
-	// presentWrites is the number of usual writes without which a time is too
-	// short to tell.
-	presentWrites = 10
-)
-
-// observe measures the rate at a revision.
-func (w *writeRate) observe(now time.Time, revision int64) {
-	elapsed := now.Sub(w.at)
-	if elapsed < rateInterval {
-		return
-	}
-	if !w.at.IsZero() && revision >= w.revision {
-		seen := float64(revision-w.revision) / elapsed.Seconds()
-		if w.perSecond == 0 {
-			w.perSecond = seen
-		}
-		w.perSecond += rateMemory * (seen - w.perSecond)
-	}
-	w.revision, w.at = revision, now
-}
-
-// present reports whether the store was there since the last observation.
-func (w *writeRate) present(now time.Time, revision int64) bool {
-	usual := w.perSecond * now.Sub(w.at).Seconds()
-	return usual >= presentWrites && float64(revision-w.revision) >= presentShare*usual
-}
-
 // returned begins the time after an outage in which removals are held, unless
 // the changes show that the store was there all the while and only this daemon
 // could not reach it: then endpoints have gone on writing and none has lapsed.
