The move away from a silent endpoint is decided at once, with its retry

By the code a stream could still be cut for its endpoint's silence: the core said that another attempt might follow, and then, a moment later, had no retry budget for it, or the account had lost its key while the attempt ended. Now the core grants the retry when it says so, and says no while there is no budget; the attempt is waited on and asked about again.

TestMoveOn fails without: two of its four cases.

--- a/decision/budget.go
+++ b/decision/budget.go
@@ -29,9 +29,14 @@
 	return b.tokens / retryBurst
 }
 
+// Allows implements fescuelatch.RetryBudget.
+func (b *retryBudget) Allows(time.Time, *fescuelatch.Request, fescuelatch.RetryReason) bool {
+	return b.tokens >= 1
+}
+
 // Take implements fescuelatch.RetryBudget.
-func (b *retryBudget) Take(time.Time, *fescuelatch.Request, fescuelatch.RetryReason) bool {
-	if b.tokens < 1 {
+func (b *retryBudget) Take(now time.Time, r *fescuelatch.Request, why fescuelatch.RetryReason) bool {
+	if !b.Allows(now, r, why) {
 		return false
 	}
 	b.tokens--
--- a/decision/direct_test.go
+++ b/decision/direct_test.go
@@ -18,8 +18,9 @@
 
 // This file tests the core with a gate that reaches every endpoint.
 
-// directCore returns a core with two endpoints of one service.
-func directCore(c *qt.C) *decision.Core {
+// directCore returns a core with three endpoints of one service, and its own retry
+// budget when that is nil.
+func directCore(c *qt.C, budget fescuelatch.RetryBudget) *decision.Core {
 	view, err := fescuelatch.NewView(&fescuelatch.Configuration{
 		Generation: 1,
 		Inventory: fescuelatch.Inventory{
@@ -37,6 +38,7 @@
 		VM: self, Domain: domain, Random: rand.New(rand.NewPCG(1, 2)), Direct: true,
 		Quality: new(quality.Static), Versions: ladder, Escalation: ladder, Placement: new(placement.Policy),
 		Gate: shared.New(shared.Settings{}, rand.New(rand.NewPCG(1, 3))), Sampler: quality.FixedShare{},
+		Retries: budget,
 	})
 	core.Handle(epoch, decision.Configured{View: view})
 	var owned []fescuelatch.OwnedEndpoint
@@ -68,7 +70,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			core := directCore(c)
+			core := directCore(c, nil)
 			q := &fescuelatch.Request{
 				ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: epoch, Deadline: epoch.Add(5 * time.Second),
 				Idempotent: true, Streamed: true, Resumable: true, MaxAttempts: test.maxAttempts,
@@ -90,3 +92,75 @@
 		})
 	}
 }
+
+// TestMoveOn plays a stream whose endpoint falls silent, and checks that it is cut
+// neither for want of what another attempt needs nor because that is lost between
+// the decision and the end of the attempt.
+func TestMoveOn(t *testing.T) {
+	lost := func(c *qt.C, core *decision.Core) {
+		view, err := fescuelatch.NewView(&fescuelatch.Configuration{
+			Generation: 2, Inventory: fescuelatch.Inventory{Domains: []fescuelatch.FailureDomain{{ID: "d1"}}},
+		})
+		c.Assert(err, qt.IsNil)
+		core.Handle(epoch, decision.Configured{View: view})
+	}
+	nothing := func(*qt.C, *decision.Core) {}
+	tests := []struct {
+		name          string
+		budget        repeats
+		before, after func(*qt.C, *decision.Core)
+		moves         bool
+	}{
+		{"another endpoint may go on", 1, nothing, nothing, true},
+		{"the account has lost its key", 1, lost, nothing, false},
+		{"the account loses its key while the attempt ends", 1, nothing, lost, true},
+		{"the retry budget is used up", 0, nothing, nothing, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			core := directCore(c, &test.budget)
+			q := &fescuelatch.Request{
+				ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: epoch, Deadline: epoch.Add(5 * time.Second),
+				Idempotent: true, Streamed: true, Resumable: true, MaxAttempts: 3,
+			}
+			first, ok := core.Handle(epoch, decision.Arrived{Request: q})[0].(decision.Start)
+			c.Assert(ok, qt.IsTrue)
+			core.Handle(epoch, decision.Opened{Request: "q", Attempt: first.Attempt})
+			test.before(c, core)
+			c.Assert(core.MoveOn(epoch, "q"), qt.Equals, test.moves)
+			if !test.moves {
+				return
+			}
+			test.after(c, core)
+			actions := core.Handle(epoch, decision.Ended{Request: "q", Result: fescuelatch.AttemptResult{
+				Attempt: first.Attempt, Endpoint: first.Endpoint, Version: first.Version, Status: fescuelatch.AttemptBroken,
+			}})
+			c.Assert(actions, qt.HasLen, 1)
+			_, resumes := actions[0].(decision.Start)
+			c.Check(resumes, qt.IsTrue, qt.Commentf("%#v", actions[0]))
+			c.Check(core.Faults(), qt.HasLen, 0)
+		})
+	}
+}
+
+// repeats is a retry budget of a number of repeats.
+type repeats int
+
+func (r *repeats) Earn(time.Time, *fescuelatch.Request) {}
+
+func (r *repeats) Allows(time.Time, *fescuelatch.Request, fescuelatch.RetryReason) bool {
+	return *r > 0
+}
+
+func (r *repeats) Take(time.Time, *fescuelatch.Request, fescuelatch.RetryReason) bool {
+	if *r <= 0 {
+		return false
+	}
+	*r--
+	return true
+}
+
+func (r *repeats) Left(time.Time, *fescuelatch.Request, fescuelatch.RetryReason) float64 {
+	return float64(*r)
+}
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -167,7 +167,7 @@
 // broken repeats an idempotent request unless part of its answer has been
 // streamed to the caller.
 func (c *Core) broken(now time.Time, q *request) {
-	if !c.mayRepeat(q) || !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
+	if !c.mayRepeat(q) || !q.movesOn() && !c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
 		if q.best.id != "" {
 			c.accept(q, q.best, false)
 			return
--- a/decision/patience.go
+++ b/decision/patience.go
@@ -31,20 +31,28 @@
 	Gap   time.Duration
 }
 
-// MayMoveOn reports whether another attempt may take the place of the current
-// one of a request. It changes nothing. What allowed it at the start may be gone:
-// the account's key, the time for it, or the other endpoints. The retry budget does
-// not count: it comes back with the next requests, and a caller that has been cut
-// off may come back by itself.
-func (c *Core) MayMoveOn(now time.Time, id fescuelatch.RequestID) bool {
+// MoveOn reports whether another attempt takes the place of the current one of a
+// request, whose endpoint is silent. If so it is granted: what allows it now may be
+// gone when the current attempt has ended, and the caller would be cut off. What
+// allowed it at the start may be gone already: the account's key, the retry budget,
+// the time, or the other endpoints. Then the current attempt is the only hope.
+func (c *Core) MoveOn(now time.Time, id fescuelatch.RequestID) bool {
 	q, ok := c.requests[id]
 	if !ok {
 		return true // It has ended already.
 	}
 	c.sparesKnown = false
-	return c.mayRepeat(q) && !c.late(now, q) && c.usable(q) && len(c.spots(now, q)) > 0
+	if !c.mayRepeat(q) || c.late(now, q) || !c.usable(q) || len(c.spots(now, q)) == 0 ||
+		!c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
+		return false
+	}
+	q.granted = q.current.id
+	return true
 }
 
+// movesOn reports whether the end of the current attempt was decided on by MoveOn.
+func (q *request) movesOn() bool { return q.granted != "" && q.granted == q.current.id }
+
 // patience returns that for the current attempt of q.
 func (c *Core) patience(q *request) Patience {
 	if !c.options.Direct || !q.Idempotent || q.attempts >= q.bound() {
--- a/decision/place.go
+++ b/decision/place.go
@@ -95,7 +95,9 @@
 
 // usable reports whether the request may still run on the current version,
 // or use its plain service.
-func (c *Core) usable(q *request) bool { return c.view.MayRun(q.Request, q.plan[q.step]) }
+func (c *Core) usable(q *request) bool {
+	return q.movesOn() || c.view.MayRun(q.Request, q.plan[q.step])
+}
 
 func (c *Core) noSpot(q *request) Reason {
 	if len(q.tried) > 0 {
--- a/decision/request.go
+++ b/decision/request.go
@@ -52,6 +52,8 @@
 	// relayed reports that the caller is receiving an answer.
 	relayed bool
 	current attempt
+	// granted is the attempt in whose place another one may be made.
+	granted fescuelatch.AttemptID
 	// best is the answered attempt with the highest score so far.
 	best      attempt
 	bestScore float64
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -102,17 +102,17 @@
 	t.serving.daemon.decide(decision.Ended{Request: t.serving.details.ID, Result: r})
 }
 
-// mayMoveOn reports whether another attempt may take the place of this one
-// while its endpoint is silent.
-func (t *attempt) mayMoveOn() bool {
+// moveOn reports whether another attempt takes the place of this one, whose
+// endpoint is silent.
+func (t *attempt) moveOn() bool {
 	d := t.serving.daemon
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	may := d.core.MayMoveOn(time.Now(), t.serving.details.ID)
-	if !may {
+	moves := d.core.MoveOn(time.Now(), t.serving.details.ID)
+	if !moves {
 		t.serving.log("endpoint is silent, but no other one may go on", "endpoint", t.start.Endpoint)
 	}
-	return may
+	return moves
 }
 
 // errRefused is that of an attempt which the endpoint did not run.
@@ -174,7 +174,7 @@
 		Identifier: s.call.Call, Method: s.request.Method, Target: s.request.RequestURI, Host: s.request.Host,
 		Header: d.options.Dialect.WriteAttempt(s.request.Header, h), Body: s.body,
 		Fresh: !s.details.Idempotent || s.sent > 1, Patience: t.start.Patience.First,
-		Insists: t.mayMoveOn,
+		Insists: t.moveOn,
 	})
 	if err != nil {
 		return err //nolint:wrapcheck // Its kind decides.
--- a/gate/shared/budget.go
+++ b/gate/shared/budget.go
@@ -60,6 +60,16 @@
 	}
 }
 
+// Allows implements fescuelatch.RetryBudget.
+func (b *Budget) Allows(now time.Time, r *fescuelatch.Request, why fescuelatch.RetryReason) bool {
+	w := b.window(now, r)
+	if w == nil {
+		return false
+	}
+	allowed, repeats := b.state(w, why)
+	return repeats+1 <= allowed
+}
+
 // Take implements fescuelatch.RetryBudget.
 func (b *Budget) Take(now time.Time, r *fescuelatch.Request, why fescuelatch.RetryReason) bool {
 	w := b.window(now, r)
@@ -69,8 +79,7 @@
 	if why == fescuelatch.RetryFailure {
 		w.steps[w.at].failures++
 	}
-	allowed, repeats := b.state(w, why)
-	if repeats+1 > allowed {
+	if !b.Allows(now, r, why) {
 		return false
 	}
 	w.steps[w.at].repeats++
--- a/policy.go
+++ b/policy.go
@@ -151,8 +151,9 @@
 type RetryBudget interface {
 	// Earn counts a request for the models of a ladder.
 	Earn(now time.Time, r *Request)
-	// Take reports whether a request may be sent once more for a reason, and
-	// counts it.
+	// Allows reports whether a request may be sent once more for a reason.
+	Allows(now time.Time, r *Request, why RetryReason) bool
+	// Take counts a request that is sent once more, if that is allowed.
 	Take(now time.Time, r *Request, why RetryReason) bool
 	// Left returns the part of what may be taken for a reason that is left,
 	// from 0 to 1.
