--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -174,7 +174,7 @@
 		Identifier: s.call.Call, Method: s.request.Method, Target: s.request.RequestURI, Host: s.request.Host,
 		Header: d.options.Dialect.WriteAttempt(s.request.Header, h), Body: s.body,
 		Fresh: !s.details.Idempotent || s.sent > 1, Patience: t.start.Patience.First,
-		Insists: t.moveOn,
+		GivesUp: t.moveOn,
 	})
 	if err != nil {
 		return err //nolint:wrapcheck // Its kind decides.
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -73,9 +73,9 @@
 	// Patience bounds the silence of the endpoint until the head of the
 	// answer; zero means no bound but that of the context.
 	Patience time.Duration
-	// Insists, when set, is asked before silence ends the exchange. When it
+	// GivesUp, when set, is asked before silence ends the exchange. When it
 	// reports false the wait goes on.
-	Insists func() bool
+	GivesUp func() bool
 }
 
 // Answer is the answer of an endpoint. Body must be read to its end or the
@@ -122,7 +122,7 @@
 	if err := h.Write(k.Conn); err != nil {
 		return nil, broken(ctx, "write request", err)
 	}
-	k.insists = r.Insists
+	k.givesUp = r.GivesUp
 	k.setPatience(r.Patience)
 	k.head.begin()
 	defer k.head.end()
@@ -214,7 +214,7 @@
 		return
 	}
 	a.conn.setPatience(0)
-	a.conn.insists = nil
+	a.conn.givesUp = nil
 	a.client.keep(a.conn)
 }
 
--- a/endpoint/patience.go
+++ b/endpoint/patience.go
@@ -61,7 +61,7 @@
 		if until > now {
 			continue
 		}
-		if k.insists == nil || k.insists() {
+		if k.givesUp == nil || k.givesUp() {
 			return n, err //nolint:wrapcheck // The exchange wraps it.
 		}
 		k.awaited = now
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -41,8 +41,8 @@
 	patience time.Duration
 	// awaited is since when the next part is waited for, in time since start.
 	awaited time.Duration
-	// insists, when set, is asked before silence ends the exchange.
-	insists func() bool
+	// givesUp, when set, is asked before silence ends the exchange.
+	givesUp func() bool
 	head    headBudget
 }
 
