Clean-ups found on rereading the change; behaviour stays

The statuses that mean overload stand in one function, sources are listed before they are looked at, and the write rate sets its own fields.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -213,7 +213,7 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, refusalBytes))
 	r.Status = fescuelatch.AttemptNotStarted
 	r.Misplaced = a.Status == http.StatusMisdirectedRequest
-	r.Overloaded = a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
+	r.Overloaded = overloaded(a.Status)
 	r.RetryAfter = retryAfter(a.Status, said)
 	return errors.Wrapf(errRefused, "status %d", a.Status)
 }
@@ -221,12 +221,17 @@
 // retryAfter returns the time for which an endpoint wants no work, which only a
 // refusal for want of capacity tells.
 func retryAfter(status int, said fescuelatch.AnswerHeaders) time.Duration {
-	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+	if !overloaded(status) {
 		return 0
 	}
 	return said.RetryAfter
 }
 
+// overloaded reports whether a status refuses a request for want of capacity.
+func overloaded(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // answer reads an answer that is no stream of events.
 func (t *attempt) answer(a *endpoint.Answer, r *fescuelatch.AttemptResult, said fescuelatch.AnswerHeaders, sent time.Time) error {
 	b, err := io.ReadAll(io.LimitReader(a, wholeBytes))
--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -39,7 +39,8 @@
 	revision int64
 	// writes is the usual progress of the revision.
 	writes writeRate
-	// passedOn reports that the changes being taken in come from another daemon.
+	// passedOn reports that the changes being applied were read from the store by
+	// another daemon.
 	passedOn bool
 	// heldUntil is the end of the time in which removals are held, and held
 	// the keys that were removed.
@@ -84,13 +85,13 @@
 // could not reach it: then endpoints have gone on writing and none has lapsed.
 // Where the store has lost its history, only its revision tells.
 func (k *knowledge) returned(now time.Time, missed fescuelatch.Changes) {
-	if k.writes.present(now, missed.Revision) {
+	before, present := k.writes.revision, k.writes.present(now, missed.Revision)
+	k.writes.skip(now, missed.Revision)
+	if present {
 		k.log.Info("the store was there while this daemon could not reach it",
-			"revision", missed.Revision, "revision-before", k.writes.revision, "usual-writes-per-second", k.writes.perSecond)
-		k.writes.revision, k.writes.at = missed.Revision, now
+			"revision", missed.Revision, "revision-before", before, "usual-writes-per-second", k.writes.perSecond)
 		return
 	}
-	k.writes.revision, k.writes.at = missed.Revision, now
 	writes := make(map[string]int)
 	for _, i := range missed.Items {
 		if !i.Removed && k.notation.Subject(i.Key).Kind == fescuelatch.SubjectEndpoint {
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -213,16 +213,12 @@
 	if place < readers {
 		return nil
 	}
-	parent := (place - readers) / followers
+	places := []int{(place - readers) / followers}
+	for i := range min(readers+standBys, place) { // Those after it may follow the store through it.
+		places = append(places, i)
+	}
 	var cs []candidate
-	for n := range 1 + readers + standBys {
-		i := parent
-		if n > 0 {
-			i = n - 1
-		}
-		if i >= place {
-			break // Those after it may follow the store through it.
-		}
+	for _, i := range places {
 		vm := order[i]
 		if !slices.ContainsFunc(cs, func(c candidate) bool { return c.vm == vm }) {
 			cs = append(cs, candidate{vm, local[vm], stepsOf(i)})
--- a/direct/writerate.go
+++ b/direct/writerate.go
@@ -39,9 +39,12 @@
 		}
 		w.perSecond += rateMemory * (seen - w.perSecond)
 	}
-	w.revision, w.at = revision, now
+	w.skip(now, revision)
 }
 
+// skip leaves the time up to now out of the measurement.
+func (w *writeRate) skip(now time.Time, revision int64) { w.revision, w.at = revision, now }
+
 // present reports whether the store was there since the last observation.
 func (w *writeRate) present(now time.Time, revision int64) bool {
 	usual := w.perSecond * now.Sub(w.at).Seconds()
