A store that comes back from a copy undoes nothing that is in force

Cause: the order of what a daemon is told of the store was that of its revisions. After a return from a copy revisions go back: endpoints that had registered since, failure domains taken out and orders were gone at once, an endpoint that had left came back, what was written again was ignored until the revisions had passed the old ones, and a daemon whose lease was lost went on to renew one that may belong to another daemon by then.

Now the order is that of era and revision (Store-Era). What the copy lacks holds for the time in which its writers write it again (2 s endpoints, 6 s daemons' records, 10 s operators' keys); what it holds is compared by the writer's own order (generation, process and sequence). Daemons take new leases over a second, record roll-outs again under their conditions, and a daemon that starts in between asks its seeds what the store has lost. Followers read everything anew.

Ruled out: leaving it to the highest revision seen, which holds old beliefs for ever; a second scan after a pause, which loses what is not written by then.

The soak has the fault. A daemon of the soak was given one port twice: mended in loopback.Free, with a test that failed first.

--- a/cmd/fescuelatch-load/soak/fault.go
+++ b/cmd/fescuelatch-load/soak/fault.go
@@ -18,6 +18,9 @@
 	leastFault = 300 * time.Millisecond
 	mostFault  = 4 * time.Second
 	faultPause = 600 * time.Millisecond
+	// rewritePause passes between two keys that are written again after the store
+	// has come back.
+	rewritePause = 100 * time.Millisecond
 )
 
 // fault is something that goes wrong, and its end.
@@ -85,6 +88,7 @@
 			return fault{"hang up " + d.VM, false, d.hangUp, d.hangUp}
 		},
 		func() fault { return s.atStore() },
+		func() fault { return s.comesBack() },
 		func() fault { return s.onLink("store of "+d.VM, true, d.store) },
 		func() fault { return s.onLink(e.ID, false, e.link) },
 		func() fault { return s.atEndpoint(e) },
@@ -127,6 +131,24 @@
 	}
 }
 
+// comesBack is a store that is away for a moment and comes back from a copy which
+// was made when the fault began.
+func (s *soak) comesBack() fault {
+	var before *fakeplatform.Copy
+	return fault{"store comes back from a copy", true, func() { before = s.store.Copy() }, func() {
+		s.restoring.Lock()
+		defer s.restoring.Unlock()
+		s.store.SetFault(fakeplatform.FaultReset)
+		time.Sleep(leastFault)
+		lost := s.store.Restore(before)
+		s.store.SetFault(fakeplatform.FaultNone)
+		for _, key := range lost {
+			time.Sleep(rewritePause)
+			s.store.Rewrite(key)
+		}
+	}}
+}
+
 func (s *soak) onLink(name string, store bool, l *link) fault {
 	faults := []linkFault{linkCut, linkSlow, linkSilent, linkSilentBack}
 	f := faults[s.random.IntN(len(faults))]
--- a/cmd/fescuelatch-load/soak/soak.go
+++ b/cmd/fescuelatch-load/soak/soak.go
@@ -66,6 +66,9 @@
 	began     time.Time
 	client    *http.Transport
 
+	// restoring is held while the store comes back from a copy.
+	restoring sync.Mutex
+
 	mu     sync.Mutex
 	report Report
 	calls  []*call
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -83,6 +83,8 @@
 	process string
 	// sources is used by the loop that follows the store only.
 	sources sources
+	// recordLost tells that the store may have lost this daemon's record.
+	recordLost chan struct{}
 
 	// mu guards the fields below it, which make up the decisions.
 	mu       sync.Mutex
@@ -108,12 +110,13 @@
 	log := o.Log.With("vm", o.VM)
 	d := &Daemon{
 		options: o, log: log, metrics: newMetrics(o.Scope), life: lifecycle.New(log),
-		known:    newKnowledge(o.Notation, log),
-		rollouts: make(map[fescuelatch.ServiceID]*rolling),
-		servings: make(map[fescuelatch.RequestID]*serving),
-		members:  1,
-		process:  uuid.NewString(),
-		bounds:   o.Bounds,
+		known:      newKnowledge(o.Notation, log),
+		rollouts:   make(map[fescuelatch.ServiceID]*rolling),
+		servings:   make(map[fescuelatch.RequestID]*serving),
+		members:    1,
+		process:    uuid.NewString(),
+		bounds:     o.Bounds,
+		recordLost: make(chan struct{}, 1),
 	}
 	d.budget = shared.NewBudget(o.Bounds.Retries, func() int { return d.members })
 	d.endpoints = &endpoint.Client{
--- a/direct/errors.go
+++ b/direct/errors.go
@@ -10,6 +10,7 @@
 	KindListen  ErrorKind = "listen"
 	KindInvalid ErrorKind = "invalid"
 	KindPeer    ErrorKind = "peer"
+	KindStore   ErrorKind = "store"
 	// KindUnreachable means that no daemon answers.
 	KindUnreachable ErrorKind = "unreachable"
 )
--- a/direct/follow.go
+++ b/direct/follow.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fescuelatch"
 	"fescuelatch/chart"
 	"fescuelatch/internal/pause"
@@ -90,7 +91,7 @@
 			scan = false
 			backoff = backoffLeast
 		case errors.Is(err, fescuelatch.ErrHistoryGone):
-			d.log.Info("history of the store is gone; it is read anew")
+			d.log.Info("history of the store is gone; it is read anew", "error", err.Error())
 			scan = true
 			wait = 0
 		default:
@@ -127,15 +128,28 @@
 	if err != nil {
 		return err //nolint:wrapcheck // Only its kind is looked at.
 	}
-	now := time.Now()
+	return d.takeChanges(time.Now(), c, scan)
+}
+
+// takeChanges takes in an answer of the store. One of an earlier era tells
+// nothing, and after changes of a later one everything has to be read anew.
+func (d *Daemon) takeChanges(now time.Time, c fescuelatch.Changes, scan bool) error {
+	const op = "follow store"
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	restored := d.known.earlier(c.Era)
+	switch {
+	case c.Era != 0 && c.Era < d.known.era:
+		return &Error{op, KindStore, errors.Errorf("the answer is of era %d, before %d", c.Era, d.known.era)}
+	case restored && !scan:
+		return &Error{op, KindStore, errors.Wrapf(fescuelatch.ErrHistoryGone, "era %d has followed %d", c.Era, d.known.era)}
+	}
 	back := d.store.answered(now)
 	if back {
 		d.log.Info("store is back")
 		d.life.FireIfPossible(chart.EventRejoin)
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if back {
+	if back && !restored {
 		d.known.returned(now, c)
 	}
 	if scan {
@@ -143,6 +157,9 @@
 	} else {
 		d.known.apply(now, c)
 	}
+	if restored {
+		d.recordAgainLocked(now)
+	}
 	settled := d.known.settle(now)
 	if scan || settled || len(c.Items) > 0 {
 		d.refreshLocked(now)
--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"fescuelatch"
 )
 
@@ -35,17 +37,29 @@
 
 	// items holds every key, for daemons that start while the store is away.
 	items map[string]fescuelatch.KeyValue
-	// revision is that up to which the store is known.
+	// revision is that up to which the store is known, in an era.
 	revision int64
+	era      int64
+	// copied is the revision from which on everything was written in this era,
+	// when the store came back from a copy. It is zero otherwise.
+	copied int64
+	// restoredAt is when the store was last seen to have come back from a copy.
+	restoredAt time.Time
+	// read reports that the store itself, or a daemon that follows it, has told
+	// everything.
+	read bool
 	// writes is the usual progress of the revision.
 	writes writeRate
 	// passedOn reports that the changes being applied were read from the store by
 	// another daemon.
 	passedOn bool
-	// heldUntil is the end of the time in which removals are held, and held
-	// the keys that were removed.
+	// heldUntil is the end of the time in which removals are held because
+	// their writers may not have reached the store, and held the keys that
+	// were removed with the ends of their own times.
 	heldUntil time.Time
-	held      map[string]bool
+	held      map[string]time.Time
+	// gone holds the last registrations of endpoints that are gone.
+	gone *simplelru.LRU[fescuelatch.EndpointID, fescuelatch.Registration]
 	// journal holds the changes in substance, for daemons that follow the
 	// store through this one.
 	journal journal
@@ -61,13 +75,15 @@
 // write theirs again and again, and a cold start goes on by itself.
 func (r registered) same(o fescuelatch.Registration) bool {
 	longer := o.ColdFor > 0 && (r.ColdFor == 0 || o.ColdFor > r.ColdFor)
-	o.ColdFor = r.ColdFor
+	o.ColdFor, o.Sequence = r.ColdFor, r.Sequence
 	return r.Registration == o && !longer
 }
 
 func newKnowledge(n fescuelatch.Notation, log *slog.Logger) *knowledge {
+	// The size is a positive constant, which is all that is checked.
+	gone, _ := simplelru.NewLRU[fescuelatch.EndpointID, fescuelatch.Registration](maxGone, nil)
 	return &knowledge{
-		notation: n, log: log,
+		notation: n, log: log, gone: gone,
 		endpoints: make(map[fescuelatch.EndpointID]registered),
 		out:       make(map[fescuelatch.DomainID]bool),
 		orders:    make(map[fescuelatch.ServiceID]fescuelatch.RolloutOrder),
@@ -75,7 +91,7 @@
 		members:   make(map[fescuelatch.VMID]member),
 		records:   make(map[string]fescuelatch.KeyValue),
 		items:     make(map[string]fescuelatch.KeyValue),
-		held:      make(map[string]bool),
+		held:      make(map[string]time.Time),
 		journal:   newJournal(),
 	}
 }
@@ -115,11 +131,13 @@
 // the store for longer than a store that has just returned is there.
 const regularWrites = 2
 
-// apply takes in changes in the order of their revisions.
+// apply takes in changes in the order of their revisions. They are of the era
+// that is known, or the first.
 func (k *knowledge) apply(now time.Time, c fescuelatch.Changes) {
+	k.era = max(k.era, c.Era)
 	for _, i := range c.Items {
 		if i.Removed {
-			k.remove(now, i.Key, i.Revision)
+			k.remove(now, i.KeyValue, k.lapsesUntil(i.Key))
 		} else {
 			k.put(now, i.KeyValue)
 		}
@@ -129,50 +147,70 @@
 }
 
 // replace takes in everything that the store holds: what is missing has been
-// removed.
+// removed, unless the store has come back from a copy that did not have it.
 func (k *knowledge) replace(now time.Time, c fescuelatch.Changes) {
+	restored := k.earlier(c.Era)
+	if restored {
+		k.restored(now, c)
+	}
 	present := make(map[string]bool, len(c.Items))
 	for _, i := range c.Items {
 		present[i.Key] = true
 	}
 	for key := range k.items {
-		if !present[key] {
-			k.remove(now, key, c.Revision)
+		if present[key] {
+			continue
 		}
+		until := k.lapsesUntil(key)
+		if restored {
+			until = now.Add(k.rewriteTime(key))
+		}
+		k.remove(now, fescuelatch.KeyValue{Key: key, Revision: c.Revision, Era: c.Era}, until)
 	}
-	k.revision = 0
+	k.revision, k.era, k.read = 0, max(k.era, c.Era), true
 	k.apply(now, c)
 }
 
 // settle carries out the removals that were held, once their time is over. It
 // reports whether there were any.
 func (k *knowledge) settle(now time.Time) bool {
-	if now.Before(k.heldUntil) || len(k.held) == 0 {
-		return false
-	}
-	for key := range k.held {
+	settled := false
+	for key, until := range k.held {
+		if now.Before(until) {
+			continue
+		}
 		k.forget(key)
+		delete(k.held, key)
+		settled = true
 	}
-	clear(k.held)
-	return true
+	return settled
 }
 
 func (k *knowledge) put(now time.Time, kv fescuelatch.KeyValue) {
-	if before, ok := k.items[kv.Key]; ok && before.Revision >= kv.Revision {
+	subject := k.notation.Subject(kv.Key)
+	before, known := k.items[kv.Key]
+	if k.outdated(subject, kv) {
+		if known {
+			delete(k.held, kv.Key)
+			kv.Value = before.Value
+			k.items[kv.Key] = kv
+		}
+		return
+	}
+	if known && !kv.After(before) {
 		delete(k.held, kv.Key)
 		return
 	}
 	k.items[kv.Key] = kv
 	delete(k.held, kv.Key)
-	subject := k.notation.Subject(kv.Key)
-	before, registered := k.endpoints[fescuelatch.EndpointID(subject.ID)]
+	endpoint, registered := k.endpoints[fescuelatch.EndpointID(subject.ID)]
 	err := k.decode(now, subject, kv)
 	if err != nil || subject.Kind != fescuelatch.SubjectEndpoint || !registered ||
-		!before.same(k.endpoints[fescuelatch.EndpointID(subject.ID)].Registration) {
+		!endpoint.same(k.endpoints[fescuelatch.EndpointID(subject.ID)].Registration) {
 		k.journal.add(fescuelatch.StoredItem{KeyValue: kv})
 	}
 	if err != nil {
-		k.log.Warn("entry of the store cannot be used", "key", kv.Key, "revision", kv.Revision, "error", err.Error())
+		k.log.Warn("entry of the store cannot be used", "key", kv.Key, "revision", kv.Revision, "era", kv.Era, "error", err.Error())
 	}
 }
 
@@ -247,32 +285,44 @@
 	k.log.Log(context.Background(), level, message, args...)
 }
 
-func (k *knowledge) remove(now time.Time, key string, revision int64) {
-	before, known := k.items[key]
-	if !known || before.Revision > revision {
+// remove takes in that a key is gone, at once or at the end of the time in which
+// it may be written again.
+func (k *knowledge) remove(now time.Time, kv fescuelatch.KeyValue, until time.Time) {
+	before, known := k.items[kv.Key]
+	if !known || before.After(kv) {
 		return
 	}
-	if now.Before(k.heldUntil) && k.lapses(key) {
-		k.held[key] = true
+	if now.Before(until) {
+		k.held[kv.Key] = until
 		return
 	}
-	k.forget(key)
+	delete(k.held, kv.Key)
+	k.forget(kv.Key)
 }
 
-// lapses reports whether a key may vanish because its writer could not reach
-// the store.
-func (k *knowledge) lapses(key string) bool {
+// lapsesUntil returns until when the removal of a key is held because its writer
+// may not have reached the store.
+func (k *knowledge) lapsesUntil(key string) time.Time {
 	s := k.notation.Subject(key)
-	return s.Kind == fescuelatch.SubjectEndpoint || s.Kind == fescuelatch.SubjectRecord
+	if s.Kind == fescuelatch.SubjectEndpoint || s.Kind == fescuelatch.SubjectRecord {
+		return k.heldUntil
+	}
+	return time.Time{}
 }
 
 func (k *knowledge) forget(key string) {
-	revision := max(k.revision, k.items[key].Revision)
-	k.journal.add(fescuelatch.StoredItem{KeyValue: fescuelatch.KeyValue{Key: key, Revision: revision}, Removed: true})
+	removal := fescuelatch.KeyValue{Key: key, Revision: k.revision, Era: k.era}
+	if k.items[key].After(removal) {
+		removal.Revision = k.items[key].Revision
+	}
+	k.journal.add(fescuelatch.StoredItem{KeyValue: removal, Removed: true})
 	delete(k.items, key)
 	s := k.notation.Subject(key)
 	switch s.Kind {
 	case fescuelatch.SubjectEndpoint:
+		if e, ok := k.endpoints[fescuelatch.EndpointID(s.ID)]; ok {
+			k.gone.Add(e.Endpoint.ID, e.Registration)
+		}
 		delete(k.endpoints, fescuelatch.EndpointID(s.ID))
 		k.logEndpoint("endpoint gone", "endpoint", s.ID)
 	case fescuelatch.SubjectDomainOut:
--- a/direct/members.go
+++ b/direct/members.go
@@ -21,6 +21,10 @@
 // renewals is the number of times that a lease is renewed within its time.
 const renewals = 3
 
+// recordSpread is the time over which daemons that have all lost their records
+// write them again.
+const recordSpread = time.Second
+
 // keepRecord keeps this daemon's record in the store until ctx ends.
 func (d *Daemon) keepRecord(ctx context.Context) {
 	var lease int64
@@ -33,12 +37,28 @@
 			lease = 0
 			continue
 		}
-		if !pause.For(ctx, interval/2+rand.N(interval/2)) {
+		select {
+		case <-time.After(interval/2 + rand.N(interval/2)):
+		case <-d.recordLost:
+			// The lease may have been given out again, to another daemon.
+			lease = 0
+			if !pause.For(ctx, rand.N(recordSpread)) {
+				return
+			}
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// loseRecord has the record written again, with a new lease.
+func (d *Daemon) loseRecord() {
+	select {
+	case d.recordLost <- struct{}{}:
+	default: // It will be already.
+	}
+}
+
 // writeRecord writes the record with a new lease, which it returns, or 0 when
 // it could not be written.
 func (d *Daemon) writeRecord(ctx context.Context) int64 {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -24,38 +24,50 @@
 // peerServer serves the calls of other daemons.
 type peerServer struct{ daemon *Daemon }
 
+// learnRounds is the number of times that a daemon asks its seeds what the store
+// may have lost.
+const learnRounds = 3
+
 // learnFromPeers asks the seeds until something is known, from them or from
-// the store.
+// the store, and then once what the store may have lost.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
-	for pause.For(ctx, learnAfter) {
-		if d.inForce.Load() != nil {
+	for rounds := 0; rounds < learnRounds && pause.For(ctx, learnAfter); {
+		d.mu.Lock()
+		read := d.known.read
+		d.mu.Unlock()
+		switch {
+		case read && d.learnUnwritten(ctx):
 			return
+		case read:
+			rounds++
+		case d.inForce.Load() == nil:
+			d.askSeeds(ctx, "peer does not tell what is in force", func(seed netip.AddrPort) error { return d.learnFrom(ctx, seed) })
+		}
+	}
+}
+
+// askSeeds asks the seeds one after the other until one has answered, and reports
+// whether one has. Daemons that start together do not all ask the same one first.
+func (d *Daemon) askSeeds(ctx context.Context, failed string, ask func(netip.AddrPort) error) bool {
+	for _, i := range rand.Perm(len(d.options.Seeds)) {
+		seed := d.options.Seeds[i]
+		if seed == d.options.Control || ctx.Err() != nil {
+			continue
 		}
-		// Daemons that start together do not all ask the same one.
-		for _, i := range rand.Perm(len(d.options.Seeds)) {
-			seed := d.options.Seeds[i]
-			if seed == d.options.Control {
-				continue
-			}
-			if err := d.learnFrom(ctx, seed); err != nil {
-				d.log.Debug("peer does not tell what is in force", "peer", seed.String(), "error", err.Error())
-				continue
-			}
-			break
+		if err := ask(seed); err != nil {
+			d.log.Debug(failed, "peer", seed.String(), "error", err.Error())
+			continue
 		}
+		return true
 	}
+	return false
 }
 
 // learnFrom takes in what another daemon knows, unless the store has answered
 // in the meantime.
 func (d *Daemon) learnFrom(ctx context.Context, seed netip.AddrPort) error {
 	s := &source{address: seed}
-	defer func() {
-		if s.client != nil {
-			// The connection is not used any more, however its close ends.
-			_ = s.client.Close()
-		}
-	}()
+	defer s.close()
 	reply, err := s.ask(ctx, d.options.VM)
 	if err != nil {
 		return err
@@ -66,7 +78,7 @@
 	if d.known.usable() || len(reply.Items) == 0 {
 		return nil
 	}
-	d.known.apply(now, fescuelatch.Changes{Revision: reply.Revision, Items: reply.Items})
+	d.known.apply(now, fescuelatch.Changes{Revision: reply.Revision, Era: reply.Era, Items: reply.Items})
 	d.log.Info("learned from a peer what is in force", "peer", seed.String(), "revision", reply.Revision, "age", reply.Age.String())
 	d.refreshLocked(now)
 	return nil
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -76,6 +76,15 @@
 	j.changed = make(chan struct{})
 }
 
+// restart forgets all changes, so that whoever asks for the next ones gets
+// everything.
+func (j *journal) restart() {
+	j.changes, j.bytes = nil, 0
+	j.next++
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
 // trim forgets the oldest changes beyond the bounds. Half of them go at once,
 // so that the rest is not moved with each change.
 func (j *journal) trim() {
@@ -114,6 +123,8 @@
 	Next     int64
 	Full     bool
 	Revision int64
+	// Era is that of the store in which Revision counts.
+	Era int64
 	// Age is the time since the store last answered. Settling reports that
 	// the store has been away and that what has lapsed is not known yet.
 	Age      time.Duration
@@ -141,7 +152,7 @@
 	k := d.known
 	now := time.Now()
 	*reply = ChangesReply{
-		Process: d.process, Next: k.journal.next, Revision: k.revision,
+		Process: d.process, Next: k.journal.next, Revision: k.revision, Era: k.era,
 		Age: d.store.age(now), Settling: now.Before(k.heldUntil),
 	}
 	if q.Process == d.process {
@@ -254,9 +265,8 @@
 }
 
 func (s *sources) drop() {
-	if s.current != nil && s.current.client != nil {
-		// The connection is not used any more, however its close ends.
-		_ = s.current.client.Close()
+	if s.current != nil {
+		s.current.close()
 	}
 	s.current = nil
 }
@@ -288,12 +298,18 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if reply.Revision < d.known.revision {
+	restored := d.known.earlier(reply.Era)
+	switch {
+	case reply.Era < d.known.era:
+		return &Error{"follow source", KindPeer, errors.Errorf("it is in era %d, before %d", reply.Era, d.known.era)}
+	case restored && !reply.Full:
+		return &Error{"follow source", KindPeer, errors.Errorf("it tells changes of era %d only, after %d", reply.Era, d.known.era)}
+	case !restored && reply.Revision < d.known.revision:
 		return &Error{"follow source", KindPeer, errors.Errorf("it is at revision %d, behind %d", reply.Revision, d.known.revision)}
 	}
 	s.process, s.next = reply.Process, reply.Next
 	d.store.answered(now.Add(-reply.Age))
-	c := fescuelatch.Changes{Revision: reply.Revision, Items: reply.Items}
+	c := fescuelatch.Changes{Revision: reply.Revision, Era: reply.Era, Items: reply.Items}
 	d.known.passedOn = true
 	if reply.Full {
 		d.known.replace(now, c)
@@ -301,6 +317,9 @@
 		d.known.apply(now, c)
 	}
 	d.known.passedOn = false
+	if restored {
+		d.recordAgainLocked(now)
+	}
 	if len(c.Items) > 0 {
 		d.log.Info("changes taken in from a source", "source", s.vm, "keys", len(c.Items), "everything", reply.Full,
 			"revision", reply.Revision, "age", reply.Age.Round(time.Millisecond).String(), "endpoints", len(d.known.endpoints))
@@ -309,28 +328,44 @@
 	return nil
 }
 
-// ask calls the source within its time.
+// ask asks the source for changes.
 func (s *source) ask(ctx context.Context, self fescuelatch.VMID) (*ChangesReply, error) {
-	const op = "follow source"
+	reply := new(ChangesReply)
+	q := ChangesRequest{From: self, Process: s.process, Next: s.next, Wait: watchWait}
+	if err := s.call(ctx, "Changes", q, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// call calls the source within its time.
+func (s *source) call(ctx context.Context, method string, request, reply any) error {
+	const op = "ask peer"
 	ctx, cancel := context.WithTimeout(ctx, watchWait+sourceTimeout)
 	defer cancel()
 	if s.client == nil {
 		c, err := dialPeer(ctx, s.address)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		s.client = c
 	}
-	reply := new(ChangesReply)
-	q := ChangesRequest{From: self, Process: s.process, Next: s.next, Wait: watchWait}
-	call := s.client.Go(peerService+".Changes", q, reply, make(chan *rpc.Call, 1))
+	call := s.client.Go(peerService+"."+method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error != nil {
-			return nil, &Error{op, KindPeer, call.Error}
+			return &Error{op, KindPeer, call.Error}
 		}
-		return reply, nil
+		return nil
 	case <-ctx.Done():
-		return nil, &Error{op, KindPeer, ctx.Err()}
+		return &Error{op, KindPeer, ctx.Err()}
+	}
+}
+
+// close ends the use of the source.
+func (s *source) close() {
+	if s.client != nil {
+		// The connection is not used any more, however its close ends.
+		_ = s.client.Close()
 	}
 }
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -85,7 +86,13 @@
 // other daemons have recorded.
 func (d *Daemon) followRollouts(now time.Time) {
 	for s, r := range d.rollouts {
-		if o, ok := d.known.orders[s]; !ok || o.Revision != r.Order().Revision {
+		o, ok := d.known.orders[s]
+		switch {
+		case ok && r.Order().Reissued(o):
+			r.Reissue(o)
+			r.recordAgain(now)
+			d.log.Info("roll-out goes on under its order as the store has it now", "service", s, "release", o.Target, "state", r.State(), "revision", o.Revision, "era", o.Era)
+		case !ok || o != r.Order():
 			delete(d.rollouts, s)
 		}
 	}
@@ -99,7 +106,7 @@
 		d.takeRecord(now, id, kv)
 	}
 	for s, st := range d.known.statuses {
-		if r := d.rollouts[s]; r != nil && st.Target == r.Order().Target && st.Revision > r.Order().Revision {
+		if r := d.rollouts[s]; r != nil && st.Answers(r.Order()) {
 			r.Recorded(st.State)
 		}
 	}
@@ -131,6 +138,13 @@
 	return true
 }
 
+// recordAgain has everything that this daemon had written of the roll-out
+// written once more, at times that differ among daemons.
+func (r *rolling) recordAgain(now time.Time) {
+	r.told, r.toldAt = rollout.Evidence{}, now.Add(-rand.N(tellInterval))
+	r.progress = 0
+}
+
 // driveRollouts advances roll-outs until ctx ends.
 func (d *Daemon) driveRollouts(ctx context.Context) {
 	for pause.For(ctx, d.untilDrive(time.Now())) {
@@ -184,7 +198,7 @@
 // recordsOf returns what this daemon should record of a roll-out.
 func (d *Daemon) recordsOf(now time.Time, s fescuelatch.ServiceID, r *rolling) []fescuelatch.KVTxn {
 	status, recorded := d.known.statuses[s]
-	recorded = recorded && status.Target == r.Order().Target && status.Revision > r.Order().Revision
+	recorded = recorded && status.Answers(r.Order())
 	if recorded && status.State != fescuelatch.RolloutInProgress {
 		return d.removeRecords(now, s, r)
 	}
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -19,11 +20,19 @@
 	tries     = 100
 )
 
-// Free returns an address on which nothing listens.
+// given holds the ports that this process has been given, which it may not
+// listen on yet.
+var given sync.Map
+
+// Free returns an address on which nothing listens, and which it has not
+// returned before.
 func Free() (netip.AddrPort, error) {
 	var last error
 	for range tries {
 		port := uint16(firstPort + rand.IntN(lastPort-firstPort+1)) //nolint:gosec // Within the bounds of a port.
+		if _, twice := given.LoadOrStore(port, true); twice {
+			continue
+		}
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
 		if err != nil {
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -30,3 +30,15 @@
 		c.Assert(l.Close(), qt.IsNil)
 	}
 }
+
+// TestFreeOnce checks that no address is given twice before it is listened on.
+func TestFreeOnce(t *testing.T) {
+	c := qt.New(t)
+	seen := make(map[string]bool)
+	for range 500 {
+		a, err := loopback.Free()
+		c.Assert(err, qt.IsNil)
+		c.Assert(seen[a.String()], qt.IsFalse, qt.Commentf("%s was given before", a))
+		seen[a.String()] = true
+	}
+}
--- a/platform.go
+++ b/platform.go
@@ -13,6 +13,18 @@
 	Value []byte
 	// Revision is that of the last change of the key; zero means absent.
 	Revision int64
+	// Era is that of the store in which the key was read; zero means that
+	// the store tells none.
+	Era int64
+}
+
+// After reports whether kv was written after o: revisions are given out again
+// in a later era.
+func (kv KeyValue) After(o KeyValue) bool {
+	if kv.Era != o.Era && kv.Era != 0 && o.Era != 0 {
+		return kv.Era > o.Era
+	}
+	return kv.Revision > o.Revision
 }
 
 // KVOp is one step of a transaction: a put, a delete, a range read, or a
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -83,6 +83,12 @@
 // Order returns the order that is carried out.
 func (r *Rollout) Order() fescuelatch.RolloutOrder { return r.order }
 
+// Reissue goes on under the same order, as it was written again.
+func (r *Rollout) Reissue(o fescuelatch.RolloutOrder) {
+	r.order = o
+	r.own.Revision = o.Revision
+}
+
 // State returns the stage of the roll-out.
 func (r *Rollout) State() chart.State { return r.life.State() }
 
--- a/route.go
+++ b/route.go
@@ -183,6 +183,17 @@
 	ColdFor time.Duration `json:"cold-for-ns,omitempty"`
 	// Born tells apart successive processes of the same identifier.
 	Born int64 `json:"born"`
+	// Sequence grows with what a process says of itself.
+	Sequence int64 `json:"sequence"`
+}
+
+// Outdates reports whether o, of the same endpoint, was said before r or at the
+// same time.
+func (r Registration) Outdates(o Registration) bool {
+	if r.Born != o.Born {
+		return r.Born > o.Born
+	}
+	return r.Sequence >= o.Sequence
 }
 
 // RolloutOrder asks to move a service's requests to a release.
@@ -193,6 +204,14 @@
 	Within time.Duration
 	// Revision identifies the order: a repeated order has another one.
 	Revision int64
+	// Era is that of the store in which the order was read.
+	Era int64
+}
+
+// Reissued reports whether o is the same order as r, written again after the
+// store has come back from a copy.
+func (r RolloutOrder) Reissued(o RolloutOrder) bool {
+	return o.Era > r.Era && o.Service == r.Service && o.Target == r.Target && o.Within == r.Within
 }
 
 // RolloutState is how far a roll-out has come, as all daemons agreed on.
@@ -210,8 +229,15 @@
 	Service ServiceID
 	Target  ReleaseID
 	State   RolloutState
-	// Revision is that of the record, for a conditional write.
+	// Revision is that of the record, for a conditional write, in an Era.
 	Revision int64
+	Era      int64
+}
+
+// Answers reports whether the status is about an order: it was recorded after
+// the order and names the same target.
+func (s RolloutStatus) Answers(o RolloutOrder) bool {
+	return s.Target == o.Target && s.Era >= o.Era && (s.Era > o.Era || s.Revision > o.Revision)
 }
 
 // PromptPart is a leading part of a prompt. Engines cache parts in order, so
--- a/surroundings.go
+++ b/surroundings.go
@@ -32,7 +32,11 @@
 // Changes are keys of the store as of a revision.
 type Changes struct {
 	Revision int64
-	Items    []StoredItem
+	// Era counts how often the store has come back from a copy: what it had
+	// acknowledged since the copy was made is gone then, and revisions are
+	// given out again. Zero means that the store does not tell.
+	Era   int64
+	Items []StoredItem
 }
 
 // StoredItem is a key of the store, or its removal.
