A planned stop closes idle connections only while nothing is read there

On a VM that is short of processor time the request may lie there read for a third of a second. Now idle connections end by a deadline of their read, which takes no bytes, or comes too late because some were read; answers of streams that began before the stop leave their connections open for half a second.

Ruled out: a longer drain before the close, which moves the moment only.

--- a/direct/front.go
+++ b/direct/front.go
@@ -42,7 +42,8 @@
 // serveFronts opens the listeners. The returned function ends the service of
 // callers: it waits for their requests until its context ends.
 func (d *Daemon) serveFronts(ctx context.Context, g *errgroup.Group) (func(context.Context), error) {
-	callers, err := d.serve(ctx, g, "callers", d.options.Callers, d.closing.Handler(http.HandlerFunc(d.serveCall)))
+	connections := new(graceful.Connections)
+	callers, err := d.serve(ctx, g, "callers", d.options.Callers, d.closing.Handler(http.HandlerFunc(d.serveCall)), connections)
 	if err != nil {
 		return nil, err
 	}
@@ -59,11 +60,12 @@
 		if !o.address.IsValid() {
 			continue
 		}
-		if _, err := d.serve(ctx, g, o.name, o.address, o.handler); err != nil {
+		if _, err := d.serve(ctx, g, o.name, o.address, o.handler, nil); err != nil {
 			return nil, err
 		}
 	}
 	return func(stop context.Context) {
+		connections.CloseIdle(stop)
 		if err := callers.Shutdown(stop); err != nil {
 			d.log.Warn("requests were still open at the end of the grace", "error", err.Error())
 		}
@@ -71,7 +73,8 @@
 	}, nil
 }
 
-func (d *Daemon) serve(ctx context.Context, g *errgroup.Group, name string, address netip.AddrPort, h http.Handler) (*http.Server, error) {
+// serve opens a listener. Its connections are told to cs unless that is nil.
+func (d *Daemon) serve(ctx context.Context, g *errgroup.Group, name string, address netip.AddrPort, h http.Handler, cs *graceful.Connections) (*http.Server, error) {
 	c := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2,
 	}}
@@ -86,6 +89,9 @@
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
 	}
+	if cs != nil {
+		l, s.ConnState = cs.Listener(l), cs.Changed
+	}
 	g.Go(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return &Error{"serve " + name, KindListen, err}
--- /dev/null
+++ b/direct/stop_test.go
@@ -0,0 +1,92 @@
+package direct_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// This file tests planned stops beside requests that are just being sent.
+
+// keptConnection is a caller's connection on which requests follow each other.
+type keptConnection struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+func (s *site) keep() *keptConnection {
+	s.Helper()
+	k, err := net.Dial("tcp", s.callers.String())
+	s.Assert(err, qt.IsNil)
+	s.Cleanup(func() { _ = k.Close() })
+	return &keptConnection{k, bufio.NewReader(k)}
+}
+
+// request returns a whole request as a caller sends it.
+func request(id string) string {
+	return fmt.Sprintf("POST /ban/ HTTP/1.1\r\nHost: desk.example\r\nFescuelatch-Attempt-Id: %s\r\n"+
+		"Fescuelatch-Deadline-Ms: 3000\r\nX-Api-Key: %s\r\nContent-Length: 4\r\n\r\nbody", id, callerKey)
+}
+
+// answer reads the answer to the last request.
+func (k *keptConnection) answer() (*http.Response, error) {
+	if err := k.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		return nil, err
+	}
+	res, err := http.ReadResponse(k.answers, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return res, err
+}
+
+// TestStopDuringRequest checks that a request of which the daemon has read a part
+// is answered, though the daemon closes its idle connections in the meantime.
+func TestStopDuringRequest(t *testing.T) {
+	tests := []struct {
+		name  string
+		first int // bytes that arrive before the connections are closed
+	}{
+		{"a few bytes have arrived", 5},
+		{"the head has arrived in part", 60},
+		{"the body is missing", len(request("1")) - 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const grace = 4 * time.Second
+			s := newSiteWithGrace(t, "desk", 1, grace)
+			s.awaitReady()
+			kept, idle := s.keep(), s.keep()
+			for i, k := range []*keptConnection{kept, idle} {
+				_, err := io.WriteString(k, request(fmt.Sprint("first-", i)))
+				s.Assert(err, qt.IsNil)
+				res, err := k.answer()
+				s.Assert(err, qt.IsNil)
+				s.Check(res.Close, qt.IsFalse)
+			}
+			s.stop()
+			time.Sleep(grace/2 - 100*time.Millisecond)
+			r := request("second")
+			_, err := io.WriteString(kept, r[:test.first])
+			s.Assert(err, qt.IsNil)
+			time.Sleep(300 * time.Millisecond)
+			_, err = idle.answers.Peek(1)
+			s.Check(err, qt.Equals, io.EOF, qt.Commentf("an idle connection is closed in order"))
+			_, err = io.WriteString(kept, r[test.first:])
+			s.Assert(err, qt.IsNil)
+			res, err := kept.answer()
+			s.Assert(err, qt.IsNil)
+			s.Check(res.StatusCode, qt.Equals, http.StatusOK)
+			s.Check(res.Close, qt.IsTrue)
+			<-s.stopped
+		})
+	}
+}
