A daemon that is about to end takes only requests that can end before it

From the time on at which the balancer sends no callers any more, requests whose time ends after the grace are refused as not run.

--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -78,7 +78,10 @@
 	// view and deployment are in force together.
 	inForce  atomic.Pointer[inForce]
 	stopping atomic.Bool
-	store    storeState
+	// stopEnd is set once the balancer sends no callers here any more, to the time at
+	// which requests that still run are cut.
+	stopEnd atomic.Pointer[time.Time]
+	store   storeState
 	// process tells apart successive processes of this VM.
 	process string
 	// sources is used by the loop that follows the store only.
@@ -309,7 +312,9 @@
 	d.stopping.Store(true)
 	d.closing.Begin()
 	time.Sleep(min(drainTime, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
+	end := began.Add(grace - stopMargin)
+	d.stopEnd.Store(&end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	fronts(ctx)
 	d.removeRecord()
--- a/direct/front.go
+++ b/direct/front.go
@@ -37,6 +37,9 @@
 	// unreadyRetryAfter is told to callers of a daemon that knows no
 	// configuration yet.
 	unreadyRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is told to callers of a daemon that is about to end. Other
+	// daemons take their next connections.
+	stoppingRetryAfter = 100 * time.Millisecond
 )
 
 // serveFronts opens the listeners. The returned function ends the service of
@@ -123,6 +126,7 @@
 	codeNotReady   = "not-ready"
 	codeSlowBody   = "body-too-slow"
 	codeCallerLeft = "caller-left"
+	codeStopping   = "stopping"
 )
 
 // serveCall serves one request of a caller.
@@ -153,6 +157,10 @@
 		}
 		account = a.ID
 	}
+	if end := d.stopEnd.Load(); end != nil && arrived.Add(timeOf(route, call)).After(*end) {
+		d.reject(w, r, route.ID, http.StatusServiceUnavailable, codeStopping, stoppingRetryAfter)
+		return
+	}
 	body, ok := d.readBody(w, r, f.deployment, route, arrived.Add(timeOf(route, call)))
 	if !ok {
 		return
--- a/direct/stop_test.go
+++ b/direct/stop_test.go
@@ -29,9 +29,9 @@
 }
 
 // request returns a whole request as a caller sends it.
-func request(id string) string {
+func request(id string, deadline time.Duration) string {
 	return fmt.Sprintf("POST /ban/ HTTP/1.1\r\nHost: desk.example\r\nFescuelatch-Attempt-Id: %s\r\n"+
-		"Fescuelatch-Deadline-Ms: 3000\r\nX-Api-Key: %s\r\nContent-Length: 4\r\n\r\nbody", id, callerKey)
+		"Fescuelatch-Deadline-Ms: %d\r\nX-Api-Key: %s\r\nContent-Length: 4\r\n\r\nbody", id, deadline.Milliseconds(), callerKey)
 }
 
 // answer reads the answer to the last request.
@@ -49,15 +49,19 @@
 }
 
 // TestStopDuringRequest checks that a request of which the daemon has read a part
-// is answered, though the daemon closes its idle connections in the meantime.
+// is answered, though the daemon closes its idle connections in the meantime. One
+// that may take longer than the daemon has left is refused as not run.
 func TestStopDuringRequest(t *testing.T) {
 	tests := []struct {
 		name  string
 		first int // bytes that arrive before the connections are closed
+		time  time.Duration
+		want  int
 	}{
-		{"a few bytes have arrived", 5},
-		{"the head has arrived in part", 60},
-		{"the body is missing", len(request("1")) - 4},
+		{"a few bytes have arrived", 5, time.Second, http.StatusOK},
+		{"the head has arrived in part", 60, time.Second, http.StatusOK},
+		{"the body is missing", len(request("second", time.Second)) - 4, time.Second, http.StatusOK},
+		{"it may take too long", 60, 2 * time.Second, http.StatusServiceUnavailable},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -66,7 +70,7 @@
 			s.awaitReady()
 			kept, idle := s.keep(), s.keep()
 			for i, k := range []*keptConnection{kept, idle} {
-				_, err := io.WriteString(k, request(fmt.Sprint("first-", i)))
+				_, err := io.WriteString(k, request(fmt.Sprint("first-", i), time.Second))
 				s.Assert(err, qt.IsNil)
 				res, err := k.answer()
 				s.Assert(err, qt.IsNil)
@@ -74,7 +78,7 @@
 			}
 			s.stop()
 			time.Sleep(grace/2 - 100*time.Millisecond)
-			r := request("second")
+			r := request("second", test.time)
 			_, err := io.WriteString(kept, r[:test.first])
 			s.Assert(err, qt.IsNil)
 			time.Sleep(300 * time.Millisecond)
@@ -84,7 +88,7 @@
 			s.Assert(err, qt.IsNil)
 			res, err := kept.answer()
 			s.Assert(err, qt.IsNil)
-			s.Check(res.StatusCode, qt.Equals, http.StatusOK)
+			s.Check(res.StatusCode, qt.Equals, test.want)
 			s.Check(res.Close, qt.IsTrue)
 			<-s.stopped
 		})
