Daemons that are cut off from most failure domains leave the rotation

A daemon for which more than half of the failure domains are dark, and that reaches no daemon there either, now answers that it is not ready, announces the close of its callers' connections once the balancer has noticed, and names the time until then in Retry-After. It goes on serving what comes, and takes part again for 5 s after each 15 s, in case that all domains are cut off.

Ruled out: judging by the store's silence, which shows seconds later. Not built: taking in endpoints of the cut domain that came back unregistered; whom they belong to and which version they have cannot be told there for services without a report.

--- a/direct/control.go
+++ b/direct/control.go
@@ -53,6 +53,7 @@
 	Domain     fescuelatch.DomainID              `json:"failure-domain"`
 	Life       chart.State                       `json:"state"`
 	Ready      bool                              `json:"ready"`
+	Isolated   bool                              `json:"isolated"`
 	Generation fescuelatch.Generation            `json:"generation"`
 	StoreAge   string                            `json:"store-age"`
 	Daemons    int                               `json:"daemons"`
@@ -76,7 +77,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := Status{
-		VM: d.options.VM, Domain: d.options.Domain, Life: d.life.State(), Ready: d.ready(),
+		VM: d.options.VM, Domain: d.options.Domain, Life: d.life.State(), Ready: d.ready(), Isolated: d.isolated.Load(),
 		StoreAge: d.store.age(now).Round(time.Millisecond).String(), Daemons: d.members,
 		Endpoints: len(d.known.endpoints), Open: len(d.servings),
 		Rollouts: make(map[fescuelatch.ServiceID]Rolling),
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -78,6 +78,8 @@
 	// view and deployment are in force together.
 	inForce  atomic.Pointer[inForce]
 	stopping atomic.Bool
+	// isolated reports that this daemon has left the rotation because it is cut off.
+	isolated atomic.Bool
 	// stopEnd is set once the balancer sends no callers here any more, to the time at
 	// which requests that still run are cut.
 	stopEnd atomic.Pointer[time.Time]
@@ -90,15 +92,16 @@
 	recordLost chan struct{}
 
 	// mu guards the fields below it, which make up the decisions.
-	mu       sync.Mutex
-	bounds   Bounds
-	core     *decision.Core
-	budget   *shared.Budget
-	gate     *shared.Gate
-	known    *knowledge
-	rollouts map[fescuelatch.ServiceID]*rolling
-	servings map[fescuelatch.RequestID]*serving
-	members  int
+	mu        sync.Mutex
+	bounds    Bounds
+	core      *decision.Core
+	budget    *shared.Budget
+	gate      *shared.Gate
+	known     *knowledge
+	rollouts  map[fescuelatch.ServiceID]*rolling
+	servings  map[fescuelatch.RequestID]*serving
+	members   int
+	isolation isolation
 }
 
 // inForce is a deployment with the view that was composed of it.
@@ -211,7 +214,7 @@
 
 // ready reports whether the balancer should send callers here.
 func (d *Daemon) ready() bool {
-	return d.inForce.Load() != nil && !d.stopping.Load() && d.life.State() != chart.DaemonLearningConfiguration
+	return d.inForce.Load() != nil && !d.stopping.Load() && !d.isolated.Load() && d.life.State() != chart.DaemonLearningConfiguration
 }
 
 // tickInterval is that at which waiting requests are looked at.
@@ -257,6 +260,7 @@
 		}
 		d.decideLocked(now, decision.Tick{})
 		probes := d.gate.Probes(now)
+		d.watchIsolationLocked(ctx, now)
 		d.mu.Unlock()
 		d.metrics.storeAge.Update(d.store.age(now).Seconds())
 		for _, id := range probes {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -209,7 +209,7 @@
 		s.giveUp(why)
 		return
 	}
-	s.daemon.writeError(s.writer, http.StatusServiceUnavailable, string(why), max(after, leastRetryAfter))
+	s.daemon.writeError(s.writer, http.StatusServiceUnavailable, string(why), max(s.daemon.comeBack(time.Now(), after), leastRetryAfter))
 	s.ended(fescuelatch.OutcomeNotRun, string(why), "")
 }
 
--- a/gate/shared/domain.go
+++ b/gate/shared/domain.go
@@ -1,6 +1,8 @@
 package shared
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"fescuelatch"
@@ -44,6 +46,24 @@
 	return d
 }
 
+// DarkDomains returns the failure domains that cannot be reached, and the number
+// of all that have endpoints which are not out.
+func (g *Gate) DarkDomains() (dark []fescuelatch.DomainID, all int) {
+	reached := make(map[fescuelatch.DomainID]bool)
+	for _, p := range g.order {
+		if !p.out() {
+			id := p.owned.Endpoint.Domain
+			reached[id] = reached[id] || !p.unreachable && !g.domainOf(p).dark()
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(reached)) {
+		if !reached[id] {
+			dark = append(dark, id)
+		}
+	}
+	return dark, len(reached)
+}
+
 // allLost reports whether none of the places is known to be reached. Then all
 // are tried: the fault may lie here.
 func allLost(now time.Time, g *Gate, places []*place) bool {
--- a/gate/shared/gate_test.go
+++ b/gate/shared/gate_test.go
@@ -335,3 +335,31 @@
 	a = g.Offer(now, work(true))
 	c.Check(a.Verdict, qt.Equals, fescuelatch.AdmissionStart)
 }
+
+// TestDarkDomains checks which failure domains count as dark: those of which no
+// endpoint is known to be reached. Endpoints that are out say nothing.
+func TestDarkDomains(t *testing.T) {
+	c := qt.New(t)
+	gone := endpointAt("c1", "c", 8)
+	gone.Out = true
+	g := newGate(1, 1, endpointAt("a1", "a", 8), endpointAt("b1", "b", 8), endpointAt("b2", "b", 8), gone)
+	dark, all := g.DarkDomains()
+	c.Check(dark, qt.HasLen, 0)
+	c.Check(all, qt.Equals, 2)
+	for _, id := range []fescuelatch.EndpointID{"b1", "a1", "b2"} {
+		w := work(true)
+		w.Endpoint = id
+		a := g.Offer(epoch, w)
+		c.Assert(a.Verdict, qt.Equals, fescuelatch.AdmissionStart)
+		r := end(w, a, fescuelatch.AttemptAnswered)
+		if id != "a1" {
+			r.Status, r.Unsent, r.Unreachable = fescuelatch.AttemptNotStarted, true, true
+		}
+		g.End(epoch, r)
+	}
+	dark, _ = g.DarkDomains()
+	c.Check(dark, qt.DeepEquals, []fescuelatch.DomainID{"b"})
+	g.Reached("b2")
+	dark, _ = g.DarkDomains()
+	c.Check(dark, qt.HasLen, 0)
+}
--- a/internal/graceful/closing.go
+++ b/internal/graceful/closing.go
@@ -22,6 +22,8 @@
 // value has not begun.
 type Closing struct {
 	begun atomic.Bool
+	// redirects reports that callers are better served on other connections.
+	redirects atomic.Bool
 	// kept is when an answer last ended that did not announce the close, in
 	// Unix nanoseconds.
 	kept atomic.Int64
@@ -30,6 +32,10 @@
 // Begin announces the close with all answers whose head is not yet written.
 func (k *Closing) Begin() { k.begun.Store(true) }
 
+// Redirect announces the close, or no longer does, for a daemon that goes on
+// running.
+func (k *Closing) Redirect(on bool) { k.redirects.Store(on) }
+
 // Begun reports whether Begin was called.
 func (k *Closing) Begun() bool { return k.begun.Load() }
 
@@ -62,7 +68,7 @@
 func (w *closingWriter) WriteHeader(status int) {
 	if !w.written {
 		w.written = true
-		w.closes = w.closing.begun.Load()
+		w.closes = w.closing.begun.Load() || w.closing.redirects.Load()
 	}
 	if w.closes {
 		w.Header().Set("Connection", "close")
