An answer is not given up for silence unless another endpoint has room

Now the gate must have room at another endpoint at that moment.

TestMoveOn/the_other_endpoints_are_full failed before.

--- a/decision/direct_test.go
+++ b/decision/direct_test.go
@@ -105,6 +105,11 @@
 		core.Handle(epoch, decision.Configured{View: view})
 	}
 	nothing := func(*qt.C, *decision.Core) {}
+	full := func(_ *qt.C, core *decision.Core) {
+		for _, id := range []fescuelatch.EndpointID{"e1", "e2", "e3"} {
+			core.Handle(epoch, decision.Reported{Report: fescuelatch.LoadReport{Endpoint: id, Running: 16, Slots: 8, Generated: epoch}})
+		}
+	}
 	tests := []struct {
 		name          string
 		budget        repeats
@@ -115,6 +120,7 @@
 		{"the account has lost its key", 1, lost, nothing, false},
 		{"the account loses its key while the attempt ends", 1, nothing, lost, true},
 		{"the retry budget is used up", 0, nothing, nothing, false},
+		{"the other endpoints are full", 1, full, nothing, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/decision/patience.go
+++ b/decision/patience.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"slices"
 	"time"
 
 	"fescuelatch"
@@ -42,7 +43,7 @@
 		return true // It has ended already.
 	}
 	c.sparesKnown = false
-	if !c.mayRepeat(q) || c.late(now, q) || !c.usable(q) || len(c.spots(now, q)) == 0 ||
+	if !c.mayRepeat(q) || c.late(now, q) || !c.usable(q) || len(c.spots(now, q)) == 0 || !c.startable(now, q) ||
 		!c.options.Retries.Take(now, q.Request, fescuelatch.RetryFailure) {
 		return false
 	}
@@ -50,6 +51,23 @@
 	return true
 }
 
+// admitter is a gate that tells beforehand whether work would start at once.
+type admitter interface {
+	Admits(now time.Time, w fescuelatch.Work) bool
+}
+
+// startable reports whether another endpoint has room for q at present, as far as the
+// gate tells. Work that has to wait may be refused in the end.
+func (c *Core) startable(now time.Time, q *request) bool {
+	g, ok := c.options.Gate.(admitter)
+	if !ok {
+		return true
+	}
+	w := c.work(q)
+	w.Avoid = append(slices.Clone(w.Avoid), q.current.endpoint)
+	return g.Admits(now, w)
+}
+
 // movesOn reports whether the end of the current attempt was decided on by MoveOn.
 func (q *request) movesOn() bool { return q.granted != "" && q.granted == q.current.id }
 
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -119,6 +119,9 @@
 	return fescuelatch.Admission{Attempt: w.Attempt, Verdict: fescuelatch.AdmissionQueue}
 }
 
+// Admits reports whether w would start at once.
+func (g *Gate) Admits(now time.Time, w fescuelatch.Work) bool { return g.choose(now, w) != nil }
+
 func (g *Gate) start(now time.Time, p *place, w fescuelatch.Work) fescuelatch.Admission {
 	a := &attempt{work: w, place: p, started: now, fresh: p.fresh(w)}
 	g.attempts[w.Attempt] = a
