--- a/direct/members.go
+++ b/direct/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,12 @@
 
 // This file defines the record by which the daemons know how many they are.
 
+// member is a daemon's record.
+type member struct {
+	Domain  fescuelatch.DomainID `json:"failure-domain"`
+	Control netip.AddrPort       `json:"control-address"`
+}
+
 // rank orders daemons in a way that has nothing to do with their names or
 // failure domains, and is the same for all.
 func rank(vm fescuelatch.VMID) uint64 { return xxhash.Sum64String(string(vm)) }
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -1,12 +1,8 @@
 package direct
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"net/netip"
 	"net/rpc"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,15 +19,6 @@
 // the store of late, asks the store itself.
 
 const (
-	// readers is the number of daemons of a failure domain that follow the
-	// store themselves.
-	readers = 1
-	// standBys is the number of daemons after the readers through which the
-	// others follow the store when a reader fails. They ask the store then.
-	standBys = 1
-	// followers is the number of daemons that one passes changes on to. With
-	// the reader, failure domains of 111 daemons are two steps deep.
-	followers = 10
 	// sourceTimeout bounds a call to a source besides its wait.
 	sourceTimeout = 600 * time.Millisecond
 	// sourceAge is the time since the last answer of the store beyond which a
@@ -40,74 +27,8 @@
 	// stepAge is added for each step between a source and the readers: the
 	// longest time between two calls of a daemon that follows another one.
 	stepAge = watchWait + sourceInterval + followJitter
-	// sourceRest is how long a source that failed is not asked.
-	sourceRest = 3 * time.Second
-	// journalLength bounds the changes that are kept for others. One that has
-	// missed more gets everything.
-	journalLength = 2048
-	// journalBytes bounds their values: a configuration may have a megabyte,
-	// and the smallest VMs about a hundred for everything.
-	journalBytes = 4 << 20
 )
 
-// member is a daemon's record.
-type member struct {
-	Domain  fescuelatch.DomainID `json:"failure-domain"`
-	Control netip.AddrPort       `json:"control-address"`
-}
-
-// journal holds the last changes in substance, numbered without gaps.
-type journal struct {
-	next    int64
-	changes []fescuelatch.StoredItem
-	bytes   int // of the values
-	// changed is closed when there is a further change.
-	changed chan struct{}
-}
-
-func newJournal() journal { return journal{changed: make(chan struct{})} }
-
-func (j *journal) add(i fescuelatch.StoredItem) {
-	j.changes = append(j.changes, i)
-	j.bytes += len(i.Value)
-	j.next++
-	j.trim()
-	close(j.changed)
-	j.changed = make(chan struct{})
-}
-
-// restart forgets all changes, so that whoever asks for the next ones gets
-// everything.
-func (j *journal) restart() {
-	j.changes, j.bytes = nil, 0
-	j.next++
-	close(j.changed)
-	j.changed = make(chan struct{})
-}
-
-// trim forgets the oldest changes beyond the bounds. Half of them go at once,
-// so that the rest is not moved with each change.
-func (j *journal) trim() {
-	if len(j.changes) <= journalLength && j.bytes <= journalBytes {
-		return
-	}
-	drop := 0
-	for drop < len(j.changes) && (len(j.changes)-drop > journalLength/2 || j.bytes > journalBytes/2) {
-		j.bytes -= len(j.changes[drop].Value)
-		drop++
-	}
-	j.changes = slices.Delete(j.changes, 0, drop)
-}
-
-// since returns the changes from a number on, or false when they are gone.
-func (j *journal) since(number int64) ([]fescuelatch.StoredItem, bool) {
-	first := j.next - int64(len(j.changes))
-	if number < first || number > j.next {
-		return nil, false
-	}
-	return slices.Clone(j.changes[number-first:]), true
-}
-
 // ChangesRequest asks for what has changed since an earlier answer of the same
 // process.
 type ChangesRequest struct {
@@ -166,121 +87,6 @@
 	return nil
 }
 
-// source is the daemon through which the store is followed.
-type source struct {
-	vm      fescuelatch.VMID
-	address netip.AddrPort
-	client  *rpc.Client
-	process string
-	next    int64
-	steps   int // between it and the readers
-}
-
-// sources chooses sources and remembers which have failed. Only the loop that
-// follows the store uses it.
-type sources struct {
-	current *source
-	failed  map[fescuelatch.VMID]time.Time
-}
-
-// chooseSource returns the source to use, or nil when this daemon is to follow the
-// store itself.
-func (d *Daemon) chooseSource(now time.Time) *source {
-	d.mu.Lock()
-	candidates := sourcesOf(d.known, d.options.Domain, d.options.VM)
-	d.mu.Unlock()
-	if d.inForce.Load() == nil {
-		return nil
-	}
-	s := &d.sources
-	for _, c := range candidates {
-		if now.Sub(s.failed[c.vm]) < sourceRest {
-			continue
-		}
-		if s.current == nil || s.current.vm != c.vm || s.current.address != c.address {
-			s.drop()
-			s.current = &source{vm: c.vm, address: c.address}
-		}
-		s.current.steps = c.steps
-		return s.current
-	}
-	return nil
-}
-
-// candidate is a daemon through which another one may follow the store.
-type candidate struct {
-	vm      fescuelatch.VMID
-	address netip.AddrPort
-	steps   int // between it and the readers
-}
-
-// sourcesOf returns the daemons through which a daemon may follow the store,
-// the best first: the one whose part it is, then the readers and those that
-// stand by. There is none for a reader.
-func sourcesOf(k *knowledge, domain fescuelatch.DomainID, self fescuelatch.VMID) []candidate {
-	local := localDaemons(k, domain, self)
-	order := slices.SortedFunc(maps.Keys(local), func(a, b fescuelatch.VMID) int { return cmp.Compare(rank(a), rank(b)) })
-	place := slices.Index(order, self)
-	if place < readers {
-		return nil
-	}
-	places := []int{(place - readers) / followers}
-	for i := range min(readers+standBys, place) { // Those after it may follow the store through it.
-		places = append(places, i)
-	}
-	var cs []candidate
-	for _, i := range places {
-		vm := order[i]
-		if !slices.ContainsFunc(cs, func(c candidate) bool { return c.vm == vm }) {
-			cs = append(cs, candidate{vm, local[vm], stepsOf(i)})
-		}
-	}
-	return cs
-}
-
-// stepsOf returns the number of steps between the daemon at a place in the
-// order and the readers.
-func stepsOf(place int) int {
-	steps := 0
-	for place >= readers {
-		place = (place - readers) / followers
-		steps++
-	}
-	return steps
-}
-
-// localDaemons returns the daemons of a failure domain with their control
-// addresses.
-func localDaemons(k *knowledge, domain fescuelatch.DomainID, self fescuelatch.VMID) map[fescuelatch.VMID]netip.AddrPort {
-	local := make(map[fescuelatch.VMID]netip.AddrPort)
-	for vm, m := range k.members {
-		if m.Domain == domain && (m.Control.IsValid() || vm == self) {
-			local[vm] = m.Control
-		}
-	}
-	if _, ok := local[self]; !ok {
-		local[self] = netip.AddrPort{}
-	}
-	return local
-}
-
-func (s *sources) drop() {
-	if s.current != nil {
-		s.current.close()
-	}
-	s.current = nil
-}
-
-func (s *sources) fail(now time.Time) {
-	if s.failed == nil {
-		s.failed = make(map[fescuelatch.VMID]time.Time)
-	}
-	if s.current != nil {
-		s.failed[s.current.vm] = now
-	}
-	s.drop()
-}
-
 // followSource takes in what the source says has changed.
 func (d *Daemon) followSource(ctx context.Context, s *source) error {
 	reply, err := s.ask(ctx, d.options.VM)
--- a/direct/relay_test.go
+++ b/direct/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -142,10 +141,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			d := New(Options{
-				VM: "vm-1", Domain: "a", Notation: platform.Notation{}, Dialect: platform.Dialect{},
-				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope,
-			})
+			d := quietDaemon()
 			d.known = known(1)
 			test.reply.Full = true
 			test.reply.Items = []fescuelatch.StoredItem{beat(1, "ready", 2), beat(2, "ready", 2)}
