The progress of a roll-out is recorded also when the first daemon does not

Five daemons that were replaced meanwhile began the roll-out from its start, so that sessions left the release again that they had moved to, and the roll-out was completed 3 s late.

Now each daemon records it if the record is behind by a step, and half a step more for each daemon before it; none replaces a record by less.

TestProgressWithoutTheFirst failed before.

--- a/direct/restored.go
+++ b/direct/restored.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"strings"
 	"time"
 
 	"fescuelatch"
@@ -15,7 +16,7 @@
 	// endpointRewriteTime is for how long the entry of an endpoint may be missing:
 	// endpoints write theirs again within about two seconds.
 	endpointRewriteTime = lapseTime
-	// recordRewriteTime is that of the daemons' own records, for which they take new
+	// recordRewriteTime is that of the records that daemons live, for which they take new
 	// leases once they have noticed. While one is missing too many attempts would
 	// be allowed to the others.
 	recordRewriteTime = 6 * time.Second
@@ -49,14 +50,18 @@
 }
 
 // rewriteTime returns for how long a key that the copy lacks is believed. The
-// state of a roll-out is not: the daemons know their judgement, and record it
-// again under the condition that the store holds none.
+// state of a roll-out and what was recorded of it are not: the daemons know their
+// judgement, evidence and progress, and record them again.
 func (k *knowledge) rewriteTime(key string) time.Duration {
-	switch k.notation.Subject(key).Kind {
+	s := k.notation.Subject(key)
+	switch s.Kind {
 	case fescuelatch.SubjectEndpoint:
 		return endpointRewriteTime
 	case fescuelatch.SubjectRecord:
-		return recordRewriteTime
+		if strings.HasPrefix(s.ID, recordDaemon) {
+			return recordRewriteTime
+		}
+		return 0
 	case fescuelatch.SubjectDeployment, fescuelatch.SubjectDomainOut, fescuelatch.SubjectRollout:
 		return operatorRewriteTime
 	default:
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -35,6 +35,9 @@
 	// progressStep is the part of an order's time between two records of its
 	// progress.
 	progressStep = 0.1
+	// progressLag is the part of a step by which each daemon leaves the record to
+	// those before it.
+	progressLag = 0.5
 )
 
 // rolling is a roll-out with what this daemon has written and waits for.
@@ -208,13 +211,23 @@
 		writes = append(writes, d.record(recordEvidence+string(s)+"/"+string(d.options.VM), r.told)...)
 	}
 	part := float64(r.Elapsed(now)) / float64(r.Order().Within)
-	if d.turn() == 0 && part-r.progress >= progressStep {
+	if recorded := max(r.progress, d.recordedProgress(s, r)); part-recorded >= progressStep*(1+progressLag*float64(d.turn())) {
 		r.progress = part
 		writes = append(writes, d.record(recordProgress+string(s), progress{r.Order().Revision, r.Elapsed(now)})...)
 	}
 	return append(writes, d.recordStatus(now, r, status, recorded)...)
 }
 
+// recordedProgress returns the part of the order's time that is recorded.
+func (d *Daemon) recordedProgress(s fescuelatch.ServiceID, r *rolling) float64 {
+	kv, ok := d.known.records[recordProgress+string(s)]
+	var p progress
+	if !ok || !d.decodeRecord(kv, &p) || p.Revision != r.Order().Revision {
+		return 0
+	}
+	return float64(p.Elapsed) / float64(r.Order().Within)
+}
+
 // recordStatus returns the write of the state for operators, once it is this
 // daemon's turn.
 func (d *Daemon) recordStatus(now time.Time, r *rolling, status fescuelatch.RolloutStatus, recorded bool) []fescuelatch.KVTxn {
--- a/direct/rollouts_test.go
+++ b/direct/rollouts_test.go
@@ -165,3 +165,50 @@
 	}
 	c.Check(len(first) > 1, qt.IsTrue, qt.Commentf("the first turns are of %v", first))
 }
+
+// TestProgressWithoutTheFirst checks that another daemon records how far a roll-out
+// has come when the one whose turn it is does not, and that none replaces a record by
+// one of less progress. A daemon that starts anew would otherwise begin the roll-out
+// from the start, and give sessions the release that they had left.
+func TestProgressWithoutTheFirst(t *testing.T) {
+	const within = 20 * time.Second
+	tests := []struct {
+		name     string
+		recorded time.Duration // by another daemon; zero for none
+		elapsed  time.Duration
+		writes   bool
+	}{
+		{"nothing is recorded", 0, within / 2, true},
+		{"the first daemon records", 9 * time.Second, within / 2, false},
+		{"it has recorded long ago", 4 * time.Second, within / 2, true},
+		{"more is recorded than is known here", 15 * time.Second, within / 10, false},
+		{"the roll-out has just begun", 0, time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := quietDaemon()
+			d.bounds.Rollout = rollout.Settings{Exposure: 0.15}
+			first := fescuelatch.VMID("vm-2")
+			for n := 3; rank(first) > rank(d.options.VM); n++ {
+				first = fescuelatch.VMID(fmt.Sprint("vm-", n))
+			}
+			d.known.replace(epoch, fescuelatch.Changes{Revision: 80, Items: []fescuelatch.StoredItem{
+				entry("op/config", smallConfiguration, 1), beat(1, "ready", 2), entry("op/rollout/lm", rollOut, 70),
+				entry("fescuelatch/daemons/"+string(first), `{"failure-domain":"a"}`, 75),
+			}})
+			d.refreshLocked(epoch)
+			c.Assert(d.turn(), qt.Equals, 1)
+			r := d.rollouts["lm"]
+			if test.recorded > 0 {
+				value := fmt.Sprintf(`{"revision":70,"elapsed-ns":%d}`, test.recorded)
+				d.known.records[recordProgress+"lm"] = fescuelatch.KeyValue{Value: []byte(value), Revision: 81}
+			}
+			wrote := false
+			for _, w := range d.recordsOf(epoch.Add(test.elapsed), "lm", r) {
+				wrote = wrote || w.Then[0].Put.Key == d.options.Notation.RecordKey(recordProgress+"lm")
+			}
+			c.Check(wrote, qt.Equals, test.writes)
+		})
+	}
+}
