--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -158,7 +158,7 @@
 		present[i.Key] = true
 	}
 	for key := range k.items {
-		if present[key] {
+		if _, held := k.held[key]; held || present[key] {
 			continue
 		}
 		until := k.lapsesUntil(key)
--- a/direct/restored.go
+++ b/direct/restored.go
@@ -16,9 +16,9 @@
 	// endpointRewriteTime is for how long the entry of an endpoint may be missing:
 	// endpoints write theirs again within about two seconds.
 	endpointRewriteTime = lapseTime
-	// recordRewriteTime is that of the records that daemons live, for which they take new
-	// leases once they have noticed. While one is missing too many attempts would
-	// be allowed to the others.
+	// recordRewriteTime is that of the records by which daemons count each other. They
+	// take new leases once they have noticed; a daemon that is not counted until then
+	// would have its part of all limits used by the others as well.
 	recordRewriteTime = 6 * time.Second
 	// operatorRewriteTime is that of what operators have written.
 	operatorRewriteTime = 10 * time.Second
--- a/direct/restored_test.go
+++ b/direct/restored_test.go
@@ -291,3 +291,22 @@
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope,
 	})
 }
+
+// TestReadAnewAfterRestore checks that what is held for its writers is still held
+// when the store is read anew in the meantime.
+func TestReadAnewAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	k := known(0)
+	k.replace(epoch, copied(3))
+	k.apply(epoch, inEra(3, 80, entry("op/evacuate/a", "{}", 72), report(3, "ready", 1, 73)))
+	k.replace(epoch, copied(4))
+	k.replace(epoch.Add(time.Second), copied(4))
+	c.Check(k.out["a"], qt.IsTrue)
+	_, there := k.endpoints["i-3"]
+	c.Check(there, qt.IsTrue)
+	k.settle(epoch.Add(endpointRewriteTime))
+	_, there = k.endpoints["i-3"]
+	c.Check(there, qt.IsFalse)
+	k.settle(epoch.Add(operatorRewriteTime))
+	c.Check(k.out["a"], qt.IsFalse)
+}
