--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -56,7 +56,7 @@
 	if w.Endpoint != "" && w.Endpoint != p.owned.Endpoint.ID {
 		return false
 	}
-	if (p.unreachable || g.domainOf(p).dark()) && !all.lost() {
+	if g.lost(p) && !all.lost() {
 		return false
 	}
 	if !p.open(now) && (p.cold(now) || !all.crowded()) {
--- a/gate/shared/domain.go
+++ b/gate/shared/domain.go
@@ -46,6 +46,9 @@
 	return d
 }
 
+// lost reports whether p cannot be reached, alone or with its failure domain.
+func (g *Gate) lost(p *place) bool { return p.unreachable || g.domainOf(p).dark() }
+
 // DarkDomains returns the failure domains that cannot be reached, and the number
 // of all that have endpoints which are not out.
 func (g *Gate) DarkDomains() (dark []fescuelatch.DomainID, all int) {
@@ -53,7 +56,7 @@
 	for _, p := range g.order {
 		if !p.out() {
 			id := p.owned.Endpoint.Domain
-			reached[id] = reached[id] || !p.unreachable && !g.domainOf(p).dark()
+			reached[id] = reached[id] || !g.lost(p)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(reached)) {
@@ -80,7 +83,7 @@
 func (g *Gate) Probes(now time.Time) []fescuelatch.EndpointID {
 	var ids []fescuelatch.EndpointID
 	for _, p := range g.order {
-		if p.out() || p.paused(now) || p.moved(now) || now.Before(p.probe) || (!p.unreachable && !g.domainOf(p).dark()) {
+		if p.out() || p.paused(now) || p.moved(now) || now.Before(p.probe) || !g.lost(p) {
 			continue
 		}
 		p.probe = now.Add(probeInterval)
