Rate limits that endpoints name are decoded, logged and counted

The adapter now decodes Server-Limit; a change of it and every attempt at such an endpoint are logged, with the attempt's number within its request, and counted as limited_attempts by whether they repeat a request.

No decision depends on it yet. A header that cannot be read is logged and leaves the last statement as it is.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -181,6 +181,7 @@
 	defer a.Close()
 	headers := a.Decoded
 	t.reportLoad(headers, sent)
+	t.reportLimit(a.Status, headers)
 	if headers.NotRun || a.Status == http.StatusMisdirectedRequest {
 		return t.finishRefused(a, r, headers)
 	}
@@ -204,6 +205,25 @@
 	}
 }
 
+// reportLimit passes the endpoint's statement on its request rate to the gate.
+func (t *attempt) reportLimit(status int, headers fescuelatch.AnswerHeaders) {
+	if status == http.StatusMisdirectedRequest {
+		return // Another endpoint has answered.
+	}
+	if headers.Limit == nil {
+		t.request.warn("rate limit of an endpoint cannot be read", "endpoint", t.start.Endpoint)
+		return
+	}
+	d := t.request.daemon
+	d.mu.Lock()
+	changed := d.gate.SetLimit(t.start.Endpoint, *headers.Limit)
+	d.mu.Unlock()
+	if changed {
+		t.request.log("endpoint has changed its rate limit", "endpoint", t.start.Endpoint,
+			"limited", headers.Limit.Limited, "per-second", headers.Limit.PerSecond)
+	}
+}
+
 // finishRefused sets the result of an attempt that was not run.
 func (t *attempt) finishRefused(a *endpoint.Answer, r *fescuelatch.AttemptResult, headers fescuelatch.AnswerHeaders) error {
 	// The body is read for reuse of the connection, unless it is long or slow.
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -50,6 +51,12 @@
 	}
 }
 
+// countLimitedAttempt counts an attempt at an endpoint that limits its rate, by whether
+// it is the first of its request.
+func (m *metrics) countLimitedAttempt(repeated bool) {
+	m.scope.Tagged(map[string]string{"repeated": strconv.FormatBool(repeated)}).Counter("limited_attempts").Inc(1)
+}
+
 // StoreCalls returns a function that counts the calls to the store.
 func StoreCalls(scope tally.Scope) func(name string, took time.Duration, err error) {
 	return func(name string, took time.Duration, err error) {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -182,11 +182,25 @@
 		s.log("request is sent again", "attempt", a.Attempt, "endpoint", a.Endpoint, "version", a.Version,
 			"last-event", s.output.lastEvent, "cause", errorText(s.lastError))
 	}
+	s.recordLimited(a)
 	s.sent++
 	s.current = newAttempt(ctx, s, a)
 	go s.current.run()
 }
 
+// recordLimited logs and counts an attempt at an endpoint that limits its rate.
+func (s *activeRequest) recordLimited(a decision.Start) {
+	d := s.daemon
+	d.mu.Lock()
+	l := d.gate.Limit(a.Endpoint)
+	d.mu.Unlock()
+	if !l.Limited {
+		return
+	}
+	s.log("attempt at an endpoint with a rate limit", "attempt", a.Attempt, "endpoint", a.Endpoint, "number", s.sent+1, "per-second", l.PerSecond)
+	d.metrics.countLimitedAttempt(s.sent > 0)
+}
+
 // accept ends the request with the answer of an attempt. A streamed answer has
 // already been relayed.
 func (s *activeRequest) accept(a decision.Accept) {
--- a/gate/shared/hints.go
+++ b/gate/shared/hints.go
@@ -10,7 +10,7 @@
 )
 
 // This file defines the hints that endpoints send with their answers: that they are
-// leaving, or want no work for a while. Unlike ejections, hints are not inferred, and
+// leaving, want no work for a while, or accept a limited rate of requests. Unlike ejections, hints are not inferred, and
 // are always followed.
 
 const (
@@ -37,6 +37,8 @@
 	leaving bool
 	// paused is until when the process wants no work.
 	paused time.Time
+	// limit is the rate of requests that the process accepts from all daemons.
+	limit fescuelatch.RateLimit
 }
 
 // hintCache keeps the hints of processes, also while they are not registered: a
@@ -70,6 +72,31 @@
 	}
 }
 
+// limit records a process's statement on its request rate.
+func (c hintCache) limit(e *endpointLoad, l fescuelatch.RateLimit) {
+	e.hint.limit = l
+	c.byProcess.Add(processOf(e.owned), e.hint)
+}
+
+// SetLimit records an endpoint's statement on its request rate and reports whether it
+// differs from the previous one.
+func (g *Gate) SetLimit(id fescuelatch.EndpointID, l fescuelatch.RateLimit) bool {
+	e := g.endpoints[id]
+	if e == nil || e.hint.limit == l {
+		return false
+	}
+	g.hints.limit(e, l)
+	return true
+}
+
+// Limit returns an endpoint's last statement on its request rate.
+func (g *Gate) Limit(id fescuelatch.EndpointID) fescuelatch.RateLimit {
+	if e := g.endpoints[id]; e != nil {
+		return e.hint.limit
+	}
+	return fescuelatch.RateLimit{}
+}
+
 // out reports whether the endpoint permanently gets no new work.
 func (e *endpointLoad) out() bool { return e.owned.Out || e.hint.leaving }
 
--- a/store.go
+++ b/store.go
@@ -133,6 +133,16 @@
 	RetryAfter time.Duration
 	// Leaving reports that the endpoint is shutting down.
 	Leaving bool
+	// Limit is the rate of requests that the endpoint accepts for now, or nil if
+	// the header cannot be read.
+	Limit *RateLimit
+}
+
+// RateLimit is the rate of requests that an endpoint accepts from all daemons
+// together. The zero value means any rate.
+type RateLimit struct {
+	Limited   bool
+	PerSecond float64
 }
 
 // HeaderCodec decodes and encodes the headers of a platform.
