--- /dev/null
+++ b/direct/ratelimit_test.go
@@ -0,0 +1,140 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/platform/fakeplatform"
+)
+
+// This file tests that daemons together keep the rate limits that endpoints name.
+
+// fleet is several daemons on one platform.
+type fleet struct {
+	*site
+	callers []netip.AddrPort
+}
+
+func newFleet(t *testing.T, daemons, endpoints int) *fleet {
+	s := newSite(t, "desk", endpoints)
+	f := &fleet{site: s, callers: []netip.AddrPort{s.callers}}
+	s.awaitReady()
+	for n := 1; n < daemons; n++ {
+		s.startDaemon(t, fmt.Sprintf("vm-%d", n+1))
+		s.awaitReady()
+		f.callers = append(f.callers, s.callers)
+	}
+	return f
+}
+
+// load is a steady rate of calls. The first daemon gets busiestShare of them, and the
+// rest are spread evenly over all daemons.
+type load struct {
+	perSecond    float64
+	busiestShare float64
+}
+
+// play sends calls for a time and returns how many were answered.
+func (f *fleet) play(l load, during time.Duration) (sent, answered int) {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	interval := time.Duration(float64(time.Second) / l.perSecond)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for end := time.Now().Add(during); time.Now().Before(end); sent++ {
+		<-ticker.C
+		to := f.callers[0]
+		if rand.Float64() >= l.busiestShare {
+			to = f.callers[rand.IntN(len(f.callers))]
+		}
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			id := fmt.Sprintf("%x", rand.Uint64())
+			q, err := fakeplatform.NewCall(ctx, to, http.MethodGet, "desk.example", "/look/", id, callerKey, 3*time.Second)
+			f.Check(err, qt.IsNil)
+			res, err := client.Do(q)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+			_ = res.Body.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			if res.StatusCode == http.StatusOK {
+				answered++
+			}
+		})
+	}
+	calls.Wait()
+	return sent, answered
+}
+
+// busiestWindow returns the most requests that an endpoint got within a window that
+// begins after a time.
+func busiestWindow(e *fakeplatform.Endpoint, after time.Time, window time.Duration) int {
+	most, first := 0, 0
+	rs := e.Requests()
+	for i, r := range rs {
+		for rs[first].Arrived.Before(after) && first < i || r.Arrived.Sub(rs[first].Arrived) >= window {
+			first++
+		}
+		if !r.Arrived.Before(after) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+const (
+	// limitWindow and the allowance are those of the users' rule: in any four
+	// seconds one and a half times the limit, and five requests.
+	limitWindow = 4 * time.Second
+	// limitGrace is how long after an endpoint has named a limit to a daemon its
+	// requests may still come.
+	limitGrace = 500 * time.Millisecond
+)
+
+func allowedInWindow(perSecond float64) int {
+	return int(1.5*perSecond*limitWindow.Seconds()) + 5
+}
+
+// TestDaemonsTogetherExceedRateLimit guards against daemons that each keep, or
+// ignore, a limit that an endpoint names for all of them.
+func TestDaemonsTogetherExceedRateLimit(t *testing.T) {
+	tests := []struct {
+		name      string
+		daemons   int
+		perSecond float64
+		load      load
+	}{
+		{"below one a second", 8, 0.3, load{60, 0}},
+		{"one a second", 8, 1, load{60, 0}},
+		{"one busy daemon", 6, 1.6, load{60, 0.7}},
+		{"many a second", 6, 15, load{180, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, test.daemons, 3)
+			f.play(load{40, 0}, time.Second)
+			limited := f.endpoints[0]
+			limited.SetBehaviour(fakeplatform.Limited(test.perSecond, fakeplatform.Status(http.StatusOK)))
+			began := time.Now()
+			sent, answered := f.play(test.load, 6*time.Second)
+			f.Check(answered >= sent*95/100, qt.IsTrue, qt.Commentf("%d of %d answered, though two endpoints have no limit", answered, sent))
+			got := busiestWindow(limited, began.Add(2*limitGrace), limitWindow)
+			f.Check(got <= allowedInWindow(test.perSecond), qt.IsTrue,
+				qt.Commentf("%d requests in %s, allowed %d", got, limitWindow, allowedInWindow(test.perSecond)))
+		})
+	}
+}
