Daemons share the rate limits that endpoints name

Cause: no decision depended on the limit; each daemon sent what its own choice of endpoints gave. The class is a limit that holds for the sum over daemons of which none knows the sum. Dividing it by the number of daemons would not do: eight bursts of one are eight at once, and of 100 a second most of a busy daemon's part is missing while an idle one's is lost.

Now a limited endpoint gets a request only by a permit. Permits are handed out by one daemon, the allocator, which all daemons find by the same order for each endpoint, those of its failure domain first; a permit lives 0.8 s. What the endpoint gets in four seconds is thus bounded by what was handed out in five, whoever sends it and for whatever reason: all attempts start through the gate. The second daemon of the order hands out a fifth of the limit, so that the sum stays within the tolerance if some reach only that one. A new allocator waits a second, until earlier permits are gone. Demand decides who gets them; beyond 64 daemons the others get none and ask now and then whether the limit has ended. A statement replaces older ones only, by the time at which it held.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -181,7 +181,7 @@
 	defer a.Close()
 	headers := a.Decoded
 	t.reportLoad(headers, sent)
-	t.reportLimit(a.Status, headers)
+	t.reportLimit(a.Status, headers, sent)
 	if headers.NotRun || a.Status == http.StatusMisdirectedRequest {
 		return t.finishRefused(a, r, headers)
 	}
@@ -206,7 +206,7 @@
 }
 
 // reportLimit passes the endpoint's statement on its request rate to the gate.
-func (t *attempt) reportLimit(status int, headers fescuelatch.AnswerHeaders) {
+func (t *attempt) reportLimit(status int, headers fescuelatch.AnswerHeaders, sent time.Time) {
 	if status == http.StatusMisdirectedRequest {
 		return // Another endpoint has answered.
 	}
@@ -216,9 +216,10 @@
 	}
 	d := t.request.daemon
 	d.mu.Lock()
-	changed := d.gate.SetLimit(t.start.Endpoint, *headers.Limit)
+	changed := d.gate.SetLimit(time.Now(), sent, t.start.Endpoint, *headers.Limit)
 	d.mu.Unlock()
 	if changed {
+		d.signalPermits()
 		t.request.log("endpoint has changed its rate limit", "endpoint", t.start.Endpoint,
 			"limited", headers.Limit.Limited, "per-second", headers.Limit.PerSecond)
 	}
--- a/direct/control.go
+++ b/direct/control.go
@@ -104,6 +104,8 @@
 type EndpointState struct {
 	fescuelatch.Registration
 	Age string `json:"age"`
+	// Limit is the rate limit that the endpoint names, if any.
+	Limit *fescuelatch.RateLimit `json:"rate-limit,omitempty"`
 }
 
 // State returns a dump of the daemon's known state.
@@ -113,7 +115,11 @@
 	defer d.mu.Unlock()
 	for _, id := range slices.Sorted(maps.Keys(d.storeView.endpoints)) {
 		e := d.storeView.endpoints[id]
-		s.Endpoints = append(s.Endpoints, EndpointState{e.Registration, time.Since(e.receivedAt).Round(time.Millisecond).String()})
+		state := EndpointState{Registration: e.Registration, Age: time.Since(e.receivedAt).Round(time.Millisecond).String()}
+		if l := d.gate.Limit(id); l.Limited {
+			state.Limit = &l
+		}
+		s.Endpoints = append(s.Endpoints, state)
 	}
 	return s
 }
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -23,6 +23,7 @@
 	"fescuelatch/internal/graceful"
 	"fescuelatch/internal/lifecycle"
 	"fescuelatch/internal/pause"
+	"fescuelatch/permit"
 	"fescuelatch/placement"
 	"fescuelatch/quality"
 	"fescuelatch/rollout"
@@ -87,6 +88,9 @@
 	process string
 	// sources is used only by the store loop.
 	sources sources
+	// permitsLacking signals that requests may lack permits.
+	permitsLacking chan struct{}
+	allocators     allocatorPeers
 	// recordLost signals that the store may have lost this daemon's record.
 	recordLost chan struct{}
 
@@ -101,6 +105,9 @@
 	requests  map[fescuelatch.RequestID]*activeRequest
 	members   int
 	isolation isolation
+	// allocator hands out permits for the endpoints of which this daemon is an
+	// allocator.
+	allocator *permit.Allocator
 }
 
 // activeConfiguration is a deployment with the view composed from it.
@@ -122,6 +129,7 @@
 		process:    uuid.NewString(),
 		bounds:     o.Dynamic,
 		recordLost: make(chan struct{}, 1),
+		allocator:  permit.NewAllocator(), permitsLacking: make(chan struct{}, 1),
 	}
 	d.budget = shared.NewBudget(o.Dynamic.Retries, func() int { return d.members })
 	d.endpoints = &endpoint.Client{
@@ -231,7 +239,7 @@
 		return err
 	}
 	d.life.Fire(chart.EventStarted)
-	for _, loop := range []func(context.Context){d.follow, d.keepRecord, d.tick, d.driveRollouts, d.sweep, d.learnFromPeers} {
+	for _, loop := range []func(context.Context){d.follow, d.keepRecord, d.tick, d.driveRollouts, d.drivePermits, d.sweep, d.learnFromPeers} {
 		g.Go(func() error {
 			loop(running)
 			return nil
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -19,6 +19,9 @@
 	endpoints   tally.Gauge
 	members     tally.Gauge
 	storeAge    tally.Gauge
+	limited     tally.Gauge
+	// allocatorFailures counts requests for permits that had no reply.
+	allocatorFailures tally.Counter
 }
 
 // latencyBuckets spans 1 ms to about half a minute.
@@ -32,6 +35,9 @@
 		endpoints:   s.Gauge("endpoints"),
 		members:     s.Gauge("daemons"),
 		storeAge:    s.Gauge("store_age_seconds"),
+		limited:     s.Gauge("limited_endpoints"),
+
+		allocatorFailures: s.Counter("allocator_failures"),
 	}
 }
 
@@ -57,6 +63,12 @@
 	m.scope.Tagged(map[string]string{"repeated": strconv.FormatBool(repeated)}).Counter("limited_attempts").Inc(1)
 }
 
+// countPermits counts the permits of an allocator's replies.
+func (m *metrics) countPermits(wanted, granted int) {
+	m.scope.Counter("permits_wanted").Inc(int64(wanted))
+	m.scope.Counter("permits_granted").Inc(int64(granted))
+}
+
 // StoreCalls returns a function that counts the calls to the store.
 func StoreCalls(scope tally.Scope) func(name string, took time.Duration, err error) {
 	return func(name string, took time.Duration, err error) {
--- a/direct/peerconn.go
+++ b/direct/peerconn.go
@@ -57,6 +57,21 @@
 	return rpc.NewClient(&peerConnection{Conn: c, buffered: r, bounded: b}), nil
 }
 
+// callPeer calls a method of another daemon until the end of ctx.
+func callPeer(ctx context.Context, client *rpc.Client, method string, request, reply any) error {
+	const op = "ask peer"
+	call := client.Go(peerService+"."+method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			return &Error{op, KindPeer, call.Error}
+		}
+		return nil
+	case <-ctx.Done():
+		return &Error{op, KindPeer, ctx.Err()}
+	}
+}
+
 // maxMessageBytes bounds a message of another daemon, which may hold the whole
 // store with a configuration of a few megabytes.
 const maxMessageBytes = 32 << 20
--- a/direct/ratelimit_test.go
+++ b/direct/ratelimit_test.go
@@ -22,16 +22,23 @@
 type fleet struct {
 	*site
 	callers []netip.AddrPort
+	stops   []func() // ends a daemon
 }
 
 func newFleet(t *testing.T, daemons, endpoints int) *fleet {
 	s := newSite(t, "desk", endpoints)
-	f := &fleet{site: s, callers: []netip.AddrPort{s.callers}}
-	s.awaitReady()
-	for n := 1; n < daemons; n++ {
-		s.startDaemon(t, fmt.Sprintf("vm-%d", n+1))
+	f := &fleet{site: s}
+	for n := range daemons {
+		if n > 0 {
+			s.startDaemon(t, fmt.Sprintf("vm-%d", n+1))
+		}
 		s.awaitReady()
+		stop, stopped := s.stop, s.stopped
 		f.callers = append(f.callers, s.callers)
+		f.stops = append(f.stops, func() {
+			stop()
+			<-stopped
+		})
 	}
 	return f
 }
@@ -125,6 +132,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, test.daemons, 3)
 			f.play(load{40, 0}, time.Second)
 			limited := f.endpoints[0]
@@ -138,3 +146,65 @@
 		})
 	}
 }
+
+// TestRateLimitUnused guards against limits divided in equal parts: of a service whose
+// endpoints are all limited, most is used though one daemon gets most of the calls.
+func TestRateLimitUnused(t *testing.T) {
+	t.Parallel()
+	const (
+		perSecond = 8
+		during    = 6 * time.Second
+		// minUsed is of what all endpoints accept; the demand exceeds that.
+		minUsed = 0.6
+	)
+	f := newFleet(t, 6, 3)
+	for _, e := range f.endpoints {
+		e.SetBehaviour(fakeplatform.Limited(perSecond, fakeplatform.Status(http.StatusOK)))
+	}
+	f.play(load{60, 0}, time.Second)
+	began := time.Now()
+	sent, answered := f.play(load{50, 0.7}, during)
+	f.Check(float64(answered) >= minUsed*perSecond*3*during.Seconds(), qt.IsTrue, qt.Commentf("%d of %d answered", answered, sent))
+	for _, e := range f.endpoints {
+		got := busiestWindow(e, began.Add(limitGrace), limitWindow)
+		f.Check(got <= allowedInWindow(perSecond), qt.IsTrue, qt.Commentf("%d requests in %s", got, limitWindow))
+	}
+}
+
+// TestRateLimitOutlivesItsStatement guards against daemons that keep a limit for good
+// because they send too little to hear of its end.
+func TestRateLimitOutlivesItsStatement(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 2)
+	limited := f.endpoints[0]
+	limited.SetBehaviour(fakeplatform.Limited(0.5, fakeplatform.Status(http.StatusOK)))
+	f.play(load{40, 0}, 2*time.Second)
+	limited.SetBehaviour(nil)
+	f.play(load{40, 0}, 6*time.Second)
+	before := len(limited.Requests())
+	sent, _ := f.play(load{40, 0}, 2*time.Second)
+	got := len(limited.Requests()) - before
+	f.Check(got >= sent/4, qt.IsTrue, qt.Commentf("%d of %d requests went to the endpoint, one of two", got, sent))
+}
+
+// TestRateLimitWithoutAllocator checks that a limit holds while the daemons that hand
+// out its permits stop one after the other, and that the endpoint goes on to be used.
+func TestRateLimitWithoutAllocator(t *testing.T) {
+	t.Parallel()
+	const perSecond = 3
+	f := newFleet(t, 4, 2)
+	limited := f.endpoints[0]
+	limited.SetBehaviour(fakeplatform.Limited(perSecond, fakeplatform.Status(http.StatusOK)))
+	f.play(load{60, 0}, time.Second)
+	began := time.Now()
+	for len(f.stops) > 1 {
+		f.play(load{40, 0}, 2*time.Second)
+		f.stops[0]()
+		f.stops, f.callers = f.stops[1:], f.callers[1:]
+	}
+	before := len(limited.Requests())
+	f.play(load{40, 0}, 4*time.Second)
+	f.Check(len(limited.Requests()) > before, qt.IsTrue)
+	got := busiestWindow(limited, began.Add(limitGrace), limitWindow)
+	f.Check(got <= allowedInWindow(perSecond), qt.IsTrue, qt.Commentf("%d requests in %s", got, limitWindow))
+}
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/rpc"
 	"time"
 
 	"github.com/pkg/errors"
@@ -146,7 +145,6 @@
 
 // call calls a method of the source with a timeout.
 func (s *source) call(ctx context.Context, method string, request, reply any) error {
-	const op = "ask peer"
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+sourceTimeout)
 	defer cancel()
 	if s.client == nil {
@@ -156,16 +154,7 @@
 		}
 		s.client = c
 	}
-	call := s.client.Go(peerService+"."+method, request, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		if call.Error != nil {
-			return &Error{op, KindPeer, call.Error}
-		}
-		return nil
-	case <-ctx.Done():
-		return &Error{op, KindPeer, ctx.Err()}
-	}
+	return callPeer(ctx, s.client, method, request, reply)
 }
 
 // close closes the connection to the source.
--- a/gate/shared/census.go
+++ b/gate/shared/census.go
@@ -19,6 +19,7 @@
 	Ejected      int `json:"resting"`
 	Paused       int `json:"paused"`
 	Cold         int `json:"cold"`
+	Limited      int `json:"limited"`
 }
 
 // Census returns the census of the endpoints that serve any version of a model.
@@ -50,6 +51,8 @@
 		return &c.Ejected
 	case !e.open(now):
 		return &c.Cold
+	case e.permitsLeft(now) == 0:
+		return &c.Limited
 	case len(e.running) >= g.connections(e) || float64(e.busy(now)) >= overbooking*float64(e.slots()):
 		return &c.Full
 	}
--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -13,13 +13,14 @@
 
 // choose returns the endpoint for w, or nil when none has room. For short
 // requests the number of requests at an endpoint dominates, for long prompts the
-// prompt tokens still to be processed there, less those in its prompt cache.
-func (g *Gate) choose(now time.Time, w fescuelatch.Work) *endpointLoad {
+// prompt tokens still to be processed there, less those in its prompt cache. If a
+// better endpoint lacks a permit, and more permits may be had for it, it is returned
+// as lacking.
+func (g *Gate) choose(now time.Time, w fescuelatch.Work) (best, lacking *endpointLoad) {
 	endpoints := g.serving[w.Version]
 	affinity := g.affinityOf(endpoints, w)
 	status := g.statusOf(now, endpoints)
-	var best *endpointLoad
-	var least time.Duration
+	var least, leastLacking time.Duration
 	for _, e := range endpoints {
 		if !g.admits(now, e, status, w) {
 			continue
@@ -28,11 +29,21 @@
 		// Ties are broken at random, so that daemons do not all choose the
 		// first endpoint of the same list.
 		c += time.Duration(g.random.Float64() * float64(time.Millisecond))
-		if best == nil || c < least {
-			best, least = e, c
+		switch {
+		case e.permitsLeft(now) > 0:
+			if best == nil || c < least {
+				best, least = e, c
+			}
+		case e.hint.permits.Lacks(now):
+			if lacking == nil || c < leastLacking {
+				lacking, leastLacking = e, c
+			}
 		}
 	}
-	return best
+	if best != nil && least <= leastLacking {
+		lacking = nil
+	}
+	return best, lacking
 }
 
 // versionStatus holds conditions over all endpoints of a version. Each is evaluated
@@ -107,7 +118,7 @@
 			continue
 		}
 		n++
-		if e.paused(now) || e.isUnreachable(now) || now.Before(e.ejectedUntil) || e.trial != "" || g.unresponsive(now, e) {
+		if e.paused(now) || e.permitsLeft(now) == 0 || e.isUnreachable(now) || now.Before(e.ejectedUntil) || e.trial != "" || g.unresponsive(now, e) {
 			excluded++
 		}
 	}
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -33,6 +33,8 @@
 	latencies  map[fescuelatch.VersionID]*versionLatency
 	waiting    queue
 	hints      hintCache
+	// limited holds the endpoints that limit their rate, or did so recently.
+	limited map[fescuelatch.EndpointID]*endpointLoad
 }
 
 // New returns a gate without endpoints.
@@ -46,6 +48,7 @@
 		serving:   make(map[fescuelatch.VersionID][]*endpointLoad),
 		latencies: make(map[fescuelatch.VersionID]*versionLatency),
 		hints:     newHintCache(),
+		limited:   make(map[fescuelatch.EndpointID]*endpointLoad),
 	}
 }
 
@@ -74,6 +77,7 @@
 			e = newEndpointLoad(now, o, e)
 			e.hint = g.hints.of(o)
 			g.endpoints[o.Endpoint.ID] = e
+			g.trackLimit(e)
 		}
 		e.update(now, o, g.startPhase(o))
 		g.registered = append(g.registered, e)
@@ -84,6 +88,7 @@
 	for id := range g.endpoints {
 		if !seen[id] {
 			delete(g.endpoints, id)
+			delete(g.limited, id)
 		}
 	}
 }
@@ -107,7 +112,11 @@
 	if expired(now, w) {
 		return refuse(w, minRetryAfter)
 	}
-	if e := g.choose(now, w); e != nil {
+	e, lacking := g.choose(now, w)
+	if lacking != nil {
+		lacking.hint.permits.Miss(now)
+	}
+	if e != nil {
 		return g.start(now, e, w)
 	}
 	wait := g.maxWait(w)
@@ -118,12 +127,16 @@
 }
 
 // Admits reports whether w would start at once.
-func (g *Gate) Admits(now time.Time, w fescuelatch.Work) bool { return g.choose(now, w) != nil }
+func (g *Gate) Admits(now time.Time, w fescuelatch.Work) bool {
+	e, _ := g.choose(now, w)
+	return e != nil
+}
 
 func (g *Gate) start(now time.Time, e *endpointLoad, w fescuelatch.Work) fescuelatch.Admission {
 	a := &attempt{work: w, endpoint: e, started: now, uncached: e.uncachedTokens(w)}
 	g.attempts[w.Attempt] = a
 	e.start(now, a, g.coldInterval(e.owned.ColdRate))
+	e.usePermit(now)
 	return fescuelatch.Admission{Attempt: w.Attempt, Verdict: fescuelatch.AdmissionStart, Endpoint: e.owned.Endpoint.ID}
 }
 
@@ -193,7 +206,7 @@
 			as = append(as, refuse(w, minRetryAfter))
 			return true
 		}
-		e := g.choose(now, w)
+		e, _ := g.choose(now, w)
 		if e == nil {
 			return false
 		}
@@ -214,7 +227,7 @@
 			}
 			s.Slots += e.slots()
 			if e.open(now) {
-				s.Free += max(0, e.slots()-e.busy(now))
+				s.Free += min(max(0, e.slots()-e.busy(now)), e.permitsLeft(now))
 			}
 		}
 		spares = append(spares, s)
--- a/gate/shared/hints.go
+++ b/gate/shared/hints.go
@@ -1,12 +1,12 @@
 package shared
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"fescuelatch"
+	"fescuelatch/permit"
 )
 
 // This file defines the hints that endpoints send with their answers: that they are
@@ -21,15 +21,8 @@
 	maxHints = 4096
 )
 
-// process is one process of an endpoint at an address.
-type process struct {
-	endpoint fescuelatch.EndpointID
-	born     int64
-	address  netip.AddrPort
-}
-
-func processOf(o fescuelatch.OwnedEndpoint) process {
-	return process{o.Endpoint.ID, o.Process, o.Endpoint.Address}
+func processOf(o fescuelatch.OwnedEndpoint) fescuelatch.EndpointProcess {
+	return fescuelatch.EndpointProcess{Endpoint: o.Endpoint.ID, Started: o.Process, Address: o.Endpoint.Address}
 }
 
 // hint is what an endpoint process has asked for.
@@ -37,19 +30,20 @@
 	leaving bool
 	// paused is until when the process wants no work.
 	paused time.Time
-	// limit is the rate of requests that the process accepts from all daemons.
-	limit fescuelatch.RateLimit
+	// permits are for the requests to a process that limits their rate; nil if it
+	// never did.
+	permits *permit.Holder
 }
 
 // hintCache keeps the hints of processes, also while they are not registered: a
 // registration may lapse and return.
 type hintCache struct {
-	byProcess *simplelru.LRU[process, hint]
+	byProcess *simplelru.LRU[fescuelatch.EndpointProcess, hint]
 }
 
 func newHintCache() hintCache {
 	// The size is a positive constant, which is all that is checked.
-	byProcess, _ := simplelru.NewLRU[process, hint](maxHints, nil)
+	byProcess, _ := simplelru.NewLRU[fescuelatch.EndpointProcess, hint](maxHints, nil)
 	return hintCache{byProcess}
 }
 
@@ -72,31 +66,6 @@
 	}
 }
 
-// limit records a process's statement on its request rate.
-func (c hintCache) limit(e *endpointLoad, l fescuelatch.RateLimit) {
-	e.hint.limit = l
-	c.byProcess.Add(processOf(e.owned), e.hint)
-}
-
-// SetLimit records an endpoint's statement on its request rate and reports whether it
-// differs from the previous one.
-func (g *Gate) SetLimit(id fescuelatch.EndpointID, l fescuelatch.RateLimit) bool {
-	e := g.endpoints[id]
-	if e == nil || e.hint.limit == l {
-		return false
-	}
-	g.hints.limit(e, l)
-	return true
-}
-
-// Limit returns an endpoint's last statement on its request rate.
-func (g *Gate) Limit(id fescuelatch.EndpointID) fescuelatch.RateLimit {
-	if e := g.endpoints[id]; e != nil {
-		return e.hint.limit
-	}
-	return fescuelatch.RateLimit{}
-}
-
 // out reports whether the endpoint permanently gets no new work.
 func (e *endpointLoad) out() bool { return e.owned.Out || e.hint.leaving }
 
--- /dev/null
+++ b/gate/shared/limit.go
@@ -0,0 +1,119 @@
+package shared
+
+import (
+	"math"
+	"time"
+
+	"fescuelatch"
+	"fescuelatch/permit"
+)
+
+// This file defines the gate's use of permits for endpoints that limit the rate of
+// their requests.
+
+// SetLimit records an endpoint's statement on its rate limit, made in answer to a
+// request sent at a given time, and reports whether the limit has changed. An answer
+// without a limit only replaces statements from before its request was sent.
+func (g *Gate) SetLimit(now, sent time.Time, id fescuelatch.EndpointID, l fescuelatch.RateLimit) bool {
+	e := g.endpoints[id]
+	if e == nil || e.hint.permits == nil && !l.Limited {
+		return false
+	}
+	if e.hint.permits == nil {
+		e.hint.permits = permit.NewHolder()
+		g.hints.byProcess.Add(processOf(e.owned), e.hint)
+	}
+	g.trackLimit(e)
+	at := now
+	if !l.Limited {
+		at = sent
+	}
+	return e.hint.permits.Observe(now, fescuelatch.LimitStatement{Limit: l, At: at})
+}
+
+// Limit returns an endpoint's rate limit.
+func (g *Gate) Limit(id fescuelatch.EndpointID) fescuelatch.RateLimit {
+	if e := g.endpoints[id]; e != nil && e.hint.permits != nil {
+		return e.hint.permits.Limit()
+	}
+	return fescuelatch.RateLimit{}
+}
+
+// LimitedEndpoints returns the number of endpoints with a rate limit.
+func (g *Gate) LimitedEndpoints() int {
+	n := 0
+	for _, e := range g.limited {
+		if e.isLimited() {
+			n++
+		}
+	}
+	return n
+}
+
+// PermitRequests returns the requests for permits that are due. Each of them must be
+// answered by GrantPermits or PermitsFailed.
+func (g *Gate) PermitRequests(now time.Time) []permit.Request {
+	var due []permit.Request
+	for id, e := range g.limited {
+		q, ok := e.hint.permits.Due(now)
+		if ok {
+			q.Process, q.Domain = processOf(e.owned), e.owned.Endpoint.Domain
+			due = append(due, q)
+		} else if e.hint.permits.Idle() {
+			delete(g.limited, id)
+		}
+	}
+	return due
+}
+
+// GrantPermits applies the reply to a request for permits that was sent at asked, and
+// reports whether the endpoint's limit has changed.
+func (g *Gate) GrantPermits(now, asked time.Time, p fescuelatch.EndpointProcess, r permit.Reply) bool {
+	h, ok := g.hints.byProcess.Peek(p)
+	return ok && h.permits != nil && h.permits.Granted(now, asked, r, g.random.Float64())
+}
+
+// PermitsFailed records that a request for permits has reached no allocator.
+func (g *Gate) PermitsFailed(now time.Time, p fescuelatch.EndpointProcess) {
+	if h, ok := g.hints.byProcess.Peek(p); ok && h.permits != nil {
+		h.permits.Failed(now)
+	}
+}
+
+// trackLimit tracks an endpoint that may have a rate limit.
+func (g *Gate) trackLimit(e *endpointLoad) {
+	if e.hint.permits != nil {
+		g.limited[e.owned.Endpoint.ID] = e
+	}
+}
+
+func (e *endpointLoad) isLimited() bool {
+	return e.hint.permits != nil && e.hint.permits.Limit().Limited
+}
+
+// permitsLeft returns the number of requests that the endpoint's rate limit permits now.
+func (e *endpointLoad) permitsLeft(now time.Time) int {
+	if !e.isLimited() {
+		return math.MaxInt
+	}
+	return e.hint.permits.Permits(now)
+}
+
+func (e *endpointLoad) usePermit(now time.Time) {
+	if e.isLimited() {
+		e.hint.permits.Use(now)
+	}
+}
+
+// mayBePermitted reports whether there may be a permit for the endpoint by a time.
+func (e *endpointLoad) mayBePermitted(by time.Time) bool {
+	return e.permitsLeft(by) > 0 || e.hint.permits.Expects(by)
+}
+
+// permitWait returns the time until the next permits may be had.
+func (e *endpointLoad) permitWait(now time.Time) time.Duration {
+	if e.permitsLeft(now) > 0 {
+		return 0
+	}
+	return e.hint.permits.Next().Sub(now)
+}
--- a/gate/shared/wait.go
+++ b/gate/shared/wait.go
@@ -75,12 +75,12 @@
 // canServe reports whether any endpoint may take w by the given time.
 func (g *Gate) canServe(by time.Time, w fescuelatch.Work) bool {
 	return slices.ContainsFunc(g.serving[w.Version], func(e *endpointLoad) bool {
-		return !e.out() && !e.paused(by) && !slices.Contains(w.Avoid, e.owned.Endpoint.ID)
+		return !e.out() && !e.paused(by) && e.mayBePermitted(by) && !slices.Contains(w.Avoid, e.owned.Endpoint.ID)
 	})
 }
 
 // retryAfter estimates when there will be room for w: when the endpoints have
-// finished the work ahead of it and one of them is not paused. The time is
+// finished the work ahead of it and one of them is not paused and may get a permit. The time is
 // randomized, so that callers do not retry at once.
 func (g *Gate) retryAfter(now time.Time, w fescuelatch.Work) time.Duration {
 	busy, slots := 0, 0
@@ -89,7 +89,7 @@
 		if !e.out() {
 			busy += e.busy(now)
 			slots += e.slots()
-			pause = min(pause, max(0, e.hint.paused.Sub(now)))
+			pause = min(pause, max(0, e.hint.paused.Sub(now), e.permitWait(now)))
 		}
 	}
 	d := maxRetryAfter
--- a/store.go
+++ b/store.go
@@ -138,13 +138,6 @@
 	Limit *RateLimit
 }
 
-// RateLimit is the rate of requests that an endpoint accepts from all daemons
-// together. The zero value means any rate.
-type RateLimit struct {
-	Limited   bool
-	PerSecond float64
-}
-
 // HeaderCodec decodes and encodes the headers of a platform.
 type HeaderCodec interface {
 	// ReadCall decodes the headers of a caller's request.
