Soak: endpoints that limit their rate, and a check that daemons keep it

A fault of an endpoint lets it name a limit of 0.4 to 10 calls a second until another one ends that. The check counts the calls of daemons that had received the limit half a second before and were not disturbed since, in windows of four seconds; a window begins anew after a fault of the endpoint's link, which holds calls back.

--- a/cmd/fescuelatch-load/soak/check_test.go
+++ b/cmd/fescuelatch-load/soak/check_test.go
@@ -68,7 +68,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			d := &daemon{ready: true, disruptedAt: time.Now().Add(-time.Minute), process: new(process.Process)}
+			d := &daemon{ready: true, disruptions: []time.Time{time.Now().Add(-time.Minute)}, process: new(process.Process)}
 			s := &soak{
 				executions: &executions{counts: map[string]int{"n": test.runs}}, key: 2,
 				keyChanged: time.Now().Add(-time.Minute), report: Report{Calls: make(map[string]int)},
@@ -84,3 +84,37 @@
 		})
 	}
 }
+
+func TestRateLimitCheck(t *testing.T) {
+	began := time.Now()
+	every := func(interval time.Duration, n int) []arrival {
+		as := make([]arrival, n)
+		for i := range as {
+			as[i] = arrival{began.Add(time.Duration(i) * interval), "n"}
+		}
+		return as
+	}
+	tests := []struct {
+		name      string
+		arrivals  []arrival
+		disturbed bool
+		calm      bool
+		most      int
+	}{
+		{"within the limit", every(time.Second, 10), false, true, 4},
+		{"far above the limit", every(100*time.Millisecond, 80), false, true, 40},
+		{"far above the limit for a short time", every(100*time.Millisecond, 20), false, true, 0},
+		{"by a daemon that has just been informed", every(10*time.Millisecond, 50), false, true, 0},
+		{"by a daemon that was restarted and informed again", every(100*time.Millisecond, 40), true, true, 30},
+		{"held back by the link", every(100*time.Millisecond, 80), false, false, 0},
+	}
+	for _, test := range tests {
+		d := new(daemon)
+		if test.disturbed {
+			d.disruptions = []time.Time{began.Add(1950 * time.Millisecond)}
+		}
+		p := &limitPeriod{perSecond: 1, began: began, arrivals: test.arrivals}
+		got := p.busiestWindow(map[string]*daemon{"n": d}, func(time.Time) bool { return test.calm })
+		qt.Check(t, got, qt.Equals, test.most, qt.Commentf("%s", test.name))
+	}
+}
--- a/cmd/fescuelatch-load/soak/daemon.go
+++ b/cmd/fescuelatch-load/soak/daemon.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -36,8 +37,8 @@
 	process  *process.Process
 	stopping bool // it received a signal to end
 	ready    bool // the load balancer sends it calls
-	// disruptedAt is when it was last started or signaled.
-	disruptedAt time.Time
+	// disruptions are the times at which it was started or signaled.
+	disruptions []time.Time
 	failures    []string // crashes and failed shutdowns
 }
 
@@ -73,7 +74,8 @@
 	if err != nil {
 		return err
 	}
-	d.process, d.stopping, d.ready, d.disruptedAt = p, false, false, time.Now()
+	d.process, d.stopping, d.ready = p, false, false
+	d.disruptions = append(d.disruptions, time.Now())
 	return nil
 }
 
@@ -110,7 +112,7 @@
 	if d.process == nil {
 		return
 	}
-	d.disruptedAt = time.Now()
+	d.disruptions = append(d.disruptions, time.Now())
 	// The process may have just ended; it needs no signal then.
 	_ = d.process.Signal(s)
 }
@@ -146,7 +148,7 @@
 	if d.process == nil || !d.process.Running() {
 		return nil
 	}
-	d.disruptedAt, d.stopping = time.Now(), true
+	d.disruptions, d.stopping = append(d.disruptions, time.Now()), true
 	return d.process
 }
 
@@ -165,5 +167,16 @@
 func (d *daemon) stableSince() (time.Time, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.disruptedAt, d.process != nil && d.process.Running() && !d.stopping && d.ready
+	var last time.Time
+	if n := len(d.disruptions); n > 0 {
+		last = d.disruptions[n-1]
+	}
+	return last, d.process != nil && d.process.Running() && !d.stopping && d.ready
+}
+
+// disturbedBetween reports whether the daemon was disturbed in a time.
+func (d *daemon) disturbedBetween(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.disruptions, func(t time.Time) bool { return !t.Before(from) && !t.After(to) })
 }
--- a/cmd/fescuelatch-load/soak/endpoint.go
+++ b/cmd/fescuelatch-load/soak/endpoint.go
@@ -56,6 +56,7 @@
 	service    string
 	link       *link
 	fault      atomic.Value
+	limiter    limiter
 	executions *executions
 }
 
@@ -82,12 +83,13 @@
 }
 
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	nonce := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	e.limiter.arrived(w, nonce)
 	fault, _ := e.fault.Load().(endpointFault)
 	if fault == endpointFull {
 		fakeplatform.NotRun(w, r)
 		return
 	}
-	nonce := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	e.executions.add(nonce)
 	switch {
 	case fault == endpointSlow:
--- a/cmd/fescuelatch-load/soak/fault.go
+++ b/cmd/fescuelatch-load/soak/fault.go
@@ -93,6 +93,7 @@
 		func() fault { return s.drawLinkFault(e.ID, false, e.link) },
 		func() fault { return s.drawEndpointFault(e) },
 		func() fault { return s.newDrainFault(e) },
+		func() fault { return s.newLimitFault(e) },
 		func() fault { return fault{"change the key", false, s.changeKey, func() {}} },
 	}
 	return all[s.random.IntN(len(all))]()
@@ -165,3 +166,14 @@
 func (s *soak) newDrainFault(e *endpoint) fault {
 	return fault{e.ID + " leaves", false, func() { s.register(e, "draining") }, func() { s.register(e, "ready") }}
 }
+
+// newLimitFault returns a fault after which an endpoint limits the rate of its calls, or
+// no longer does.
+func (s *soak) newLimitFault(e *endpoint) fault {
+	if e.limiter.limited() {
+		return fault{e.ID + " limits its rate no longer", false, func() { e.limiter.set(0) }, func() {}}
+	}
+	limits := []float64{0.4, 1, 3, 10}
+	l := limits[s.random.IntN(len(limits))]
+	return fault{fmt.Sprintf("%s limits its rate to %v a second", e.ID, l), false, func() { e.limiter.set(l) }, func() {}}
+}
--- a/cmd/fescuelatch-load/soak/link.go
+++ b/cmd/fescuelatch-load/soak/link.go
@@ -29,6 +29,8 @@
 	// its fault.
 	linkPollInterval = 20 * time.Millisecond
 	linkBuffer       = 16 << 10
+	// linkSettling is how long after a fault data that it held back may arrive.
+	linkSettling = 2 * time.Second
 )
 
 // link forwards connections to a target. It is safe for concurrent use.
@@ -36,10 +38,17 @@
 	listener net.Listener
 	target   string
 
-	mu     sync.Mutex
-	fault  linkFault
-	closed bool
-	conns  map[net.Conn]bool
+	mu      sync.Mutex
+	fault   linkFault
+	closed  bool
+	conns   map[net.Conn]bool
+	changes []linkChange
+}
+
+// linkChange is the beginning or end of a fault.
+type linkChange struct {
+	at    time.Time
+	fault linkFault
 }
 
 func newLink(target netip.AddrPort) (*link, error) {
@@ -59,11 +68,26 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.fault = f
+	k.changes = append(k.changes, linkChange{time.Now(), f})
 	if f == linkCut {
 		k.closeAll()
 	}
 }
 
+// calmAt reports whether no fault held data back at a time or shortly before.
+func (k *link) calmAt(t time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	calm := true
+	for _, c := range k.changes {
+		if c.at.After(t) {
+			break
+		}
+		calm = c.fault == linkHealthy && t.Sub(c.at) >= linkSettling
+	}
+	return calm
+}
+
 func (k *link) close() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/cmd/fescuelatch-load/soak/soak.go
+++ b/cmd/fescuelatch-load/soak/soak.go
@@ -108,6 +108,7 @@
 	wg.Wait()
 	s.recover(context.WithoutCancel(ctx))
 	s.checkExecutions()
+	s.checkRateLimits()
 	return &s.report, nil
 }
 
@@ -225,6 +226,9 @@
 // recover starts daemons that do not run and checks that all serve calls
 // again and then stop cleanly.
 func (s *soak) recover(ctx context.Context) {
+	for _, e := range s.endpoints {
+		e.limiter.set(0)
+	}
 	for _, d := range s.daemons {
 		if err := d.start(); err != nil {
 			s.addViolation("%s failed to start: %v", d.VM, err)
