Attempts without an answer are evidence on a release

Cause, first part: only answers counted. An attempt that was given up for silence, cut midway, or abandoned for a larger model counted as neither good nor bad, so that a release that hangs showed few answers, and the quick ones.

Now an attempt that ends in silence or is cut counts as bad if its endpoint can still be reached; one that is abandoned counts with the time to its head; one that its caller gave up counts as slow if it had waited that long, else not at all. Latencies are compared by route and model, as a route's answers of small and large models differ several times.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -48,6 +48,8 @@
 	// reported and the error if its status is a failure.
 	confidence float64
 	failure    error
+	// observed reports that the answer has counted as evidence on its release.
+	observed bool
 }
 
 func newAttempt(ctx context.Context, s *activeRequest, a decision.Start) *attempt {
@@ -92,6 +94,7 @@
 	if r.Status != fescuelatch.AttemptNotStarted {
 		t.request.ran.Store(true)
 	}
+	t.observeEnd(r, time.Since(began))
 	if err == nil {
 		err = t.failure
 	}
@@ -264,7 +267,11 @@
 	}
 	failed := a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status)
 	r.RetryAfter = retryAfter(a.Status, headers)
-	t.observe(r, failed)
+	if failed {
+		t.observe(rollout.OutcomeFailed, r.FirstToken)
+	} else {
+		t.observe(rollout.OutcomeAnswered, r.FirstToken)
+	}
 	t.request.storeAnswer(t.start.Attempt, &bufferedAnswer{status: a.Status, header: a.Header, body: b})
 	if failed {
 		r.Status = fescuelatch.AttemptFailed
@@ -297,7 +304,9 @@
 
 // relayStream relays a stream of events, each as soon as it is complete.
 func (t *attempt) relayStream(a *endpoint.Answer, r *fescuelatch.AttemptResult, headers fescuelatch.AnswerHeaders, sent time.Time) error {
+	opened := time.Since(sent)
 	if !t.awaitRelay(headers) {
+		t.observe(rollout.OutcomeAnswered, opened)
 		return t.ctx.Err()
 	}
 	s := t.request
@@ -314,7 +323,7 @@
 		}
 		if r.FirstToken == 0 {
 			r.FirstToken = time.Since(sent)
-			t.observe(r, false)
+			t.observe(rollout.OutcomeAnswered, r.FirstToken)
 		}
 		timeout = t.start.Timeouts.Gap
 		s.output.writeHeader(s.writer, s.daemon.options.Dialect, a)
@@ -346,10 +355,23 @@
 	}
 }
 
-func (t *attempt) observe(r *fescuelatch.AttemptResult, failed bool) {
-	t.request.daemon.observe(t.start.Version, rollout.Answer{
-		Route: t.request.route.ID, Failed: failed, Latency: r.FirstToken,
-	})
+func (t *attempt) observe(o rollout.Outcome, latency time.Duration) {
+	t.observed = true
+	t.request.daemon.observe(t.start.Version, rollout.Attempt{Route: t.request.route.ID, Outcome: o, Latency: latency})
+}
+
+// observeEnd records what the end of the attempt shows of the release. An endpoint that
+// is gone shows nothing.
+func (t *attempt) observeEnd(r fescuelatch.AttemptResult, waited time.Duration) {
+	switch {
+	case r.Status == fescuelatch.AttemptBroken && r.EndpointGone:
+	case r.Status == fescuelatch.AttemptBroken && t.observed:
+		t.observe(rollout.OutcomeCut, 0)
+	case r.Status == fescuelatch.AttemptBroken:
+		t.observe(rollout.OutcomeFailed, waited)
+	case r.Status == fescuelatch.AttemptCancelled && !t.observed:
+		t.observe(rollout.OutcomeGivenUp, waited)
+	}
 }
 
 // impliesNotRun reports whether a status implies that the request did not run.
--- a/direct/ratelimit_test.go
+++ b/direct/ratelimit_test.go
@@ -1,13 +1,7 @@
 package direct_test
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
-	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,75 +12,6 @@
 
 // This file tests that daemons together keep the rate limits that endpoints name.
 
-// fleet is several daemons on one platform.
-type fleet struct {
-	*site
-	callers []netip.AddrPort
-	stops   []func() // ends a daemon
-}
-
-func newFleet(t *testing.T, daemons, endpoints int) *fleet {
-	s := newSite(t, "desk", endpoints)
-	f := &fleet{site: s}
-	for n := range daemons {
-		if n > 0 {
-			s.startDaemon(t, fmt.Sprintf("vm-%d", n+1))
-		}
-		s.awaitReady()
-		stop, stopped := s.stop, s.stopped
-		f.callers = append(f.callers, s.callers)
-		f.stops = append(f.stops, func() {
-			stop()
-			<-stopped
-		})
-	}
-	return f
-}
-
-// load is a steady rate of calls. The first daemon gets busiestShare of them, and the
-// rest are spread evenly over all daemons.
-type load struct {
-	perSecond    float64
-	busiestShare float64
-}
-
-// play sends calls for a time and returns how many were answered.
-func (f *fleet) play(l load, during time.Duration) (sent, answered int) {
-	var mu sync.Mutex
-	var calls sync.WaitGroup
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	interval := time.Duration(float64(time.Second) / l.perSecond)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for end := time.Now().Add(during); time.Now().Before(end); sent++ {
-		<-ticker.C
-		to := f.callers[0]
-		if rand.Float64() >= l.busiestShare {
-			to = f.callers[rand.IntN(len(f.callers))]
-		}
-		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			defer cancel()
-			id := fmt.Sprintf("%x", rand.Uint64())
-			q, err := fakeplatform.NewCall(ctx, to, http.MethodGet, "desk.example", "/look/", id, callerKey, 3*time.Second)
-			f.Check(err, qt.IsNil)
-			res, err := client.Do(q)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, res.Body)
-			_ = res.Body.Close()
-			mu.Lock()
-			defer mu.Unlock()
-			if res.StatusCode == http.StatusOK {
-				answered++
-			}
-		})
-	}
-	calls.Wait()
-	return sent, answered
-}
-
 // busiestWindow returns the most requests that an endpoint got within a window that
 // begins after a time.
 func busiestWindow(e *fakeplatform.Endpoint, after time.Time, window time.Duration) int {
@@ -125,16 +50,16 @@
 		perSecond float64
 		load      load
 	}{
-		{"below one a second", 8, 0.3, load{60, 0}},
-		{"one a second", 8, 1, load{60, 0}},
-		{"one busy daemon", 6, 1.6, load{60, 0.7}},
-		{"many a second", 6, 15, load{180, 0}},
+		{"below one a second", 8, 0.3, lookups(60, 0)},
+		{"one a second", 8, 1, lookups(60, 0)},
+		{"one busy daemon", 6, 1.6, lookups(60, 0.7)},
+		{"many a second", 6, 15, lookups(180, 0)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, test.daemons, 3)
-			f.play(load{40, 0}, time.Second)
+			f := newFleet(t, "desk", test.daemons, 3)
+			f.play(lookups(40, 0), time.Second)
 			limited := f.endpoints[0]
 			limited.SetBehaviour(fakeplatform.Limited(test.perSecond, fakeplatform.Status(http.StatusOK)))
 			began := time.Now()
@@ -157,13 +82,13 @@
 		// minUsed is of what all endpoints accept; the demand exceeds that.
 		minUsed = 0.6
 	)
-	f := newFleet(t, 6, 3)
+	f := newFleet(t, "desk", 6, 3)
 	for _, e := range f.endpoints {
 		e.SetBehaviour(fakeplatform.Limited(perSecond, fakeplatform.Status(http.StatusOK)))
 	}
-	f.play(load{60, 0}, time.Second)
+	f.play(lookups(60, 0), time.Second)
 	began := time.Now()
-	sent, answered := f.play(load{50, 0.7}, during)
+	sent, answered := f.play(lookups(50, 0.7), during)
 	f.Check(float64(answered) >= minUsed*perSecond*3*during.Seconds(), qt.IsTrue, qt.Commentf("%d of %d answered", answered, sent))
 	for _, e := range f.endpoints {
 		got := busiestWindow(e, began.Add(limitGrace), limitWindow)
@@ -175,14 +100,14 @@
 // because they send too little to hear of its end.
 func TestRateLimitOutlivesItsStatement(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 4, 2)
+	f := newFleet(t, "desk", 4, 2)
 	limited := f.endpoints[0]
 	limited.SetBehaviour(fakeplatform.Limited(0.5, fakeplatform.Status(http.StatusOK)))
-	f.play(load{40, 0}, 2*time.Second)
+	f.play(lookups(40, 0), 2*time.Second)
 	limited.SetBehaviour(nil)
-	f.play(load{40, 0}, 6*time.Second)
+	f.play(lookups(40, 0), 6*time.Second)
 	before := len(limited.Requests())
-	sent, _ := f.play(load{40, 0}, 2*time.Second)
+	sent, _ := f.play(lookups(40, 0), 2*time.Second)
 	got := len(limited.Requests()) - before
 	f.Check(got >= sent/4, qt.IsTrue, qt.Commentf("%d of %d requests went to the endpoint, one of two", got, sent))
 }
@@ -192,18 +117,18 @@
 func TestRateLimitWithoutAllocator(t *testing.T) {
 	t.Parallel()
 	const perSecond = 3
-	f := newFleet(t, 4, 2)
+	f := newFleet(t, "desk", 4, 2)
 	limited := f.endpoints[0]
 	limited.SetBehaviour(fakeplatform.Limited(perSecond, fakeplatform.Status(http.StatusOK)))
-	f.play(load{60, 0}, time.Second)
+	f.play(lookups(60, 0), time.Second)
 	began := time.Now()
 	for len(f.stops) > 1 {
-		f.play(load{40, 0}, 2*time.Second)
+		f.play(lookups(40, 0), 2*time.Second)
 		f.stops[0]()
 		f.stops, f.callers = f.stops[1:], f.callers[1:]
 	}
 	before := len(limited.Requests())
-	f.play(load{40, 0}, 4*time.Second)
+	f.play(lookups(40, 0), 4*time.Second)
 	f.Check(len(limited.Requests()) > before, qt.IsTrue)
 	got := busiestWindow(limited, began.Add(limitGrace), limitWindow)
 	f.Check(got <= allowedInWindow(perSecond), qt.IsTrue, qt.Commentf("%d requests in %s", got, limitWindow))
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -305,13 +305,13 @@
 	return before
 }
 
-// observe adds the answer of an attempt to the rollout of its service.
-func (d *Daemon) observe(v fescuelatch.VersionID, a rollout.Answer) {
+// observe adds what an attempt shows of its version to the rollout of the service.
+func (d *Daemon) observe(v fescuelatch.VersionID, a rollout.Attempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	service, _, _ := strings.Cut(string(v.Model()), ":")
 	if r := d.rollouts[fescuelatch.ServiceID(service)]; r != nil {
-		a.Release = v.Release()
+		a.Model, a.Release = v.Model(), v.Release()
 		r.Observe(a)
 	}
 }
--- a/direct/rollouts_test.go
+++ b/direct/rollouts_test.go
@@ -90,7 +90,7 @@
 	now := time.Unix(0, 0).Add(at)
 	q := &fescuelatch.Request{Ladder: []fescuelatch.ModelID{"lm:small"}, SessionKey: session, Arrived: now}
 	release := v.ladder.Plan(now, q, v.candidates, f.random.Float64())[0].Release()
-	f.rollouts[d].Observe(rollout.Answer{Route: "review", Release: release, Latency: 100 * time.Millisecond})
+	f.rollouts[d].Observe(rollout.Attempt{Route: "review", Release: release, Outcome: rollout.OutcomeAnswered, Latency: 100 * time.Millisecond})
 	return release
 }
 
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -48,41 +48,79 @@
 	}
 }
 
-// Answer describes an endpoint's answer to one attempt.
-type Answer struct {
+// Attempt describes what one attempt shows of a release.
+type Attempt struct {
 	Route   fescuelatch.RouteID
+	Model   fescuelatch.ModelID
 	Release fescuelatch.ReleaseID
-	Failed  bool
-	// Latency is the time to the answer, or to the first event of a stream.
+	Outcome Outcome
+	// Latency is the time to the answer or to the first event of a stream, or the
+	// time for which an attempt that was given up has waited for it.
 	Latency time.Duration
 }
 
-// meanLatency is the baseline latency of a route: a moving average over the other
-// releases.
+// Outcome is how an attempt has ended, as far as its release is concerned.
+type Outcome string
+
+// Outcomes of attempts.
+const (
+	// OutcomeAnswered means that the endpoint has begun a good answer.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeFailed means that the endpoint has failed, or that it can be reached
+	// but does not answer.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeCut means that an answer counted as OutcomeAnswered did not get to its
+	// end, though the endpoint can be reached.
+	OutcomeCut Outcome = "cut"
+	// OutcomeGivenUp means that the attempt was given up before the answer, for a
+	// reason other than the endpoint.
+	OutcomeGivenUp Outcome = "given-up"
+)
+
+// latencyKey identifies answers of comparable latency.
+type latencyKey struct {
+	route fescuelatch.RouteID
+	model fescuelatch.ModelID
+}
+
+// meanLatency is the baseline latency of a route and model: a moving average over the
+// other releases.
 type meanLatency struct{ mean float64 }
 
-// Observe records an answer.
-func (r *Rollout) Observe(a Answer) {
-	baseline := r.baseline[a.Route]
-	slow := baseline != nil && a.Latency >= minSlowLatency && float64(a.Latency) > slowFactor*baseline.mean
+// Observe records an attempt. One that was given up early is evidence neither for nor
+// against its release; given up late, it shows that the release is slow.
+func (r *Rollout) Observe(a Attempt) {
+	slow := r.slow(a)
+	if a.Outcome == OutcomeGivenUp && !slow {
+		return
+	}
 	counts := r.own.Others
 	if a.Release == r.order.Target {
 		counts = r.own.Target
-	} else if !a.Failed {
+	} else if a.Outcome == OutcomeAnswered {
 		r.updateBaseline(a)
 	}
 	c := counts[a.Route]
-	c.Answers++
-	if a.Failed || slow {
+	if a.Outcome != OutcomeCut {
+		c.Answers++
+	}
+	if a.Outcome != OutcomeAnswered || slow {
 		c.Bad++
 	}
 	counts[a.Route] = c
 }
 
-func (r *Rollout) updateBaseline(a Answer) {
-	l := r.baseline[a.Route]
+// slow reports whether the latency of an attempt is far above the baseline.
+func (r *Rollout) slow(a Attempt) bool {
+	baseline := r.baseline[latencyKey{a.Route, a.Model}]
+	return baseline != nil && a.Outcome != OutcomeCut && a.Latency >= minSlowLatency && float64(a.Latency) > slowFactor*baseline.mean
+}
+
+func (r *Rollout) updateBaseline(a Attempt) {
+	key := latencyKey{a.Route, a.Model}
+	l := r.baseline[key]
 	if l == nil {
-		r.baseline[a.Route] = &meanLatency{mean: float64(a.Latency)}
+		r.baseline[key] = &meanLatency{mean: float64(a.Latency)}
 		return
 	}
 	l.mean += latencyWeight * (float64(a.Latency) - l.mean)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -65,7 +65,7 @@
 	machine  *chart.Machine
 	own      Evidence
 	peers    map[fescuelatch.VMID]Evidence
-	baseline map[fescuelatch.RouteID]*meanLatency
+	baseline map[latencyKey]*meanLatency
 }
 
 // New returns a rollout that starts at now.
@@ -74,7 +74,7 @@
 		settings: s, order: o, started: now, machine: chart.Rollout().New(),
 		own:      newEvidence(o.Revision),
 		peers:    make(map[fescuelatch.VMID]Evidence),
-		baseline: make(map[fescuelatch.RouteID]*meanLatency),
+		baseline: make(map[latencyKey]*meanLatency),
 	}
 }
 
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -51,7 +51,7 @@
 		d := random.IntN(daemons)
 		f := fleet[d]
 		route := []string{"review", "triage", "label"}[random.IntN(3)]
-		a := rollout.Answer{Route: fescuelatch.RouteID(route), Release: "v1", Latency: baselineLatency}
+		a := rollout.Attempt{Route: fescuelatch.RouteID(route), Release: "v1", Outcome: rollout.OutcomeAnswered, Latency: baselineLatency}
 		share := baselineBadShare
 		if random.Float64() < f.Share(now) {
 			a.Release = "v2"
@@ -62,7 +62,7 @@
 			if r.slow {
 				a.Latency = 8 * baselineLatency
 			} else {
-				a.Failed = true
+				a.Outcome = rollout.OutcomeFailed
 			}
 			if a.Release == "v2" {
 				bad++
@@ -186,3 +186,31 @@
 		c.Check(changes, qt.Equals, 2+19, qt.Commentf("%v", within))
 	}
 }
+
+// TestAttemptsWithoutAnswer checks that attempts that never answered count as evidence
+// unless they were given up early or their endpoint was not to blame.
+func TestAttemptsWithoutAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		attempt rollout.Attempt
+		bad     bool
+	}{
+		{"answered in time", rollout.Attempt{Outcome: rollout.OutcomeAnswered, Latency: baselineLatency}, false},
+		{"answered late", rollout.Attempt{Outcome: rollout.OutcomeAnswered, Latency: 8 * baselineLatency}, true},
+		{"failed", rollout.Attempt{Outcome: rollout.OutcomeFailed}, true},
+		{"cut", rollout.Attempt{Outcome: rollout.OutcomeCut}, true},
+		{"given up early", rollout.Attempt{Outcome: rollout.OutcomeGivenUp, Latency: baselineLatency}, false},
+		{"given up late", rollout.Attempt{Outcome: rollout.OutcomeGivenUp, Latency: 8 * baselineLatency}, true},
+	}
+	for _, test := range tests {
+		r := rollout.New(rollout.Settings{Exposure: exposure}, fescuelatch.RolloutOrder{Service: "lm", Target: "v2", Duration: duration, Revision: 5}, epoch)
+		for range 20 {
+			r.Observe(rollout.Attempt{Release: "v1", Outcome: rollout.OutcomeAnswered, Latency: baselineLatency})
+		}
+		for range 10 {
+			test.attempt.Release = "v2"
+			r.Observe(test.attempt)
+		}
+		qt.Check(t, r.Bad(), qt.Equals, test.bad, qt.Commentf("%s", test.name))
+	}
+}
