The pace of streams is evidence on a release

Each stream now counts as slow or not by its pace, measured over its first eight gaps, against the faster quarter of the other releases' streams of the same model. A release is bad if slow streams are at least three of ten, and exceed those of the others as bad answers must.

Evidence: TestReleaseWithoutGoodAnswersCompleted, 'its events come slowly': recorded as completed before, rolled back now.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -50,8 +50,35 @@
 	failure    error
 	// observed reports that the answer has counted as evidence on its release.
 	observed bool
+	pace     paceMeter
 }
 
+// paceMeter measures the mean time between the events of a stream.
+type paceMeter struct {
+	first, last time.Time
+	gaps        int
+	reported    bool
+}
+
+const (
+	// minPaceGaps and maxPaceGaps are how many gaps between events are measured.
+	minPaceGaps = 2
+	maxPaceGaps = 8
+)
+
+// event records an event and reports whether the pace is due to be reported.
+func (m *paceMeter) event(now time.Time) bool {
+	if m.first.IsZero() {
+		m.first = now
+	} else {
+		m.gaps++
+	}
+	m.last = now
+	return m.gaps >= maxPaceGaps && !m.reported
+}
+
+func (m *paceMeter) mean() time.Duration { return m.last.Sub(m.first) / time.Duration(max(m.gaps, 1)) }
+
 func newAttempt(ctx context.Context, s *activeRequest, a decision.Start) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	return &attempt{
@@ -325,6 +352,9 @@
 			r.FirstToken = time.Since(sent)
 			t.observe(rollout.OutcomeAnswered, r.FirstToken)
 		}
+		if t.pace.event(time.Now()) {
+			t.reportPace()
+		}
 		timeout = t.start.Timeouts.Gap
 		s.output.writeHeader(s.writer, s.daemon.options.Dialect, a)
 		s.output.timing.record(time.Now(), s.arrived)
@@ -355,6 +385,12 @@
 	}
 }
 
+// reportPace reports the pace of the stream once.
+func (t *attempt) reportPace() {
+	t.pace.reported = true
+	t.request.daemon.observePace(t.start.Version, t.pace.mean())
+}
+
 func (t *attempt) observe(o rollout.Outcome, latency time.Duration) {
 	t.observed = true
 	t.request.daemon.observe(t.start.Version, rollout.Attempt{Route: t.request.route.ID, Outcome: o, Latency: latency})
@@ -363,6 +399,9 @@
 // observeEnd records what the end of the attempt shows of the release. An endpoint that
 // is gone shows nothing.
 func (t *attempt) observeEnd(r fescuelatch.AttemptResult, waited time.Duration) {
+	if !t.pace.reported && t.pace.gaps >= minPaceGaps {
+		t.reportPace()
+	}
 	switch {
 	case r.Status == fescuelatch.AttemptBroken && r.EndpointGone:
 	case r.Status == fescuelatch.AttemptBroken && t.observed:
--- a/direct/badrelease_test.go
+++ b/direct/badrelease_test.go
@@ -75,6 +75,7 @@
 		state    string
 	}{
 		{"as good as the old one", good, good, "completed"},
+		{"its events come slowly", good, fakeplatform.Stream(8, 0, "90", 40*time.Millisecond), "rolled_back"},
 		{"half of its answers do not begin", good, half(fakeplatform.Hang, good), "rolled_back"},
 		{"half of its answers stop midway", good, half(stall(2), good), "rolled_back"},
 		{"its answers are late, and given up for a larger model", bySize(unsure, good), bySize(delayed(400*time.Millisecond, unsure), good), "rolled_back"},
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -309,9 +309,24 @@
 func (d *Daemon) observe(v fescuelatch.VersionID, a rollout.Attempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	service, _, _ := strings.Cut(string(v.Model()), ":")
-	if r := d.rollouts[fescuelatch.ServiceID(service)]; r != nil {
+	if r := d.rolloutOf(v); r != nil {
 		a.Model, a.Release = v.Model(), v.Release()
 		r.Observe(a)
 	}
 }
+
+// observePace adds the mean time between the events of a stream to the rollout of the
+// service.
+func (d *Daemon) observePace(v fescuelatch.VersionID, pace time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.rolloutOf(v); r != nil {
+		r.ObservePace(v.Model(), v.Release(), pace)
+	}
+}
+
+// rolloutOf returns the rollout of a version's service, or nil.
+func (d *Daemon) rolloutOf(v fescuelatch.VersionID) *trackedRollout {
+	service, _, _ := strings.Cut(string(v.Model()), ":")
+	return d.rollouts[fescuelatch.ServiceID(service)]
+}
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -39,6 +39,10 @@
 	Revision int64                         `json:"revision"`
 	Target   map[fescuelatch.RouteID]Count `json:"target"`
 	Others   map[fescuelatch.RouteID]Count `json:"others"`
+	// TargetPaces and OthersPaces count the streams whose pace was judged, and the
+	// slow ones among them.
+	TargetPaces Count `json:"target-paces"`
+	OthersPaces Count `json:"others-paces"`
 }
 
 func newEvidence(revision int64) Evidence {
@@ -128,7 +132,9 @@
 
 // Evidence returns a copy of this daemon's evidence.
 func (r *Rollout) Evidence() Evidence {
-	return Evidence{Revision: r.own.Revision, Target: maps.Clone(r.own.Target), Others: maps.Clone(r.own.Others)}
+	e := r.own
+	e.Target, e.Others = maps.Clone(r.own.Target), maps.Clone(r.own.Others)
+	return e
 }
 
 // Merge merges another daemon's evidence. Evidence on another order is ignored.
@@ -139,8 +145,11 @@
 }
 
 // Bad reports whether the release has too many bad answers in comparison with the
-// others, on any route or overall.
+// others, on any route or overall, or too many slow streams.
 func (r *Rollout) Bad() bool {
+	if r.slowPaces() {
+		return true
+	}
 	target, others := r.sums()
 	var all, baseline Count
 	for route, c := range target {
@@ -191,7 +200,7 @@
 // Changed reports whether this daemon's evidence has changed enough since it was last
 // sent to be sent again: a bad answer, or more than twice as many answers.
 func (r *Rollout) Changed(sent Evidence) bool {
-	return total(r.own.Target).Bad > total(sent.Target).Bad ||
+	return total(r.own.Target).Bad > total(sent.Target).Bad || r.own.TargetPaces.Bad > sent.TargetPaces.Bad ||
 		total(r.own.Target).Answers >= 2*total(sent.Target).Answers+1
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -66,6 +66,7 @@
 	own      Evidence
 	peers    map[fescuelatch.VMID]Evidence
 	baseline map[latencyKey]*meanLatency
+	paces    paces
 }
 
 // New returns a rollout that starts at now.
@@ -75,6 +76,7 @@
 		own:      newEvidence(o.Revision),
 		peers:    make(map[fescuelatch.VMID]Evidence),
 		baseline: make(map[latencyKey]*meanLatency),
+		paces:    make(paces),
 	}
 }
 
