A recorded completion is binding also for daemons that found the release bad

A daemon's own judgement is now the state condemned, in which the release gets no requests; what is recorded, rolled-back or completed, ends it.

--- a/chart/names.go
+++ b/chart/names.go
@@ -63,6 +63,7 @@
 	RolloutWidening   State = "widening"
 	RolloutMoved      State = "moved"
 	RolloutCompleted  State = "completed"
+	RolloutCondemned  State = "condemned"
 	RolloutRolledBack State = "rolled-back"
 )
 
@@ -105,4 +106,5 @@
 	EventMoved      Event = "moved"
 	EventComplete   Event = "complete"
 	EventCondemn    Event = "condemn"
+	EventRollBack   Event = "roll-back"
 )
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"fescuelatch"
-	"fescuelatch/chart"
 	"fescuelatch/internal/pause"
 	"fescuelatch/rollout"
 )
@@ -76,10 +75,10 @@
 	return trafficSplit{target: r.Order().Target, share: r.Share(now), sessions: r.Sessions(now)}
 }
 
-// rolledBackRelease returns a service's release that was rolled back, if any.
+// rolledBackRelease returns a service's release that was found bad, if any.
 func (d *Daemon) rolledBackRelease(s fescuelatch.ServiceID) (fescuelatch.ReleaseID, bool) {
 	r := d.rollouts[s]
-	if r == nil || r.State() != chart.RolloutRolledBack {
+	if r == nil || !r.Excluded() {
 		return "", false
 	}
 	return r.Order().Target, true
@@ -109,8 +108,8 @@
 		d.applyRecord(now, id, kv)
 	}
 	for s, st := range d.storeView.statuses {
-		if r := d.rollouts[s]; r != nil && st.AppliesTo(r.Order()) {
-			r.ApplyRecorded(st.State)
+		if r := d.rollouts[s]; r != nil && st.AppliesTo(r.Order()) && r.ApplyRecorded(st.State) {
+			d.log.Info("rollout outcome recorded", "service", s, "release", r.Order().Target, "state", r.State())
 		}
 	}
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -178,7 +178,7 @@
 // Verdict returns the state to record for operators.
 func (r *Rollout) Verdict(now time.Time) fescuelatch.RolloutState {
 	switch r.machine.State() {
-	case chart.RolloutRolledBack:
+	case chart.RolloutCondemned, chart.RolloutRolledBack:
 		return fescuelatch.RolloutRolledBack
 	case chart.RolloutCompleted:
 		return fescuelatch.RolloutCompleted
@@ -190,14 +190,22 @@
 	return fescuelatch.RolloutInProgress
 }
 
-// ApplyRecorded applies the recorded state, which is binding.
-func (r *Rollout) ApplyRecorded(s fescuelatch.RolloutState) {
+// ApplyRecorded applies the recorded state, which is binding also for a daemon that has
+// judged otherwise, and reports whether the stage has changed.
+func (r *Rollout) ApplyRecorded(s fescuelatch.RolloutState) bool {
+	before := r.machine.State()
 	switch s {
 	case fescuelatch.RolloutCompleted:
 		r.fire(chart.EventComplete)
 	case fescuelatch.RolloutRolledBack:
-		r.fire(chart.EventCondemn)
+		r.fire(chart.EventRollBack)
 	}
+	return r.machine.State() != before
+}
+
+// Excluded reports whether the release was found bad and gets no requests.
+func (r *Rollout) Excluded() bool {
+	return r.machine.State() == chart.RolloutCondemned || r.machine.State() == chart.RolloutRolledBack
 }
 
 // fire makes a transition if the current stage has it.
