A rollout widens by evidence, at a time that all daemons take from a record

The end of widening was a time of the clock, whenever the trial had ended: late evidence skipped all steps.

Now nothing moves by the clock alone. The trial ends when ten answers are known and, where the others' streams show a pace, four paces. The daemon that finds this first records the time of the first step, 0.8 s ahead, with the progress and under a condition on its revision; all daemons widen from that time in the same steps, and those that start later adopt it. If it is late, so is the completion; without evidence there is none. From the second half on the trial gets a quarter of the allowed exposure within a fifth of the time, and each answer is told to the others while little is known.

Tests: TestWideningWithoutEvidence and TestLateEvidenceSkipsSteps (before: share 1 at .8 of the time), TestTrialOfSessions. TestLateDaemon and TestNext relied on widening by the clock; they now set the recorded time, and count as before: the stage and share of a late daemon, each change of the share (17 steps, as the trial's share is larger by two).

--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -22,7 +22,7 @@
 	// rolloutInterval is the interval at which rollouts are advanced.
 	rolloutInterval = 250 * time.Millisecond
 	// evidenceInterval is the minimum time between two writes of evidence.
-	evidenceInterval = 700 * time.Millisecond
+	evidenceInterval = 400 * time.Millisecond
 	// takeoverDelay is how long a daemon waits for each one before it in the order.
 	takeoverDelay = 1500 * time.Millisecond
 	// removeInterval is the minimum time between two removals of records: the
@@ -46,6 +46,7 @@
 	published   rollout.Evidence
 	publishedAt time.Time
 	progress    float64   // last recorded fraction of the duration
+	readySince  time.Time // since when the evidence suffices to widen
 	removedAt   time.Time // last removal of records
 	// pendingState is the state to record, since pendingSince.
 	pendingState fescuelatch.RolloutState
@@ -56,6 +57,9 @@
 type progress struct {
 	Revision int64         `json:"revision"`
 	Elapsed  time.Duration `json:"elapsed-ns"`
+	// Widening is the elapsed time at which all daemons start to widen, or zero while
+	// that is undecided.
+	Widening time.Duration `json:"widening-ns,omitempty"`
 }
 
 // divisionsAt returns how rollouts divide the requests now.
@@ -120,6 +124,9 @@
 		var p progress
 		if r := d.rollouts[fescuelatch.ServiceID(s)]; r != nil && d.decodeRecord(kv, &p) && p.Revision == r.Order().Revision {
 			r.AdoptElapsed(now, p.Elapsed)
+			if p.Widening > 0 {
+				r.AdoptWidening(p.Widening)
+			}
 		}
 		return
 	}
@@ -209,12 +216,45 @@
 		r.published, r.publishedAt = r.Evidence(), now
 		writes = append(writes, d.record(recordEvidence+string(s)+"/"+string(d.options.VM), r.published)...)
 	}
+	writes = append(writes, d.writeProgress(now, s, r)...)
+	return append(writes, d.recordStatus(now, r, status, recorded)...)
+}
+
+// writeProgress returns the write of the progress, if it is due or if this daemon decides
+// to widen. It fails if another daemon has written the record meanwhile.
+func (d *Daemon) writeProgress(now time.Time, s fescuelatch.ServiceID, r *trackedRollout) []fescuelatch.KVTxn {
 	part := float64(r.Elapsed(now)) / float64(r.Order().Duration)
-	if recorded := max(r.progress, d.recordedProgress(s, r)); part-recorded >= progressStep*(1+progressLag*float64(d.writerPosition())) {
-		r.progress = part
-		writes = append(writes, d.record(recordProgress+string(s), progress{r.Order().Revision, r.Elapsed(now)})...)
+	recorded := max(r.progress, d.recordedProgress(s, r))
+	due := part-recorded >= progressStep*(1+progressLag*float64(d.writerPosition()))
+	widening := r.Widening()
+	if widening == 0 && d.decidesToWiden(now, r) {
+		widening, due = r.WideningStart(now), true
+		r.readySince = now.Add(takeoverDelay) // Retries a failed write after a delay.
+		d.log.Info("evidence on the release suffices", "service", s, "release", r.Order().Target, "widening-at", widening.String(), "evidence", r.Evidence())
 	}
-	return append(writes, d.recordStatus(now, r, status, recorded)...)
+	if !due {
+		return nil
+	}
+	r.progress = part
+	id := recordProgress + string(s)
+	writes := d.record(id, progress{r.Order().Revision, r.Elapsed(now), widening})
+	for i := range writes {
+		writes[i].If = []fescuelatch.KVCompare{{Key: d.options.Notation.RecordKey(id), Revision: d.storeView.records[id].Revision}}
+	}
+	return writes
+}
+
+// decidesToWiden reports whether the evidence suffices and the daemons before this one
+// have not recorded that.
+func (d *Daemon) decidesToWiden(now time.Time, r *trackedRollout) bool {
+	if !r.Ready() {
+		r.readySince = time.Time{}
+		return false
+	}
+	if r.readySince.IsZero() {
+		r.readySince = now
+	}
+	return now.Sub(r.readySince) >= time.Duration(d.writerPosition())*takeoverDelay
 }
 
 // recordedProgress returns the recorded fraction of the order's duration.
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -23,6 +23,9 @@
 	slowFactor = 4
 	// minSlowLatency is the latency below which no answer is slow.
 	minSlowLatency = 200 * time.Millisecond
+	// scarceAnswers is the number of answers of the release by all daemons below which
+	// each is sent to the others.
+	scarceAnswers = 3 * minAnswers
 	// latencyWeight is the weight of a new latency in the moving average.
 	latencyWeight = 0.05
 )
@@ -198,10 +201,18 @@
 }
 
 // Changed reports whether this daemon's evidence has changed enough since it was last
-// sent to be sent again: a bad answer, or more than twice as many answers.
+// sent to be sent again: a bad answer, or more than twice as many answers. While little
+// is known of the release, each answer counts.
 func (r *Rollout) Changed(sent Evidence) bool {
-	return total(r.own.Target).Bad > total(sent.Target).Bad || r.own.TargetPaces.Bad > sent.TargetPaces.Bad ||
-		total(r.own.Target).Answers >= 2*total(sent.Target).Answers+1
+	own, before := total(r.own.Target), total(sent.Target)
+	paces := r.own.TargetPaces
+	if own.Bad > before.Bad || paces.Bad > sent.TargetPaces.Bad {
+		return true
+	}
+	if r.targetAnswers() < scarceAnswers {
+		return own.Answers > before.Answers || paces.Answers > sent.TargetPaces.Answers
+	}
+	return own.Answers >= 2*before.Answers+1 || paces.Answers >= 2*sent.TargetPaces.Answers+1
 }
 
 func total(counts map[fescuelatch.RouteID]Count) Count {
--- a/rollout/pace.go
+++ b/rollout/pace.go
@@ -20,9 +20,11 @@
 	slowPaceFactor = 2.5
 	// minSlowPace is the pace below which no stream is slow.
 	minSlowPace = 25 * time.Millisecond
-	// minSlowShare is the minimum share of slow streams of a bad release. A release
+	// minSlowShare is the minimum share of slow streams of a bad release, and
+	// slowShareFactor the multiple of the others' share that it exceeds. A release
 	// that is slower by less than half has fewer.
-	minSlowShare = 0.3
+	minSlowShare    = 0.35
+	slowShareFactor = 1.5
 	// minPaces is the minimum number of the others' paces of a model.
 	minPaces = 5
 	// maxPace and paceDigits are the range and precision of recorded paces.
@@ -71,11 +73,19 @@
 	}
 }
 
-// slowPaces reports whether the release has too many slow streams.
-func (r *Rollout) slowPaces() bool {
-	target, others := r.own.TargetPaces, r.own.OthersPaces
+// paceCounts adds the judged paces of all daemons.
+func (r *Rollout) paceCounts() (target, others Count) {
+	target, others = r.own.TargetPaces, r.own.OthersPaces
 	for _, e := range r.peers {
 		target, others = target.plus(e.TargetPaces), others.plus(e.OthersPaces)
 	}
-	return exceedsBaseline(target, others) && float64(target.Bad) >= minSlowShare*float64(target.Answers)
+	return target, others
+}
+
+// slowPaces reports whether the release has too many slow streams.
+func (r *Rollout) slowPaces() bool {
+	target, others := r.paceCounts()
+	share := float64(target.Bad) / float64(max(target.Answers, 1))
+	usual := float64(others.Bad) / float64(max(others.Answers, 1))
+	return target.Bad >= minBadAnswers && share >= minSlowShare && share > slowShareFactor*usual
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -29,26 +29,37 @@
 	// release, by a margin for the differing times at which daemons receive
 	// the order.
 	sessionsStart = 0.52
-	// trialEnd is late, because a release may degrade after a while and because
-	// its answers to sessions have to be observed.
-	trialEnd    = 0.56
-	wideningEnd = 0.75
+	// trialEnd is the earliest end of the trial. It is late, because a release may
+	// degrade after a while and because its answers to sessions have to be observed.
+	trialEnd = 0.56
+	// wideningTime is the time in which the release's share grows to the whole.
+	wideningTime = 0.12
 	// wideningStep is the increase in the release's share per step. All daemons
 	// take a step at the same time.
 	wideningStep = 0.05
-	// completionStart leaves time for requests on the old release to end and
-	// for a slow store.
+	// completionStart is the earliest completion, and settlingTime the time that
+	// requests on the old release have to end.
 	completionStart = 0.87
+	settlingTime    = 0.09
 	// trialExposure is the fraction of the allowed exposure that the trial
 	// uses. The rest covers requests until the release is found to be bad.
 	trialExposure = 0.5
+	// sessionTrialExposure is the fraction of the allowed exposure that the trial of
+	// sessions uses within sessionTrialTime. Where all requests have sessions there is
+	// no other trial, and it has to show the release's quality in a short time.
+	sessionTrialExposure = 0.25
+	sessionTrialTime     = 0.2
 	// roundingMargin exceeds the rounding error of the time until a change
 	// point. Without it some daemons would check too early and apply the change
 	// only at the next change point.
 	roundingMargin = time.Millisecond
-	// minAnswers is the minimum number of answers of a release before its trial
-	// can end.
-	minAnswers = 10
+	// minAnswers and minTargetPaces are the minimum numbers of a release's answers
+	// and, where those of the others are known, paces before its trial can end.
+	minAnswers     = 10
+	minTargetPaces = 4
+	// wideningLead is the time between the decision to widen and the first step, in
+	// which all daemons learn of it.
+	wideningLead = 800 * time.Millisecond
 )
 
 // Settings are the limits of a rollout.
@@ -67,6 +78,9 @@
 	peers    map[fescuelatch.VMID]Evidence
 	baseline map[latencyKey]*meanLatency
 	paces    paces
+	// widening is the elapsed time at which widening starts, or zero while that is
+	// undecided.
+	widening time.Duration
 }
 
 // New returns a rollout that starts at now.
@@ -113,16 +127,48 @@
 	if r.Bad() {
 		r.fire(chart.EventCondemn)
 	}
-	progress := r.progress(now)
-	if progress >= trialEnd && r.targetAnswers() >= minAnswers {
+	if r.widening > 0 && r.Elapsed(now) >= r.widening {
 		r.fire(chart.EventWiden)
-	}
-	if progress >= wideningEnd {
-		r.fire(chart.EventMoved)
+		if r.Elapsed(now) >= r.widening+r.fraction(wideningTime) {
+			r.fire(chart.EventMoved)
+		}
 	}
 	return r.machine.State() != before
 }
 
+// Ready reports whether the evidence suffices to end the trial. Until then nothing is
+// known of the release, however long the trial has lasted.
+func (r *Rollout) Ready() bool {
+	if r.machine.State() != chart.RolloutTrial || r.Bad() || r.targetAnswers() < minAnswers {
+		return false
+	}
+	target, others := r.paceCounts()
+	return others.Answers < minAnswers || target.Answers >= minTargetPaces
+}
+
+// WideningStart returns the elapsed time at which a rollout that is ready now should
+// widen.
+func (r *Rollout) WideningStart(now time.Time) time.Duration {
+	return max(r.fraction(trialEnd), r.Elapsed(now)+wideningLead)
+}
+
+// AdoptWidening adopts the elapsed time at which all daemons start to widen. It does not
+// change once this daemon has started.
+func (r *Rollout) AdoptWidening(at time.Duration) {
+	if r.machine.State() == chart.RolloutTrial {
+		r.widening = at
+	}
+}
+
+// Widening returns the elapsed time at which widening starts, or zero while that is
+// undecided.
+func (r *Rollout) Widening() time.Duration { return r.widening }
+
+// fraction returns a fraction of the rollout's duration.
+func (r *Rollout) fraction(f float64) time.Duration {
+	return time.Duration(f * float64(r.order.Duration))
+}
+
 // Sessions reports whether sessions may move to the new release. Before that, it
 // only gets requests without a session.
 func (r *Rollout) Sessions(now time.Time) bool {
@@ -137,28 +183,39 @@
 // Next returns the time until the next change point, or the duration of the
 // rollout if there is none.
 func (r *Rollout) Next(now time.Time) time.Duration {
-	progress := r.progress(now)
-	for _, next := range changePoints() {
-		if next > progress {
-			return time.Duration((next-progress)*float64(r.order.Duration)) + roundingMargin
+	elapsed := r.Elapsed(now)
+	for _, next := range r.changePoints() {
+		if next > elapsed {
+			return next - elapsed + roundingMargin
 		}
 	}
 	return r.order.Duration
 }
 
-// changePoints returns, in order, the fractions of the duration at which the
-// release's requests may change.
-func changePoints() []float64 {
-	ms := []float64{trialStart, sessionsStart}
+// changePoints returns, in order, the elapsed times at which the release's requests
+// may change.
+func (r *Rollout) changePoints() []time.Duration {
+	ps := []time.Duration{r.fraction(trialStart), r.fraction(sessionsStart)}
+	if r.widening == 0 {
+		return ps
+	}
 	for grown := 0.0; grown < 1; grown += wideningStep {
-		ms = append(ms, trialEnd+grown*(wideningEnd-trialEnd))
+		ps = append(ps, r.widening+r.fraction(grown*wideningTime))
 	}
-	return append(ms, wideningEnd, completionStart)
+	return append(ps, r.widening+r.fraction(wideningTime), r.completion())
+}
+
+// completion returns the elapsed time at which a rollout that widens is completed.
+func (r *Rollout) completion() time.Duration {
+	return max(r.fraction(completionStart), r.widening+r.fraction(wideningTime+settlingTime))
 }
 
 // Share returns the share of the requests that the new release gets.
 func (r *Rollout) Share(now time.Time) float64 {
 	trial := trialExposure * r.settings.Exposure
+	if r.Sessions(now) {
+		trial = max(trial, sessionTrialExposure*r.settings.Exposure/sessionTrialTime)
+	}
 	switch r.machine.State() {
 	case chart.RolloutTrial:
 		if r.progress(now) < trialStart {
@@ -166,7 +223,7 @@
 		}
 		return trial
 	case chart.RolloutWidening:
-		grown := (r.progress(now) - trialEnd) / (wideningEnd - trialEnd)
+		grown := float64(r.Elapsed(now)-r.widening) / float64(r.fraction(wideningTime))
 		return min(1, max(trial, wideningStep*math.Floor(grown/wideningStep)))
 	case chart.RolloutMoved, chart.RolloutCompleted:
 		return 1
@@ -183,7 +240,7 @@
 	case chart.RolloutCompleted:
 		return fescuelatch.RolloutCompleted
 	case chart.RolloutMoved:
-		if r.progress(now) >= completionStart {
+		if r.Elapsed(now) >= r.completion() {
 			return fescuelatch.RolloutCompleted
 		}
 	}
