A limit of an endpoint's former process is no longer tracked

An endpoint whose limited process was replaced stayed among the limited ones (limited_endpoints, connections to allocators), and a reply for a process whose hints had been evicted was dropped, so that its holder would have waited for it for ever. TestLimitOfProcess counts the limited endpoints: one before, none now.

--- a/gate/shared/limit.go
+++ b/gate/shared/limit.go
@@ -69,22 +69,34 @@
 // GrantPermits applies the reply to a request for permits that was sent at asked, and
 // reports whether the endpoint's limit has changed.
 func (g *Gate) GrantPermits(now, asked time.Time, p fescuelatch.EndpointProcess, r permit.Reply) bool {
-	h, ok := g.hints.byProcess.Peek(p)
-	return ok && h.permits != nil && h.permits.Granted(now, asked, r, g.random.Float64())
+	h := g.holderOf(p)
+	return h != nil && h.Granted(now, asked, r, g.random.Float64())
 }
 
 // PermitsFailed records that a request for permits has reached no allocator.
 func (g *Gate) PermitsFailed(now time.Time, p fescuelatch.EndpointProcess) {
-	if h, ok := g.hints.byProcess.Peek(p); ok && h.permits != nil {
-		h.permits.Failed(now)
+	if h := g.holderOf(p); h != nil {
+		h.Failed(now)
 	}
 }
 
-// trackLimit tracks an endpoint that may have a rate limit.
+// holderOf returns the permits for a process, registered or not, or nil if it never had
+// a limit.
+func (g *Gate) holderOf(p fescuelatch.EndpointProcess) *permit.Holder {
+	if e := g.endpoints[p.Endpoint]; e != nil && processOf(e.owned) == p {
+		return e.hint.permits
+	}
+	h, _ := g.hints.byProcess.Peek(p)
+	return h.permits
+}
+
+// trackLimit tracks an endpoint if its process may have a rate limit.
 func (g *Gate) trackLimit(e *endpointLoad) {
-	if e.hint.permits != nil {
-		g.limited[e.owned.Endpoint.ID] = e
+	if e.hint.permits == nil {
+		delete(g.limited, e.owned.Endpoint.ID)
+		return
 	}
+	g.limited[e.owned.Endpoint.ID] = e
 }
 
 func (e *endpointLoad) isLimited() bool {
--- a/gate/shared/limit_test.go
+++ b/gate/shared/limit_test.go
@@ -143,4 +143,5 @@
 	c.Check(g.Limit("e").Limited, qt.IsTrue)
 	g.SetOwned(epoch, []fescuelatch.OwnedEndpoint{nextProcess(e)})
 	c.Check(g.Limit("e").Limited, qt.IsFalse)
+	c.Check(g.LimitedEndpoints(), qt.Equals, 0)
 }
