A limit that changes while its allocator is asked is reported afterwards

The reply to a request cleared the note that the endpoint's statement had to be reported, also if it had changed since the request was sent: the allocator, and through it the other holders, kept a limit that had ended. TestLimitChangedDuringRequest failed before.

--- a/permit/holder.go
+++ b/permit/holder.go
@@ -31,9 +31,12 @@
 	window int
 	// unreported is set while the allocator may not know the statement.
 	unreported bool
-	pending    bool // a request is on its way
-	want       int  // its permits
-	next       time.Time
+	// pending is set while a request is on its way, with the permits wanted and
+	// the limit reported.
+	pending  bool
+	want     int
+	reported fescuelatch.RateLimit
+	next     time.Time
 }
 
 // batch is permits that were granted together.
@@ -132,7 +135,7 @@
 	if demand == 0 && !h.unreported {
 		return Request{}, false
 	}
-	h.pending, h.want = true, min(demand, h.window)
+	h.pending, h.want, h.reported = true, min(demand, h.window), h.statement.Limit
 	if h.want > 0 {
 		h.demand = 0
 	}
@@ -142,7 +145,7 @@
 // Granted applies the reply to a request sent at asked and reports whether the limit
 // has changed. u is uniform in [0, 1) and spreads the next request.
 func (h *Holder) Granted(now, asked time.Time, r Reply, u float64) bool {
-	h.pending, h.unreported = false, false
+	h.pending, h.unreported = false, h.unreported && h.statement.Limit != h.reported
 	changed := h.apply(fescuelatch.LimitStatement{Limit: r.Limit, At: now.Add(-r.Age)})
 	if r.Permits > 0 {
 		h.batches = append(h.current(now), batch{r.Permits, asked.Add(Lifetime)})
