Permits are requested on the daemon's tick, and in bounded messages

A second timer of 40 ms woke each daemon 25 times a second, also without any limit. And of more than 1,024 endpoints with requests due at a time the rest were marked as asked and never were: TestPermitRequestsBounded.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -247,9 +247,11 @@
 	d := t.request.daemon
 	d.mu.Lock()
 	changed := d.gate.SetLimit(time.Now(), sent, t.start.Endpoint, *headers.Limit)
+	if changed {
+		d.signalPermitsLocked()
+	}
 	d.mu.Unlock()
 	if changed {
-		d.signalPermits()
 		t.request.log("endpoint has changed its rate limit", "endpoint", t.start.Endpoint,
 			"limited", headers.Limit.Limited, "per-second", headers.Limit.PerSecond)
 	}
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -268,6 +268,7 @@
 		}
 		d.decideLocked(now, decision.Tick{})
 		probes := d.gate.Probes(now)
+		d.signalPermitsLocked()
 		d.watchIsolationLocked(ctx, now)
 		d.mu.Unlock()
 		d.metrics.storeAge.Update(d.store.age(now).Seconds())
--- a/direct/permits.go
+++ b/direct/permits.go
@@ -97,22 +97,22 @@
 	})
 }
 
-// signalPermits has the requests for permits sent that are due.
-func (d *Daemon) signalPermits() {
+// signalPermitsLocked has the requests for permits sent that are due.
+func (d *Daemon) signalPermitsLocked() {
+	if !d.gate.TracksLimits() {
+		return
+	}
 	select {
 	case d.permitsLacking <- struct{}{}:
 	default: // A signal is already pending.
 	}
 }
 
-// drivePermits requests permits until ctx ends.
+// drivePermits requests permits when signaled until ctx ends.
 func (d *Daemon) drivePermits(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
 	defer d.allocators.close()
 	for {
 		select {
-		case <-t.C:
 		case <-d.permitsLacking:
 		case <-ctx.Done():
 			return
@@ -133,7 +133,7 @@
 func (d *Daemon) requestPermits(ctx context.Context, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	due := d.gate.PermitRequests(now)
+	due := d.gate.PermitRequests(now, maxPermitRequests)
 	if len(due) == 0 {
 		if d.gate.LimitedEndpoints() == 0 {
 			d.allocators.close()
@@ -141,7 +141,7 @@
 		return
 	}
 	rounds := make(map[fescuelatch.VMID]*permitRound)
-	for _, q := range due[:min(len(due), maxPermitRequests)] {
+	for _, q := range due {
 		q.From = d.options.VM
 		order := d.permitOrders.of(d, q)
 		var poll time.Duration
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -116,9 +116,7 @@
 	d.mu.Lock()
 	d.requests[s.details.ID] = s
 	d.decideLocked(time.Now(), decision.Arrived{Request: s.details})
-	if d.gate.LimitedEndpoints() > 0 {
-		d.signalPermits()
-	}
+	d.signalPermitsLocked()
 	d.mu.Unlock()
 	s.run(ctx)
 	if s.current != nil {
--- a/gate/shared/limit.go
+++ b/gate/shared/limit.go
@@ -39,6 +39,9 @@
 	return fescuelatch.RateLimit{}
 }
 
+// TracksLimits reports whether permits may have to be requested.
+func (g *Gate) TracksLimits() bool { return len(g.limited) > 0 }
+
 // LimitedEndpoints returns the number of endpoints with a rate limit.
 func (g *Gate) LimitedEndpoints() int {
 	n := 0
@@ -50,11 +53,14 @@
 	return n
 }
 
-// PermitRequests returns the requests for permits that are due. Each of them must be
-// answered by GrantPermits or PermitsFailed.
-func (g *Gate) PermitRequests(now time.Time) []permit.Request {
+// PermitRequests returns requests for permits that are due, at most a given number. Each
+// of them must be answered by GrantPermits or PermitsFailed.
+func (g *Gate) PermitRequests(now time.Time, most int) []permit.Request {
 	var due []permit.Request
 	for id, e := range g.limited {
+		if len(due) == most {
+			break
+		}
 		q, ok := e.hint.permits.Due(now)
 		if ok {
 			q.Process, q.Domain = processOf(e.owned), e.owned.Endpoint.Domain
--- a/gate/shared/limit_test.go
+++ b/gate/shared/limit_test.go
@@ -19,7 +19,7 @@
 func limitedGate(c *qt.C, others ...fescuelatch.OwnedEndpoint) (*shared.Gate, permit.Request) {
 	g := newGate(1, 1, append(others, endpointAt("e", "a", 8))...)
 	c.Assert(g.SetLimit(epoch, epoch, "e", fescuelatch.RateLimit{Limited: true, PerSecond: 1}), qt.IsTrue)
-	due := g.PermitRequests(epoch)
+	due := g.PermitRequests(epoch, 10)
 	c.Assert(due, qt.HasLen, 1)
 	return g, due[0]
 }
@@ -145,3 +145,19 @@
 	c.Check(g.Limit("e").Limited, qt.IsFalse)
 	c.Check(g.LimitedEndpoints(), qt.Equals, 0)
 }
+
+// TestPermitRequestsBounded checks that requests beyond the bound are returned later.
+func TestPermitRequestsBounded(t *testing.T) {
+	c := qt.New(t)
+	var all []fescuelatch.OwnedEndpoint
+	for _, id := range []string{"e-1", "e-2", "e-3"} {
+		all = append(all, endpointAt(id, "a", 8))
+	}
+	g := newGate(1, 1, all...)
+	for _, e := range all {
+		g.SetLimit(epoch, epoch, e.Endpoint.ID, fescuelatch.RateLimit{Limited: true, PerSecond: 1})
+	}
+	c.Check(g.PermitRequests(epoch, 2), qt.HasLen, 2)
+	c.Check(g.PermitRequests(epoch, 2), qt.HasLen, 1)
+	c.Check(g.PermitRequests(epoch, 2), qt.HasLen, 0)
+}
