An answer that has ended no longer changes its connection's timeout

What callers may have seen: a wait ended early or late, as the timeout of another request's stream. After the last event of a stream the whole body has often been read, and its connection is back in the pool or carries the next request; the attempt then set the timeout for one more event on it.

Found by the race detector in TestReleaseWithoutGoodAnswersCompleted (race in all five subtests), which is the first test with many short streams on kept connections; the code is older. TestTimeoutOfEndedAnswer shows the same race, and passes now: an ended answer leaves the connection alone.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -195,8 +195,12 @@
 }
 
 // SetInactivityTimeout restarts the wait for the next part of the body with inactivity
-// timeout d; zero removes the timeout.
+// timeout d; zero removes the timeout. It has no effect once the answer has been read to
+// its end, as its connection may carry another request.
 func (a *Answer) SetInactivityTimeout(d time.Duration) {
+	if a.ended {
+		return
+	}
 	a.conn.setInactivityTimeout(d)
 }
 
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -223,3 +223,41 @@
 		})
 	}
 }
+
+// TestTimeoutOfEndedAnswer guards against an answer that has been read to its end and
+// still changes the timeout of its connection, which carries another request by then.
+func TestTimeoutOfEndedAnswer(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	go func() {
+		k, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = k.Close() }()
+		r := bufio.NewReader(k)
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond} {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			time.Sleep(delay)
+			_, _ = io.WriteString(k, ok("me", "body"))
+		}
+	}()
+	to := netip.MustParseAddrPort(l.Addr().String())
+	cl := client()
+	first, err := cl.Do(context.Background(), to, &endpoint.Request{Identifier: "me", Method: http.MethodGet, Target: "/", Host: "host.example", Header: http.Header{}})
+	c.Assert(err, qt.IsNil)
+	_, err = io.Copy(io.Discard, first)
+	c.Assert(err, qt.IsNil)
+	done := make(chan error, 1)
+	go func() {
+		_, err := send(cl, to, endpoint.Request{Identifier: "me"})
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	first.SetInactivityTimeout(50 * time.Millisecond)
+	c.Check(<-done, qt.IsNil)
+}
