Evidence on a release is sent again by what is known of all daemons

Since each daemon sent each answer while few were known by its own count, and after that by doubling: with a thousand daemons each would write its evidence to the store several times in the first second of the trial of sessions, beyond the store's rates. A change now counts if it is a thirtieth of what all are known to have, at least one: TestEvidenceOfManyDaemons.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -23,9 +23,9 @@
 	slowFactor = 4
 	// minSlowLatency is the latency below which no answer is slow.
 	minSlowLatency = 200 * time.Millisecond
-	// scarceAnswers is the number of answers of the release by all daemons below which
-	// each is sent to the others.
-	scarceAnswers = 3 * minAnswers
+	// knownPerChange is the number of known answers for which a further one must be
+	// new for a daemon to send its evidence again.
+	knownPerChange = 30
 	// latencyWeight is the weight of a new latency in the moving average.
 	latencyWeight = 0.05
 )
@@ -191,30 +191,28 @@
 }
 
 // targetAnswers returns the number of answers of the target release.
-func (r *Rollout) targetAnswers() int {
+func (r *Rollout) targetAnswers() int { return r.targetCount().Answers }
+
+// targetCount adds the answers of the target release over all routes.
+func (r *Rollout) targetCount() Count {
 	target, _ := r.sums()
-	n := 0
-	for _, c := range target {
-		n += c.Answers
-	}
-	return n
+	return total(target)
 }
 
 // Changed reports whether this daemon's evidence has changed enough since it was last
-// sent to be sent again: a bad answer, or more than twice as many answers. While little
-// is known of the release, each answer counts.
+// sent to be sent again: by a fraction of what is known of all daemons, so that many
+// daemons send little, and each answer counts while few are known.
 func (r *Rollout) Changed(sent Evidence) bool {
-	own, before := total(r.own.Target), total(sent.Target)
-	paces := r.own.TargetPaces
-	if own.Bad > before.Bad || paces.Bad > sent.TargetPaces.Bad {
-		return true
-	}
-	if r.targetAnswers() < scarceAnswers {
-		return own.Answers > before.Answers || paces.Answers > sent.TargetPaces.Answers
-	}
-	return own.Answers >= 2*before.Answers+1 || paces.Answers >= 2*sent.TargetPaces.Answers+1
+	own, before, known := total(r.own.Target), total(sent.Target), r.targetCount()
+	paces, _ := r.paceCounts()
+	return significant(own.Answers-before.Answers, known.Answers) || significant(own.Bad-before.Bad, known.Bad) ||
+		significant(r.own.TargetPaces.Answers-sent.TargetPaces.Answers, paces.Answers) ||
+		significant(r.own.TargetPaces.Bad-sent.TargetPaces.Bad, paces.Bad)
 }
 
+// significant reports whether an increase matters beside the known sum.
+func significant(increase, known int) bool { return increase >= max(1, known/knownPerChange) }
+
 func total(counts map[fescuelatch.RouteID]Count) Count {
 	var sum Count
 	for _, c := range counts {
