--- a/cmd/fescuelatch-load/soak/ratelimit.go
+++ b/cmd/fescuelatch-load/soak/ratelimit.go
@@ -94,7 +94,7 @@
 
 // busiestWindow returns the most calls that arrived in a window from daemons which had
 // received the limit and were not disturbed since. A fault of the endpoint's link holds
-// calls back, so that windows begin anew after it.
+// calls back, so that no window contains one.
 func (p *limitPeriod) busiestWindow(targets map[string]*daemon, calmAt func(time.Time) bool) int {
 	informed := make(map[*daemon]time.Time)
 	var counted []time.Time
--- a/gate/shared/limit_test.go
+++ b/gate/shared/limit_test.go
@@ -88,7 +88,7 @@
 }
 
 // TestRefusedUntilNextPermit checks that a request is refused at once if no permit can
-// arrive while it waits, and that the caller is told when one can.
+// arrive while it waits, with the time until one can.
 func TestRefusedUntilNextPermit(t *testing.T) {
 	c := qt.New(t)
 	const retryAfter = 1600 * time.Millisecond
--- a/gate/shared/wait.go
+++ b/gate/shared/wait.go
@@ -80,8 +80,8 @@
 }
 
 // retryAfter estimates when there will be room for w: when the endpoints have
-// finished the work ahead of it and one of them is not paused and may get a permit. The time is
-// randomized, so that callers do not retry at once.
+// finished the work ahead of it and one of them is not paused and may have a permit.
+// The time is randomized, so that callers do not retry at once.
 func (g *Gate) retryAfter(now time.Time, w fescuelatch.Work) time.Duration {
 	busy, slots := 0, 0
 	pause := maxRetryAfter
