Crashes of endpoints are logged with the parts of the prompts that they had

An attempt that ends with its endpoint's process is told from one whose answer was lost: a new connection is refused. The line has the progress of the answer and the parts of the prompt, and a counter the number by whether the answer had begun. Needed to tell the hypotheses on the crashing prompt part apart.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -51,6 +51,7 @@
 	// observed reports that the answer has counted as evidence on its release.
 	observed bool
 	pace     paceMeter
+	progress answerProgress
 }
 
 func newAttempt(ctx context.Context, s *activeRequest, a decision.Start) *attempt {
@@ -89,8 +90,8 @@
 	if err != nil {
 		t.classify(&r, err)
 	}
-	if r.Status == fescuelatch.AttemptBroken && !t.reachable() {
-		r.EndpointGone, r.Unreachable = true, true
+	if r.Status == fescuelatch.AttemptBroken {
+		t.examineBreak(&r, err)
 	}
 	if r.Status != fescuelatch.AttemptNotStarted {
 		t.request.ran.Store(true)
@@ -148,13 +149,6 @@
 	}
 }
 
-// reachable reports whether the endpoint of a broken attempt still accepts
-// connections: if so, the answer was lost but the endpoint still runs.
-func (t *attempt) reachable() bool {
-	to, ok := t.request.daemon.active.Load().addresses[t.start.Endpoint]
-	return ok && t.request.daemon.endpoints.Reachable(t.ctx, to)
-}
-
 // exchange sends the request, and reads and relays the answer.
 func (t *attempt) exchange(r *fescuelatch.AttemptResult) error {
 	s := t.request
@@ -190,6 +184,7 @@
 		return t.finishRefused(a, r, headers)
 	}
 	t.confidence = headers.Confidence
+	t.progress.begun = true
 	if strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") && a.Status < http.StatusMultipleChoices {
 		return t.relayStream(a, r, headers, sent)
 	}
@@ -324,6 +319,7 @@
 		if err != nil {
 			return err //nolint:wrapcheck // classify needs its kind.
 		}
+		t.progress.events++
 		if r.FirstToken == 0 {
 			r.FirstToken = time.Since(sent)
 			t.observe(rollout.OutcomeAnswered, r.FirstToken)
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -281,7 +281,7 @@
 // probe checks whether an endpoint accepts connections again.
 func (d *Daemon) probe(ctx context.Context, id fescuelatch.EndpointID) {
 	to, ok := d.active.Load().addresses[id]
-	if !ok || !d.endpoints.Reachable(ctx, to) {
+	if !ok || d.endpoints.Probe(ctx, to) != nil {
 		return
 	}
 	d.log.Info("endpoint can be reached again", "endpoint", id)
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -63,6 +63,12 @@
 	m.scope.Tagged(map[string]string{"repeated": strconv.FormatBool(repeated)}).Counter("limited_attempts").Inc(1)
 }
 
+// countCrash counts an attempt that ended with its endpoint, by whether its answer had
+// begun.
+func (m *metrics) countCrash(begun bool) {
+	m.scope.Tagged(map[string]string{"begun": strconv.FormatBool(begun)}).Counter("crashed_attempts").Inc(1)
+}
+
 // countPermits counts the permits of an allocator's replies.
 func (m *metrics) countPermits(wanted, granted int) {
 	m.scope.Counter("permits_wanted").Inc(int64(wanted))
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -231,16 +231,15 @@
 	a.conn.close()
 }
 
-// Reachable reports whether an endpoint accepts a new connection, which is kept
-// for the next request.
-func (c *Client) Reachable(ctx context.Context, to netip.AddrPort) bool {
+// Probe opens a connection to an endpoint, which is kept for the next request.
+func (c *Client) Probe(ctx context.Context, to netip.AddrPort) error {
 	k, err := c.dial(ctx, to)
 	if err != nil {
-		return false
+		return err
 	}
 	k.setIdleTimeout(0)
 	c.release(k)
-	return true
+	return nil
 }
 
 // connect returns an idle connection, or a new one.
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -175,7 +175,7 @@
 	c.Assert(l.Close(), qt.IsNil)
 	_, err = send(client(), to, endpoint.Request{})
 	c.Check(endpoint.KindOf(err), qt.Equals, endpoint.KindUnreachable)
-	c.Check(client().Reachable(context.Background(), to), qt.IsFalse)
+	c.Check(endpoint.Refused(client().Probe(context.Background(), to)), qt.IsTrue)
 }
 
 // TestInactivityTimeout checks that inactivity ends an exchange, and does so
--- a/endpoint/errors.go
+++ b/endpoint/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 )
 
 // This file defines the error type of this package.
@@ -58,6 +59,9 @@
 	return KindBroken
 }
 
+// Refused reports whether no process listened at the address of an endpoint.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 func kindOf(err error) ErrorKind {
 	var n net.Error
 	if errors.As(err, &n) && n.Timeout() {
