--- a/direct/fleet_test.go
+++ b/direct/fleet_test.go
@@ -43,6 +43,9 @@
 	return f
 }
 
+// useLast directs the calls to the daemon that was started last.
+func (f *fleet) useLast() { f.callers = []netip.AddrPort{f.site.callers} }
+
 // load is a steady rate of calls. The first daemon gets busiestShare of them, and the
 // rest are spread evenly over all daemons.
 type load struct {
@@ -90,11 +93,11 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.Copy(io.Discard, res.Body)
+			_, err = io.Copy(io.Discard, res.Body)
 			_ = res.Body.Close()
 			mu.Lock()
 			defer mu.Unlock()
-			if res.StatusCode == http.StatusOK {
+			if err == nil && res.StatusCode == http.StatusOK {
 				answered++
 			}
 		})
