Prompt parts that crash endpoints are blocked by all daemons

Cause: no decision depended on what a request's prompt consists of. Repeats alone (hypothesis 2) do not explain it: requests that came minutes later crashed as many. Load (hypothesis 3) does not: the crashes follow one request, 0.14 to 0.37 s apart, and no endpoint was cold at the first ones.

Now daemons report crashes with the parts that may have caused them, and vouch for parts of answered requests, by records in the store; a part in three incidents without an answer is blocked by all, also by daemons that start later, and tried again by one request each two minutes. A request that met two crashes is not sent again.

--- /dev/null
+++ b/crash/ledger.go
@@ -0,0 +1,159 @@
+// Package crash finds the parts of prompts that crash endpoints, and blocks them. One
+// request can end each endpoint that begins its answer, and several requests run on an
+// endpoint when it ends. What tells a part that causes crashes from the others is that
+// requests with it crash endpoints one time after the other, while none is answered.
+//
+// No daemon sees all crashes, and none sees all answers. Each reports the crashes that it
+// sees, with the parts that may have caused them and of which it has seen no answer
+// lately. Daemons that have seen one vouch for the part. All draw the same conclusion from
+// these records, and a daemon that starts later finds them. A part whose requests are
+// blocked is tried again, by one request of one daemon at a time.
+package crash
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"fescuelatch"
+)
+
+// This file defines the ledger, which holds what is known of crashes.
+
+var _ fescuelatch.PromptGuard = (*Ledger)(nil)
+
+const (
+	// soundFor is how long a part counts as sound after a request with it was
+	// answered: crashes in between have other causes.
+	soundFor = 30 * time.Second
+	// minReportInterval and reportIntervalPerDaemon bound the rate of reports, also
+	// that of all daemons together.
+	minReportInterval       = 100 * time.Millisecond
+	reportIntervalPerDaemon = 2 * time.Millisecond
+	// updateInterval is the time between updates for what depends on time only.
+	updateInterval = time.Second
+	// maxSound, maxReports, maxStatements and maxBlocks bound what is kept.
+	maxSound      = 4096
+	maxReports    = 256
+	maxStatements = 1024
+	maxBlocks     = 256
+)
+
+// Ledger holds what a daemon knows of crashes and of the prompts that may cause them. It
+// reads no clock and is not safe for concurrent use.
+type Ledger struct {
+	random *rand.Rand
+	// members returns the number of live daemons.
+	members func() int
+	// answered holds the parts of answered requests by the time of the last answer.
+	answered *simplelru.LRU[string, time.Time]
+	reports  map[string]*report
+	// vouched holds the statements of any daemon that parts are sound.
+	vouched *simplelru.LRU[string, statement]
+	blocks  map[string]*block
+	// named holds the parts of reports after which they were not stated to be sound,
+	// and incidents the number of unexplained incidents that each part may have
+	// caused.
+	named     map[string]bool
+	incidents map[string]int
+	updated   time.Time
+	// open is the own report that further crashes still join, and nextReport the
+	// earliest time of the next write of one.
+	open       *report
+	nextReport time.Time
+	// vouches holds when this daemon is to state that a part is sound.
+	vouches map[string]time.Time
+	changes []Change
+}
+
+// report is a report with how it is known.
+type report struct {
+	Report
+	name string
+	// seen is when the first crash was seen, or when the record was received.
+	seen time.Time
+	// stored is the record; its revision is zero until it has been read from the
+	// store.
+	stored fescuelatch.KeyValue
+	// own reports that this daemon saw the crashes; written that the record has been
+	// written.
+	own, written bool
+}
+
+// statement is a record that a part is sound.
+type statement struct {
+	stored   fescuelatch.KeyValue
+	received time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(random *rand.Rand, members func() int) *Ledger {
+	// The sizes are positive constants, which is all that is checked.
+	answered, _ := simplelru.NewLRU[string, time.Time](maxSound, nil)
+	vouched, _ := simplelru.NewLRU[string, statement](maxStatements, nil)
+	return &Ledger{
+		random: random, members: members, answered: answered, vouched: vouched,
+		reports: make(map[string]*report), blocks: make(map[string]*block),
+		named: make(map[string]bool), incidents: make(map[string]int), vouches: make(map[string]time.Time),
+	}
+}
+
+// Answered records that the answer to a prompt was under way, which shows that none of
+// its parts crashes endpoints.
+func (l *Ledger) Answered(now time.Time, parts []fescuelatch.PromptPart) {
+	suspected := false
+	for _, s := range sharedParts(parts) {
+		l.answered.Add(s.Part, now)
+		suspected = l.vouchLater(now, s.Part) || suspected
+	}
+	if suspected {
+		l.update(now)
+	}
+}
+
+// isSound reports whether this daemon has seen an answer to a prompt with a part lately.
+func (l *Ledger) isSound(now time.Time, part string) bool {
+	at, ok := l.answered.Peek(part)
+	return ok && now.Sub(at) < soundFor
+}
+
+// cleared reports whether a part was stated to be sound after a report.
+func (l *Ledger) cleared(part string, r *report) bool {
+	s, ok := l.vouched.Peek(part)
+	if !ok {
+		return false
+	}
+	if r.stored.Revision == 0 {
+		return s.received.After(r.seen)
+	}
+	return s.stored.After(r.stored)
+}
+
+// Tick updates what depends on time. It is to be called regularly.
+func (l *Ledger) Tick(now time.Time) {
+	if len(l.reports) == 0 && len(l.blocks) == 0 || now.Sub(l.updated) < updateInterval {
+		return
+	}
+	for name, r := range l.reports {
+		if now.Sub(r.seen) >= reportLifetime {
+			delete(l.reports, name)
+		}
+	}
+	l.update(now)
+}
+
+// Change is a change of what is blocked.
+type Change struct {
+	Part    string
+	Blocked bool
+	// Incidents is the number of incidents that the part may have caused.
+	Incidents int
+}
+
+// Changes returns and forgets the changes since the last call.
+func (l *Ledger) Changes() []Change {
+	c := l.changes
+	l.changes = nil
+	return c
+}
--- /dev/null
+++ b/crash/verdict.go
@@ -0,0 +1,125 @@
+package crash
+
+import (
+	"cmp"
+	"time"
+)
+
+// This file defines the conclusion from the reports: which parts are blocked.
+
+const (
+	// suspectAfter is the number of incidents that a part may have caused after which
+	// a request with it that has met a crash is not sent again.
+	suspectAfter = 2
+	// blockAfter is the number after which the part is blocked. The users allow five
+	// crashes until all daemons know.
+	blockAfter = 3
+)
+
+// incident is the parts that may have caused crashes of one moment, by their depth.
+type incident map[string]int
+
+// update draws the conclusion from all reports.
+func (l *Ledger) update(now time.Time) {
+	l.updated = now
+	l.expireBlocks(now)
+	open := l.collectIncidents(now)
+	for {
+		// A part that is blocked explains its incidents: the other parts there are
+		// those of requests that ran on the same endpoints.
+		open = l.unexplained(open)
+		counts, depths := countIncidents(open)
+		l.incidents = counts
+		part := ""
+		for p, n := range counts {
+			if n >= blockAfter && (part == "" || moreSuspicious(counts, depths, p, part)) {
+				part = p
+			}
+		}
+		if part == "" || !l.block(now, part, counts[part]) {
+			return
+		}
+	}
+}
+
+// moreSuspicious reports whether part a is more likely than b to cause the incidents. Of
+// two parts that are in the same ones, the deeper one is in fewer other prompts.
+func moreSuspicious(counts, depths map[string]int, a, b string) bool {
+	return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(depths[a], depths[b]), cmp.Compare(a, b)) > 0
+}
+
+// collectIncidents joins the reports that have processes in common, and names the parts
+// in them.
+func (l *Ledger) collectIncidents(now time.Time) []incident {
+	parents := make(map[string]string)
+	for _, r := range l.reports {
+		for _, p := range r.Processes {
+			join(parents, r.Processes[0], p)
+		}
+	}
+	clear(l.named)
+	byRoot := make(map[string]incident)
+	for _, r := range l.reports {
+		root := find(parents, r.Processes[0])
+		for _, s := range r.Suspects {
+			if l.cleared(s.Part, r) {
+				continue
+			}
+			l.named[s.Part] = true
+			if l.isSound(now, s.Part) {
+				continue
+			}
+			if byRoot[root] == nil {
+				byRoot[root] = make(incident)
+			}
+			byRoot[root][s.Part] = max(byRoot[root][s.Part], s.Depth)
+		}
+	}
+	all := make([]incident, 0, len(byRoot))
+	for _, i := range byRoot {
+		all = append(all, i)
+	}
+	return all
+}
+
+// find returns the representative of the set of a process.
+func find(parents map[string]string, p string) string {
+	for parents[p] != "" && parents[p] != p {
+		p = parents[p]
+	}
+	return p
+}
+
+// join unites the sets of two processes.
+func join(parents map[string]string, a, b string) {
+	a, b = find(parents, a), find(parents, b)
+	if a != b {
+		parents[b] = a
+	}
+}
+
+// unexplained returns the incidents without a blocked part.
+func (l *Ledger) unexplained(all []incident) []incident {
+	var rest []incident
+	for _, i := range all {
+		explained := false
+		for p := range i {
+			explained = explained || l.blocks[p] != nil
+		}
+		if !explained {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+func countIncidents(all []incident) (counts, depths map[string]int) {
+	counts, depths = make(map[string]int), make(map[string]int)
+	for _, i := range all {
+		for p, depth := range i {
+			counts[p]++
+			depths[p] = max(depths[p], depth)
+		}
+	}
+	return counts, depths
+}
--- a/decision/action.go
+++ b/decision/action.go
@@ -43,7 +43,8 @@
 	KeptDeadline   KeptReason = "deadline"
 	KeptBudget     KeptReason = "retry-budget"
 	KeptCapacity   KeptReason = "no-capacity"
-	KeptSent       KeptReason = "sent" // the caller has part of an answer
+	KeptPrompt     KeptReason = "prompt" // it may crash another endpoint
+	KeptSent       KeptReason = "sent"   // the caller has part of an answer
 )
 
 // Relay passes the answer of an attempt on to the caller as it arrives.
@@ -112,7 +113,9 @@
 	ReasonNotStarted          Reason = "not-started"
 	ReasonStopping            Reason = "stopping"
 	ReasonBroken              Reason = "broken"
-	ReasonNoConfig            Reason = "no-configuration"
+	// ReasonBlockedPrompt means that a part of the prompt crashes endpoints.
+	ReasonBlockedPrompt Reason = "blocked-prompt"
+	ReasonNoConfig      Reason = "no-configuration"
 	// ReasonRejected means that no endpoint would start the request.
 	ReasonRejected Reason = "rejected"
 )
--- a/decision/core.go
+++ b/decision/core.go
@@ -39,6 +39,8 @@
 	Retries fescuelatch.RetryBudget
 	// Escalation decides whether to keep answers that have begun; nil keeps all.
 	Escalation fescuelatch.EscalationPolicy
+	// Prompts decides which prompts may reach endpoints; nil allows all.
+	Prompts fescuelatch.PromptGuard
 }
 
 // Core decides on the requests of one daemon. It is not safe for concurrent
@@ -119,6 +121,8 @@
 		c.cancelled(now, v)
 	case Reported:
 		c.applyAdmissions(now, c.gate().Report(now, v.Report))
+	case PromptsChanged:
+		c.refuseBlocked(now)
 	case PeerSummarised:
 		c.summarised(now, v)
 	case PeerLost:
--- a/decision/direct_test.go
+++ b/decision/direct_test.go
@@ -21,6 +21,11 @@
 // directCore returns a core with three endpoints of one service. A nil budget
 // selects the default one.
 func directCore(c *qt.C, budget fescuelatch.RetryBudget) *decision.Core {
+	return guardedCore(c, budget, nil)
+}
+
+// guardedCore returns the same with a guard of prompts.
+func guardedCore(c *qt.C, budget fescuelatch.RetryBudget, prompts fescuelatch.PromptGuard) *decision.Core {
 	view, err := fescuelatch.NewView(&fescuelatch.Configuration{
 		Generation: 1,
 		Inventory: fescuelatch.Inventory{
@@ -35,7 +40,7 @@
 	c.Assert(err, qt.IsNil)
 	ladder := cascade.NewLadder(cascade.LadderSettings{})
 	core := decision.New(decision.Options{
-		VM: self, Domain: domain, Random: rand.New(rand.NewPCG(1, 2)), Direct: true,
+		VM: self, Domain: domain, Random: rand.New(rand.NewPCG(1, 2)), Direct: true, Prompts: prompts,
 		Quality: new(quality.Static), Versions: ladder, Escalation: ladder, Placement: new(placement.Policy),
 		Gate: shared.New(shared.Settings{}, rand.New(rand.NewPCG(1, 3))), Sampler: quality.FixedShare{},
 		Retries: budget,
@@ -170,3 +175,85 @@
 func (r *fixedBudget) Remaining(time.Time, *fescuelatch.Request, fescuelatch.RetryReason) float64 {
 	return float64(*r)
 }
+
+// promptGuard blocks all prompts once blocked is set, and allows repeats if repeat is set.
+type promptGuard struct{ blocked, repeat bool }
+
+func (g *promptGuard) Blocked(time.Time, *fescuelatch.Request) (time.Duration, bool) {
+	return time.Minute, g.blocked
+}
+
+func (g *promptGuard) MayRepeat(time.Time, *fescuelatch.Request) bool { return g.repeat }
+
+// TestRequestCrashesEndpoints checks how often a request is sent again when the endpoints
+// crash during its attempts.
+func TestRequestCrashesEndpoints(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashed bool // before the answer was under way
+		guard   promptGuard
+		starts  int
+	}{
+		{"the request may be the cause", true, promptGuard{repeat: true}, 2},
+		{"its prompt is suspected", true, promptGuard{}, 1},
+		{"its prompt is blocked", true, promptGuard{blocked: true, repeat: true}, 0},
+		{"its answer was under way", false, promptGuard{repeat: true}, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			budget := fixedBudget(10)
+			core := guardedCore(c, &budget, &test.guard)
+			q := &fescuelatch.Request{
+				ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: epoch, Deadline: epoch.Add(5 * time.Second),
+				Idempotent: true, Streamed: true, Resumable: true, MaxAttempts: 3, Parts: []fescuelatch.PromptPart{{ID: "p"}, {ID: "own"}},
+			}
+			actions := core.Handle(epoch, decision.Arrived{Request: q})
+			starts := 0
+			for len(actions) == 1 {
+				start, ok := actions[0].(decision.Start)
+				if !ok {
+					break
+				}
+				starts++
+				actions = core.Handle(epoch, decision.Ended{Request: "q", Result: fescuelatch.AttemptResult{
+					Attempt: start.Attempt, Endpoint: start.Endpoint, Version: start.Version, Status: fescuelatch.AttemptBroken,
+					EndpointGone: true, Unreachable: true, Crashed: test.crashed,
+				}})
+			}
+			c.Check(starts, qt.Equals, test.starts)
+			c.Check(core.Open(), qt.Equals, 0)
+			if refuse, ok := actions[0].(decision.Refuse); ok && test.guard.blocked {
+				c.Check(refuse.Reason, qt.Equals, decision.ReasonBlockedPrompt)
+				c.Check(refuse.RetryAfter, qt.Equals, time.Minute)
+			}
+			c.Check(core.Faults(), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestQueuedRequestIsRefusedWhenItsPromptIsBlocked guards against queued requests that
+// start after their prompts were blocked.
+func TestQueuedRequestIsRefusedWhenItsPromptIsBlocked(t *testing.T) {
+	c := qt.New(t)
+	budget := fixedBudget(10)
+	guard := &promptGuard{repeat: true}
+	core := guardedCore(c, &budget, guard)
+	for _, id := range []fescuelatch.EndpointID{"e1", "e2", "e3"} {
+		core.Handle(epoch, decision.Reported{Report: fescuelatch.LoadReport{Endpoint: id, Running: 16, Slots: 8, Generated: epoch}})
+	}
+	q := &fescuelatch.Request{
+		ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: epoch, Deadline: epoch.Add(5 * time.Second),
+		MaxAttempts: 3, Parts: []fescuelatch.PromptPart{{ID: "p"}, {ID: "own"}},
+	}
+	c.Assert(core.Handle(epoch, decision.Arrived{Request: q}), qt.HasLen, 0)
+	c.Assert(core.Handle(epoch, decision.PromptsChanged{}), qt.HasLen, 0)
+	guard.blocked = true
+	actions := core.Handle(epoch, decision.PromptsChanged{})
+	c.Assert(actions, qt.HasLen, 1)
+	refuse, ok := actions[0].(decision.Refuse)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", actions[0]))
+	c.Check(refuse.Reason, qt.Equals, decision.ReasonBlockedPrompt)
+	c.Check(core.Open(), qt.Equals, 0)
+	c.Check(core.Faults(), qt.HasLen, 0)
+}
--- a/decision/inactivity.go
+++ b/decision/inactivity.go
@@ -43,7 +43,7 @@
 		return true // The request has already ended.
 	}
 	c.sparesCached = false
-	if !c.mayRepeat(q) || c.tooLate(now, q) || !c.usable(q) || len(c.targets(now, q)) == 0 || !c.canStart(now, q) ||
+	if !c.mayRepeat(q) || !c.mayCrashAnother(now, q) || c.tooLate(now, q) || !c.usable(q) || len(c.targets(now, q)) == 0 || !c.canStart(now, q) ||
 		!c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
 		return false
 	}
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -55,6 +55,9 @@
 		if r.EndpointGone && c.options.Direct && q.sequence < maxSequence {
 			q.attempts--
 		}
+		if r.Crashed {
+			q.crashes++
+		}
 		c.broken(now, q)
 	}
 }
@@ -166,7 +169,7 @@
 // broken retries an idempotent request, unless part of its answer has been
 // streamed and cannot be resumed.
 func (c *Core) broken(now time.Time, q *request) {
-	if !c.mayRepeat(q) || !q.retryGranted() && !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
+	if !c.mayRepeat(q) || !c.mayCrashAnother(now, q) || !q.retryGranted() && !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
 		if q.best.id != "" {
 			c.accept(q, q.best, false)
 			return
--- a/decision/placement.go
+++ b/decision/placement.go
@@ -46,6 +46,10 @@
 		c.refuse(q, ReasonDeadline, defaultRetryAfter)
 		return
 	}
+	if after, blocked := c.blocked(now, q); blocked {
+		c.refuse(q, ReasonBlockedPrompt, after)
+		return
+	}
 	for {
 		if target, ok := c.chooseTarget(now, q); ok {
 			c.attempt(now, q, target)
--- a/decision/relay.go
+++ b/decision/relay.go
@@ -39,6 +39,8 @@
 		return KeptLast
 	case q.attempts >= q.attemptLimit():
 		return KeptAttempts
+	case !c.mayCrashAnother(now, q):
+		return KeptPrompt
 	}
 	from, to := q.plan[q.step], q.plan[q.step+1]
 	latency := c.options.Gate.Latency(to)
--- a/decision/request.go
+++ b/decision/request.go
@@ -45,7 +45,10 @@
 	// sequence counts all attempts, including those that were not sent.
 	sequence int
 	unsent   int
-	tried    map[fescuelatch.VMID]bool
+	// crashes counts the attempts with whose endpoint's process ended before the
+	// answer was under way.
+	crashes int
+	tried   map[fescuelatch.VMID]bool
 	// avoid lists the endpoints of direct attempts.
 	avoid []fescuelatch.EndpointID
 	// relayed reports that the caller is receiving an answer.
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -97,6 +97,9 @@
 		t.request.ran.Store(true)
 	}
 	t.observeEnd(r, time.Since(began))
+	if r.Status == fescuelatch.AttemptAnswered && !t.progress.underWay {
+		t.answered()
+	}
 	if err == nil {
 		err = t.failure
 	}
@@ -319,7 +322,9 @@
 		if err != nil {
 			return err //nolint:wrapcheck // classify needs its kind.
 		}
-		t.progress.events++
+		if t.progress.event(time.Now()) {
+			t.answered()
+		}
 		if r.FirstToken == 0 {
 			r.FirstToken = time.Since(sent)
 			t.observe(rollout.OutcomeAnswered, r.FirstToken)
--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -1,17 +1,44 @@
 package direct
 
 import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
 	"fescuelatch"
+	"fescuelatch/crash"
+	"fescuelatch/decision"
 	"fescuelatch/endpoint"
 )
 
-// This file defines how a daemon tells from a broken attempt that its endpoint has
-// crashed.
+// This file defines how a daemon tells from broken attempts that endpoints have crashed,
+// and shares with the others what prompts may have caused that.
+
+// underWayAfter is how long after its first event an answer counts as under way: a
+// prompt that crashes endpoints does so when the answer begins.
+const underWayAfter = 500 * time.Millisecond
 
 // answerProgress is how much of an answer has arrived.
 type answerProgress struct {
 	begun  bool // its head has arrived
 	events int
+	first  time.Time // of the first event
+	// underWay reports that the answer was reported to be under way.
+	underWay bool
+}
+
+// event records an event and reports whether it shows for the first time that the answer
+// is under way.
+func (p *answerProgress) event(now time.Time) bool {
+	if p.events++; p.events == 1 {
+		p.first = now
+	}
+	if p.underWay || now.Sub(p.first) < underWayAfter {
+		return false
+	}
+	p.underWay = true
+	return true
 }
 
 // examineBreak completes the result of a broken attempt by what a new connection to the
@@ -19,6 +46,7 @@
 // it is refused right after the old one was closed, the endpoint's process has ended.
 func (t *attempt) examineBreak(r *fescuelatch.AttemptResult, err error) {
 	d := t.request.daemon
+	broken := time.Now()
 	to, ok := d.active.Load().addresses[t.start.Endpoint]
 	var probe error
 	if ok {
@@ -27,11 +55,36 @@
 		}
 	}
 	r.EndpointGone, r.Unreachable = true, true
-	if endpoint.KindOf(err) == endpoint.KindBroken && endpoint.Refused(probe) {
-		d.metrics.countCrash(t.progress.begun)
-		t.request.warn("endpoint has crashed during an attempt", "attempt", t.start.Attempt, "endpoint", t.start.Endpoint,
-			"begun", t.progress.begun, "events", t.progress.events, "parts", partIDs(t.request.details.Parts), "error", err.Error())
+	if endpoint.KindOf(err) != endpoint.KindBroken || !endpoint.Refused(probe) {
+		return
 	}
+	underWay := t.progress.events > 0 && broken.Sub(t.progress.first) >= underWayAfter
+	r.Crashed = !underWay
+	d.metrics.countCrash(t.progress.begun)
+	t.request.warn("endpoint has crashed during an attempt", "attempt", t.start.Attempt, "endpoint", t.start.Endpoint,
+		"begun", t.progress.begun, "events", t.progress.events, "parts", partIDs(t.request.details.Parts), "error", err.Error())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if process, ok := d.storeView.processAt(t.start.Endpoint); ok {
+		d.crashes.Crashed(broken, process, t.request.details.Parts, underWay)
+		d.applyBlocksLocked(broken)
+	}
+}
+
+// processAt returns the registered process of an endpoint.
+func (k *storeView) processAt(id fescuelatch.EndpointID) (fescuelatch.EndpointProcess, bool) {
+	e, ok := k.endpoints[id]
+	return fescuelatch.EndpointProcess{Endpoint: id, Started: e.ProcessStarted, Address: e.Endpoint.Address}, ok
+}
+
+// answered records that the answer to the prompt is under way.
+func (t *attempt) answered() {
+	d := t.request.daemon
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.crashes.Answered(now, t.request.details.Parts)
+	d.applyBlocksLocked(now)
 }
 
 func partIDs(parts []fescuelatch.PromptPart) []string {
@@ -41,3 +94,124 @@
 	}
 	return ids
 }
+
+// applyBlocksLocked carries out changes of what is blocked.
+func (d *Daemon) applyBlocksLocked(now time.Time) {
+	changes := d.crashes.Changes()
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		if c.Blocked {
+			d.log.Warn("prompt part crashes endpoints; requests with it are refused", "part", c.Part, "incidents", c.Incidents)
+		} else {
+			d.log.Info("prompt part is no longer blocked", "part", c.Part)
+		}
+	}
+	d.metrics.blockedParts.Update(float64(d.crashes.BlockedParts()))
+	d.decideLocked(now, decision.PromptsChanged{})
+}
+
+// crashRecordKinds are the kinds of records of the crash ledger.
+var crashRecordKinds = []crash.RecordKind{crash.RecordReport, crash.RecordSound, crash.RecordBlock}
+
+func crashRecordID(k crash.RecordKind, name string) string { return string(k) + "/" + name }
+
+// syncCrashesLocked passes the records of all daemons to the crash ledger.
+func (d *Daemon) syncCrashesLocked(now time.Time) {
+	var records []crash.Record
+	for id, kv := range d.storeView.records {
+		for _, k := range crashRecordKinds {
+			if name, ok := strings.CutPrefix(id, crashRecordID(k, "")); ok {
+				records = append(records, crash.Record{Kind: k, Name: name, Stored: kv})
+			}
+		}
+	}
+	for _, err := range d.crashes.Sync(now, records) {
+		d.log.Warn("record on crashes cannot be used", "error", err.Error())
+	}
+	d.applyBlocksLocked(now)
+}
+
+// tickCrashesLocked updates the crash ledger and hands over the records to be written.
+func (d *Daemon) tickCrashesLocked(now time.Time) {
+	d.crashes.Tick(now)
+	d.applyBlocksLocked(now)
+	if len(d.crashWrites) == cap(d.crashWrites) {
+		return // Earlier records are still being written.
+	}
+	if writes := d.crashes.Writes(now); len(writes) > 0 {
+		d.crashWrites <- writes
+	}
+}
+
+// leaseReuse is how long a lease is used for further records.
+const leaseReuse = 20 * time.Second
+
+// recordLeases holds leases by their time. It is used only by writeCrashRecords.
+type recordLeases map[time.Duration]grantedLease
+
+type grantedLease struct {
+	id int64
+	at time.Time
+}
+
+func (l recordLeases) get(ctx context.Context, s fescuelatch.Store, lifetime time.Duration) (int64, error) {
+	if g, ok := l[lifetime]; ok && time.Since(g.at) < leaseReuse {
+		return g.id, nil
+	}
+	id, err := s.Grant(ctx, lifetime)
+	if err != nil {
+		return 0, err //nolint:wrapcheck // The caller logs it.
+	}
+	l[lifetime] = grantedLease{id, time.Now()}
+	return id, nil
+}
+
+// writeCrashRecords writes the records of the crash ledger until ctx ends.
+func (d *Daemon) writeCrashRecords(ctx context.Context) {
+	leases := make(recordLeases)
+	for {
+		var writes []crash.Write
+		select {
+		case writes = <-d.crashWrites:
+		case <-ctx.Done():
+			return
+		}
+		for _, w := range writes {
+			succeeded, err := d.writeCrashRecord(ctx, leases, w)
+			if err != nil {
+				delete(leases, w.Lifetime)
+				d.log.Info("writing a record on crashes failed", "kind", w.Kind, "name", w.Name, "error", err.Error())
+			} else {
+				d.log.Info("record on crashes written", "kind", w.Kind, "name", w.Name, "value", w.Value, "first", succeeded)
+			}
+			d.mu.Lock()
+			d.crashes.Written(time.Now(), w, succeeded)
+			d.mu.Unlock()
+		}
+	}
+}
+
+// writeCrashRecord writes a record and reports whether its condition held.
+func (d *Daemon) writeCrashRecord(ctx context.Context, leases recordLeases, w crash.Write) (bool, error) {
+	const op = "write record"
+	value, err := json.Marshal(w.Value)
+	if err != nil {
+		return false, &Error{op, KindInvalid, err}
+	}
+	lease, err := leases.get(ctx, d.options.Store, w.Lifetime)
+	if err != nil {
+		return false, &Error{op, KindStore, err}
+	}
+	key := d.options.Notation.RecordKey(crashRecordID(w.Kind, w.Name))
+	t := fescuelatch.KVTxn{Then: []fescuelatch.KVOp{{Put: &fescuelatch.KVPut{Key: key, Value: value, Lease: lease}}}}
+	if w.Conditional {
+		t.If = []fescuelatch.KVCompare{{Key: key, Revision: w.Revision}}
+	}
+	r, err := d.options.Store.Txn(ctx, t)
+	if err != nil {
+		return false, &Error{op, KindStore, err}
+	}
+	return r.Succeeded, nil
+}
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -17,6 +17,7 @@
 	"fescuelatch"
 	"fescuelatch/cascade"
 	"fescuelatch/chart"
+	"fescuelatch/crash"
 	"fescuelatch/decision"
 	"fescuelatch/endpoint"
 	"fescuelatch/gate/shared"
@@ -88,6 +89,8 @@
 	process string
 	// sources is used only by the store loop.
 	sources sources
+	// crashWrites holds records on crashes that are to be written.
+	crashWrites chan []crash.Write
 	// permitsLacking signals that requests may lack permits.
 	permitsLacking chan struct{}
 	allocators     allocatorPeers
@@ -105,6 +108,7 @@
 	requests  map[fescuelatch.RequestID]*activeRequest
 	members   int
 	isolation isolation
+	crashes   *crash.Ledger
 	// allocator hands out permits for the endpoints of which this daemon is an
 	// allocator.
 	allocator    *permit.Allocator
@@ -129,8 +133,8 @@
 		members:    1,
 		process:    uuid.NewString(),
 		bounds:     o.Dynamic,
-		recordLost: make(chan struct{}, 1),
-		allocator:  permit.NewAllocator(), permitsLacking: make(chan struct{}, 1),
+		recordLost: make(chan struct{}, 1), crashWrites: make(chan []crash.Write, 1),
+		allocator: permit.NewAllocator(), permitsLacking: make(chan struct{}, 1),
 	}
 	d.budget = shared.NewBudget(o.Dynamic.Retries, func() int { return d.members })
 	d.endpoints = &endpoint.Client{
@@ -139,12 +143,13 @@
 	}
 	random := decision.NewRandom()
 	d.gate = shared.New(shared.Settings{Domain: string(o.Domain)}, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())))
+	d.crashes = crash.NewLedger(rand.New(rand.NewPCG(random.Uint64(), random.Uint64())), func() int { return d.members })
 	ladder := cascade.NewLadder(o.Ladder)
 	d.core = decision.New(decision.Options{
 		VM: o.VM, Domain: o.Domain, Random: random, Direct: true,
 		Quality: new(quality.Static), Versions: ladder, Escalation: ladder,
 		Placement: new(placement.Policy), Gate: d.gate, Sampler: quality.FixedShare{},
-		Retries: d.budget,
+		Retries: d.budget, Prompts: d.crashes,
 	})
 	return d
 }
@@ -189,6 +194,7 @@
 		return
 	}
 	d.updateRollouts(now)
+	d.syncCrashesLocked(now)
 	v, err := composeView(d.storeView, d.options.Regions, d.divisionsAt(now), d.rolledBackRelease)
 	if err != nil {
 		d.log.Error("known state makes no valid configuration; keeping the previous one", "error", err.Error())
@@ -240,7 +246,7 @@
 		return err
 	}
 	d.life.Fire(chart.EventStarted)
-	for _, loop := range []func(context.Context){d.follow, d.keepRecord, d.tick, d.driveRollouts, d.drivePermits, d.sweep, d.learnFromPeers} {
+	for _, loop := range []func(context.Context){d.follow, d.keepRecord, d.tick, d.driveRollouts, d.drivePermits, d.writeCrashRecords, d.sweep, d.learnFromPeers} {
 		g.Go(func() error {
 			loop(running)
 			return nil
@@ -269,6 +275,7 @@
 		d.decideLocked(now, decision.Tick{})
 		probes := d.gate.Probes(now)
 		d.signalPermitsLocked()
+		d.tickCrashesLocked(now)
 		d.watchIsolationLocked(ctx, now)
 		d.mu.Unlock()
 		d.metrics.storeAge.Update(d.store.age(now).Seconds())
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -20,6 +20,8 @@
 	members     tally.Gauge
 	storeAge    tally.Gauge
 	limited     tally.Gauge
+	// blockedParts is the number of prompt parts that crash endpoints.
+	blockedParts tally.Gauge
 	// allocatorFailures counts requests for permits that had no reply.
 	allocatorFailures tally.Counter
 }
@@ -37,6 +39,7 @@
 		storeAge:    s.Gauge("store_age_seconds"),
 		limited:     s.Gauge("limited_endpoints"),
 
+		blockedParts:      s.Gauge("blocked_prompt_parts"),
 		allocatorFailures: s.Counter("allocator_failures"),
 	}
 }
--- a/policy.go
+++ b/policy.go
@@ -159,6 +159,16 @@
 	Remaining(now time.Time, r *Request, why RetryReason) float64
 }
 
+// PromptGuard decides by the parts of prompts which requests may reach endpoints.
+type PromptGuard interface {
+	// Blocked reports whether a part of the request's prompt crashes endpoints, and
+	// the time until it may be tried again.
+	Blocked(now time.Time, r *Request) (time.Duration, bool)
+	// MayRepeat reports whether a request may be sent again after an endpoint has
+	// crashed during an attempt at it.
+	MayRepeat(now time.Time, r *Request) bool
+}
+
 // RetryReason is the reason for sending a request again.
 type RetryReason string
 
--- a/request.go
+++ b/request.go
@@ -141,6 +141,9 @@
 	// EndpointGone reports that the endpoint terminated, or was disconnected, during
 	// the attempt, which does not count against MaxAttempts.
 	EndpointGone bool `json:"gone,omitempty"`
+	// Crashed reports that the endpoint's process ended before the answer was under
+	// way.
+	Crashed bool `json:"crashed,omitempty"`
 }
 
 // Bill is the record of one answered request.
