--- a/crash/incident.go
+++ b/crash/incident.go
@@ -20,7 +20,8 @@
 func (l *Ledger) Crashed(now time.Time, process fescuelatch.EndpointProcess, parts []fescuelatch.PromptPart, underWay bool) {
 	if l.open == nil || now.Sub(l.open.seen) >= incidentWindow {
 		l.closeIncident(now)
-		l.open = &report{name: l.newName(), seen: now, own: true}
+		delay := l.delay(time.Duration(l.members()) * reportDelayPerDaemon)
+		l.open = &report{name: l.newName(), seen: now, own: true, writeAt: now.Add(incidentWindow + delay)}
 	}
 	r := l.open
 	if key := ProcessKey(process); !slices.Contains(r.Processes, key) && len(r.Processes) < maxProcesses {
--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -52,10 +52,9 @@
 	// vouched holds the statements of any daemon that parts are sound.
 	vouched *simplelru.LRU[string, statement]
 	blocks  map[string]*block
-	// named holds the parts of reports after which they were not stated to be sound,
-	// and incidents the number of unexplained incidents that each part may have
-	// caused.
-	named     map[string]bool
+	// named is the number of incidents in which each part is suspected by any daemon,
+	// and incidents the number of those that it may have caused by what is known here.
+	named     map[string]int
 	incidents map[string]int
 	updated   time.Time
 	// open is the own report that further crashes still join, and nextReport the
@@ -72,7 +71,8 @@
 	Report
 	name string
 	// seen is when the first crash was seen, or when the record was received.
-	seen time.Time
+	// writeAt is when an own report is to be written.
+	seen, writeAt time.Time
 	// stored is the record; its revision is zero until it has been read from the
 	// store.
 	stored fescuelatch.KeyValue
@@ -95,7 +95,7 @@
 	return &Ledger{
 		random: random, members: members, answered: answered, vouched: vouched,
 		reports: make(map[string]*report), blocks: make(map[string]*block),
-		named: make(map[string]bool), incidents: make(map[string]int), vouches: make(map[string]time.Time),
+		named: make(map[string]int), incidents: make(map[string]int), vouches: make(map[string]time.Time),
 	}
 }
 
--- a/crash/record.go
+++ b/crash/record.go
@@ -30,7 +30,13 @@
 	// recordDelayPerDaemon spreads a record that many daemons could write over time,
 	// up to maxRecordDelay: the first is read by the others, which then write none.
 	recordDelayPerDaemon = 5 * time.Millisecond
-	maxRecordDelay       = time.Second
+	maxRecordDelay       = 2 * time.Second
+	// reportDelayPerDaemon spreads the reports of crashes that many daemons have seen.
+	reportDelayPerDaemon = time.Millisecond
+	// calmDelay and calmDelayPerDaemon are the same for statements on parts that are
+	// not in enough incidents yet for any consequence.
+	calmDelay          = 4 * time.Second
+	calmDelayPerDaemon = 20 * time.Millisecond
 	// rewriteInterval is the time until a write is tried again.
 	rewriteInterval = 2 * time.Second
 )
@@ -92,10 +98,14 @@
 	return failed
 }
 
+// delay returns a random delay.
+func (l *Ledger) delay(longest time.Duration) time.Duration {
+	return time.Duration(l.random.Float64() * float64(longest))
+}
+
 // recordDelay returns a random delay for a record that each daemon could write.
 func (l *Ledger) recordDelay() time.Duration {
-	delay := min(maxRecordDelay, time.Duration(l.members())*recordDelayPerDaemon)
-	return time.Duration(l.random.Float64() * float64(delay))
+	return l.delay(min(maxRecordDelay, time.Duration(l.members())*recordDelayPerDaemon))
 }
 
 // vouchForSuspects schedules statements on the suspected parts that this daemon has seen
@@ -165,36 +175,31 @@
 }
 
 // vouchLater schedules the statement that a part is sound if other daemons may suspect
-// it, and reports whether it does.
+// it, and reports whether they may.
 func (l *Ledger) vouchLater(now time.Time, part string) bool {
 	if !l.suspected(part) {
 		return false
 	}
-	if _, ok := l.vouches[part]; !ok {
-		l.vouches[part] = now.Add(l.recordDelay())
+	at, scheduled := l.vouches[part]
+	delay := l.delay(calmDelay + time.Duration(l.members())*calmDelayPerDaemon)
+	if l.blocks[part] != nil || l.named[part] >= suspectAfter {
+		delay = l.recordDelay()
+	}
+	if !scheduled || at.After(now.Add(delay)) {
+		l.vouches[part] = now.Add(delay)
 	}
 	return true
 }
 
 // suspected reports whether a part is blocked, or is in any report after which it was not
 // stated to be sound.
-func (l *Ledger) suspected(part string) bool { return l.blocks[part] != nil || l.named[part] }
+func (l *Ledger) suspected(part string) bool { return l.blocks[part] != nil || l.named[part] > 0 }
 
 // Writes returns the records that are due to be written. Each must be followed by
 // Written.
 func (l *Ledger) Writes(now time.Time) []Write {
 	l.closeIncident(now)
-	due := l.dueReports(now)
-	for p, at := range l.vouches {
-		switch {
-		case now.Before(at):
-		case !l.suspected(p):
-			delete(l.vouches, p)
-		default:
-			l.vouches[p] = now.Add(rewriteInterval)
-			due = append(due, Write{Kind: RecordSound, Name: p, Value: struct{}{}, Lifetime: statementLifetime})
-		}
-	}
+	due := append(l.dueReports(now), l.dueStatements(now)...)
 	for p, b := range l.blocks {
 		switch {
 		case b.stored.Revision == 0 && !now.Before(b.writeAt) && (b.refused || !b.recorded):
@@ -211,6 +216,28 @@
 	return due
 }
 
+// dueStatements returns all scheduled statements once one of them is due: they are written
+// together.
+func (l *Ledger) dueStatements(now time.Time) []Write {
+	any := false
+	for p, at := range l.vouches {
+		if !l.suspected(p) {
+			delete(l.vouches, p)
+			continue
+		}
+		any = any || !now.Before(at)
+	}
+	if !any {
+		return nil
+	}
+	var due []Write
+	for p := range l.vouches {
+		l.vouches[p] = now.Add(rewriteInterval)
+		due = append(due, Write{Kind: RecordSound, Name: p, Value: struct{}{}, Lifetime: statementLifetime})
+	}
+	return due
+}
+
 // dueReports returns the next own report that is to be written, if it is time.
 func (l *Ledger) dueReports(now time.Time) []Write {
 	if now.Before(l.nextReport) {
@@ -218,7 +245,7 @@
 	}
 	var next *report
 	for _, r := range l.reports {
-		if r.own && !r.written && r != l.open && (next == nil || r.seen.Before(next.seen)) {
+		if r.own && !r.written && !now.Before(r.writeAt) && (next == nil || r.seen.Before(next.seen)) {
 			next = r
 		}
 	}
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -23,7 +25,15 @@
 func (l *Ledger) update(now time.Time) {
 	l.updated = now
 	l.expireBlocks(now)
-	open := l.collectIncidents(now)
+	open := l.collectIncidents()
+	l.named, _ = countIncidents(open)
+	for _, i := range open {
+		for p := range i {
+			if l.isSound(now, p) {
+				delete(i, p)
+			}
+		}
+	}
 	for {
 		// A part that is blocked explains its incidents: the other parts there are
 		// those of requests that ran on the same endpoints.
@@ -48,16 +58,15 @@
 	return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(depths[a], depths[b]), cmp.Compare(a, b)) > 0
 }
 
-// collectIncidents joins the reports that have processes in common, and names the parts
-// in them.
-func (l *Ledger) collectIncidents(now time.Time) []incident {
+// collectIncidents joins the reports that have processes in common. It leaves out parts
+// that were stated to be sound after a report.
+func (l *Ledger) collectIncidents() []incident {
 	parents := make(map[string]string)
 	for _, r := range l.reports {
 		for _, p := range r.Processes {
 			join(parents, r.Processes[0], p)
 		}
 	}
-	clear(l.named)
 	byRoot := make(map[string]incident)
 	for _, r := range l.reports {
 		root := find(parents, r.Processes[0])
@@ -65,21 +74,13 @@
 			if l.cleared(s.Part, r) {
 				continue
 			}
-			l.named[s.Part] = true
-			if l.isSound(now, s.Part) {
-				continue
-			}
 			if byRoot[root] == nil {
 				byRoot[root] = make(incident)
 			}
 			byRoot[root][s.Part] = max(byRoot[root][s.Part], s.Depth)
 		}
 	}
-	all := make([]incident, 0, len(byRoot))
-	for _, i := range byRoot {
-		all = append(all, i)
-	}
-	return all
+	return slices.Collect(maps.Values(byRoot))
 }
 
 // find returns the representative of the set of a process.
--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -178,39 +178,67 @@
 		case <-ctx.Done():
 			return
 		}
-		for _, w := range writes {
-			succeeded, err := d.writeCrashRecord(ctx, leases, w)
-			if err != nil {
-				delete(leases, w.Lifetime)
-				d.log.Info("writing a record on crashes failed", "kind", w.Kind, "name", w.Name, "error", err.Error())
-			} else {
-				d.log.Info("record on crashes written", "kind", w.Kind, "name", w.Name, "value", w.Value, "first", succeeded)
+		for _, batch := range batches(writes) {
+			succeeded, err := d.writeBatch(ctx, leases, batch)
+			for _, w := range batch {
+				if err != nil {
+					d.log.Info("writing a record on crashes failed", "kind", w.Kind, "name", w.Name, "error", err.Error())
+				} else {
+					d.log.Info("record on crashes written", "kind", w.Kind, "name", w.Name, "value", w.Value, "first", succeeded)
+				}
 			}
 			d.mu.Lock()
-			d.crashes.Written(time.Now(), w, succeeded)
+			for _, w := range batch {
+				d.crashes.Written(time.Now(), w, succeeded)
+			}
 			d.mu.Unlock()
 		}
 	}
 }
 
-// writeCrashRecord writes a record and reports whether its condition held.
-func (d *Daemon) writeCrashRecord(ctx context.Context, leases recordLeases, w crash.Write) (bool, error) {
-	const op = "write record"
-	value, err := json.Marshal(w.Value)
-	if err != nil {
-		return false, &Error{op, KindInvalid, err}
+// batches divides writes into transactions: those of the same lifetime without a condition
+// are written together.
+func batches(writes []crash.Write) [][]crash.Write {
+	var all [][]crash.Write
+	open := make(map[time.Duration]int) // index of the last batch
+	for _, w := range writes {
+		i, ok := open[w.Lifetime]
+		if w.Conditional || !ok || len(all[i]) == maxTxnEntries {
+			i = len(all)
+			all = append(all, nil)
+			if !w.Conditional {
+				open[w.Lifetime] = i
+			}
+		}
+		all[i] = append(all[i], w)
 	}
-	lease, err := leases.get(ctx, d.options.Store, w.Lifetime)
+	return all
+}
+
+// writeBatch writes records of one lifetime in a transaction and reports whether their
+// condition held.
+func (d *Daemon) writeBatch(ctx context.Context, leases recordLeases, batch []crash.Write) (bool, error) {
+	const op = "write record"
+	lifetime := batch[0].Lifetime
+	lease, err := leases.get(ctx, d.options.Store, lifetime)
 	if err != nil {
 		return false, &Error{op, KindStore, err}
 	}
-	key := d.options.Notation.RecordKey(crashRecordID(w.Kind, w.Name))
-	t := fescuelatch.KVTxn{Then: []fescuelatch.KVOp{{Put: &fescuelatch.KVPut{Key: key, Value: value, Lease: lease}}}}
-	if w.Conditional {
-		t.If = []fescuelatch.KVCompare{{Key: key, Revision: w.Revision}}
+	var t fescuelatch.KVTxn
+	for _, w := range batch {
+		value, err := json.Marshal(w.Value)
+		if err != nil {
+			return false, &Error{op, KindInvalid, err}
+		}
+		key := d.options.Notation.RecordKey(crashRecordID(w.Kind, w.Name))
+		t.Then = append(t.Then, fescuelatch.KVOp{Put: &fescuelatch.KVPut{Key: key, Value: value, Lease: lease}})
+		if w.Conditional {
+			t.If = append(t.If, fescuelatch.KVCompare{Key: key, Revision: w.Revision})
+		}
 	}
 	r, err := d.options.Store.Txn(ctx, t)
 	if err != nil {
+		delete(leases, lifetime) // The store may no longer know it.
 		return false, &Error{op, KindStore, err}
 	}
 	return r.Succeeded, nil
--- a/direct/rollouts.go
+++ b/direct/rollouts.go
@@ -28,9 +28,9 @@
 	// removeInterval is the minimum time between two removals of records: the
 	// daemon sees a removal only after a delay.
 	removeInterval = 5 * time.Second
-	// maxRemovals is below the limit of 32 entries per transaction of the users'
+	// maxTxnEntries is below the limit of 32 entries per transaction of the users'
 	// store.
-	maxRemovals = 30
+	maxTxnEntries = 30
 	// progressStep is the fraction of an order's duration between two records of
 	// its progress.
 	progressStep = 0.1
@@ -313,7 +313,7 @@
 	}
 	var removals []fescuelatch.KVOp
 	for id := range d.storeView.records {
-		if len(removals) == maxRemovals {
+		if len(removals) == maxTxnEntries {
 			break
 		}
 		if id == recordProgress+string(s) || strings.HasPrefix(id, recordEvidence+string(s)+"/") {
