A stream that ends before its first event is not taken for whole

Callers would have got an empty stream with status 200 if the endpoint crashed before the first event of an answer that has neither a length nor chunks: its end looks like the end of the body. It is sent again now, as other broken streams are. A stream that a caller resumes after its last event may be empty.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -129,6 +129,10 @@
 // errPartialEvent means that a stream ended within an event.
 var errPartialEvent = errors.New("the stream ends within an event")
 
+// errNoEvent means that a stream ended before its first event. If its body has no length,
+// that is how the crash of the endpoint appears.
+var errNoEvent = errors.New("the stream ends before its first event")
+
 // classify sets the status of an attempt that ended with an error.
 func (t *attempt) classify(r *fescuelatch.AttemptResult, err error) {
 	if errors.Is(err, errRefused) {
@@ -340,10 +344,13 @@
 			return err
 		}
 	}
-	s.output.writeHeader(s.writer, s.daemon.options.Dialect, a)
-	if len(events.Remainder()) > 0 {
+	switch {
+	case len(events.Remainder()) > 0:
 		return errPartialEvent
+	case t.progress.events == 0 && s.output.lastEvent == "":
+		return errNoEvent
 	}
+	s.output.writeHeader(s.writer, s.daemon.options.Dialect, a)
 	r.Status = fescuelatch.AttemptAnswered
 	return nil
 }
