Soak: endpoints that crash, also on parts of prompts, and checks of what is blocked

Calls of model routes have prompts of parts that are in many prompts, in few, or crash endpoints. Checked are the calls that reach endpoints later than 3 s after the fifth crash of a part, from undisturbed daemons, and that no call is refused for a part that crashes nothing.

--- a/cmd/fescuelatch-load/soak/call.go
+++ b/cmd/fescuelatch-load/soak/call.go
@@ -17,6 +17,9 @@
 	serviceDesk  = "desk"
 	serviceModel = "lm"
 
+	// headerPrompt holds the parts of a call's prompt.
+	headerPrompt = "Fescuelatch-Prefix-Hash"
+
 	callTimeout = 3 * time.Second
 	// callSlack is the time by which a call may exceed its deadline.
 	callSlack = 1500 * time.Millisecond
@@ -44,6 +47,7 @@
 	nonce   string
 	target  *daemon
 	key     int // number of the key that it sent
+	prompt  string
 	sent    time.Time
 	elapsed time.Duration
 	// status is 0 if no response arrived; err says why the answer is
@@ -68,6 +72,9 @@
 		c.err = err
 		return
 	}
+	if c.prompt != "" {
+		q.Header.Set(headerPrompt, c.prompt)
+	}
 	res, err := client.RoundTrip(q)
 	if err != nil {
 		c.err = err
--- a/cmd/fescuelatch-load/soak/endpoint.go
+++ b/cmd/fescuelatch-load/soak/endpoint.go
@@ -58,6 +58,8 @@
 	fault      atomic.Value
 	limiter    limiter
 	executions *executions
+	// onCrashingPart is called with calls whose prompts crash the endpoint.
+	onCrashingPart func(e *endpoint, w http.ResponseWriter, nonce, part string)
 }
 
 func newEndpoint(id, service string, counts *executions) (*endpoint, error) {
@@ -91,6 +93,9 @@
 		return
 	}
 	e.executions.add(nonce)
+	if part := crashingPart(r.Header.Get(headerPrompt)); part != "" {
+		e.onCrashingPart(e, w, nonce, part)
+	}
 	switch {
 	case fault == endpointSlow:
 		time.Sleep(slowDelay)
--- a/cmd/fescuelatch-load/soak/fault.go
+++ b/cmd/fescuelatch-load/soak/fault.go
@@ -94,6 +94,8 @@
 		func() fault { return s.drawEndpointFault(e) },
 		func() fault { return s.newDrainFault(e) },
 		func() fault { return s.newLimitFault(e) },
+		func() fault { return s.newCrashFault(e) },
+		func() fault { return s.newCrashingPartFault() },
 		func() fault { return fault{"change the key", false, s.changeKey, func() {}} },
 	}
 	return all[s.random.IntN(len(all))]()
--- a/cmd/fescuelatch-load/soak/link.go
+++ b/cmd/fescuelatch-load/soak/link.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	fault   linkFault
 	closed  bool
+	isDown  bool
 	conns   map[net.Conn]bool
 	changes []linkChange
 }
@@ -57,11 +58,45 @@
 		return nil, err
 	}
 	k := &link{listener: l, target: target.String(), conns: make(map[net.Conn]bool)}
-	go k.accept()
+	go k.accept(l)
 	return k, nil
 }
 
-func (k *link) address() netip.AddrPort { return netip.MustParseAddrPort(k.listener.Addr().String()) }
+func (k *link) address() netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return netip.MustParseAddrPort(k.listener.Addr().String())
+}
+
+// down ends all connections and refuses new ones, as if the target's process had ended.
+// It reports whether the link was up.
+func (k *link) down() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.isDown || k.closed {
+		return false
+	}
+	k.isDown = true
+	_ = k.listener.Close()
+	k.closeAll()
+	return true
+}
+
+// up accepts connections again, at a new address.
+func (k *link) up() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // Listening does not block.
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return l.Close()
+	}
+	k.listener, k.isDown = l, false
+	go k.accept(l)
+	return nil
+}
 
 // setFault sets the current fault of the link.
 func (k *link) setFault(f linkFault) {
@@ -107,14 +142,14 @@
 func (k *link) state() (linkFault, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.fault, k.closed
+	return k.fault, k.closed || k.isDown
 }
 
 // track registers a connection, or closes it if the link is closed or cut.
 func (k *link) track(c net.Conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.closed || k.fault == linkCut {
+	if k.closed || k.isDown || k.fault == linkCut {
 		_ = c.Close()
 		return false
 	}
@@ -122,9 +157,9 @@
 	return true
 }
 
-func (k *link) accept() {
+func (k *link) accept(l net.Listener) {
 	for {
-		c, err := k.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // The listener was closed.
 		}
--- a/cmd/fescuelatch-load/soak/soak.go
+++ b/cmd/fescuelatch-load/soak/soak.go
@@ -66,12 +66,18 @@
 	started    time.Time
 	client     *http.Transport
 
+	crashes crashes
+	// restarts are the pending restarts of endpoints.
+	restarts sync.WaitGroup
+
 	// restoring is held while the store is restored from a backup.
 	restoring sync.Mutex
 
 	mu     sync.Mutex
 	report Report
 	calls  []*call
+	// targets holds the daemons of all calls that were sent, by nonce.
+	targets map[string]*daemon
 	// key is the number of the active key; keyChanged is when it was set.
 	key        int
 	keyChanged time.Time
@@ -86,7 +92,9 @@
 	s := &soak{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: fakeplatform.NewStore(),
 		executions: &executions{counts: make(map[string]int)}, started: time.Now(), client: new(http.Transport),
-		report: Report{Seed: o.Seed, Calls: make(map[string]int)},
+		report:  Report{Seed: o.Seed, Calls: make(map[string]int)},
+		crashes: crashes{times: make(map[string][]time.Time), late: make(map[string]int)},
+		targets: make(map[string]*daemon),
 	}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
@@ -109,6 +117,7 @@
 	s.recover(context.WithoutCancel(ctx))
 	s.checkExecutions()
 	s.checkRateLimits()
+	s.checkCrashes()
 	return &s.report, nil
 }
 
@@ -124,6 +133,7 @@
 		if err != nil {
 			return err
 		}
+		e.onCrashingPart = s.handleCrashingPart
 		s.endpoints = append(s.endpoints, e)
 		s.register(e, "ready")
 	}
@@ -172,6 +182,7 @@
 		d.kill()
 		d.store.close()
 	}
+	s.restarts.Wait()
 	for _, e := range s.endpoints {
 		e.close()
 	}
@@ -193,7 +204,11 @@
 		}
 		ks := kinds()
 		c := &call{kind: ks[random.IntN(len(ks))], nonce: fmt.Sprintf("%d-%d", s.Seed, n), target: d}
+		if c.streamed {
+			c.prompt = s.crashes.promptOf(random, c.nonce)
+		}
 		s.mu.Lock()
+		s.targets[c.nonce] = d
 		// Some callers still use the previous key.
 		c.key = s.key - max(0, random.IntN(10)-8)
 		s.mu.Unlock()
@@ -226,6 +241,7 @@
 // recover starts daemons that do not run and checks that all serve calls
 // again and then stop cleanly.
 func (s *soak) recover(ctx context.Context) {
+	s.restarts.Wait()
 	for _, e := range s.endpoints {
 		e.limiter.set(0)
 	}
