--- a/direct/crashes_test.go
+++ b/direct/crashes_test.go
@@ -103,8 +103,10 @@
 			plays.Wait()
 			crashes := crashTimes(all)
 			f.Check(answered >= sent*95/100, qt.IsTrue, qt.Commentf("%d of %d others answered", answered, sent))
+			f.Logf("%d crashes, %d of %d others answered in the last third", len(crashes), answered, sent)
 			if len(crashes) >= 5 {
 				got := arrivalsWithPart(all, crashingPart, crashes[4].Add(learningTime))
+				f.Logf("%d requests with the part later than %s after the fifth crash", got, learningTime)
 				f.Check(got <= allowedLater, qt.IsTrue, qt.Commentf("%d requests with the part later than %s after the fifth of %d crashes", got, learningTime, len(crashes)))
 			}
 		})
