Failing test of daemons that are partitioned from all endpoints

Stand-ins: links between daemons and endpoints whose new connections hang or are refused, while old ones hang, are reset or live on; views of the store in which each daemon has links of its own. The links were those of the soak.

--- a/cmd/fescuelatch-load/soak/crash.go
+++ b/cmd/fescuelatch-load/soak/crash.go
@@ -111,12 +111,12 @@
 // restart ends an endpoint's process and starts it again later, at another address. It
 // reports whether the process was running.
 func (s *soak) restart(e *endpoint) bool {
-	if !e.link.down() {
+	if !e.link.Down() {
 		return false
 	}
 	s.restarts.Go(func() {
 		time.Sleep(restartDelay)
-		if err := e.link.up(); err != nil {
+		if err := e.link.Up(); err != nil {
 			s.addViolation("%s failed to start: %v", e.ID, err)
 		}
 		s.register(e, "ready")
--- a/cmd/fescuelatch-load/soak/daemon.go
+++ b/cmd/fescuelatch-load/soak/daemon.go
@@ -31,7 +31,7 @@
 type daemon struct {
 	fakeplatform.Process
 	dir, program string
-	store        *link
+	store        *fakeplatform.Link
 
 	mu       sync.Mutex
 	process  *process.Process
@@ -42,9 +42,9 @@
 	failures    []string // crashes and failed shutdowns
 }
 
-func newDaemon(dir, program, vm, domain string, store *link) (*daemon, error) {
+func newDaemon(dir, program, vm, domain string, store *fakeplatform.Link) (*daemon, error) {
 	d := &daemon{dir: dir, program: program, store: store}
-	d.VM, d.Domain, d.Store = vm, domain, store.address()
+	d.VM, d.Domain, d.Store = vm, domain, store.Address()
 	for _, a := range []*netip.AddrPort{&d.Callers, &d.Readiness, &d.Control} {
 		free, err := loopback.Free()
 		if err != nil {
--- a/cmd/fescuelatch-load/soak/endpoint.go
+++ b/cmd/fescuelatch-load/soak/endpoint.go
@@ -54,7 +54,7 @@
 type endpoint struct {
 	*fakeplatform.Endpoint
 	service    string
-	link       *link
+	link       *fakeplatform.Link
 	fault      atomic.Value
 	limiter    limiter
 	executions *executions
@@ -64,7 +64,7 @@
 
 func newEndpoint(id, service string, counts *executions) (*endpoint, error) {
 	e := &endpoint{Endpoint: fakeplatform.NewEndpoint(id), service: service, executions: counts}
-	l, err := newLink(e.Address())
+	l, err := fakeplatform.NewLink(e.Address())
 	if err != nil {
 		return nil, err
 	}
@@ -76,11 +76,11 @@
 
 // registration returns the registration of the endpoint.
 func (e *endpoint) registration(state string) string {
-	return fakeplatform.EntryAt(e.link.address(), e.service, "v1", state)
+	return fakeplatform.EntryAt(e.link.Address(), e.service, "v1", state)
 }
 
 func (e *endpoint) close() {
-	e.link.close()
+	e.link.Close()
 	e.Close()
 }
 
--- a/cmd/fescuelatch-load/soak/fault.go
+++ b/cmd/fescuelatch-load/soak/fault.go
@@ -152,10 +152,10 @@
 	}}
 }
 
-func (s *soak) drawLinkFault(name string, store bool, l *link) fault {
-	faults := []linkFault{linkCut, linkSlow, linkStalled, linkStalledBack}
+func (s *soak) drawLinkFault(name string, store bool, l *fakeplatform.Link) fault {
+	faults := []fakeplatform.LinkFault{fakeplatform.LinkCut, fakeplatform.LinkSlow, fakeplatform.LinkStalled, fakeplatform.LinkStalledBack}
 	f := faults[s.random.IntN(len(faults))]
-	return fault{"link to " + name + " " + string(f), store, func() { l.setFault(f) }, func() { l.setFault(linkHealthy) }}
+	return fault{"link to " + name + " " + string(f), store, func() { l.SetFault(f) }, func() { l.SetFault(fakeplatform.LinkHealthy) }}
 }
 
 func (s *soak) drawEndpointFault(e *endpoint) fault {
--- a/cmd/fescuelatch-load/soak/ratelimit.go
+++ b/cmd/fescuelatch-load/soak/ratelimit.go
@@ -80,7 +80,7 @@
 	for _, e := range s.endpoints {
 		e.limiter.set(0)
 		for _, p := range e.limiter.ended {
-			if n := p.busiestWindow(targets, e.link.calmAt); n > p.allowed() {
+			if n := p.busiestWindow(targets, e.link.CalmAt); n > p.allowed() {
 				s.addViolation("%s named a limit of %v a second and got %d calls in %v from daemons that knew it; allowed %d",
 					e.ID, p.perSecond, n, limitWindow, p.allowed())
 			}
--- a/cmd/fescuelatch-load/soak/soak.go
+++ b/cmd/fescuelatch-load/soak/soak.go
@@ -138,7 +138,7 @@
 		s.register(e, "ready")
 	}
 	for n := range domains * daemonsPerDomain {
-		l, err := newLink(s.store.Address())
+		l, err := fakeplatform.NewLink(s.store.Address())
 		if err != nil {
 			return err
 		}
@@ -180,7 +180,7 @@
 func (s *soak) close() {
 	for _, d := range s.daemons {
 		d.kill()
-		d.store.close()
+		d.store.Close()
 	}
 	s.restarts.Wait()
 	for _, e := range s.endpoints {
--- a/direct/site_test.go
+++ b/direct/site_test.go
@@ -34,8 +34,11 @@
 	ready     netip.AddrPort
 	control   netip.AddrPort
 	grace     time.Duration
-	stop      context.CancelFunc
-	stopped   chan struct{} // closed when the daemon has ended
+	// domain and storeAddress are those of the daemon to be started.
+	domain       string
+	storeAddress netip.AddrPort
+	stop         context.CancelFunc
+	stopped      chan struct{} // closed when the daemon has ended
 }
 
 // shortGrace is for tests that do not check the stop.
@@ -56,8 +59,9 @@
 
 func newSiteWithGrace(t *testing.T, service string, endpoints int, grace time.Duration) *site {
 	c := qt.New(t)
-	s := &site{C: c, store: fakeplatform.NewStore(), grace: grace}
+	s := &site{C: c, store: fakeplatform.NewStore(), grace: grace, domain: "a"}
 	t.Cleanup(s.store.Close)
+	s.storeAddress = s.store.Address()
 	s.store.Put(fakeplatform.ConfigurationKey, fakeplatform.Configuration(1, callerKey))
 	for n := range endpoints {
 		e := fakeplatform.NewEndpoint(fmt.Sprintf("i-%d", n))
@@ -73,7 +77,7 @@
 func (s *site) startDaemon(t *testing.T, vm string, seeds ...netip.AddrPort) {
 	s.callers, s.ready, s.control = freeAddress(s.C), freeAddress(s.C), freeAddress(s.C)
 	d := direct.New(direct.Options{
-		VM: fescuelatch.VMID(vm), Domain: "a", Store: &platform.Store{Address: s.store.Address(), HTTP: &http.Client{Transport: &http.Transport{}}},
+		VM: fescuelatch.VMID(vm), Domain: fescuelatch.DomainID(s.domain), Store: &platform.Store{Address: s.storeAddress, HTTP: &http.Client{Transport: &http.Transport{}}},
 		Notation: platform.StoreCodec{}, Dialect: platform.HeaderCodec{},
 		Callers: s.callers, Readiness: s.ready, Control: s.control, Seeds: seeds,
 		Dynamic: direct.DynamicSettings{
--- /dev/null
+++ b/direct/stranded_test.go
@@ -0,0 +1,183 @@
+package direct_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/platform/fakeplatform"
+)
+
+// This file tests daemons that are partitioned from endpoints while callers, the store and
+// other daemons reach them.
+
+// linkedFleet is a fleet in which each daemon reaches each endpoint by a link of its own.
+type linkedFleet struct {
+	*fleet
+	// links holds those of each daemon, in the order of the endpoints.
+	links [][]*fakeplatform.Link
+}
+
+// newLinkedFleet starts desks and engines and the given number of daemons in each failure
+// domain.
+func newLinkedFleet(t *testing.T, daemons map[string]int, desks, engines int) *linkedFleet {
+	s := newSite(t, "desk", 1) // Its daemon gets no calls.
+	s.stop()
+	<-s.stopped
+	f := &linkedFleet{fleet: &fleet{site: s}}
+	s.store.Delete(s.endpoints[0].Key())
+	s.endpoints = nil
+	for n := range desks + engines {
+		e := fakeplatform.NewEndpoint(fmt.Sprintf("l-%d", n))
+		t.Cleanup(e.Close)
+		s.endpoints = append(s.endpoints, e)
+		service := "desk"
+		if n >= desks {
+			service = "lm"
+			e.SetBehaviour(shortStream)
+		}
+		s.store.Put(e.Key(), e.Entry(service, "v1", "ready"))
+	}
+	for _, domain := range []string{"a", "b", "c"} {
+		for n := range daemons[domain] {
+			f.links = append(f.links, s.link(t))
+			s.domain = domain
+			s.startDaemon(t, fmt.Sprintf("vm-%s-%d", domain, n))
+			s.awaitReady()
+			f.callers = append(f.callers, s.callers)
+			stop, stopped := s.stop, s.stopped
+			f.stops = append(f.stops, func() {
+				stop()
+				<-stopped
+			})
+		}
+	}
+	time.Sleep(1500 * time.Millisecond) // All daemons read the records of the others.
+	return f
+}
+
+// link makes links to all endpoints, and a view of the store that has their addresses, for
+// the next daemon.
+func (s *site) link(t *testing.T) []*fakeplatform.Link {
+	var links []*fakeplatform.Link
+	var addresses []string
+	for _, e := range s.endpoints {
+		l, err := fakeplatform.NewLink(e.Address())
+		s.Assert(err, qt.IsNil)
+		t.Cleanup(l.Close)
+		links = append(links, l)
+		addresses = append(addresses, fmt.Sprintf("%q", e.Address()), fmt.Sprintf("%q", l.Address()))
+	}
+	replace := strings.NewReplacer(addresses...)
+	s.storeAddress = s.store.View(func(_ string, value []byte) []byte { return []byte(replace.Replace(string(value))) })
+	return links
+}
+
+// separate partitions daemons from all endpoints.
+func (f *linkedFleet) separate(p fakeplatform.Partition, daemons ...int) {
+	f.each(daemons, func(l *fakeplatform.Link) error { return l.Separate(p) })
+}
+
+// join ends the partition of daemons.
+func (f *linkedFleet) join(daemons ...int) {
+	f.each(daemons, func(l *fakeplatform.Link) error { return l.Join() })
+}
+
+func (f *linkedFleet) each(daemons []int, do func(*fakeplatform.Link) error) {
+	var all sync.WaitGroup
+	for _, d := range daemons {
+		for _, l := range f.links[d] {
+			all.Go(func() { f.Check(do(l), qt.IsNil) })
+		}
+	}
+	all.Wait()
+}
+
+// playAt sends calls of all kinds to some daemons and returns how many were answered.
+func (f *linkedFleet) playAt(daemons []int, during time.Duration) (sent, answered int) {
+	g := &fleet{site: f.site}
+	for _, d := range daemons {
+		g.callers = append(g.callers, f.callers[d])
+	}
+	bans := lookups(8, 0)
+	bans.method, bans.path = http.MethodPost, "/ban/"
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, l := range []load{lookups(12, 0), prompts(12, "b0", "b1"), bans} {
+		all.Go(func() {
+			s, a := g.play(l, during)
+			mu.Lock()
+			defer mu.Unlock()
+			sent, answered = sent+s, answered+a
+		})
+	}
+	all.Wait()
+	return sent, answered
+}
+
+// TestStrandedDaemonRefusesCallers guards against daemons that refuse all callers while
+// they are partitioned from the endpoints which other daemons reach.
+func TestStrandedDaemonRefusesCallers(t *testing.T) {
+	const detection = 3 * time.Second // The users' bound.
+	tests := []struct {
+		name      string
+		daemons   map[string]int
+		stranded  []int
+		partition fakeplatform.Partition
+	}{
+		{"one daemon, connections hang", map[string]int{"a": 2, "b": 2}, []int{0}, fakeplatform.PartitionHangs},
+		{"one daemon, connections are reset", map[string]int{"a": 2, "b": 2}, []int{0}, fakeplatform.PartitionResets},
+		{"one daemon, connections live on", map[string]int{"a": 2, "b": 2}, []int{3}, fakeplatform.PartitionRefusesNew},
+		{"a whole failure domain", map[string]int{"a": 3, "b": 2}, []int{0, 1, 2}, fakeplatform.PartitionHangs},
+		{"all but one", map[string]int{"a": 2, "b": 1, "c": 2}, []int{0, 1, 3, 4}, fakeplatform.PartitionResets},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newLinkedFleet(t, test.daemons, 3, 4)
+			everyone := make([]int, len(f.callers))
+			for n := range everyone {
+				everyone[n] = n
+			}
+			f.playAt(everyone, time.Second)
+			f.separate(test.partition, test.stranded...)
+			f.playAt(everyone, detection)
+			sent, answered := f.playAt(test.stranded, 3*time.Second)
+			f.Check(answered >= sent*95/100, qt.IsTrue, qt.Commentf("%d of %d answered while partitioned", answered, sent))
+			f.join(test.stranded...)
+			time.Sleep(time.Second)
+			f.checkOwnWay(test.stranded[0], everyone)
+			f.checkRunsOnce()
+		})
+	}
+}
+
+// checkOwnWay checks that a daemon reaches the endpoints itself after a partition: the
+// others are stopped.
+func (f *linkedFleet) checkOwnWay(daemon int, all []int) {
+	for _, d := range all {
+		if d != daemon {
+			f.stops[d]()
+		}
+	}
+	sent, answered := f.playAt([]int{daemon}, time.Second)
+	f.Check(answered >= sent*95/100, qt.IsTrue, qt.Commentf("%d of %d answered after the partition", answered, sent))
+}
+
+// checkRunsOnce checks that no call that may run only once has run twice.
+func (f *linkedFleet) checkRunsOnce() {
+	runs := make(map[string]int)
+	for _, r := range f.runs() {
+		if strings.HasPrefix(r.Target, "/ban/") && !r.Refused {
+			runs[r.Call]++
+		}
+	}
+	for call, n := range runs {
+		f.Check(n, qt.Equals, 1, qt.Commentf("call %s", call))
+	}
+}
