Test of exit codes waits for writes that hung

The write of the case before it, which hung and was reported as unknown, was executed right after the outage (its daemon was still waiting) and after the test had looked: generation 39, where the next case's base was 38. That is allowed to an unknown outcome. The test now waits two seconds after such an outcome before it looks; its checks are the same.

--- a/failure/configuration_test.go
+++ b/failure/configuration_test.go
@@ -424,6 +424,10 @@
 	exitUnknown     = 6
 )
 
+// lateWriteTimeout is the time within which a write that hung is executed once the platform
+// answers again, if at all.
+const lateWriteTimeout = 2 * time.Second
+
 // refuseAfter makes the platform refuse all calls once it has stored the
 // weight.
 func (r *changesRun) refuseAfter(weight float64) {
@@ -475,6 +479,11 @@
 			lostAnswer
 			outage
 		}{}), qt.IsNil)
+		if code == exitUnknown {
+			// A write that hung may still be executed now, and make the next case's
+			// base stale.
+			time.Sleep(lateWriteTimeout)
+		}
 		s := configstore.Store{KV: &etcd.Client{Server: r.Platform()}}
 		f, err := s.Load(r.ctx)
 		c.Assert(err, qt.IsNil)
