Daemons that reach no endpoint pass requests on to daemons that do

Cause: only endpoints that a daemon reaches itself were targets of an attempt. The daemon also took a daemon that it reached in an unreachable failure domain as proof that the endpoints there had failed, and stayed in rotation; leaving it would not have helped callers on open connections, nor in a domain that is partitioned for the most part, of which the balancer uses all daemons.

Now a daemon that reaches no endpoint of a version asks others for their free capacity, and its core forwards requests to those that have some, as it does to owners of endpoints. They are asked what they reach, so that endpoints that have failed for all are told from a partition.

--- a/decision/action.go
+++ b/decision/action.go
@@ -24,12 +24,13 @@
 }
 
 // Forward starts an attempt through the daemon on VM, which owns an endpoint
-// that serves Version.
+// that serves Version, or reaches one while this daemon reaches none.
 type Forward struct {
-	Request fescuelatch.RequestID
-	Attempt fescuelatch.AttemptID
-	VM      fescuelatch.VMID
-	Version fescuelatch.VersionID
+	Request  fescuelatch.RequestID
+	Attempt  fescuelatch.AttemptID
+	VM       fescuelatch.VMID
+	Version  fescuelatch.VersionID
+	Timeouts InactivityTimeouts
 }
 
 // KeptReason is the reason why an answer was not abandoned for a better version.
--- a/decision/direct_test.go
+++ b/decision/direct_test.go
@@ -1,6 +1,7 @@
 package decision_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -257,3 +258,83 @@
 	c.Check(core.Open(), qt.Equals, 0)
 	c.Check(core.Faults(), qt.HasLen, 0)
 }
+
+// TestRequestIsPassedOn checks when a request goes to another daemon, and what follows from
+// its answer.
+func TestRequestIsPassedOn(t *testing.T) {
+	notStarted := fescuelatch.AttemptResult{Status: fescuelatch.AttemptNotStarted, Overloaded: true}
+	unsent := fescuelatch.AttemptResult{Status: fescuelatch.AttemptNotStarted, Unsent: true, Unreachable: true}
+	broken := fescuelatch.AttemptResult{Status: fescuelatch.AttemptBroken}
+	answered := fescuelatch.AttemptResult{Status: fescuelatch.AttemptAnswered}
+	tests := []struct {
+		name                  string
+		reachable             bool // own endpoints
+		peers                 int
+		idempotent, delegated bool
+		results               []fescuelatch.AttemptResult
+		forwards              int
+		last                  decision.Action // type of the last action
+	}{
+		{"own endpoints are reachable", true, 2, true, false, nil, 0, decision.Start{}},
+		{"no other daemon is known", false, 0, true, false, nil, 0, decision.Start{}},
+		{"answered by another daemon", false, 2, true, false, []fescuelatch.AttemptResult{answered}, 1, decision.Accept{}},
+		{"passed on to this daemon", false, 2, true, true, nil, 0, decision.Start{}},
+		{"refused by one", false, 2, true, false, []fescuelatch.AttemptResult{notStarted, answered}, 2, decision.Accept{}},
+		{"one cannot be connected to", false, 2, false, false, []fescuelatch.AttemptResult{unsent, answered}, 2, decision.Accept{}},
+		{"cut off by one", false, 2, true, false, []fescuelatch.AttemptResult{broken, answered}, 2, decision.Accept{}},
+		{"cut off by one, and may run once only", false, 2, false, false, []fescuelatch.AttemptResult{broken}, 1, decision.Fail{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			budget := fixedBudget(10)
+			core := directCore(c, &budget)
+			now := epoch
+			if !test.reachable {
+				for n := range 3 {
+					q := &fescuelatch.Request{
+						ID: fescuelatch.RequestID(rune('a' + n)), Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: now, Deadline: now.Add(time.Minute),
+					}
+					actions := core.Handle(now, decision.Arrived{Request: q})
+					for len(actions) == 1 {
+						start, ok := actions[0].(decision.Start)
+						if !ok {
+							break
+						}
+						r := unsent
+						r.Attempt, r.Endpoint, r.Version = start.Attempt, start.Endpoint, start.Version
+						actions = core.Handle(now, decision.Ended{Request: q.ID, Result: r})
+					}
+				}
+			}
+			for n := range test.peers {
+				core.Handle(now, decision.PeerSummarised{
+					VM: fescuelatch.VMID(rune('p' + n)), Domain: "d1", At: now, Spares: []fescuelatch.Spare{{Version: "lm@v1", Free: 4, Slots: 8}},
+				})
+			}
+			q := &fescuelatch.Request{
+				ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: now, Deadline: now.Add(5 * time.Second),
+				Idempotent: test.idempotent, MaxAttempts: 3, Delegated: test.delegated,
+			}
+			actions := core.Handle(now, decision.Arrived{Request: q})
+			forwards, vms := 0, map[fescuelatch.VMID]bool{}
+			for _, r := range test.results {
+				c.Assert(actions, qt.HasLen, 1)
+				forward, ok := actions[0].(decision.Forward)
+				c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", actions[0]))
+				forwards++
+				vms[forward.VM] = true
+				if r.Status == fescuelatch.AttemptAnswered {
+					core.Handle(now, decision.Opened{Request: "q", Attempt: forward.Attempt})
+				}
+				r.Attempt, r.Version = forward.Attempt, forward.Version
+				actions = core.Handle(now, decision.Ended{Request: "q", Result: r})
+			}
+			c.Check(forwards, qt.Equals, test.forwards)
+			c.Check(vms, qt.HasLen, test.forwards, qt.Commentf("a daemon was asked twice"))
+			c.Assert(actions, qt.HasLen, 1)
+			c.Check(fmt.Sprintf("%T", actions[0]), qt.Equals, fmt.Sprintf("%T", test.last))
+			c.Check(core.Faults(), qt.HasLen, 0)
+		})
+	}
+}
--- a/decision/inactivity.go
+++ b/decision/inactivity.go
@@ -32,6 +32,12 @@
 	Gap   time.Duration
 }
 
+// doubled returns the timeouts of an attempt through another daemon, which may retry the
+// request on another endpoint itself.
+func (t InactivityTimeouts) doubled() InactivityTimeouts {
+	return InactivityTimeouts{First: 2 * t.First, Gap: 2 * t.Gap}
+}
+
 // GrantRetry reports whether a request whose endpoint is unresponsive is retried on
 // another endpoint. If so, the retry is granted in advance: otherwise its conditions
 // could fail by the time the current attempt ends, and the caller would be cut off.
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -36,7 +36,7 @@
 	case fescuelatch.AttemptAnswered:
 		c.answered(now, q)
 	case fescuelatch.AttemptNotStarted:
-		if !c.options.Direct {
+		if !c.options.Direct || c.remote(q) {
 			// The delay of a direct attempt concerns a single endpoint and is
 			// applied by the gate.
 			q.retryAfter = max(q.retryAfter, r.RetryAfter)
@@ -118,7 +118,7 @@
 		c.refuse(q, ReasonRejected, 0)
 		return
 	}
-	if q.Forwarded || (c.options.Direct && r.Endpoint == "") {
+	if q.Forwarded || (c.options.Direct && r.Endpoint == "" && !c.remote(q)) {
 		c.refuse(q, refusalReason(r), r.RetryAfter)
 		return
 	}
--- a/decision/placement.go
+++ b/decision/placement.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"slices"
 	"time"
 
 	"fescuelatch"
@@ -116,13 +117,13 @@
 func (c *Core) targets(now time.Time, q *request) []fescuelatch.Target {
 	s := q.serviceKey()
 	var targets []fescuelatch.Target
-	if c.ownedCount[s] > 0 && (c.options.Direct || !q.tried[c.options.VM]) {
-		w := c.ownSpare(now, s)
+	w := c.ownSpare(now, s)
+	if c.ownedCount[s] > 0 && !c.delegates(q, w) && (c.options.Direct || !q.tried[c.options.VM]) {
 		targets = append(targets, fescuelatch.Target{
 			VM: c.options.VM, Domain: c.options.Domain, Own: true, Local: true, Spare: w.Free - w.Queued, ReportedAt: now,
 		})
 	}
-	if q.Forwarded || c.options.Direct {
+	if q.Forwarded || q.Delegated {
 		return targets
 	}
 	for _, p := range c.peers.sorted {
@@ -138,12 +139,26 @@
 	return targets
 }
 
+// delegates reports whether q must be made through another daemon: own is the capacity of
+// the endpoints that this daemon reaches itself.
+func (c *Core) delegates(q *request, own fescuelatch.Spare) bool {
+	if !c.options.Direct || q.Delegated || own.Slots > 0 {
+		return false
+	}
+	return slices.ContainsFunc(c.peers.sorted, func(p *peer) bool {
+		_, ok := p.spares[q.serviceKey()]
+		return ok && !q.tried[p.vm] && !p.out
+	})
+}
+
 func (c *Core) attempt(now time.Time, q *request, s fescuelatch.Target) {
 	c.newAttempt(q, s.VM)
 	if s.VM != c.options.VM {
 		c.peers.recordSent(s.VM, q.serviceKey())
 		c.fire(q, chart.EventForward)
-		c.emit(Forward{Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version})
+		c.emit(Forward{
+			Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version, Timeouts: c.inactivityTimeouts(q).doubled(),
+		})
 		return
 	}
 	w := c.work(q)
--- a/decision/relay.go
+++ b/decision/relay.go
@@ -107,7 +107,7 @@
 
 // exclude excludes the target of the last attempt from further attempts of q.
 func (c *Core) exclude(q *request) {
-	if !c.options.Direct {
+	if !c.options.Direct || c.remote(q) {
 		q.tried[q.current.vm] = true
 		return
 	}
@@ -116,6 +116,9 @@
 	}
 }
 
+// remote reports whether the current attempt of q is made through another daemon.
+func (c *Core) remote(q *request) bool { return q.current.vm != "" && q.current.vm != c.options.VM }
+
 // attemptLimit returns the maximum number of counted attempts of q.
 func (q *request) attemptLimit() int {
 	if q.MaxAttempts > 0 {
--- a/decision/request.go
+++ b/decision/request.go
@@ -99,7 +99,10 @@
 		q.retryAfter = e.RetryAfter
 	}
 	c.requests[q.ID] = q
-	c.options.Retries.Earn(now, q.Request)
+	if !q.Delegated {
+		// The daemon that accepted it has earned the retries for it.
+		c.options.Retries.Earn(now, q.Request)
+	}
 	switch {
 	case c.view == nil:
 		c.refuse(q, ReasonNoConfig, defaultRetryAfter)
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -37,8 +38,12 @@
 // attempt is one attempt. Its goroutine reads the endpoint's answer and relays
 // it once the core permits it.
 type attempt struct {
-	request  *activeRequest
-	start    decision.Start
+	request *activeRequest
+	start   decision.Start
+	// delegate is the daemon through which the attempt is made, or empty for one at
+	// an endpoint. servedBy is the endpoint that it names in its answer.
+	delegate fescuelatch.VMID
+	servedBy fescuelatch.EndpointID
 	decided  time.Time
 	ctx      context.Context //nolint:containedctx // It ends with the attempt.
 	cancel   context.CancelFunc
@@ -48,6 +53,8 @@
 	// reported and the error if its status is a failure.
 	confidence float64
 	failure    error
+	// mayHaveRun is set when the attempt ends.
+	mayHaveRun bool
 	// observed reports that the answer has counted as evidence on its release.
 	observed bool
 	pace     paceMeter
@@ -90,10 +97,11 @@
 	if err != nil {
 		t.classify(&r, err)
 	}
-	if r.Status == fescuelatch.AttemptBroken {
+	if r.Status == fescuelatch.AttemptBroken && t.delegate == "" {
 		t.examineBreak(&r, err)
 	}
 	if r.Status != fescuelatch.AttemptNotStarted {
+		t.mayHaveRun = true
 		t.request.ran.Store(true)
 	}
 	t.observeEnd(r, time.Since(began))
@@ -104,7 +112,11 @@
 		err = t.failure
 	}
 	t.request.lastError = err
-	t.request.daemon.metrics.countAttempt(r)
+	if t.delegate == "" {
+		t.request.daemon.metrics.countAttempt(r)
+	} else {
+		t.request.daemon.metrics.countDelegated(r)
+	}
 	close(t.done)
 	t.cancel()
 	t.request.daemon.decide(decision.Ended{Request: t.request.details.ID, Result: r})
@@ -159,24 +171,14 @@
 // exchange sends the request, and reads and relays the answer.
 func (t *attempt) exchange(r *fescuelatch.AttemptResult) error {
 	s := t.request
-	d := s.daemon
-	to, ok := d.active.Load().addresses[t.start.Endpoint]
+	to, ok := t.destination()
 	if !ok || time.Since(t.decided) > startTimeout {
 		return &endpoint.Error{Op: "start", Kind: endpoint.KindUnsent}
 	}
-	h := fescuelatch.AttemptHeaders{
-		Endpoint: t.start.Endpoint, TimeLeft: time.Until(s.details.Deadline), LastEvent: s.output.lastEvent, Rank: s.details.Rank,
-	}
-	if s.details.Account != accountPublic {
-		h.Account = s.details.Account
-	}
-	if s.route.Sized {
-		h.Model = t.start.Version.Model().Name()
-	}
 	sent := time.Now()
-	a, err := d.endpoints.Do(t.ctx, to, &endpoint.Request{
+	a, err := to.client.Do(t.ctx, to.address, &endpoint.Request{
 		Identifier: s.call.Call, Method: s.incoming.Method, Target: s.incoming.RequestURI, Host: s.incoming.Host,
-		Header: d.options.Dialect.WriteAttempt(s.incoming.Header, h), Body: s.body,
+		Header: to.header, Body: s.body,
 		Fresh: !s.details.Idempotent || s.sent > 1, InactivityTimeout: t.start.Timeouts.First,
 		MayAbandon: t.failOver,
 	})
@@ -185,9 +187,13 @@
 	}
 	defer a.Close()
 	headers := a.Decoded
+	if t.delegate != "" {
+		t.servedBy = headers.ServedBy
+		headers.Rated = false // The other daemon has decided on this answer.
+	}
 	t.reportLoad(headers, sent)
 	t.reportLimit(a.Status, headers, sent)
-	if headers.NotRun || a.Status == http.StatusMisdirectedRequest {
+	if headers.NotRun || a.Status == http.StatusMisdirectedRequest || t.delegate != "" && impliesNotRun(a.Status) {
 		return t.finishRefused(a, r, headers)
 	}
 	t.confidence = headers.Confidence
@@ -198,13 +204,50 @@
 	return t.readAnswer(a, r, headers, sent)
 }
 
+// destination is where an attempt is sent.
+type destination struct {
+	client  *endpoint.Client
+	address netip.AddrPort
+	header  http.Header
+}
+
+// destination returns where the attempt is sent, or false if that is no longer known.
+func (t *attempt) destination() (destination, bool) {
+	s := t.request
+	d := s.daemon
+	left := time.Until(s.details.Deadline)
+	if t.delegate != "" {
+		to, ok := d.delegateOf(t.delegate)
+		h := fescuelatch.DelegatedHeaders{TimeLeft: left, LastEvent: s.output.lastEvent, Attempts: s.mayHaveRunAttempts}
+		return destination{d.delegateFronts, to, d.options.Dialect.WriteDelegated(s.incoming.Header, h)}, ok
+	}
+	to, ok := d.active.Load().addresses[t.start.Endpoint]
+	h := fescuelatch.AttemptHeaders{Endpoint: t.start.Endpoint, TimeLeft: left, LastEvent: s.output.lastEvent, Rank: s.details.Rank}
+	if s.details.Account != accountPublic {
+		h.Account = s.details.Account
+	}
+	if s.route.Sized {
+		h.Model = t.start.Version.Model().Name()
+	}
+	return destination{d.endpoints, to, d.options.Dialect.WriteAttempt(s.incoming.Header, h)}, ok
+}
+
+// endpoint returns the endpoint that answers the attempt, or none if another daemon has
+// not named it.
+func (t *attempt) endpoint() fescuelatch.EndpointID {
+	if t.delegate != "" {
+		return t.servedBy
+	}
+	return t.start.Endpoint
+}
+
 // reportLoad passes the endpoint's reported load and state to the core.
 func (t *attempt) reportLoad(headers fescuelatch.AnswerHeaders, sent time.Time) {
 	l := headers.Load
-	l.Endpoint, l.Generated = t.start.Endpoint, sent
+	l.Endpoint, l.Generated = t.endpoint(), sent
 	if headers.Leaving {
 		l.State = fescuelatch.EndpointLeaving
-		t.request.log("endpoint says that it is leaving", "endpoint", t.start.Endpoint)
+		t.request.log("endpoint says that it is leaving", "endpoint", t.endpoint())
 	}
 	if headers.Reported || headers.Leaving {
 		t.request.daemon.decide(decision.Reported{Report: l})
@@ -217,18 +260,18 @@
 		return // Another endpoint has answered.
 	}
 	if headers.Limit == nil {
-		t.request.warn("rate limit of an endpoint cannot be read", "endpoint", t.start.Endpoint)
+		t.request.warn("rate limit of an endpoint cannot be read", "endpoint", t.endpoint())
 		return
 	}
 	d := t.request.daemon
 	d.mu.Lock()
-	changed := d.gate.SetLimit(time.Now(), sent, t.start.Endpoint, *headers.Limit)
+	changed := d.gate.SetLimit(time.Now(), sent, t.endpoint(), *headers.Limit)
 	if changed {
 		d.signalPermitsLocked()
 	}
 	d.mu.Unlock()
 	if changed {
-		t.request.log("endpoint has changed its rate limit", "endpoint", t.start.Endpoint,
+		t.request.log("endpoint has changed its rate limit", "endpoint", t.endpoint(),
 			"limited", headers.Limit.Limited, "per-second", headers.Limit.PerSecond)
 	}
 }
@@ -270,7 +313,8 @@
 	if len(b) == maxBufferedBytes {
 		return t.relayLarge(a, r, b)
 	}
-	failed := a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status)
+	// Another daemon has already retried what may be retried.
+	failed := t.delegate == "" && (a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status))
 	r.RetryAfter = retryAfter(a.Status, headers)
 	if failed {
 		t.observe(rollout.OutcomeFailed, r.FirstToken)
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -93,7 +93,11 @@
 	crashWrites chan []crash.Write
 	// permitsLacking signals that requests may lack permits.
 	permitsLacking chan struct{}
-	allocators     allocatorPeers
+	allocators     peerClients
+	// delegateCalls and delegateFronts are the connections to the delegates: for
+	// questions, and for requests.
+	delegateCalls  peerClients
+	delegateFronts *endpoint.Client
 	// recordLost signals that the store may have lost this daemon's record.
 	recordLost chan struct{}
 
@@ -108,6 +112,7 @@
 	requests  map[fescuelatch.RequestID]*activeRequest
 	members   int
 	isolation isolation
+	delegates delegates
 	crashes   *crash.Ledger
 	// allocator hands out permits for the endpoints of which this daemon is an
 	// allocator.
@@ -141,6 +146,7 @@
 		DecodeHeaders: o.Dialect.ReadAnswer,
 		Opened:        func() { d.metrics.connections.Inc(1) },
 	}
+	d.delegateFronts = &endpoint.Client{DecodeHeaders: o.Dialect.ReadAnswer}
 	random := decision.NewRandom()
 	d.gate = shared.New(shared.Settings{Domain: string(o.Domain)}, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())))
 	d.crashes = crash.NewLedger(rand.New(rand.NewPCG(random.Uint64(), random.Uint64())), func() int { return d.members })
@@ -277,6 +283,7 @@
 		d.signalPermitsLocked()
 		d.tickCrashesLocked(now)
 		d.watchIsolationLocked(ctx, now)
+		d.watchDelegatesLocked(ctx, now)
 		d.mu.Unlock()
 		d.metrics.storeAge.Update(d.store.age(now).Seconds())
 		for _, id := range probes {
@@ -310,6 +317,7 @@
 			}
 		}
 		d.endpoints.CloseIdle(time.Now(), func(a netip.AddrPort) bool { return used[a] })
+		d.delegateFronts.CloseIdle(time.Now(), func(netip.AddrPort) bool { return true })
 	}
 }
 
--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -38,11 +38,17 @@
 // reportPace reports the pace of the stream once.
 func (t *attempt) reportPace() {
 	t.pace.reported = true
+	if t.delegate != "" {
+		return // The other daemon knows the release.
+	}
 	t.request.daemon.observePace(t.start.Version, t.pace.mean())
 }
 
 func (t *attempt) observe(o rollout.Outcome, latency time.Duration) {
 	t.observed = true
+	if t.delegate != "" {
+		return
+	}
 	t.request.daemon.observe(t.start.Version, rollout.Attempt{Route: t.request.route.ID, Outcome: o, Latency: latency})
 }
 
--- a/direct/members.go
+++ b/direct/members.go
@@ -19,6 +19,9 @@
 type member struct {
 	Domain  fescuelatch.DomainID `json:"failure-domain"`
 	Control netip.AddrPort       `json:"control-address"`
+	// Callers is the address for callers' requests, also those that other daemons
+	// pass on.
+	Callers netip.AddrPort `json:"callers-address"`
 }
 
 // rank orders daemons by a hash, independently of their names and failure domains.
@@ -74,7 +77,7 @@
 		d.log.Debug("store granted no lease for this daemon's record", "error", err.Error())
 		return 0
 	}
-	value, err := json.Marshal(member{d.options.Domain, d.options.Control})
+	value, err := json.Marshal(member{d.options.Domain, d.options.Control, d.options.Callers})
 	if err != nil {
 		d.log.Error("record of this daemon cannot be encoded", "error", err.Error())
 		return 0
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -20,6 +20,8 @@
 	members     tally.Gauge
 	storeAge    tally.Gauge
 	limited     tally.Gauge
+	// delegates is the number of daemons to which requests are passed on.
+	delegates tally.Gauge
 	// blockedParts is the number of prompt parts that crash endpoints.
 	blockedParts tally.Gauge
 	// allocatorFailures counts requests for permits that had no reply.
@@ -39,6 +41,7 @@
 		storeAge:    s.Gauge("store_age_seconds"),
 		limited:     s.Gauge("limited_endpoints"),
 
+		delegates:         s.Gauge("delegates"),
 		blockedParts:      s.Gauge("blocked_prompt_parts"),
 		allocatorFailures: s.Counter("allocator_failures"),
 	}
@@ -66,6 +69,11 @@
 	m.scope.Tagged(map[string]string{"repeated": strconv.FormatBool(repeated)}).Counter("limited_attempts").Inc(1)
 }
 
+// countDelegated counts an attempt through another daemon by its status.
+func (m *metrics) countDelegated(r fescuelatch.AttemptResult) {
+	m.scope.Tagged(map[string]string{"status": string(r.Status)}).Counter("delegated_attempts").Inc(1)
+}
+
 // countCrash counts an attempt that ended with its endpoint, by whether its answer had
 // begun.
 func (m *metrics) countCrash(begun bool) {
--- a/direct/output.go
+++ b/direct/output.go
@@ -28,6 +28,8 @@
 	// lastEvent is the identifier of the last event sent to the caller.
 	lastEvent string
 	timing    streamTiming
+	// servedBy is the endpoint to name to the daemon that has passed the request on.
+	servedBy fescuelatch.EndpointID
 }
 
 // streamTiming records when a caller was sent events. Only the attempt writes it,
@@ -61,14 +63,17 @@
 		return
 	}
 	o.started = true
-	copyHeader(w, dialect, a.Header, false)
+	o.copyHeader(w, dialect, a.Header, false)
 	w.WriteHeader(a.Status)
 }
 
 // copyHeader copies the header of an endpoint's answer. It adds no Date field if
 // the endpoint sent none.
-func copyHeader(w http.ResponseWriter, dialect fescuelatch.HeaderCodec, from http.Header, plain bool) {
+func (o *output) copyHeader(w http.ResponseWriter, dialect fescuelatch.HeaderCodec, from http.Header, plain bool) {
 	dialect.WriteAnswer(w.Header(), from, plain)
+	if o.servedBy != "" {
+		dialect.WriteServedBy(w.Header(), o.servedBy)
+	}
 	if _, dated := w.Header()["Date"]; !dated {
 		w.Header()["Date"] = nil
 	}
@@ -111,7 +116,7 @@
 	if impliesNotRun(status) {
 		status = http.StatusBadGateway
 	}
-	copyHeader(w, dialect, a.header, status != a.status)
+	o.copyHeader(w, dialect, a.header, status != a.status)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
--- a/direct/permits.go
+++ b/direct/permits.go
@@ -162,9 +162,31 @@
 	}
 }
 
+// allocatorTimeout bounds a call to an allocator. Permits that arrive later could hardly be
+// used.
+const allocatorTimeout = 300 * time.Millisecond
+
+// callAllocator sends requests to an allocator.
+func (d *Daemon) callAllocator(ctx context.Context, vm fescuelatch.VMID, address netip.AddrPort, requests []permit.Request) ([]permit.Reply, error) {
+	const op = "request permits"
+	reply := new(PermitsReply)
+	if err := d.allocators.call(ctx, allocatorTimeout, vm, address, "Permits", PermitsRequest{requests}, reply); err != nil {
+		return nil, err
+	}
+	if len(reply.Replies) != len(requests) {
+		return nil, &Error{op, KindInvalid, errors.Errorf("%d replies to %d requests", len(reply.Replies), len(requests))}
+	}
+	for i := range reply.Replies {
+		if err := reply.Replies[i].Check(); err != nil {
+			return nil, &Error{op, KindInvalid, err}
+		}
+	}
+	return reply.Replies, nil
+}
+
 // askAllocator sends requests to another daemon and applies its replies.
 func (d *Daemon) askAllocator(ctx context.Context, vm fescuelatch.VMID, address netip.AddrPort, r *permitRound) {
-	replies, err := d.allocators.ask(ctx, vm, address, r.requests)
+	replies, err := d.callAllocator(ctx, vm, address, r.requests)
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -33,8 +33,10 @@
 	// current is the current attempt. Only the goroutine of the request uses
 	// it.
 	current *attempt
-	// sent counts attempts of which a byte may have reached an endpoint.
-	sent int
+	// sent counts attempts of which a byte may have reached an endpoint, and
+	// mayHaveRunAttempts those that have ended and may have run.
+	sent               int
+	mayHaveRunAttempts int
 	// ran reports that an ended attempt may have run on its endpoint.
 	ran atomic.Bool
 	// answers holds buffered answers, from which the core chooses.
@@ -66,7 +68,7 @@
 		Arrived: now, Deadline: now.Add(timeoutOf(route, c)),
 		Idempotent: route.Kind.Repeatable(), Streamed: route.Kind.Streamed(), Resumable: route.Kind == fescuelatch.RequestResumable,
 		PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens, Parts: c.Parts,
-		MaxAttempts: route.MaxAttempts, Rank: rank, TargetLatency: route.TargetLatency, TargetGap: route.TargetGap,
+		MaxAttempts: attemptsLeft(route, c), Delegated: c.Delegated, Rank: rank, TargetLatency: route.TargetLatency, TargetGap: route.TargetGap,
 		SessionKey: c.Session,
 	}
 	s := &activeRequest{
@@ -77,6 +79,15 @@
 	return s
 }
 
+// attemptsLeft returns the maximum number of attempts of a request, of which another daemon
+// may have made some; zero if there is no maximum.
+func attemptsLeft(r *fescuelatch.Route, c fescuelatch.CallHeaders) int {
+	if r.MaxAttempts == 0 {
+		return 0
+	}
+	return max(1, r.MaxAttempts-c.Attempts)
+}
+
 // timeoutOf returns the timeout of a request.
 func timeoutOf(r *fescuelatch.Route, c fescuelatch.CallHeaders) time.Duration {
 	if c.Deadline > 0 {
@@ -151,6 +162,8 @@
 	switch a := action.(type) {
 	case decision.Start:
 		s.start(ctx, a)
+	case decision.Forward:
+		s.delegate(ctx, a)
 	case decision.Relay:
 		s.keptReason = a.Kept
 		s.current.relay()
@@ -175,10 +188,11 @@
 }
 
 func (s *activeRequest) start(ctx context.Context, a decision.Start) {
-	if s.current != nil {
-		s.current.stop()
-	}
+	s.endCurrent()
 	s.lastEndpoint = a.Endpoint
+	if s.details.Delegated {
+		s.output.servedBy = a.Endpoint
+	}
 	if s.sent > 0 {
 		s.log("request is sent again", "attempt", a.Attempt, "endpoint", a.Endpoint, "version", a.Version,
 			"last-event", s.output.lastEvent, "cause", errorText(s.lastError))
@@ -189,6 +203,28 @@
 	go s.current.run()
 }
 
+// endCurrent ends the current attempt, if there is one.
+func (s *activeRequest) endCurrent() {
+	if s.current == nil {
+		return
+	}
+	s.current.stop()
+	if s.current.mayHaveRun {
+		s.mayHaveRunAttempts++
+	}
+}
+
+// delegate passes the request on to another daemon.
+func (s *activeRequest) delegate(ctx context.Context, a decision.Forward) {
+	s.endCurrent()
+	s.lastEndpoint = ""
+	s.log("request is passed on to another daemon", "attempt", a.Attempt, "peer", a.VM, "last-event", s.output.lastEvent, "cause", errorText(s.lastError))
+	s.sent++
+	s.current = newAttempt(ctx, s, decision.Start{Request: a.Request, Attempt: a.Attempt, Version: a.Version, Timeouts: a.Timeouts})
+	s.current.delegate = a.VM
+	go s.current.run()
+}
+
 // recordLimited logs and counts an attempt at an endpoint that limits its rate.
 func (s *activeRequest) recordLimited(a decision.Start) {
 	d := s.daemon
--- a/direct/stranded_test.go
+++ b/direct/stranded_test.go
@@ -181,3 +181,42 @@
 		f.Check(n, qt.Equals, 1, qt.Commentf("call %s", call))
 	}
 }
+
+// TestDelegatesStop checks that a partitioned daemon serves its callers while the daemons
+// to which it passes requests on stop one after the other.
+func TestDelegatesStop(t *testing.T) {
+	t.Parallel()
+	f := newLinkedFleet(t, map[string]int{"a": 1, "b": 3}, 3, 4)
+	f.separate(fakeplatform.PartitionHangs, 0)
+	f.playAt([]int{0, 1}, 3*time.Second)
+	for _, stop := range []int{1, 2} {
+		var stopped sync.WaitGroup
+		stopped.Go(f.stops[stop])
+		sent, answered := f.playAt([]int{0}, 2*time.Second)
+		f.Check(answered >= sent*95/100, qt.IsTrue, qt.Commentf("%d of %d answered", answered, sent))
+		stopped.Wait()
+	}
+	f.checkRunsOnce()
+}
+
+// TestEndpointsOfAllDaemonsAreGone checks that daemons that reach no endpoint because there
+// is none refuse at once, and do not pass requests on to each other.
+func TestEndpointsOfAllDaemonsAreGone(t *testing.T) {
+	t.Parallel()
+	f := newLinkedFleet(t, map[string]int{"a": 2, "b": 2}, 2, 2)
+	everyone := []int{0, 1, 2, 3}
+	f.separate(fakeplatform.PartitionResets, everyone...)
+	f.playAt(everyone, 2*time.Second)
+	before := len(f.runs())
+	sent, answered := f.playAt(everyone, 2*time.Second)
+	f.Check(answered, qt.Equals, 0, qt.Commentf("of %d", sent))
+	began := time.Now()
+	a := f.call(http.MethodGet, "desk.example", "/look/", "")
+	f.Check(a.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(time.Since(began) < 300*time.Millisecond, qt.IsTrue, qt.Commentf("refused after %s", time.Since(began)))
+	f.Check(len(f.runs()), qt.Equals, before)
+	f.join(everyone...)
+	time.Sleep(time.Second)
+	sent, answered = f.playAt(everyone, time.Second)
+	f.Check(answered >= sent*95/100, qt.IsTrue, qt.Commentf("%d of %d answered after the partition", answered, sent))
+}
--- a/gate/shared/domain.go
+++ b/gate/shared/domain.go
@@ -65,6 +65,28 @@
 	return unreachable, len(reached)
 }
 
+// UnreachableVersions returns the versions that have endpoints, but none that this daemon
+// reaches.
+func (g *Gate) UnreachableVersions() []fescuelatch.VersionID {
+	var versions []fescuelatch.VersionID
+	for v, endpoints := range g.serving {
+		n, reached := 0, false
+		for _, e := range endpoints {
+			if e.out() {
+				continue
+			}
+			if n++; !g.unreachable(e) {
+				reached = true
+				break
+			}
+		}
+		if n > 0 && !reached {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
 // allUnreachable reports whether all given endpoints seem unreachable. Then all are
 // tried, as the fault may be at this daemon.
 func allUnreachable(now time.Time, g *Gate, endpoints []*endpointLoad) bool {
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -216,13 +216,14 @@
 	return as
 }
 
-// Spare implements fescuelatch.Gate.
+// Spare implements fescuelatch.Gate. Endpoints that this daemon does not reach have no
+// slots.
 func (g *Gate) Spare(now time.Time) []fescuelatch.Spare {
 	spares := make([]fescuelatch.Spare, 0, len(g.serving))
 	for v, endpoints := range g.serving {
 		s := fescuelatch.Spare{Version: v}
 		for _, e := range endpoints {
-			if e.out() {
+			if e.out() || g.unreachable(e) {
 				continue
 			}
 			s.Slots += e.slots()
--- a/request.go
+++ b/request.go
@@ -57,6 +57,9 @@
 	// Forwarded reports that another daemon accepted the request and asks
 	// for an attempt at an endpoint that this daemon owns.
 	Forwarded bool `json:"forwarded,omitempty"`
+	// Delegated reports that another daemon, which reaches no endpoint, has passed
+	// the request on. It is planned here, and not passed on again.
+	Delegated bool `json:"delegated,omitempty"`
 
 	// Route is the route of an opaque request, and Ladder the models that it
 	// may run on, cheapest first; Model is then empty.
--- a/store.go
+++ b/store.go
@@ -98,6 +98,21 @@
 	Session      string
 	// LastEvent is the last event of a stream that the caller received.
 	LastEvent string
+	// Delegated reports that another daemon, which reaches no endpoint, has passed the
+	// request on, after a number of Attempts that may have run.
+	Delegated bool
+	Attempts  int
+}
+
+// DelegatedHeaders are the header values that a daemon sends with a request that it
+// passes on to another one.
+type DelegatedHeaders struct {
+	// TimeLeft is the time left until the request's deadline.
+	TimeLeft time.Duration
+	// LastEvent, if set, replaces the caller's last event.
+	LastEvent string
+	// Attempts is the number of attempts that may have run.
+	Attempts int
 }
 
 // AttemptHeaders are the header values that an attempt sends to its endpoint.
@@ -117,6 +132,8 @@
 type AnswerHeaders struct {
 	// Call is the identifier of the answered request.
 	Call string
+	// ServedBy is the endpoint that answered, in the answer of another daemon.
+	ServedBy EndpointID
 	// NotRun reports that the endpoint has not run the request and will not.
 	NotRun bool
 	// Confidence is the endpoint's confidence in the answer, from 0 to 1;
@@ -151,6 +168,11 @@
 	// caller. If plain is set, it omits those that prove the endpoint's
 	// authorship, for an answer with a different status.
 	WriteAnswer(to, from http.Header, plain bool)
+	// WriteDelegated returns the headers of a request that is passed on to another
+	// daemon: the caller's headers, and those of d.
+	WriteDelegated(caller http.Header, d DelegatedHeaders) http.Header
+	// WriteServedBy names the endpoint to the daemon that has passed a request on.
+	WriteServedBy(to http.Header, e EndpointID)
 	// WriteRefusal writes the delay before a retry.
 	WriteRefusal(to http.Header, after time.Duration)
 }
