Daemons share the slots of brittle endpoints

Callers of a service whose endpoints crash when they have to turn away more than a few requests in a second (Server-Brittle) lost nearly all of them under overload: 9 to 12 crashes in 8 s, 2 to 26 of some 1,400 calls answered.

Cause: each daemon fills an endpoint to a quarter beyond its slots by its own count and the load last reported, and sends again half a second after it was turned away. The sum over all daemons is what the endpoint has to turn away.

Now a brittle endpoint gets a request only for a slot that its allocator has granted, found as that of permits is. Slots shrink when requests wait at the endpoint or are turned away, as memory may be short before slots are.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -193,6 +193,7 @@
 	}
 	t.reportLoad(headers, sent)
 	t.reportLimit(a.Status, headers, sent)
+	t.reportBrittle(a.Status, headers, sent)
 	if headers.NotRun || a.Status == http.StatusMisdirectedRequest || t.delegate != "" && impliesNotRun(a.Status) {
 		return t.finishRefused(a, r, headers)
 	}
@@ -276,6 +277,24 @@
 	}
 }
 
+// reportBrittle passes on whether the endpoint says that it is brittle.
+func (t *attempt) reportBrittle(status int, headers fescuelatch.AnswerHeaders, sent time.Time) {
+	if status == http.StatusMisdirectedRequest || t.endpoint() == "" {
+		return
+	}
+	d := t.request.daemon
+	d.mu.Lock()
+	changed := d.gate.SetBrittle(sent, t.endpoint(), headers.Brittle)
+	if changed {
+		d.metrics.brittle.Update(float64(d.gate.BrittleEndpoints()))
+	}
+	d.signalPermitsLocked()
+	d.mu.Unlock()
+	if changed {
+		t.request.log("endpoint says whether it is brittle", "endpoint", t.endpoint(), "brittle", headers.Brittle, "max-rejected", headers.MaxRejected)
+	}
+}
+
 // finishRefused sets the result of an attempt that was not run.
 func (t *attempt) finishRefused(a *endpoint.Answer, r *fescuelatch.AttemptResult, headers fescuelatch.AnswerHeaders) error {
 	// The body is read for reuse of the connection, unless it is long or slow.
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -116,8 +116,10 @@
 	crashes   *crash.Ledger
 	// allocator hands out permits for the endpoints of which this daemon is an
 	// allocator.
-	allocator    *permit.Allocator
-	permitOrders permitOrders
+	allocator *permit.Allocator
+	// slotAllocator does the same for the slots of brittle endpoints.
+	slotAllocator *permit.SlotAllocator
+	permitOrders  permitOrders
 }
 
 // activeConfiguration is a deployment with the view composed from it.
@@ -139,7 +141,7 @@
 		process:    uuid.NewString(),
 		bounds:     o.Dynamic,
 		recordLost: make(chan struct{}, 1), crashWrites: make(chan []crash.Write, 1),
-		allocator: permit.NewAllocator(), permitsLacking: make(chan struct{}, 1),
+		allocator: permit.NewAllocator(), slotAllocator: permit.NewSlotAllocator(), permitsLacking: make(chan struct{}, 1),
 	}
 	d.budget = shared.NewBudget(o.Dynamic.Retries, func() int { return d.members })
 	d.endpoints = &endpoint.Client{
@@ -178,6 +180,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decideLocked(time.Now(), e)
+	d.signalPermitsLocked()
 }
 
 func (d *Daemon) decideLocked(now time.Time, e decision.Event) {
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -20,6 +20,8 @@
 	members     tally.Gauge
 	storeAge    tally.Gauge
 	limited     tally.Gauge
+	// brittle is the number of endpoints that must not be filled beyond their slots.
+	brittle tally.Gauge
 	// delegates is the number of daemons to which requests are passed on.
 	delegates tally.Gauge
 	// blockedParts is the number of prompt parts that crash endpoints.
@@ -41,6 +43,7 @@
 		storeAge:    s.Gauge("store_age_seconds"),
 		limited:     s.Gauge("limited_endpoints"),
 
+		brittle:           s.Gauge("brittle_endpoints"),
 		delegates:         s.Gauge("delegates"),
 		blockedParts:      s.Gauge("blocked_prompt_parts"),
 		allocatorFailures: s.Counter("allocator_failures"),
@@ -86,6 +89,12 @@
 	m.scope.Counter("permits_granted").Inc(int64(granted))
 }
 
+// countSlots counts the slots of an allocator's replies.
+func (m *metrics) countSlots(wanted, granted int) {
+	m.scope.Counter("slots_wanted").Inc(int64(wanted))
+	m.scope.Counter("slots_granted").Inc(int64(granted))
+}
+
 // StoreCalls returns a function that counts the calls to the store.
 func StoreCalls(scope tally.Scope) func(name string, took time.Duration, err error) {
 	return func(name string, took time.Duration, err error) {
--- a/direct/permits.go
+++ b/direct/permits.go
@@ -101,13 +101,17 @@
 // drivePermits requests permits when signaled until ctx ends.
 func (d *Daemon) drivePermits(ctx context.Context) {
 	defer d.allocators.close()
+	var slotsDue <-chan time.Time
 	for {
 		select {
 		case <-d.permitsLacking:
+		case <-slotsDue:
 		case <-ctx.Done():
 			return
 		}
-		d.requestPermits(ctx, time.Now())
+		now := time.Now()
+		d.requestPermits(ctx, now)
+		slotsDue = d.requestSlots(ctx, now)
 	}
 }
 
@@ -125,7 +129,7 @@
 	defer d.mu.Unlock()
 	due := d.gate.PermitRequests(now, maxPermitRequests)
 	if len(due) == 0 {
-		if d.gate.LimitedEndpoints() == 0 {
+		if d.gate.LimitedEndpoints() == 0 && d.gate.BrittleEndpoints() == 0 {
 			d.allocators.close()
 		}
 		return
--- a/gate/shared/choose.go
+++ b/gate/shared/choose.go
@@ -34,7 +34,7 @@
 			if best == nil || c < least {
 				best, least = e, c
 			}
-		case e.hint.permits.Lacks(now):
+		case e.lacksPermit(now):
 			if lacking == nil || c < leastLacking {
 				lacking, leastLacking = e, c
 			}
--- a/gate/shared/endpointload.go
+++ b/gate/shared/endpointload.go
@@ -38,6 +38,8 @@
 	// connection; nextProbe is when the endpoint is probed next.
 	unreachable bool
 	nextProbe   time.Time
+	// brittleSince is when the endpoint last said that it is brittle, or is not.
+	brittleSince time.Time
 	// misplacedUntil is until when the endpoint gets no work unless it registers
 	// again, since another endpoint has answered at its address.
 	misplacedUntil time.Time
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -33,8 +33,10 @@
 	latencies  map[fescuelatch.VersionID]*versionLatency
 	waiting    queue
 	hints      hintCache
-	// limited holds the endpoints that limit their rate, or did so recently.
+	// limited holds the endpoints that limit their rate, or did so recently, and
+	// brittle those that must not be filled beyond their slots.
 	limited map[fescuelatch.EndpointID]*endpointLoad
+	brittle map[fescuelatch.EndpointID]*endpointLoad
 }
 
 // New returns a gate without endpoints.
@@ -49,6 +51,7 @@
 		latencies: make(map[fescuelatch.VersionID]*versionLatency),
 		hints:     newHintCache(),
 		limited:   make(map[fescuelatch.EndpointID]*endpointLoad),
+		brittle:   make(map[fescuelatch.EndpointID]*endpointLoad),
 	}
 }
 
@@ -78,6 +81,7 @@
 			e.hint = g.hints.of(o)
 			g.endpoints[o.Endpoint.ID] = e
 			g.trackLimit(e)
+			g.trackBrittle(e)
 		}
 		e.update(now, o, g.startPhase(o))
 		g.registered = append(g.registered, e)
@@ -89,8 +93,10 @@
 		if !seen[id] {
 			delete(g.endpoints, id)
 			delete(g.limited, id)
+			delete(g.brittle, id)
 		}
 	}
+	g.spreadBrittle()
 }
 
 // startPhase draws a random delay for this daemon's first start at a cold endpoint,
@@ -114,7 +120,8 @@
 	}
 	e, lacking := g.choose(now, w)
 	if lacking != nil {
-		lacking.hint.permits.Miss(now)
+		lacking.missPermit(now)
+		g.missSecondSlot(now, w, lacking)
 	}
 	if e != nil {
 		return g.start(now, e, w)
@@ -164,6 +171,12 @@
 	}
 	delete(g.attempts, r.Attempt)
 	a.endpoint.end(now, a, r, g.settings)
+	if a.endpoint.hint.brittle {
+		a.endpoint.hint.slots.Emptied()
+		if r.Overloaded {
+			a.endpoint.hint.slots.Observe(now, true, true)
+		}
+	}
 	if r.RetryAfter > 0 {
 		g.hints.pause(now, a.endpoint, r.RetryAfter)
 	}
@@ -186,6 +199,9 @@
 	}
 	if r.Slots > 0 {
 		e.report(now, r)
+		if e.hint.brittle && r.Waiting > 0 {
+			e.hint.slots.Observe(now, true, false)
+		}
 	}
 	return g.drain(now, nil)
 }
--- a/gate/shared/hints.go
+++ b/gate/shared/hints.go
@@ -10,8 +10,9 @@
 )
 
 // This file defines the hints that endpoints send with their answers: that they are
-// leaving, want no work for a while, or accept a limited rate of requests. Unlike ejections, hints are not inferred, and
-// are always followed.
+// leaving, want no work for a while, accept a limited rate of requests, or must not be
+// filled beyond their slots. Unlike ejections, hints are not inferred, and are always
+// followed.
 
 const (
 	// maxPause bounds the pause that an endpoint may ask for. A longer one is
@@ -30,6 +31,10 @@
 	leaving bool
 	// paused is until when the process wants no work.
 	paused time.Time
+	// brittle reports that the process must not be filled beyond its slots, of which
+	// slots are those of this daemon; slots is nil if it never was.
+	brittle bool
+	slots   *permit.SlotHolder
 	// permits are for the requests to a process that limits their rate; nil if it
 	// never did.
 	permits *permit.Holder
--- a/gate/shared/limit.go
+++ b/gate/shared/limit.go
@@ -39,8 +39,8 @@
 	return fescuelatch.RateLimit{}
 }
 
-// TracksLimits reports whether permits may have to be requested.
-func (g *Gate) TracksLimits() bool { return len(g.limited) > 0 }
+// TracksLimits reports whether permits or slots may have to be requested.
+func (g *Gate) TracksLimits() bool { return len(g.limited) > 0 || len(g.brittle) > 0 }
 
 // LimitedEndpoints returns the number of endpoints with a rate limit.
 func (g *Gate) LimitedEndpoints() int {
@@ -109,29 +109,63 @@
 	return e.hint.permits != nil && e.hint.permits.Limit().Limited
 }
 
-// permitsLeft returns the number of requests that the endpoint's rate limit permits now.
+// permitsLeft returns the number of requests that the endpoint's rate limit and this
+// daemon's slots there permit now.
 func (e *endpointLoad) permitsLeft(now time.Time) int {
-	if !e.isLimited() {
-		return math.MaxInt
+	left := math.MaxInt
+	if e.isLimited() {
+		left = e.hint.permits.Permits(now)
+	}
+	if e.hint.brittle {
+		left = min(left, e.hint.slots.Left(now, len(e.running)))
 	}
-	return e.hint.permits.Permits(now)
+	return left
 }
 
+// usePermit records the start of an attempt.
 func (e *endpointLoad) usePermit(now time.Time) {
 	if e.isLimited() {
 		e.hint.permits.Use(now)
 	}
+	if e.hint.brittle {
+		e.hint.slots.Filled(len(e.running))
+	}
 }
 
-// mayBePermitted reports whether there may be a permit for the endpoint by a time.
+// lacksPermit reports whether a request that lacks a permit or a slot should be counted:
+// more may be had.
+func (e *endpointLoad) lacksPermit(now time.Time) bool {
+	if e.isLimited() && e.hint.permits.Permits(now) == 0 {
+		return e.hint.permits.Lacks(now)
+	}
+	return e.hint.brittle
+}
+
+// missPermit counts a request that lacked a permit or a slot.
+func (e *endpointLoad) missPermit(now time.Time) {
+	if e.isLimited() && e.hint.permits.Permits(now) == 0 {
+		e.hint.permits.Miss(now)
+		return
+	}
+	e.hint.slots.Miss(now)
+}
+
+// mayBePermitted reports whether there may be a permit and a slot at the endpoint by a time.
 func (e *endpointLoad) mayBePermitted(by time.Time) bool {
-	return e.permitsLeft(by) > 0 || e.hint.permits.Expects(by)
+	if e.isLimited() && e.hint.permits.Permits(by) == 0 && !e.hint.permits.Expects(by) {
+		return false
+	}
+	return !e.hint.brittle || e.hint.slots.Left(by, len(e.running)) > 0 || e.hint.slots.Expects(by)
 }
 
-// permitWait returns the time until the next permits may be had.
+// permitWait returns the time until the next permits or slots may be had.
 func (e *endpointLoad) permitWait(now time.Time) time.Duration {
-	if e.permitsLeft(now) > 0 {
-		return 0
+	var wait time.Duration
+	if e.isLimited() && e.hint.permits.Permits(now) == 0 {
+		wait = e.hint.permits.Next().Sub(now)
+	}
+	if e.hint.brittle && e.hint.slots.Left(now, len(e.running)) == 0 {
+		wait = max(wait, e.hint.slots.Next().Sub(now))
 	}
-	return e.hint.permits.Next().Sub(now)
+	return wait
 }
--- a/store.go
+++ b/store.go
@@ -153,6 +153,10 @@
 	// Limit is the rate of requests that the endpoint accepts for now, or nil if
 	// the header cannot be read.
 	Limit *RateLimit
+	// Brittle reports that the endpoint crashes if it has to turn away more than
+	// MaxRejected requests in a second for want of room.
+	Brittle     bool
+	MaxRejected int
 }
 
 // HeaderCodec decodes and encodes the headers of a platform.
