Soak: times in which desks are brittle, and a check of their crashes

Desks with two slots crash if they turn away more than three calls in a second. Crashes count if most of what was turned away came from undisturbed daemons.

--- a/cmd/fescuelatch-load/soak/crash.go
+++ b/cmd/fescuelatch-load/soak/crash.go
@@ -93,10 +93,7 @@
 
 // handleCrashingPart begins an answer and ends the endpoint's process.
 func (s *soak) handleCrashingPart(e *endpoint, w http.ResponseWriter, nonce, part string) {
-	s.mu.Lock()
-	target := s.targets[nonce]
-	s.mu.Unlock()
-	s.crashes.arrived(part, target != nil && s.calm(target))
+	s.crashes.arrived(part, s.calmTarget(nonce))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	// An error means that the caller has left.
--- a/cmd/fescuelatch-load/soak/endpoint.go
+++ b/cmd/fescuelatch-load/soak/endpoint.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +55,7 @@
 	service    string
 	link       *fakeplatform.Link
 	fault      atomic.Value
+	brittle    atomic.Pointer[fakeplatform.Behaviour] // nil unless the endpoint is brittle
 	limiter    limiter
 	executions *executions
 	// onCrashingPart is called with calls whose prompts crash the endpoint.
@@ -85,8 +85,17 @@
 }
 
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
-	nonce := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
-	e.limiter.arrived(w, nonce)
+	e.limiter.arrived(w, nonceOf(r))
+	if b := e.brittle.Load(); b != nil {
+		(*b)(w, r)
+		return
+	}
+	e.run(w, r)
+}
+
+// run executes a call, unless a fault keeps the endpoint from it.
+func (e *endpoint) run(w http.ResponseWriter, r *http.Request) {
+	nonce := nonceOf(r)
 	fault, _ := e.fault.Load().(endpointFault)
 	if fault == endpointFull {
 		fakeplatform.NotRun(w, r)
--- a/cmd/fescuelatch-load/soak/soak.go
+++ b/cmd/fescuelatch-load/soak/soak.go
@@ -67,6 +67,8 @@
 	client     *http.Transport
 
 	crashes crashes
+	// brittle holds the times in which the desks were brittle.
+	brittle []*brittlePeriod
 	// restarts are the pending restarts of endpoints.
 	restarts sync.WaitGroup
 
@@ -118,6 +120,7 @@
 	s.checkExecutions()
 	s.checkRateLimits()
 	s.checkCrashes()
+	s.checkBrittle()
 	return &s.report, nil
 }
 
--- a/direct/brittle_test.go
+++ b/direct/brittle_test.go
@@ -40,7 +40,7 @@
 			f := newFleet(t, "desk", test.daemons, 1)
 			var all []*fakeplatform.Supervised
 			for n := range test.endpoints {
-				e := fakeplatform.NewSupervised(f.store, string(rune('p'+n)), "desk", 2*restartAfter, test.capacity.Behaviour)
+				e := fakeplatform.NewSupervised(f.store, string(rune('p'+n)), "desk", 2*restartAfter, test.capacity.Supervised)
 				t.Cleanup(e.Close)
 				all = append(all, e)
 			}
