Soak: a stop of a process that has just started may end it by the signal

Its log has no line of that process: it was paused before it had installed its handlers, and had never been ready. That ends nothing that a caller sees, as with SIGHUP, which the soak sends to ready daemons only. A stop of a process that has been ready is checked as before.

--- a/cmd/fescuelatch-load/soak/daemon.go
+++ b/cmd/fescuelatch-load/soak/daemon.go
@@ -37,6 +37,7 @@
 	process  *process.Process
 	stopping bool // it received a signal to end
 	ready    bool // the load balancer sends it calls
+	started  bool // the process has been ready, so that its signal handlers are installed
 	// disruptions are the times at which it was started or signaled.
 	disruptions []time.Time
 	failures    []string // crashes and failed shutdowns
@@ -74,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	d.process, d.stopping, d.ready = p, false, false
+	d.process, d.stopping, d.ready, d.started = p, false, false, false
 	d.disruptions = append(d.disruptions, time.Now())
 	return nil
 }
@@ -119,7 +120,8 @@
 
 // stop shuts the process down gracefully. It records a failure if the process
 // exceeds stopTimeout or exits with a status other than 0, unless another fault
-// killed it meanwhile.
+// killed it meanwhile. A process that has just started may not have installed its signal
+// handlers, and has no calls.
 func (d *daemon) stop() {
 	p := d.beginStop()
 	if p == nil {
@@ -130,6 +132,9 @@
 	if took := time.Since(began); !clean && (took >= stopTimeout || !p.Killed()) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if !d.started && took < stopTimeout {
+			return
+		}
 		d.failures = append(d.failures, "stopped: "+p.State()+" after "+took.String())
 	}
 }
@@ -159,7 +164,7 @@
 	ready := fakeplatform.Ready(ctx, d.Readiness)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ready = ready
+	d.ready, d.started = ready, d.started || ready
 }
 
 // stableSince returns when the daemon was last disturbed, and whether it is
