--- a/crash/block.go
+++ b/crash/block.go
@@ -71,11 +71,11 @@
 
 // MayRepeat implements fescuelatch.PromptGuard.
 func (l *Ledger) MayRepeat(_ time.Time, r *fescuelatch.Request) bool {
-	if len(l.incidents) == 0 && len(l.blocks) == 0 {
+	if len(l.outages) == 0 && len(l.blocks) == 0 {
 		return true
 	}
 	for _, s := range sharedParts(r.Parts) {
-		if l.incidents[s.Part] >= suspectAfter || l.blocks[s.Part] != nil {
+		if l.outages[s.Part] >= suspectAfter || l.blocks[s.Part] != nil {
 			return false
 		}
 	}
@@ -86,14 +86,14 @@
 func (l *Ledger) BlockedParts() int { return len(l.blocks) }
 
 // block blocks a part and reports whether there is room for it.
-func (l *Ledger) block(now time.Time, part string, incidents int) bool {
+func (l *Ledger) block(now time.Time, part string, outages int) bool {
 	if len(l.blocks) >= maxBlocks {
 		return false
 	}
 	l.blocks[part] = &block{
 		until: now.Add(blockLifetime), trialAt: now.Add(trialInterval), writeAt: now.Add(l.recordDelay()),
 	}
-	l.changes = append(l.changes, Change{part, true, incidents})
+	l.changes = append(l.changes, Change{part, true, outages})
 	return true
 }
 
--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -203,7 +203,7 @@
 				for _, ch := range l.Changes() {
 					if ch.Blocked {
 						blocked++
-						c.Logf("seed %d: part %s after %d incidents", seed, ch.Part, ch.Incidents)
+						c.Logf("seed %d: part %s after %d outages", seed, ch.Part, ch.Outages)
 					}
 				}
 			}
--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -52,11 +52,11 @@
 	// vouched holds the statements of any daemon that parts are sound.
 	vouched *simplelru.LRU[string, statement]
 	blocks  map[string]*block
-	// named is the number of incidents in which each part is suspected by any daemon,
-	// and incidents the number of those that it may have caused by what is known here.
-	named     map[string]int
-	incidents map[string]int
-	updated   time.Time
+	// named is the number of outages in which each part is suspected by any daemon,
+	// and outages the number of those that it may have caused by what is known here.
+	named   map[string]int
+	outages map[string]int
+	updated time.Time
 	// open is the own report that further crashes still join, and nextReport the
 	// earliest time of the next write of one.
 	open       *report
@@ -95,7 +95,7 @@
 	return &Ledger{
 		random: random, members: members, answered: answered, vouched: vouched,
 		reports: make(map[string]*report), blocks: make(map[string]*block),
-		named: make(map[string]int), incidents: make(map[string]int), vouches: make(map[string]time.Time),
+		named: make(map[string]int), outages: make(map[string]int), vouches: make(map[string]time.Time),
 	}
 }
 
@@ -147,8 +147,8 @@
 type Change struct {
 	Part    string
 	Blocked bool
-	// Incidents is the number of incidents that the part may have caused.
-	Incidents int
+	// Outages is the number of outages that the part may have caused.
+	Outages int
 }
 
 // Changes returns and forgets the changes since the last call.
--- a/crash/incident.go
+++ b/crash/outage.go
@@ -10,18 +10,18 @@
 
 // This file defines how a daemon reports the crashes that it sees.
 
-// incidentWindow is the time within which crashes count as one incident. Endpoints that
+// outageWindow is the time within which crashes count as one outage. Endpoints that
 // end at the same moment have a cause in common, such as their power or network, or a
 // daemon that has lost its own.
-const incidentWindow = 100 * time.Millisecond
+const outageWindow = 100 * time.Millisecond
 
 // Crashed records that an endpoint's process has ended during an attempt. If the answer
 // was not yet under way, the parts of the prompt may have caused that.
 func (l *Ledger) Crashed(now time.Time, process fescuelatch.EndpointProcess, parts []fescuelatch.PromptPart, underWay bool) {
-	if l.open == nil || now.Sub(l.open.seen) >= incidentWindow {
-		l.closeIncident(now)
+	if l.open == nil || now.Sub(l.open.seen) >= outageWindow {
+		l.closeOutage(now)
 		delay := l.delay(time.Duration(l.members()) * reportDelayPerDaemon)
-		l.open = &report{name: l.newName(), seen: now, own: true, writeAt: now.Add(incidentWindow + delay)}
+		l.open = &report{name: l.newName(), seen: now, own: true, writeAt: now.Add(outageWindow + delay)}
 	}
 	r := l.open
 	if key := ProcessKey(process); !slices.Contains(r.Processes, key) && len(r.Processes) < maxProcesses {
@@ -42,9 +42,9 @@
 
 func (l *Ledger) newName() string { return strconv.FormatUint(l.random.Uint64(), 16) }
 
-// closeIncident ends the report that further crashes join.
-func (l *Ledger) closeIncident(now time.Time) {
-	if l.open != nil && now.Sub(l.open.seen) >= incidentWindow {
+// closeOutage ends the report that further crashes join.
+func (l *Ledger) closeOutage(now time.Time) {
+	if l.open != nil && now.Sub(l.open.seen) >= outageWindow {
 		l.open = nil
 	}
 }
--- a/crash/record.go
+++ b/crash/record.go
@@ -34,7 +34,7 @@
 	// reportDelayPerDaemon spreads the reports of crashes that many daemons have seen.
 	reportDelayPerDaemon = time.Millisecond
 	// calmDelay and calmDelayPerDaemon are the same for statements on parts that are
-	// not in enough incidents yet for any consequence.
+	// not in enough outages yet for any consequence.
 	calmDelay          = 4 * time.Second
 	calmDelayPerDaemon = 20 * time.Millisecond
 	// rewriteInterval is the time until a write is tried again.
@@ -198,7 +198,7 @@
 // Writes returns the records that are due to be written. Each must be followed by
 // Written.
 func (l *Ledger) Writes(now time.Time) []Write {
-	l.closeIncident(now)
+	l.closeOutage(now)
 	due := append(l.dueReports(now), l.dueStatements(now)...)
 	for p, b := range l.blocks {
 		switch {
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -10,7 +10,7 @@
 // This file defines the conclusion from the reports: which parts are blocked.
 
 const (
-	// suspectAfter is the number of incidents that a part may have caused after which
+	// suspectAfter is the number of outages that a part may have caused after which
 	// a request with it that has met a crash is not sent again.
 	suspectAfter = 2
 	// blockAfter is the number after which the part is blocked. The users allow five
@@ -18,15 +18,15 @@
 	blockAfter = 3
 )
 
-// incident is the parts that may have caused crashes of one moment, by their depth.
-type incident map[string]int
+// outage is the parts that may have caused crashes of one moment, by their depth.
+type outage map[string]int
 
 // update draws the conclusion from all reports.
 func (l *Ledger) update(now time.Time) {
 	l.updated = now
 	l.expireBlocks(now)
-	open := l.collectIncidents()
-	l.named, _ = countIncidents(open)
+	open := l.collectOutages()
+	l.named, _ = countOutages(open)
 	for _, i := range open {
 		for p := range i {
 			if l.isSound(now, p) {
@@ -35,11 +35,11 @@
 		}
 	}
 	for {
-		// A part that is blocked explains its incidents: the other parts there are
+		// A part that is blocked explains its outages: the other parts there are
 		// those of requests that ran on the same endpoints.
 		open = l.unexplained(open)
-		counts, depths := countIncidents(open)
-		l.incidents = counts
+		counts, depths := countOutages(open)
+		l.outages = counts
 		part := ""
 		for p, n := range counts {
 			if n >= blockAfter && (part == "" || moreSuspicious(counts, depths, p, part)) {
@@ -52,22 +52,22 @@
 	}
 }
 
-// moreSuspicious reports whether part a is more likely than b to cause the incidents. Of
+// moreSuspicious reports whether part a is more likely than b to cause the outages. Of
 // two parts that are in the same ones, the deeper one is in fewer other prompts.
 func moreSuspicious(counts, depths map[string]int, a, b string) bool {
 	return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(depths[a], depths[b]), cmp.Compare(a, b)) > 0
 }
 
-// collectIncidents joins the reports that have processes in common. It leaves out parts
+// collectOutages joins the reports that have processes in common. It leaves out parts
 // that were stated to be sound after a report.
-func (l *Ledger) collectIncidents() []incident {
+func (l *Ledger) collectOutages() []outage {
 	parents := make(map[string]string)
 	for _, r := range l.reports {
 		for _, p := range r.Processes {
 			join(parents, r.Processes[0], p)
 		}
 	}
-	byRoot := make(map[string]incident)
+	byRoot := make(map[string]outage)
 	for _, r := range l.reports {
 		root := find(parents, r.Processes[0])
 		for _, s := range r.Suspects {
@@ -75,7 +75,7 @@
 				continue
 			}
 			if byRoot[root] == nil {
-				byRoot[root] = make(incident)
+				byRoot[root] = make(outage)
 			}
 			byRoot[root][s.Part] = max(byRoot[root][s.Part], s.Depth)
 		}
@@ -99,9 +99,9 @@
 	}
 }
 
-// unexplained returns the incidents without a blocked part.
-func (l *Ledger) unexplained(all []incident) []incident {
-	var rest []incident
+// unexplained returns the outages without a blocked part.
+func (l *Ledger) unexplained(all []outage) []outage {
+	var rest []outage
 	for _, i := range all {
 		explained := false
 		for p := range i {
@@ -114,7 +114,7 @@
 	return rest
 }
 
-func countIncidents(all []incident) (counts, depths map[string]int) {
+func countOutages(all []outage) (counts, depths map[string]int) {
 	counts, depths = make(map[string]int), make(map[string]int)
 	for _, i := range all {
 		for p, depth := range i {
--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -43,7 +43,7 @@
 
 // examineBreak completes the result of a broken attempt by what a new connection to the
 // endpoint shows. If it is accepted, the answer was lost but the endpoint still runs. If
-// it is refused right after the old one was closed, the endpoint's process has ended.
+// it is refused right after the broken one, the endpoint's process has ended.
 func (t *attempt) examineBreak(r *fescuelatch.AttemptResult, err error) {
 	d := t.request.daemon
 	broken := time.Now()
@@ -79,6 +79,9 @@
 
 // answered records that the answer to the prompt is under way.
 func (t *attempt) answered() {
+	if len(t.request.details.Parts) == 0 {
+		return
+	}
 	d := t.request.daemon
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -103,7 +106,7 @@
 	}
 	for _, c := range changes {
 		if c.Blocked {
-			d.log.Warn("prompt part crashes endpoints; requests with it are refused", "part", c.Part, "incidents", c.Incidents)
+			d.log.Warn("prompt part crashes endpoints; requests with it are refused", "part", c.Part, "outages", c.Outages)
 		} else {
 			d.log.Info("prompt part is no longer blocked", "part", c.Part)
 		}
