--- a/direct/stranded_test.go
+++ b/direct/partitioned_test.go
@@ -120,9 +120,9 @@
 	return sent, answered
 }
 
-// TestStrandedDaemonRefusesCallers guards against daemons that refuse all callers while
+// TestPartitionedDaemonRefusesCallers guards against daemons that refuse all callers while
 // they are partitioned from the endpoints which other daemons reach.
-func TestStrandedDaemonRefusesCallers(t *testing.T) {
+func TestPartitionedDaemonRefusesCallers(t *testing.T) {
 	const detection = 3 * time.Second // The users' bound.
 	tests := []struct {
 		name      string
