--- a/direct/permits.go
+++ b/direct/permits.go
@@ -24,17 +24,38 @@
 // PermitsReply holds the replies in the order of the requests.
 type PermitsReply struct{ Replies []permit.Reply }
 
-// Permits hands out permits to another daemon. It is called by net/rpc.
-func (p *peerServer) Permits(q PermitsRequest, reply *PermitsReply) error {
-	const op = "allot permits"
-	if len(q.Requests) > maxPermitRequests {
-		return &Error{op, KindInvalid, errors.Errorf("%d requests in a message", len(q.Requests))}
+// checked is a pointer to a message that checks itself.
+type checked[T any] interface {
+	*T
+	Check() error
+}
+
+// checkRequests checks the requests of a message.
+func checkRequests[T any, M checked[T]](op string, requests []T) error {
+	if len(requests) > maxPermitRequests {
+		return &Error{op, KindInvalid, errors.Errorf("%d requests in a message", len(requests))}
 	}
-	for i := range q.Requests {
-		if err := q.Requests[i].Check(); err != nil {
+	for i := range requests {
+		if err := M(&requests[i]).Check(); err != nil {
 			return &Error{op, KindInvalid, err}
 		}
 	}
+	return nil
+}
+
+// checkReplies checks the replies to a number of requests.
+func checkReplies[T any, M checked[T]](op string, replies []T, requests int) error {
+	if len(replies) != requests {
+		return &Error{op, KindInvalid, errors.Errorf("%d replies to %d requests", len(replies), requests)}
+	}
+	return checkRequests[T, M](op, replies)
+}
+
+// Permits hands out permits to another daemon. It is called by net/rpc.
+func (p *peerServer) Permits(q PermitsRequest, reply *PermitsReply) error {
+	if err := checkRequests("allot permits", q.Requests); err != nil {
+		return err
+	}
 	d := p.daemon
 	now := time.Now()
 	d.mu.Lock()
@@ -47,7 +68,7 @@
 
 // allotLocked answers a request for permits as the allocator.
 func (d *Daemon) allotLocked(now time.Time, q permit.Request) permit.Reply {
-	return d.allocator.Allot(now, d.permitOrders.of(d, q).Position, q)
+	return d.allocator.Allot(now, d.permitOrders.of(d, q.Process.Endpoint, q.Domain).Position, q)
 }
 
 // permitOrders caches the orders of the daemons for limited endpoints. An order takes a
@@ -57,24 +78,24 @@
 	byEndpoint    map[fescuelatch.EndpointID]permit.Order
 }
 
-// of returns the order for the endpoint of a request.
-func (o *permitOrders) of(d *Daemon, q permit.Request) permit.Order {
+// of returns the order for an endpoint of a failure domain.
+func (o *permitOrders) of(d *Daemon, id fescuelatch.EndpointID, domain fescuelatch.DomainID) permit.Order {
 	if o.byEndpoint == nil || o.memberChanges != d.storeView.memberChanges || len(o.byEndpoint) >= maxPermitRequests {
 		o.byEndpoint, o.memberChanges = make(map[fescuelatch.EndpointID]permit.Order), d.storeView.memberChanges
 	}
-	order, ok := o.byEndpoint[q.Process.Endpoint]
+	order, ok := o.byEndpoint[id]
 	if !ok {
-		order = d.permitOrderLocked(q)
-		o.byEndpoint[q.Process.Endpoint] = order
+		order = d.permitOrderLocked(id, domain)
+		o.byEndpoint[id] = order
 	}
 	return order
 }
 
-// permitOrderLocked returns the order of the daemons for the endpoint of a request. A
-// daemon that the others do not know of yet must not be an allocator, unless it knows of
-// no other one either.
-func (d *Daemon) permitOrderLocked(q permit.Request) permit.Order {
-	return permit.OrderOf(q.Process.Endpoint, q.Domain, d.options.VM, func(yield func(fescuelatch.VMID, fescuelatch.DomainID) bool) {
+// permitOrderLocked returns the order of the daemons for an endpoint. A daemon that the
+// others do not know of yet must not be an allocator, unless it knows of no other one
+// either.
+func (d *Daemon) permitOrderLocked(id fescuelatch.EndpointID, domain fescuelatch.DomainID) permit.Order {
+	return permit.OrderOf(id, domain, d.options.VM, func(yield func(fescuelatch.VMID, fescuelatch.DomainID) bool) {
 		if len(d.storeView.members) == 0 {
 			yield(d.options.VM, d.options.Domain)
 			return
@@ -137,7 +158,7 @@
 	rounds := make(map[fescuelatch.VMID]*permitRound)
 	for _, q := range due {
 		q.From = d.options.VM
-		order := d.permitOrders.of(d, q)
+		order := d.permitOrders.of(d, q.Process.Endpoint, q.Domain)
 		var poll time.Duration
 		if !order.MayHold(q.Limit) {
 			q.Want, poll = 0, order.PollInterval()
@@ -172,18 +193,12 @@
 
 // callAllocator sends requests to an allocator.
 func (d *Daemon) callAllocator(ctx context.Context, vm fescuelatch.VMID, address netip.AddrPort, requests []permit.Request) ([]permit.Reply, error) {
-	const op = "request permits"
 	reply := new(PermitsReply)
 	if err := d.allocators.call(ctx, allocatorTimeout, vm, address, "Permits", PermitsRequest{requests}, reply); err != nil {
 		return nil, err
 	}
-	if len(reply.Replies) != len(requests) {
-		return nil, &Error{op, KindInvalid, errors.Errorf("%d replies to %d requests", len(reply.Replies), len(requests))}
-	}
-	for i := range reply.Replies {
-		if err := reply.Replies[i].Check(); err != nil {
-			return nil, &Error{op, KindInvalid, err}
-		}
+	if err := checkReplies("request permits", reply.Replies, len(requests)); err != nil {
+		return nil, err
 	}
 	return reply.Replies, nil
 }
--- a/direct/slots.go
+++ b/direct/slots.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"fescuelatch"
 	"fescuelatch/decision"
 	"fescuelatch/permit"
@@ -22,14 +20,8 @@
 
 // Slots grants slots to another daemon. It is called by net/rpc.
 func (p *peerServer) Slots(q SlotsRequest, reply *SlotsReply) error {
-	const op = "grant slots"
-	if len(q.Requests) > maxPermitRequests {
-		return &Error{op, KindInvalid, errors.Errorf("%d requests in a message", len(q.Requests))}
-	}
-	for i := range q.Requests {
-		if err := q.Requests[i].Check(); err != nil {
-			return &Error{op, KindInvalid, err}
-		}
+	if err := checkRequests("grant slots", q.Requests); err != nil {
+		return err
 	}
 	d := p.daemon
 	now := time.Now()
@@ -43,12 +35,7 @@
 
 // grantSlotsLocked answers a request for slots as the allocator.
 func (d *Daemon) grantSlotsLocked(now time.Time, q permit.SlotRequest) permit.SlotReply {
-	return d.slotAllocator.Allot(now, d.slotOrderLocked(q).Position, q)
-}
-
-// slotOrderLocked returns the order of the daemons for the endpoint of a request.
-func (d *Daemon) slotOrderLocked(q permit.SlotRequest) permit.Order {
-	return d.permitOrders.of(d, permit.Request{Process: q.Process, Domain: q.Domain})
+	return d.slotAllocator.Allot(now, d.permitOrders.of(d, q.Process.Endpoint, q.Domain).Position, q)
 }
 
 // requestSlots sends the requests for slots that are due, and returns a channel that fires
@@ -67,7 +54,7 @@
 	rounds := make(map[fescuelatch.VMID][]permit.SlotRequest)
 	for _, q := range d.gate.SlotRequests(now, maxPermitRequests) {
 		q.From = d.options.VM
-		vm, ok := d.allocators.choose(now, d.slotOrderLocked(q).Allocators)
+		vm, ok := d.allocators.choose(now, d.permitOrders.of(d, q.Process.Endpoint, q.Domain).Allocators)
 		if !ok {
 			d.gate.SlotsFailed(now, q.Process)
 			continue
@@ -111,18 +98,12 @@
 
 // callForSlots sends requests to an allocator.
 func (d *Daemon) callForSlots(ctx context.Context, vm fescuelatch.VMID, address netip.AddrPort, requests []permit.SlotRequest) ([]permit.SlotReply, error) {
-	const op = "request slots"
 	reply := new(SlotsReply)
 	if err := d.allocators.call(ctx, allocatorTimeout, vm, address, "Slots", SlotsRequest{requests}, reply); err != nil {
 		return nil, err
 	}
-	if len(reply.Replies) != len(requests) {
-		return nil, &Error{op, KindInvalid, errors.Errorf("%d replies to %d requests", len(reply.Replies), len(requests))}
-	}
-	for i := range reply.Replies {
-		if err := reply.Replies[i].Check(); err != nil {
-			return nil, &Error{op, KindInvalid, err}
-		}
+	if err := checkReplies("request slots", reply.Replies, len(requests)); err != nil {
+		return nil, err
 	}
 	return reply.Replies, nil
 }
--- a/gate/shared/brittle.go
+++ b/gate/shared/brittle.go
@@ -123,24 +123,14 @@
 
 // GrantSlots applies the reply to a request for slots.
 func (g *Gate) GrantSlots(p fescuelatch.EndpointProcess, r permit.SlotReply) {
-	if h := g.slotHolderOf(p); h != nil {
+	if h := g.hintOf(p).slots; h != nil {
 		h.Granted(r, g.random.Float64())
 	}
 }
 
 // SlotsFailed records that a request for slots has reached no allocator.
 func (g *Gate) SlotsFailed(now time.Time, p fescuelatch.EndpointProcess) {
-	if h := g.slotHolderOf(p); h != nil {
+	if h := g.hintOf(p).slots; h != nil {
 		h.Failed(now)
 	}
 }
-
-// slotHolderOf returns the slots at a process, registered or not, or nil if it never was
-// brittle.
-func (g *Gate) slotHolderOf(p fescuelatch.EndpointProcess) *permit.SlotHolder {
-	if e := g.endpoints[p.Endpoint]; e != nil && processOf(e.owned) == p {
-		return e.hint.slots
-	}
-	h, _ := g.hints.byProcess.Peek(p)
-	return h.slots
-}
--- a/gate/shared/limit.go
+++ b/gate/shared/limit.go
@@ -75,25 +75,24 @@
 // GrantPermits applies the reply to a request for permits that was sent at asked, and
 // reports whether the endpoint's limit has changed.
 func (g *Gate) GrantPermits(now, asked time.Time, p fescuelatch.EndpointProcess, r permit.Reply) bool {
-	h := g.holderOf(p)
+	h := g.hintOf(p).permits
 	return h != nil && h.Granted(now, asked, r, g.random.Float64())
 }
 
 // PermitsFailed records that a request for permits has reached no allocator.
 func (g *Gate) PermitsFailed(now time.Time, p fescuelatch.EndpointProcess) {
-	if h := g.holderOf(p); h != nil {
+	if h := g.hintOf(p).permits; h != nil {
 		h.Failed(now)
 	}
 }
 
-// holderOf returns the permits for a process, registered or not, or nil if it never had
-// a limit.
-func (g *Gate) holderOf(p fescuelatch.EndpointProcess) *permit.Holder {
+// hintOf returns the hint of a process, registered or not.
+func (g *Gate) hintOf(p fescuelatch.EndpointProcess) hint {
 	if e := g.endpoints[p.Endpoint]; e != nil && processOf(e.owned) == p {
-		return e.hint.permits
+		return e.hint
 	}
 	h, _ := g.hints.byProcess.Peek(p)
-	return h.permits
+	return h
 }
 
 // trackLimit tracks an endpoint if its process may have a rate limit.
--- a/permit/slotallocator.go
+++ b/permit/slotallocator.go
@@ -162,7 +162,7 @@
 	}
 	want := h.want
 	if h.want > 0 && wanted < usable {
-		// What nobody wants yet saves requests for slots when more callers come.
+		// Spare slots save requests for slots when more callers come.
 		want += (usable - wanted) / daemons
 	}
 	if wanted > usable && daemons > 0 {
