Answers that are under way make no prompt part suspect

Streams there have an event each 15 ms; answers of which two to seven events had arrived still counted as not under way, since less than 0.5 s had passed, so that a part in many prompts was suspect in three outages of another part's making. The report that named the cause in the first of them could not be written, as the store lost answers; and the daemon that knew c4 to be sound had up to 4 s to say so.

A prompt is suspect only while no event has arrived, or one less than 0.5 s ago: in the collection of the incident all crashes came before the first event. What shows that a part is sound is as before. Statements have 2 s.

--- a/cmd/fescuelatch-load/soak/soak_test.go
+++ b/cmd/fescuelatch-load/soak/soak_test.go
@@ -25,6 +25,7 @@
 		{1, "any"},
 		{2, "any"},
 		{13, "SIGHUP ended a daemon that had just started"},
+		{5004, "a part of answers under way was blocked"},
 	}
 	for _, test := range tests {
 		t.Run(test.why, func(t *testing.T) {
--- a/crash/record.go
+++ b/crash/record.go
@@ -35,7 +35,7 @@
 	reportDelayPerDaemon = time.Millisecond
 	// calmDelay and calmDelayPerDaemon are the same for statements on parts that are
 	// not in enough outages yet for any consequence.
-	calmDelay          = 4 * time.Second
+	calmDelay          = 2 * time.Second
 	calmDelayPerDaemon = 20 * time.Millisecond
 	// rewriteInterval is the time until a write is tried again.
 	rewriteInterval = 2 * time.Second
--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -15,9 +15,14 @@
 // This file defines how a daemon tells from broken attempts that endpoints have crashed,
 // and shares with the others what prompts may have caused that.
 
-// underWayAfter is how long after its first event an answer counts as under way: a
-// prompt that crashes endpoints does so when the answer begins.
-const underWayAfter = 500 * time.Millisecond
+const (
+	// underWayAfter is how long after its first event an answer shows that its prompt
+	// does not crash endpoints: such prompts do so when the answer begins.
+	underWayAfter = 500 * time.Millisecond
+	// underWayEvents is the number of events after which a prompt is no longer
+	// suspected, though its answer shows nothing yet.
+	underWayEvents = 2
+)
 
 // answerProgress is how much of an answer has arrived.
 type answerProgress struct {
@@ -41,6 +46,11 @@
 	return true
 }
 
+// begins reports whether the answer has only just begun, or not yet.
+func (p *answerProgress) begins(now time.Time) bool {
+	return p.events == 0 || p.events < underWayEvents && now.Sub(p.first) < underWayAfter
+}
+
 // examineBreak completes the result of a broken attempt by what a new connection to the
 // endpoint shows. If it is accepted, the answer was lost but the endpoint still runs. If
 // it is refused right after the broken one, the endpoint's process has ended.
@@ -58,15 +68,14 @@
 	if endpoint.KindOf(err) != endpoint.KindBroken || !endpoint.Refused(probe) {
 		return
 	}
-	underWay := t.progress.events > 0 && broken.Sub(t.progress.first) >= underWayAfter
-	r.Crashed = !underWay
+	r.Crashed = t.progress.begins(broken)
 	d.metrics.countCrash(t.progress.begun)
 	t.request.warn("endpoint has crashed during an attempt", "attempt", t.start.Attempt, "endpoint", t.start.Endpoint,
 		"begun", t.progress.begun, "events", t.progress.events, "parts", partIDs(t.request.details.Parts), "error", err.Error())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if process, ok := d.storeView.processAt(t.start.Endpoint); ok {
-		d.crashes.Crashed(broken, process, t.request.details.Parts, underWay)
+		d.crashes.Crashed(broken, process, t.request.details.Parts, !r.Crashed)
 		d.applyBlocksLocked(broken)
 	}
 }
