--- a/cmd/fescuelatch-load/soak/daemon.go
+++ b/cmd/fescuelatch-load/soak/daemon.go
@@ -132,7 +132,7 @@
 	if took := time.Since(began); !clean && (took >= stopTimeout || !p.Killed()) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if !d.started && took < stopTimeout {
+		if !d.started && p.EndedBy(syscall.SIGTERM) {
 			return
 		}
 		d.failures = append(d.failures, "stopped: "+p.State()+" after "+took.String())
--- a/cmd/fescuelatch-load/soak/daemon_test.go
+++ b/cmd/fescuelatch-load/soak/daemon_test.go
@@ -22,6 +22,11 @@
 		{"exits unexpectedly", "exit 0", func(*daemon) {}, 1},
 		{"stops", "trap 'exit 0' TERM; while :; do sleep 0.01; done", (*daemon).stop, 0},
 		{"stops with a failure", "trap 'exit 1' TERM; while :; do sleep 0.01; done", (*daemon).stop, 1},
+		{"has just started", "while :; do sleep 0.01; done", (*daemon).stop, 0},
+		{"has no handler", "while :; do sleep 0.01; done", func(d *daemon) {
+			d.started = true
+			d.stop()
+		}, 1},
 		{"is killed", ignores, (*daemon).kill, 0},
 		{"is killed while it stops", ignores, func(d *daemon) {
 			time.AfterFunc(100*time.Millisecond, func() { d.signal(syscall.SIGKILL) })
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -153,14 +153,17 @@
 }
 
 // Killed reports whether the process was ended by SIGKILL.
-func (p *Process) Killed() bool {
+func (p *Process) Killed() bool { return p.EndedBy(syscall.SIGKILL) }
+
+// EndedBy reports whether the process was ended by a signal that it did not handle.
+func (p *Process) EndedBy(s syscall.Signal) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.state == nil {
 		return false
 	}
 	w, ok := p.state.Sys().(syscall.WaitStatus)
-	return ok && w.Signaled() && w.Signal() == syscall.SIGKILL
+	return ok && w.Signaled() && w.Signal() == s
 }
 
 // Crashed reports whether the process ended without a call of End.
