--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -13,8 +13,8 @@
 	// suspectAfter is the number of outages that a part may have caused after which
 	// a request with it that has met a crash is not sent again.
 	suspectAfter = 2
-	// blockAfter is the number after which the part is blocked. The users allow five
-	// crashes until all daemons know.
+	// blockAfter is the number after which the part is blocked. All daemons have to
+	// know it after five crashes, of which not each is reported.
 	blockAfter = 3
 )
 
