--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]func(*rig) (broken bool, err error){
 	"silence": runSilence,
+	"deadly":  runDeadly,
 }
 
 // most bounds a run.
--- a/review/_rig/silence.go
+++ b/review/_rig/silence.go
@@ -51,7 +51,7 @@
 	broken := false
 	for _, d := range r.daemons {
 		c := newCall("POST", "/stream/2f")
-		c.parts, c.body = "5c1e07a2:800,91bd3f06:410,"+c.id[8:]+":250", "digest"
+		c.parts, c.body = "5c1e07a2:800,91bd3f06:410,"+c.id[8:]+":250", "digest "+c.id
 		var once sync.Once
 		c.send(d, r.record, func(n int) {
 			if n < 10 {
