--- a/review/_rig/record.go
+++ b/review/_rig/record.go
@@ -18,8 +18,8 @@
 
 // run is a run of a request at a worker.
 type run struct {
-	worker, target string
-	at             time.Time
+	worker, path string
+	at           time.Time
 }
 
 func newRecord(name string) (*record, error) {
@@ -40,9 +40,12 @@
 	r.add("worker %s runs %s: %s %s, Last-Event-Id %q", worker, call, q.Method, q.RequestURI, q.Header.Get("Last-Event-Id"))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[call] = append(r.runs[call], run{worker, q.RequestURI, time.Now()})
+	r.runs[call] = append(r.runs[call], run{worker, pathOf(q), time.Now()})
 }
 
+// pathOf returns the path that a server sees: that of the target, which may be a whole URL.
+func pathOf(q *http.Request) string { return q.URL.EscapedPath() }
+
 func (r *record) runsOf(call string) []run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
