--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(*rig) (broken bool, err error){
 	"silence": runSilence,
 	"deadly":  runDeadly,
+	"revoked": runRevoked,
 	"slashes": runSlashes,
 }
 
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -23,6 +23,7 @@
 	nextID   int64
 	server   *http.Server
 	address  string
+	silent   time.Time // until when it answers nothing
 }
 
 type storedItem struct {
@@ -54,7 +55,7 @@
 	m.HandleFunc("POST /v1/kv-lease", s.serveGrant)
 	m.HandleFunc("POST /v1/kv-keep/{id}", s.serveKeep)
 	m.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.serveEnd)
-	s.server = &http.Server{Handler: m}
+	s.server = &http.Server{Handler: s.handler(m)}
 	go func() { _ = s.server.Serve(l) }()
 	go s.expireLeases()
 	return s, nil
