--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/fescuelatchd ] && [ -x target/review/rig ] || exit 2
-exec target/review/rig slashes review/3
+exec target/review/rig silence review/3
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]func(*rig) (broken bool, err error){
 	"silence": runSilence,
+	"cut":     runCut,
 	"deadly":  runDeadly,
 	"revoked": runRevoked,
 	"slashes": runSlashes,
@@ -39,6 +40,9 @@
 func main() { os.Exit(run0()) }
 
 func run0() int {
+	if len(os.Args) == 4 && os.Args[1] == "worker" {
+		return runUnframedWorker(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER, in the repository")
 		return exitNotRun
