Do not give up a silent endpoint before another one has taken the request

Cause: after the inactivity timeout the attempt was ended, and only then was the request sent to another endpoint. Whether one would take it was predicted from loads that fade with a half-life of 0.5 s, so that endpoints of which nothing was heard counted as empty.

Now the silent attempt goes on, and the core makes another one beside it, a hedge. Its endpoint's answer replaces the silent attempt; a refusal, failure or break of the hedge changes nothing for the caller. If the silent endpoint goes on first, the hedge is ended. The core decides under its lock which one is first, so that a caller never gets events of both beyond the point of resumption (TestBothEndpointsAnswer). This needs no knowledge of the others' load.

--- a/decision/action.go
+++ b/decision/action.go
@@ -21,6 +21,8 @@
 	Endpoint fescuelatch.EndpointID
 	Version  fescuelatch.VersionID
 	Timeouts InactivityTimeouts
+	// Hedge reports that the current attempt goes on.
+	Hedge bool
 }
 
 // Forward starts an attempt through the daemon on VM, which owns an endpoint
@@ -31,6 +33,8 @@
 	VM       fescuelatch.VMID
 	Version  fescuelatch.VersionID
 	Timeouts InactivityTimeouts
+	// Hedge reports that the current attempt goes on.
+	Hedge bool
 }
 
 // KeptReason is the reason why an answer was not abandoned for a better version.
@@ -55,10 +59,13 @@
 	Kept    KeptReason
 }
 
-// Abandon cancels an attempt that another one replaces.
+// Abandon cancels an attempt that another one replaces. If it is the current one,
+// its hedge, or the attempt that starts next, becomes current.
 type Abandon struct {
 	Request fescuelatch.RequestID
 	Attempt fescuelatch.AttemptID
+	// Replaced reports that the attempt has a hedge, as it was unresponsive.
+	Replaced bool
 }
 
 // Rate requests a rating of the answer of an attempt before it is accepted.
--- a/decision/core.go
+++ b/decision/core.go
@@ -113,6 +113,10 @@
 		c.firstToken(now, v)
 	case Opened:
 		c.opened(now, v)
+	case Unresponsive:
+		c.unresponsive(now, v)
+	case Resumed:
+		c.resumed(now, v)
 	case Ended:
 		c.ended(now, v)
 	case Rated:
--- a/decision/direct_test.go
+++ b/decision/direct_test.go
@@ -161,63 +161,6 @@
 	}
 }
 
-// TestMoveOn checks that a stream whose endpoint is unresponsive is not cut, neither
-// if another attempt is impossible nor if it becomes so between the decision and the
-// end of the current attempt.
-func TestMoveOn(t *testing.T) {
-	removeAccount := func(c *qt.C, core *decision.Core) {
-		view, err := fescuelatch.NewView(&fescuelatch.Configuration{
-			Generation: 2, Inventory: fescuelatch.Inventory{Domains: []fescuelatch.FailureDomain{{ID: "d1"}}},
-		})
-		c.Assert(err, qt.IsNil)
-		core.Handle(epoch, decision.Configured{View: view})
-	}
-	noChange := func(*qt.C, *decision.Core) {}
-	fillEndpoints := func(_ *qt.C, core *decision.Core) {
-		for _, id := range []fescuelatch.EndpointID{"e1", "e2", "e3"} {
-			core.Handle(epoch, decision.Reported{Report: fescuelatch.LoadReport{Endpoint: id, Running: 16, Slots: 8, Generated: epoch}})
-		}
-	}
-	tests := []struct {
-		name          string
-		budget        fixedBudget
-		before, after func(*qt.C, *decision.Core)
-		retries       bool
-	}{
-		{"another endpoint may resume", 1, noChange, noChange, true},
-		{"the account has lost its key", 1, removeAccount, noChange, false},
-		{"the account loses its key while the attempt ends", 1, noChange, removeAccount, true},
-		{"the retry budget is used up", 0, noChange, noChange, false},
-		{"the other endpoints are full", 1, fillEndpoints, noChange, false},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			core := directCore(c, &test.budget)
-			q := &fescuelatch.Request{
-				ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"lm"}, Arrived: epoch, Deadline: epoch.Add(5 * time.Second),
-				Idempotent: true, Streamed: true, Resumable: true, MaxAttempts: 3,
-			}
-			first, ok := core.Handle(epoch, decision.Arrived{Request: q})[0].(decision.Start)
-			c.Assert(ok, qt.IsTrue)
-			core.Handle(epoch, decision.Opened{Request: "q", Attempt: first.Attempt})
-			test.before(c, core)
-			c.Assert(core.GrantRetry(epoch, "q"), qt.Equals, test.retries)
-			if !test.retries {
-				return
-			}
-			test.after(c, core)
-			actions := core.Handle(epoch, decision.Ended{Request: "q", Result: fescuelatch.AttemptResult{
-				Attempt: first.Attempt, Endpoint: first.Endpoint, Version: first.Version, Status: fescuelatch.AttemptBroken,
-			}})
-			c.Assert(actions, qt.HasLen, 1)
-			_, resumes := actions[0].(decision.Start)
-			c.Check(resumes, qt.IsTrue, qt.Commentf("%#v", actions[0]))
-			c.Check(core.Faults(), qt.HasLen, 0)
-		})
-	}
-}
-
 // fixedBudget is a retry budget of a fixed number of retries.
 type fixedBudget int
 
--- a/decision/event.go
+++ b/decision/event.go
@@ -55,6 +55,19 @@
 	HasConfidence bool
 }
 
+// Unresponsive reports that the inactivity timeout of an attempt has passed. The attempt
+// goes on. Result has what is known of its endpoint so far.
+type Unresponsive struct {
+	Request fescuelatch.RequestID
+	Result  fescuelatch.AttemptResult
+}
+
+// Resumed reports that an attempt that was unresponsive receives its answer after all.
+type Resumed struct {
+	Request fescuelatch.RequestID
+	Attempt fescuelatch.AttemptID
+}
+
 // Ended reports the end of an attempt.
 type Ended struct {
 	Request fescuelatch.RequestID
@@ -105,6 +118,8 @@
 func (Arrived) event()        {}
 func (FirstToken) event()     {}
 func (Opened) event()         {}
+func (Unresponsive) event()   {}
+func (Resumed) event()        {}
 func (Ended) event()          {}
 func (BlocksChanged) event()  {}
 func (Rated) event()          {}
--- a/decision/inactivity.go
+++ b/decision/inactivity.go
@@ -1,16 +1,11 @@
 package decision
 
 import (
-	"slices"
 	"time"
-
-	"fescuelatch"
 )
 
 // This file defines the inactivity timeouts of attempts. The connections of
 // an unreachable endpoint can stay open, so that only a timeout detects it.
-// Inactivity ends an attempt only while another endpoint may still answer the
-// request.
 
 const (
 	// minFirstTimeout exceeds the time to first output of a loaded endpoint.
@@ -38,48 +33,7 @@
 	return InactivityTimeouts{First: 2 * t.First, Gap: 2 * t.Gap}
 }
 
-// GrantRetry reports whether a request whose endpoint is unresponsive is retried on
-// another endpoint. If so, the retry is granted in advance: otherwise its conditions
-// could fail by the time the current attempt ends, and the caller would be cut off.
-// If the account's key, the retry budget, the time or the other endpoints no longer
-// allow a retry, only the current attempt can still answer.
-func (c *Core) GrantRetry(now time.Time, id fescuelatch.RequestID) bool {
-	q, ok := c.requests[id]
-	if !ok {
-		return true // The request has already ended.
-	}
-	c.sparesCached = false
-	if !c.mayRepeat(q) || !c.mayCrashAnother(now, q) || c.tooLate(now, q) || !c.usable(q) || len(c.targets(now, q)) == 0 || !c.canStart(now, q) ||
-		!c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
-		return false
-	}
-	q.grantedAttempt = q.current.id
-	return true
-}
-
-// admissionChecker is a gate that can predict whether work would start at once.
-type admissionChecker interface {
-	Admits(now time.Time, w fescuelatch.Work) bool
-}
-
-// canStart reports whether another endpoint has capacity for q now; it assumes so if
-// the gate cannot tell. Queued work does not count, as it may be refused later.
-func (c *Core) canStart(now time.Time, q *request) bool {
-	g, ok := c.options.Gate.(admissionChecker)
-	if !ok {
-		return true
-	}
-	w := c.work(q)
-	w.Avoid = append(slices.Clone(w.Avoid), q.current.endpoint)
-	return g.Admits(now, w)
-}
-
-// retryGranted reports whether GrantRetry granted a retry of the current attempt.
-func (q *request) retryGranted() bool {
-	return q.grantedAttempt != "" && q.grantedAttempt == q.current.id
-}
-
-// inactivityTimeouts returns the timeouts of the current attempt of q.
+// inactivityTimeouts returns the timeouts of an attempt that is about to start.
 func (c *Core) inactivityTimeouts(q *request) InactivityTimeouts {
 	if !c.options.Direct || !q.Idempotent || q.attempts >= q.attemptLimit() {
 		return InactivityTimeouts{}
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -24,12 +24,17 @@
 	r := e.Result
 	c.options.Quality.ObserveAttempt(now, r)
 	q, ok := c.requests[e.Request]
-	current := ok && q.current.id == r.Attempt
 	if r.Endpoint != "" {
 		// The freed slot may admit other attempts.
 		defer func(as []fescuelatch.Admission) { c.applyAdmissions(now, as) }(c.gate().End(now, r))
 	}
-	if !current {
+	switch {
+	case !ok:
+		return
+	case q.hedge.id == r.Attempt:
+		c.hedgeEnded(now, q, r)
+		return
+	case q.current.id != r.Attempt:
 		return
 	}
 	if !r.Unsent {
@@ -39,7 +44,7 @@
 	case fescuelatch.AttemptAnswered:
 		c.answered(now, q)
 	case fescuelatch.AttemptNotStarted:
-		if !c.options.Direct || c.remote(q) {
+		if !c.options.Direct || c.remote(q.current) {
 			// The delay of a direct attempt concerns a single endpoint and is
 			// applied by the gate.
 			q.retryAfter = max(q.retryAfter, r.RetryAfter)
@@ -56,20 +61,29 @@
 		c.end(q, chart.EventCancel)
 		c.emit(Drop{Request: q.ID})
 	default:
-		if r.EndpointEnded && c.options.Direct && q.sequence < maxSequence {
-			q.attempts--
-		}
-		if r.Crashed {
-			q.crashes++
-		}
-		if r.EndpointEnded && !r.Lasted {
-			q.ended++
-		}
+		c.countEnd(q, &q.current, r)
 		q.final = q.final || r.Final
 		c.broken(now, q)
 	}
 }
 
+// countEnd counts an attempt during which the endpoint's process has ended, once.
+func (c *Core) countEnd(q *request, a *attempt, r fescuelatch.AttemptResult) {
+	if a.ended || !r.EndpointEnded && !r.Crashed {
+		return
+	}
+	a.ended = true
+	if r.EndpointEnded && c.options.Direct && q.sequence < maxSequence {
+		q.attempts--
+	}
+	if r.Crashed {
+		q.crashes++
+	}
+	if r.EndpointEnded && !r.Lasted {
+		q.ended++
+	}
+}
+
 // answered accepts an answer, or requests a rating if a later version of the
 // plan could answer better.
 func (c *Core) answered(now time.Time, q *request) {
@@ -122,15 +136,18 @@
 
 // notStarted retries the request on another target, or refuses it.
 func (c *Core) notStarted(now time.Time, q *request, r fescuelatch.AttemptResult) {
+	if c.promoteHedge(q) {
+		return
+	}
 	if r.Final {
 		c.refuse(q, ReasonRejected, 0)
 		return
 	}
-	if q.Forwarded || (c.options.Direct && r.Endpoint == "" && !c.remote(q)) {
+	if q.Forwarded || (c.options.Direct && r.Endpoint == "" && !c.remote(q.current)) {
 		c.refuse(q, refusalReason(r), r.RetryAfter)
 		return
 	}
-	c.exclude(q)
+	c.exclude(q, q.current)
 	if !c.allowRetry(now, q, r) {
 		c.refuse(q, refusalReason(r), defaultRetryAfter)
 		return
@@ -145,14 +162,19 @@
 	if c.options.Direct && r.Unsent {
 		q.attempts--
 		q.unsent++
-		if q.relayed {
-			return q.unsent <= maxUnsentInStream
-		}
-		return q.unsent <= maxUnsent
+		return q.unsent <= q.maxUnsent()
 	}
 	return q.attempts < q.attemptLimit() && c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure)
 }
 
+// maxUnsent returns how many attempts of q in a row may fail to send anything.
+func (q *request) maxUnsent() int {
+	if q.relayed {
+		return maxUnsentInStream
+	}
+	return maxUnsent
+}
+
 func refusalReason(r fescuelatch.AttemptResult) Reason {
 	if r.Overloaded {
 		return ReasonNoCapacity
@@ -180,15 +202,32 @@
 // broken retries an idempotent request, unless the caller has received a part of an
 // answer that cannot be resumed.
 func (c *Core) broken(now time.Time, q *request) {
-	if !c.mayRepeat(q) || !c.mayCrashAnother(now, q) || !q.retryGranted() && !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
-		if q.best.id != "" {
-			c.accept(q, q.best, false)
-			return
-		}
-		c.fail(q, ReasonBroken)
+	switch {
+	case !c.mayCrashAnother(now, q):
+		c.dropHedge(q)
+		c.endBroken(q)
+	case q.hedge.id == "" && (!c.mayRepeat(q) || !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure)):
+		c.endBroken(q)
+	default:
+		c.retry(now, q)
+	}
+}
+
+// endBroken ends a request without another attempt after one that may have run.
+func (c *Core) endBroken(q *request) {
+	if q.best.id != "" {
+		c.accept(q, q.best, false)
 		return
 	}
+	c.fail(q, ReasonBroken)
+}
+
+// retry goes on with the hedge of q, or makes another attempt.
+func (c *Core) retry(now time.Time, q *request) {
 	c.fire(q, chart.EventRetry)
-	c.exclude(q)
+	if c.promoteHedge(q) {
+		return
+	}
+	c.exclude(q, q.current)
 	c.place(now, q)
 }
--- a/decision/placement.go
+++ b/decision/placement.go
@@ -100,9 +100,7 @@
 
 // usable reports whether the request may still run on the current version,
 // or use its plain service.
-func (c *Core) usable(q *request) bool {
-	return q.retryGranted() || c.view.MayRun(q.Request, q.plan[q.step])
-}
+func (c *Core) usable(q *request) bool { return c.view.MayRun(q.Request, q.plan[q.step]) }
 
 func (c *Core) noTargetReason(q *request) Reason {
 	if len(q.tried) > 0 {
@@ -161,15 +159,15 @@
 		})
 		return
 	}
-	w := c.work(q)
+	w := c.work(q, q.current)
 	w.Endpoint = s.Endpoint
 	c.applyAdmissions(now, []fescuelatch.Admission{c.gate().Offer(now, w)})
 }
 
-// work returns the current attempt of q in the form that the gate expects.
-func (c *Core) work(q *request) fescuelatch.Work {
+// work returns an attempt of q in the form that the gate expects.
+func (c *Core) work(q *request, a attempt) fescuelatch.Work {
 	return fescuelatch.Work{
-		Attempt: q.current.id, Request: q.Request, Version: q.current.version,
+		Attempt: a.id, Request: q.Request, Version: a.version,
 		Share: q.share, Avoid: q.avoid,
 	}
 }
--- a/decision/relay.go
+++ b/decision/relay.go
@@ -13,7 +13,16 @@
 
 func (c *Core) opened(now time.Time, e Opened) {
 	q, ok := c.requests[e.Request]
-	if !ok || q.current.id != e.Attempt {
+	if !ok {
+		return
+	}
+	switch e.Attempt {
+	case q.current.id:
+		c.currentAnswers(now, q)
+	case q.hedge.id:
+		c.fire(q, chart.EventRetry)
+		c.promoteHedge(q)
+	default:
 		return
 	}
 	c.gate().FirstToken(now, e.Attempt)
@@ -66,7 +75,7 @@
 	old := q.current
 	q.step++
 	c.newAttempt(q, c.options.VM)
-	a := c.gate().Offer(now, c.work(q))
+	a := c.gate().Offer(now, c.work(q, q.current))
 	if a.Verdict == fescuelatch.AdmissionStart {
 		c.fire(q, chart.EventEscalate)
 		c.emit(Abandon{Request: q.ID, Attempt: old.id})
@@ -96,28 +105,15 @@
 	if q.best.id == "" {
 		q.best = q.current
 	}
-	if !q.Idempotent || q.attempts >= q.attemptLimit() || c.tooLate(now, q) || !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
+	if q.hedge.id == "" && (!q.Idempotent || q.attempts >= q.attemptLimit() || c.tooLate(now, q) || !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure)) {
 		c.accept(q, q.current, false)
 		return
 	}
-	c.fire(q, chart.EventRetry)
-	c.exclude(q)
-	c.place(now, q)
-}
-
-// exclude excludes the target of the last attempt from further attempts of q.
-func (c *Core) exclude(q *request) {
-	if !c.options.Direct || c.remote(q) {
-		q.tried[q.current.vm] = true
-		return
-	}
-	if q.current.endpoint != "" {
-		q.avoid = append(q.avoid, q.current.endpoint)
-	}
+	c.retry(now, q)
 }
 
-// remote reports whether the current attempt of q is made through another daemon.
-func (c *Core) remote(q *request) bool { return q.current.vm != "" && q.current.vm != c.options.VM }
+// remote reports whether an attempt is made through another daemon.
+func (c *Core) remote(a attempt) bool { return a.vm != "" && a.vm != c.options.VM }
 
 // attemptLimit returns the maximum number of counted attempts of q.
 func (q *request) attemptLimit() int {
--- a/decision/request.go
+++ b/decision/request.go
@@ -35,8 +35,9 @@
 	defaultRetryAfter = time.Second
 )
 
-// request is the state of one request. Either an attempt is current, or a
-// rating is awaited, or the request has ended and was removed from the core.
+// request is the state of one request. Either an attempt is current, which may
+// have a hedge, or a rating is awaited, or the request has ended and was removed
+// from the core.
 type request struct {
 	*fescuelatch.Request
 	share            float64
@@ -61,8 +62,8 @@
 	relayed bool
 	final   bool
 	current attempt
-	// grantedAttempt is the attempt for which GrantRetry granted a retry.
-	grantedAttempt fescuelatch.AttemptID
+	// hedge is the attempt beside the current one, without identifier if there is none.
+	hedge attempt
 	// best is the answered attempt with the highest score so far.
 	best      attempt
 	bestScore float64
@@ -83,6 +84,8 @@
 	endpoint   fescuelatch.EndpointID
 	queued     bool
 	firstToken bool
+	// ended reports that the end of the endpoint's process has been counted.
+	ended bool
 }
 
 // relayedAny reports whether the caller may have received part of an answer.
@@ -184,14 +187,19 @@
 // newAttempt makes the next attempt of q current.
 func (c *Core) newAttempt(q *request, vm fescuelatch.VMID) {
 	delete(c.attempts, q.current.id)
+	q.current = c.nextAttempt(q, vm)
+	c.attempts[q.current.id] = q
+}
+
+// nextAttempt returns the next attempt of q and counts it.
+func (c *Core) nextAttempt(q *request, vm fescuelatch.VMID) attempt {
 	q.attempts++
 	q.sequence++
 	id := q.forwardedAttempt
 	if id == "" {
 		id = fescuelatch.AttemptID(string(q.ID) + "." + strconv.Itoa(q.sequence))
 	}
-	q.current = attempt{id: id, version: q.plan[q.step], vm: vm}
-	c.attempts[id] = q
+	return attempt{id: id, version: q.plan[q.step], vm: vm}
 }
 
 func (c *Core) cancelled(now time.Time, e Cancelled) {
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -38,10 +38,17 @@
 )
 
 // attempt is one attempt. Its goroutine reads the endpoint's answer and relays
-// it once the core permits it.
+// it once the core permits it. Until then it does not use the request's output, to
+// which another attempt may be writing.
 type attempt struct {
 	request *activeRequest
 	start   decision.Start
+	// from is what the caller had received when the attempt was made.
+	from received
+	// fresh requires a new or recently used connection, and earlier is the number of
+	// attempts that have ended and may have run.
+	fresh   bool
+	earlier int
 	// delegate is the daemon through which the attempt is made, or empty for one at
 	// an endpoint. servedBy is the endpoint that it names in its answer.
 	delegate fescuelatch.VMID
@@ -53,12 +60,22 @@
 	cancel   context.CancelFunc
 	mayRelay chan struct{}
 	done     chan struct{}
+	// relays reports that the attempt was permitted to relay the answer.
+	relays bool
+	// contested reports that the attempt was unresponsive, so that a hedge may have
+	// replaced it.
+	contested bool
+	// replaced is set before the attempt is stopped if its hedge has answered.
+	replaced bool
 	// confidence and failure are, for the log, the confidence that the endpoint
 	// reported and the error if its status is a failure.
 	confidence float64
 	failure    error
-	// mayHaveRun is set when the attempt ends.
+	// ended reports that the request has taken note of the attempt's end. mayHaveRun and
+	// err, why the attempt has not succeeded, are set when it ends.
+	ended      bool
 	mayHaveRun bool
+	err        error
 	// resumes reports that the caller has received a part of an earlier answer.
 	resumes bool
 	// observed reports that the answer has counted as evidence on its release.
@@ -67,6 +84,8 @@
 	// had no body, or it is not known whether the endpoint still runs. refusing reports that
 	// the endpoint has refused connections right after it.
 	maybeCut, refusing bool
+	// endpointEnd is what was found when the endpoint's process had ended.
+	endpointEnd endpointEnd
 	// reported reports that the request was reported as a suspect in a crash. It is guarded
 	// by the lock of the daemon.
 	reported bool
@@ -75,10 +94,11 @@
 	progress answerProgress
 }
 
-func newAttempt(ctx context.Context, s *activeRequest, a decision.Start) *attempt {
+func newAttempt(ctx context.Context, s *activeRequest, a decision.Start, from received) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	return &attempt{
-		request: s, start: a, decided: time.Now(), ctx: ctx, cancel: cancel,
+		request: s, start: a, from: from, fresh: !s.details.Idempotent || s.sent > 1, earlier: s.mayHaveRunAttempts,
+		decided: time.Now(), ctx: ctx, cancel: cancel,
 		mayRelay: make(chan struct{}), done: make(chan struct{}),
 	}
 }
@@ -87,10 +107,15 @@
 func (t *attempt) relay() { close(t.mayRelay) }
 
 // stop cancels the attempt and waits until it no longer writes to the caller. A caller
-// that does not read would block it indefinitely, so its connection is aborted.
-func (t *attempt) stop() {
+// that does not read would block it indefinitely, so its connection is aborted. A hedge
+// writes nothing: a write in progress is that of the current attempt.
+func (t *attempt) stop(hedge bool) {
 	began := time.Now()
 	t.cancel()
+	if hedge {
+		<-t.done
+		return
+	}
 	if !t.request.writer.awaitBlocked(t.done, finalWriteTimeout/2) {
 		return
 	}
@@ -111,10 +136,10 @@
 	if err != nil {
 		t.classify(&r, err)
 	}
-	if r.Status == fescuelatch.AttemptBroken && t.delegate == "" {
+	if r.Status == fescuelatch.AttemptBroken && t.delegate == "" && !r.Replaced {
 		t.examineBreak(&r, err)
 	}
-	r.Final = !t.request.output.continuable()
+	r.Final = !t.received().continuable()
 	if r.Status != fescuelatch.AttemptNotStarted {
 		t.mayHaveRun = true
 		t.request.ran.Store(true)
@@ -128,7 +153,7 @@
 	if err == nil {
 		err = t.failure
 	}
-	t.request.lastError = err
+	t.err = err
 	if t.delegate == "" {
 		t.request.daemon.metrics.countAttempt(r)
 	} else {
@@ -169,22 +194,6 @@
 	return answered && t.delegate == "" && !t.maybeCut && t.progress.shown < answerLasts
 }
 
-// failOver reports whether the core retries the request on another endpoint
-// instead of this unresponsive one.
-func (t *attempt) failOver() bool {
-	if !t.request.output.continuable() {
-		return false
-	}
-	d := t.request.daemon
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	retried := d.core.GrantRetry(time.Now(), t.request.details.ID)
-	if !retried {
-		t.request.log("endpoint is silent, but no other one may go on", "endpoint", t.start.Endpoint)
-	}
-	return retried
-}
-
 // errRefused means that the endpoint did not run the attempt.
 var errRefused = errors.New("the endpoint did not run the request")
 
@@ -263,6 +272,10 @@
 	if errors.Is(err, errRefused) {
 		return
 	}
+	if errors.Is(err, errReplaced) || t.ctx.Err() != nil && t.replaced {
+		r.Status, r.Replaced, r.EndpointGone = fescuelatch.AttemptBroken, true, t.endpointEnd.gone
+		return
+	}
 	kind := endpoint.KindOf(err)
 	r.Unreachable = kind == endpoint.KindUnreachable || kind == endpoint.KindInactive
 	switch kind {
@@ -292,8 +305,8 @@
 	a, err := to.client.Do(t.ctx, to.address, &endpoint.Request{
 		Identifier: s.call.Call, Method: s.incoming.Method, Target: s.incoming.RequestURI, Host: s.incoming.Host,
 		Header: to.header, Body: s.body,
-		Fresh: !s.details.Idempotent || s.sent > 1, InactivityTimeout: t.start.Timeouts.First,
-		Connected: t.connected, MayAbandon: t.failOver,
+		Fresh: t.fresh, InactivityTimeout: t.start.Timeouts.First,
+		Connected: t.connected, Inactive: t.unresponsive,
 	})
 	if err != nil {
 		return err //nolint:wrapcheck // classify needs its kind.
@@ -312,7 +325,7 @@
 	}
 	t.confidence, t.status = headers.Confidence, a.Status
 	t.progress.begun = true
-	if t.resumes = s.output.started; t.resumes && !s.output.continues(a) {
+	if t.resumes = t.from.started; t.resumes && !t.from.continues(a) {
 		t.failContinuation(a, r, headers)
 		return nil
 	}
@@ -336,11 +349,11 @@
 	left := time.Until(s.details.Deadline)
 	if t.delegate != "" {
 		to, ok := d.delegateOf(t.delegate)
-		h := fescuelatch.DelegatedHeaders{TimeLeft: left, LastEvent: s.output.lastEvent, Attempts: s.mayHaveRunAttempts}
+		h := fescuelatch.DelegatedHeaders{TimeLeft: left, LastEvent: t.from.lastEvent, Attempts: t.earlier}
 		return destination{d.delegateFronts, to, d.options.Dialect.WriteDelegated(s.incoming.Header, h)}, ok
 	}
 	to, ok := d.active.Load().addresses[t.start.Endpoint]
-	h := fescuelatch.AttemptHeaders{Endpoint: t.start.Endpoint, TimeLeft: left, LastEvent: s.output.lastEvent, Rank: s.details.Rank}
+	h := fescuelatch.AttemptHeaders{Endpoint: t.start.Endpoint, TimeLeft: left, LastEvent: t.from.lastEvent, Rank: s.details.Rank}
 	if s.details.Account != accountPublic {
 		h.Account = s.details.Account
 	}
@@ -416,8 +429,7 @@
 func (t *attempt) finishRefused(a *endpoint.Answer, r *fescuelatch.AttemptResult, headers fescuelatch.AnswerHeaders) error {
 	// The body is read for reuse of the connection, unless it is long or slow.
 	// Read errors do not matter.
-	a.SetInactivityTimeout(refusalTimeout)
-	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxRefusalBytes))
+	_ = a.Discard(maxRefusalBytes, refusalTimeout)
 	if a.Trailing() {
 		return errContradicted
 	}
@@ -512,11 +524,14 @@
 	for {
 		a.SetInactivityTimeout(timeout)
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			break
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err //nolint:wrapcheck // classify needs its kind.
+		}
+		if !t.resume() {
+			return errReplaced
 		}
 		if err != nil {
-			return err //nolint:wrapcheck // classify needs its kind.
+			break
 		}
 		if t.resumes && !s.output.continuesAt(e) {
 			return errForeignEvent
@@ -561,6 +576,7 @@
 	})
 	select {
 	case <-t.mayRelay:
+		t.relays, t.contested = true, false
 		return true
 	case <-t.ctx.Done():
 		return false
--- a/direct/continuation.go
+++ b/direct/continuation.go
@@ -25,25 +25,25 @@
 }
 
 // continuable reports whether a further answer can continue what the caller has received.
-func (o *output) continuable() bool { return !o.started || o.stream && !o.unplaced }
+func (r received) continuable() bool { return !r.started || r.stream && !r.unplaced }
 
 // continues reports whether a further answer continues the one whose head the caller has
 // received.
-func (o *output) continues(a *endpoint.Answer) bool {
-	return o.continuable() && isStream(a) && a.Status == o.status
+func (r received) continues(a *endpoint.Answer) bool {
+	return r.continuable() && isStream(a) && a.Status == r.status
 }
 
 // continuesAt reports whether an event of a further attempt belongs to the stream: its place
 // shows only from identifiers of the same kind. Any stream may start again while the caller
 // has received no data.
-func (o *output) continuesAt(e sse.Event) bool {
+func (r received) continuesAt(e sse.Event) bool {
 	switch {
-	case o.lastEvent == "":
+	case r.lastEvent == "":
 		return true
 	case e.ID == "":
 		return !e.Data
 	}
-	return isNumber(e.ID) == isNumber(o.lastEvent)
+	return isNumber(e.ID) == isNumber(r.lastEvent)
 }
 
 func isNumber(id string) bool {
--- a/direct/crashes.go
+++ b/direct/crashes.go
@@ -142,10 +142,18 @@
 	return nil
 }
 
-// examineBreak completes the result of a broken attempt by what a new connection to the
-// endpoint shows. If it is accepted, the answer was lost but the endpoint still runs. If
-// it is refused, the endpoint's process has ended.
+// endpointEnd is what an attempt has found of its endpoint: gone reports that it cannot be
+// reached, and ended that its process has ended.
+type endpointEnd struct{ gone, ended bool }
+
+// examineBreak completes the result of an attempt that is broken or unresponsive by what a
+// new connection to the endpoint shows. If it is accepted, the endpoint still runs. If it
+// is refused, the endpoint's process has ended, which is reported once.
 func (t *attempt) examineBreak(r *fescuelatch.AttemptResult, err error) {
+	if t.endpointEnd.ended {
+		r.EndpointGone, r.EndpointEnded, r.Unreachable = true, true, true
+		return
+	}
 	d := t.request.daemon
 	broken := time.Now()
 	to, ok := d.active.Load().addresses[t.start.Endpoint]
@@ -160,6 +168,7 @@
 	}
 	r.EndpointGone, r.Unreachable = true, true
 	r.EndpointEnded = endpoint.Refused(probe)
+	t.endpointEnd = endpointEnd{gone: true, ended: r.EndpointEnded}
 	r.Lasted = t.progress.shown == answerLasts
 	kind := endpoint.KindOf(err)
 	if !r.EndpointEnded || kind != endpoint.KindBroken && kind != endpoint.KindInactive {
--- /dev/null
+++ b/direct/hedge_test.go
@@ -0,0 +1,194 @@
+package direct_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/platform/fakeplatform"
+)
+
+// This file tests requests whose endpoint falls silent, by what the other endpoints do.
+
+// pausing streams a number of events, is silent for a time and sends the others.
+func pausing(total, before int, silence time.Duration) fakeplatform.Behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if before > 0 {
+			fakeplatform.Stream(before, 0, "90", 0)(w, r)
+			r.Header.Set("Last-Event-Id", events(before)[len("id: "):len("id: ")+1])
+		}
+		time.Sleep(silence)
+		fakeplatform.Stream(total, 0, "90", 0)(w, r)
+	}
+}
+
+// lateStream sends nothing for a time and streams events then, each after a gap.
+func lateStream(n int, after, gap time.Duration) fakeplatform.Behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(after)
+		fakeplatform.Stream(n, 0, "90", gap)(w, r)
+	}
+}
+
+// TestSilentEndpointWhileOthersRefuse guards against answers that are given up, as their
+// endpoint is silent for a second, for other endpoints that do not take the request.
+func TestSilentEndpointWhileOthersRefuse(t *testing.T) {
+	const (
+		n       = 5
+		silence = 1300 * time.Millisecond
+	)
+	refuseLate := func(after time.Duration) fakeplatform.Behaviour { return slowly(after, fakeplatform.NotRun) }
+	others := []struct {
+		name   string
+		others fakeplatform.Behaviour
+	}{
+		{"full", fakeplatform.NotRun},
+		{"full and want no work", fakeplatform.Shed("1")},
+		{"full, told after 0.3 s", refuseLate(300 * time.Millisecond)},
+		{"full, told after 0.6 s", refuseLate(600 * time.Millisecond)},
+		{"full, told after the silence", refuseLate(2 * time.Second)},
+		{"silent", fakeplatform.Hang},
+		{"reset the connection", fakeplatform.Reset},
+		{"fail", fakeplatform.Status(http.StatusInternalServerError)},
+		{"another service", fakeplatform.Status(http.StatusMisdirectedRequest)},
+	}
+	kinds := []struct {
+		name, host, path, body string
+		header                 []string
+		service                string
+		paused                 fakeplatform.Behaviour
+	}{
+		{"stream", "lm.example", "/write/", events(n), []string{"Fescuelatch-Model", "*"}, "lm", pausing(n, 2, silence)},
+		{"stream that has not begun", "lm.example", "/write/", events(n), []string{"Fescuelatch-Model", "*"}, "lm", pausing(n, 0, silence)},
+		{"lookup", "desk.example", "/look/", "found", nil, "desk", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(silence)
+			_, _ = w.Write([]byte("found"))
+		}},
+	}
+	for _, kind := range kinds {
+		for _, test := range others {
+			t.Run(kind.name+"/"+test.name, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, kind.service, 3)
+				s.awaitReady()
+				s.inOrder(kind.paused, test.others)
+				a := s.call(http.MethodPost, kind.host, kind.path, "", append([]string{"Fescuelatch-Deadline-Ms", "4000"}, kind.header...)...)
+				s.Check(a.err, qt.IsNil)
+				s.Check(a.status, qt.Equals, http.StatusOK)
+				s.Check(a.body, qt.Equals, kind.body)
+			})
+		}
+	}
+}
+
+// TestSilentEndpointIsReplaced checks that a request whose endpoint is silent for longer than
+// its inactivity timeout is answered by another endpoint that takes it.
+func TestSilentEndpointIsReplaced(t *testing.T) {
+	const (
+		n = 5
+		// timeout is the inactivity timeout of the route.
+		timeout = 800 * time.Millisecond
+		slack   = 500 * time.Millisecond
+	)
+	hangAfter := func(before int) fakeplatform.Behaviour {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if before > 0 {
+				fakeplatform.Stream(before, 0, "90", 0)(w, r)
+			}
+			<-r.Context().Done()
+		}
+	}
+	tests := []struct {
+		name       string
+		behaviours []fakeplatform.Behaviour
+		within     time.Duration
+		runs       int
+	}{
+		{"during the stream", []fakeplatform.Behaviour{hangAfter(2), lateStream(n, 0, 0)}, timeout + slack, 2},
+		{"before the stream", []fakeplatform.Behaviour{hangAfter(0), lateStream(n, 0, 0)}, timeout + slack, 2},
+		{"one of the others is full", []fakeplatform.Behaviour{hangAfter(2), fakeplatform.NotRun, lateStream(n, 0, 0)}, timeout + slack, 3},
+		{"one of the others is silent too", []fakeplatform.Behaviour{hangAfter(2), hangAfter(0), lateStream(n, 0, 0)}, 2*timeout + slack, 3},
+		{"the other takes its time", []fakeplatform.Behaviour{hangAfter(2), lateStream(n, 600*time.Millisecond, 0)}, timeout + 600*time.Millisecond + slack, 2},
+		{"the connection ends while the other takes its time", []fakeplatform.Behaviour{
+			func(w http.ResponseWriter, r *http.Request) {
+				fakeplatform.Stream(2, 0, "90", 0)(w, r)
+				time.Sleep(timeout + 200*time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}, lateStream(n, 600*time.Millisecond, 0),
+		}, timeout + 600*time.Millisecond + slack, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, "lm", 3)
+			s.awaitReady()
+			s.inOrder(test.behaviours...)
+			began := time.Now()
+			a := s.call(http.MethodPost, "lm.example", "/write/", "", "Fescuelatch-Model", "*", "Fescuelatch-Deadline-Ms", "4000")
+			took := time.Since(began)
+			s.Check(a.err, qt.IsNil)
+			s.Check(a.status, qt.Equals, http.StatusOK)
+			s.Check(a.body, qt.Equals, events(n))
+			s.Check(took < test.within, qt.IsTrue, qt.Commentf("%v", took))
+			s.Check(s.runs(), qt.HasLen, test.runs)
+		})
+	}
+}
+
+// TestBothEndpointsAnswer guards against a stream that is put together from two runs, when a
+// silent endpoint goes on at the moment at which another one begins.
+func TestBothEndpointsAnswer(t *testing.T) {
+	const (
+		timeout = 800 * time.Millisecond
+		calls   = 24
+		n       = 9
+	)
+	// run streams events that name the run. It sends the first of them at once, and the others
+	// after a silence, each after a gap.
+	run := func(name string, first int, silence time.Duration) fakeplatform.Behaviour {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			flush := http.NewResponseController(w).Flush
+			next := 1
+			if last := r.Header.Get("Last-Event-Id"); last != "" {
+				next = int(last[0]-'0') + 1
+			}
+			for ; next <= n; next++ {
+				if next > first {
+					time.Sleep(silence)
+					silence = 10 * time.Millisecond
+				}
+				_, _ = w.Write([]byte("id: " + string(rune('0'+next)) + "\ndata: " + name + "\n\n"))
+				_ = flush()
+			}
+		}
+	}
+	var waiting sync.WaitGroup
+	for i := range calls {
+		waiting.Go(func() {
+			s := newSite(t, "lm", 2)
+			s.awaitReady()
+			s.inOrder(run("a", 2, timeout+time.Duration(i)*5*time.Millisecond), run("b", 0, 40*time.Millisecond))
+			a := s.call(http.MethodPost, "lm.example", "/write/", "", "Fescuelatch-Model", "*", "Fescuelatch-Deadline-Ms", "4000")
+			s.Check(a.err, qt.IsNil)
+			// The second run goes on after the second event only.
+			s.Check(dataOf(a.body) == strings.Repeat("a", n) || dataOf(a.body) == "aa"+strings.Repeat("b", n-2), qt.IsTrue, qt.Commentf("%s", dataOf(a.body)))
+		})
+	}
+	waiting.Wait()
+}
+
+// dataOf returns the data of a stream's events.
+func dataOf(body string) string {
+	var b strings.Builder
+	for line := range strings.Lines(body) {
+		if data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: "); ok {
+			b.WriteString(data)
+		}
+	}
+	return b.String()
+}
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -32,6 +32,8 @@
 	// abortedCallers counts connections that were aborted because their callers did not
 	// read.
 	abortedCallers tally.Counter
+	// hedges counts attempts that were made beside an unresponsive one.
+	hedges tally.Counter
 	// decisionWait is how long decisions waited for the ones before, and tickDelay how
 	// late the process came to run.
 	decisionWait, tickDelay tally.Histogram
@@ -56,6 +58,7 @@
 		blockedRequests:   s.Gauge("blocked_requests"),
 		allocatorFailures: s.Counter("allocator_failures"),
 		abortedCallers:    s.Counter("aborted_callers"),
+		hedges:            s.Counter("hedges"),
 		decisionWait:      s.Histogram("decision_wait", latencyBuckets),
 		tickDelay:         s.Histogram("tick_delay", latencyBuckets),
 	}
--- a/direct/output.go
+++ b/direct/output.go
@@ -20,20 +20,25 @@
 	body   []byte
 }
 
-// output is the answer to a caller. Only one attempt at a time writes to it.
-type output struct {
+// received is what a caller has received of an answer.
+type received struct {
 	started bool
 	// status is that of the relayed answer, and stream reports whether it is a stream
 	// of events.
 	status int
 	stream bool
-	// truncated reports that the answer must not appear complete.
-	truncated bool
 	// lastEvent is the identifier of the last event sent to the caller. Events with
 	// data, but without identifiers, have followed it if unplaced is set: then no
 	// endpoint can resume the stream.
 	lastEvent string
 	unplaced  bool
+}
+
+// output is the answer to a caller. Only one attempt at a time writes to it.
+type output struct {
+	received
+	// truncated reports that the answer must not appear complete.
+	truncated bool
 	timing    streamTiming
 	// servedBy is the endpoint to name to the daemon that has passed the request on.
 	servedBy fescuelatch.EndpointID
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -30,9 +30,12 @@
 	arrived  time.Time
 	actions  chan decision.Action
 
-	// current is the current attempt. Only the goroutine of the request uses
-	// it.
-	current *attempt
+	// current is the current attempt, and hedge the one beside it that may replace it.
+	// Only the goroutine of the request uses them.
+	current, hedge *attempt
+	// hedgeFrom is what the caller had received when the current attempt was last
+	// unresponsive.
+	hedgeFrom atomic.Pointer[received]
 	// sent counts attempts of which a byte may have reached an endpoint, and
 	// mayHaveRunAttempts those that have ended and may have run.
 	sent               int
@@ -43,7 +46,8 @@
 	answers map[fescuelatch.AttemptID]*bufferedAnswer
 	// output is the answer to the caller.
 	output output
-	// lastEndpoint and lastError are of the last attempt, for the log.
+	// lastEndpoint is that of the current attempt, and lastError of the last one that
+	// has ended, for the log.
 	lastEndpoint fescuelatch.EndpointID
 	lastError    error
 	// keptReason is why the relayed answer was not abandoned for a better one.
@@ -51,8 +55,8 @@
 }
 
 // actionBuffer holds all actions that can be pending for one request: abandon an
-// attempt, start another, relay and end.
-const actionBuffer = 8
+// attempt, start another, relay and end, also while hedges start and are abandoned.
+const actionBuffer = 32
 
 // lastRequest is the number of the last request of this process.
 var lastRequest atomic.Uint64
@@ -131,9 +135,6 @@
 	d.signalPermitsLocked()
 	d.mu.Unlock()
 	s.run(ctx)
-	if s.current != nil {
-		s.current.stop()
-	}
 	d.mu.Lock()
 	delete(d.requests, s.details.ID)
 	d.mu.Unlock()
@@ -169,61 +170,131 @@
 		s.keptReason = a.Kept
 		s.current.relay()
 	case decision.Abandon:
-		s.log("answer abandoned for one of a larger model", "attempt", a.Attempt, "endpoint", s.lastEndpoint,
-			"confidence", s.current.confidence)
-		s.current.stop()
+		s.abandon(a)
 	case decision.Accept:
+		s.stopAttempts()
 		s.accept(a)
 		return true
 	case decision.Refuse:
+		s.stopAttempts()
 		s.refuse(a.Reason, a.RetryAfter)
 		return true
 	case decision.Fail:
+		s.stopAttempts()
 		s.fail(a.Reason)
 		return true
 	case decision.Drop:
+		s.stopAttempts()
 		s.drop(ctx)
 		return true
 	}
 	return false
 }
 
+// start makes an attempt at an endpoint.
 func (s *activeRequest) start(ctx context.Context, a decision.Start) {
-	s.endCurrent()
-	s.lastEndpoint = a.Endpoint
-	if s.details.Delegated {
-		s.output.servedBy = a.Endpoint
-	}
-	if s.sent > 0 {
+	from := s.endPrevious(a.Hedge)
+	s.recordLimited(a)
+	t := newAttempt(ctx, s, a, from)
+	switch {
+	case a.Hedge:
+		s.log("endpoint is silent; request is sent to another one as well", "attempt", a.Attempt, "endpoint", a.Endpoint, "version", a.Version,
+			"last-event", from.lastEvent, "silent", s.lastEndpoint)
+		s.daemon.metrics.hedges.Inc(1)
+	case s.sent > 0:
 		s.log("request is sent again", "attempt", a.Attempt, "endpoint", a.Endpoint, "version", a.Version,
-			"last-event", s.output.lastEvent, "cause", errorText(s.lastError))
+			"last-event", from.lastEvent, "cause", errorText(s.lastError))
 	}
-	s.recordLimited(a)
+	s.launch(t, a.Hedge)
+}
+
+// delegate passes the request on to another daemon.
+func (s *activeRequest) delegate(ctx context.Context, a decision.Forward) {
+	from := s.endPrevious(a.Hedge)
+	t := newAttempt(ctx, s, decision.Start{Request: a.Request, Attempt: a.Attempt, Version: a.Version, Timeouts: a.Timeouts}, from)
+	t.delegate = a.VM
+	s.log("request is passed on to another daemon", "attempt", a.Attempt, "peer", a.VM, "last-event", from.lastEvent, "cause", errorText(s.lastError),
+		"hedge", a.Hedge)
+	if a.Hedge {
+		s.daemon.metrics.hedges.Inc(1)
+	}
+	s.launch(t, a.Hedge)
+}
+
+// endPrevious ends the attempt before a new one, and returns what the caller has received
+// by then.
+func (s *activeRequest) endPrevious(hedge bool) received {
+	if hedge {
+		if s.hedge != nil {
+			s.end(s.hedge, true)
+			s.log("attempt at another endpoint has ended", "attempt", s.hedge.start.Attempt, "endpoint", s.hedge.start.Endpoint, "error", errorText(s.hedge.err))
+		}
+		return *s.hedgeFrom.Load()
+	}
+	s.end(s.current, false)
+	return s.output.received
+}
+
+// launch starts a new attempt.
+func (s *activeRequest) launch(t *attempt, hedge bool) {
 	s.sent++
-	s.current = newAttempt(ctx, s, a)
-	go s.current.run()
+	if hedge {
+		s.hedge = t
+	} else {
+		s.makeCurrent(t)
+	}
+	go t.run()
+}
+
+func (s *activeRequest) makeCurrent(t *attempt) {
+	s.current, s.lastEndpoint = t, t.start.Endpoint
+	if s.details.Delegated {
+		s.output.servedBy = t.start.Endpoint
+	}
 }
 
-// endCurrent ends the current attempt, if there is one.
-func (s *activeRequest) endCurrent() {
-	if s.current == nil {
+// end stops an attempt, if there is one, and records how it has ended.
+func (s *activeRequest) end(t *attempt, hedge bool) {
+	if t == nil || t.ended {
 		return
 	}
-	s.current.stop()
-	if s.current.mayHaveRun {
+	t.stop(hedge)
+	t.ended = true
+	if !hedge {
+		s.lastError = t.err
+	}
+	if t.mayHaveRun {
 		s.mayHaveRunAttempts++
 	}
 }
 
-// delegate passes the request on to another daemon.
-func (s *activeRequest) delegate(ctx context.Context, a decision.Forward) {
-	s.endCurrent()
-	s.lastEndpoint = ""
-	s.log("request is passed on to another daemon", "attempt", a.Attempt, "peer", a.VM, "last-event", s.output.lastEvent, "cause", errorText(s.lastError))
-	s.sent++
-	s.current = newAttempt(ctx, s, decision.Start{Request: a.Request, Attempt: a.Attempt, Version: a.Version, Timeouts: a.Timeouts})
-	s.current.delegate = a.VM
-	go s.current.run()
+// stopAttempts stops all attempts.
+func (s *activeRequest) stopAttempts() {
+	if s.hedge != nil {
+		s.hedge.cancel()
+	}
+	s.end(s.current, false)
+	s.end(s.hedge, true)
+}
+
+// abandon ends an attempt in favour of another one.
+func (s *activeRequest) abandon(a decision.Abandon) {
+	switch {
+	case s.hedge != nil && s.hedge.start.Attempt == a.Attempt:
+		s.log("endpoint goes on; attempt at another one is ended", "attempt", a.Attempt, "endpoint", s.lastEndpoint, "other", s.hedge.start.Endpoint)
+		s.end(s.hedge, true)
+		s.hedge = nil
+	case a.Replaced:
+		s.log("another endpoint goes on in place of a silent one", "attempt", s.hedge.start.Attempt, "endpoint", s.hedge.start.Endpoint, "silent", s.lastEndpoint)
+		s.current.replaced = true
+		s.end(s.current, false)
+		s.makeCurrent(s.hedge)
+		s.hedge = nil
+	default:
+		s.log("answer abandoned for one of a larger model", "attempt", a.Attempt, "endpoint", s.lastEndpoint,
+			"confidence", s.current.confidence)
+		s.end(s.current, false)
+	}
 }
 
 // recordLimited logs and counts an attempt at an endpoint that limits its rate.
@@ -278,9 +349,6 @@
 	if why == decision.ReasonDeadline {
 		status = http.StatusGatewayTimeout
 	}
-	if s.current != nil {
-		s.current.stop()
-	}
 	if s.output.started {
 		s.output.truncated = true
 	} else {
@@ -291,9 +359,6 @@
 
 // drop ends a request whose caller disconnected or whose deadline passed.
 func (s *activeRequest) drop(ctx context.Context) {
-	if s.current != nil {
-		s.current.stop()
-	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.output.truncated = true
 		s.finish(fescuelatch.OutcomeUnknown, codeCallerLeft, "")
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -80,9 +80,9 @@
 	InactivityTimeout time.Duration
 	// Connected, when set, is called before the request is written to its connection.
 	Connected func()
-	// MayAbandon, when set, is called before inactivity ends the exchange. If it
-	// reports false, the wait continues.
-	MayAbandon func() bool
+	// Inactive, when set, is called each time the inactivity timeout has passed, and the
+	// exchange goes on. Otherwise the timeout ends the exchange.
+	Inactive func()
 }
 
 // Answer is the answer of an endpoint. It must be read to its end or closed.
@@ -138,7 +138,7 @@
 	if err := h.Write(k.Conn); err != nil {
 		return nil, exchangeError(ctx, "write request", err)
 	}
-	k.mayAbandon = r.MayAbandon
+	k.inactive = r.Inactive
 	k.setInactivityTimeout(r.InactivityTimeout)
 	k.head.begin()
 	defer k.head.end()
@@ -260,6 +260,18 @@
 	a.conn.setInactivityTimeout(d)
 }
 
+// Discard reads and drops at most the given bytes of the rest of the body, and ends the
+// exchange if the endpoint is inactive for longer than the timeout.
+func (a *Answer) Discard(most int64, timeout time.Duration) error {
+	if a.ended {
+		return nil
+	}
+	a.conn.inactive = nil
+	a.conn.setInactivityTimeout(timeout)
+	_, err := io.Copy(io.Discard, io.LimitReader(a, most))
+	return err //nolint:wrapcheck // Read has wrapped it.
+}
+
 // Trailing reports whether further bytes had arrived when the body ended. Then the endpoint
 // has perhaps answered the request twice.
 func (a *Answer) Trailing() bool { return a.trailing }
@@ -277,7 +289,7 @@
 		return
 	}
 	a.conn.setInactivityTimeout(0)
-	a.conn.mayAbandon, a.conn.reused = nil, true
+	a.conn.inactive, a.conn.reused = nil, true
 	a.client.release(a.conn)
 }
 
--- a/endpoint/inactivity.go
+++ b/endpoint/inactivity.go
@@ -49,11 +49,11 @@
 // recordActivity records that the endpoint is active now.
 func (k *connection) recordActivity() { k.activity.nanos.Store(int64(time.Since(k.start))) }
 
-// Read implements io.Reader. With an inactivity timeout it fails when the
-// endpoint has been inactive on all connections for that long, or when the
-// awaited head or event has not arrived within activeTimeoutFactor times as
-// long: bytes alone are no progress. Bytes that have arrived by the time at which a timeout
-// is noticed are read.
+// Read implements io.Reader. With an inactivity timeout it fails, or calls inactive and
+// goes on, when the endpoint has been inactive on all connections for that long, or when
+// the awaited head or event has not arrived within activeTimeoutFactor times as long:
+// bytes alone are no progress. Bytes that have arrived by the time at which a timeout is
+// noticed are read.
 func (k *connection) Read(b []byte) (int, error) {
 	if k.head.exceeded() {
 		return 0, errHeadTooLong
@@ -85,9 +85,11 @@
 		if until > now {
 			continue
 		}
-		if k.mayAbandon == nil || k.mayAbandon() {
+		if k.inactive == nil {
 			return n, err //nolint:wrapcheck // The exchange wraps it.
 		}
+		k.inactive()
+		now = time.Since(k.start)
 		k.waitStart, k.lateSince = now, 0
 		longest = now + activeTimeoutFactor*k.inactivityTimeout
 		until = now + k.inactivityTimeout
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -52,9 +52,9 @@
 	waitStart time.Duration
 	// lateSince is when the longest wait was noticed to be over, or zero.
 	lateSince time.Duration
-	// mayAbandon, when set, is called before inactivity ends the exchange.
-	mayAbandon func() bool
-	head       headBudget
+	// inactive, when set, is called when the endpoint is inactive; otherwise the exchange ends.
+	inactive func()
+	head     headBudget
 }
 
 // close closes the connection. It is safe for concurrent use with an exchange.
--- a/gate/shared/domain.go
+++ b/gate/shared/domain.go
@@ -23,10 +23,13 @@
 // reached records an answer from an endpoint of the domain.
 func (d *domain) reached() { d.failures = 0 }
 
+// failed records that an endpoint of the domain was unreachable.
+func (d *domain) failed() { d.failures++ }
+
 func (d *domain) end(r fescuelatch.AttemptResult) {
 	switch {
 	case r.Unreachable:
-		d.failures++
+		d.failed()
 	case r.Status == fescuelatch.AttemptAnswered, r.Status == fescuelatch.AttemptFailed, r.Overloaded:
 		d.reached()
 	}
--- a/gate/shared/endpointload.go
+++ b/gate/shared/endpointload.go
@@ -189,6 +189,9 @@
 			e.recordFailure(now, 1, wasTrial, s)
 		}
 	case fescuelatch.AttemptBroken:
+		if r.Replaced {
+			return
+		}
 		if r.Unreachable {
 			e.markUnreachable(now)
 			return
--- a/gate/shared/gate.go
+++ b/gate/shared/gate.go
@@ -163,6 +163,23 @@
 	a.endpoint.observeFirst(now, took, latency.expectedFirst(a.uncached))
 }
 
+// Inactive records that the endpoint of a started attempt is unresponsive. It gets no further
+// work until it accepts a connection or goes on with its answer.
+func (g *Gate) Inactive(now time.Time, id fescuelatch.AttemptID) {
+	if a := g.attempts[id]; a != nil {
+		a.endpoint.markUnreachable(now)
+		g.domainOf(a.endpoint).failed()
+	}
+}
+
+// Resumed records that the endpoint of an attempt has gone on with its answer.
+func (g *Gate) Resumed(now time.Time, id fescuelatch.AttemptID) {
+	if a := g.attempts[id]; a != nil {
+		a.endpoint.responded(now)
+		g.Reached(a.endpoint.owned.Endpoint.ID)
+	}
+}
+
 // took returns how long an attempt has taken. If a stall of this daemon hides that, it is the
 // expected time as far as that is possible.
 func (g *Gate) took(now time.Time, a *attempt, expected time.Duration) time.Duration {
--- a/request.go
+++ b/request.go
@@ -149,6 +149,9 @@
 	Unreachable bool `json:"unreachable,omitempty"`
 	// WrongEndpoint reports that another endpoint answered at its address.
 	WrongEndpoint bool `json:"misplaced,omitempty"`
+	// Replaced reports that the endpoint was unresponsive, which its gate knows, and that
+	// another attempt has taken over.
+	Replaced bool `json:"replaced,omitempty"`
 	// EndpointGone reports that the endpoint terminated, or was disconnected, during
 	// the attempt, which then shows nothing of its version.
 	EndpointGone bool `json:"gone,omitempty"`
