Hold the small model's answer until an endpoint of the larger one has begun

The answer was ended as soon as the gate believed that the larger model would start somewhere, which cannot be undone.

Evidence: TestLargerModelIsNotServed failed in 6 of 6 cases before the change (endpoints full, full and late to say so, resetting, failing, silent, of another service).

Now the request on the larger model is a hedge of the attempt that has begun. Its answer ends the first one; if no endpoint gives one, the first is relayed. A hedge has an inactivity timeout also if it is the last attempt, as the attempt beside it can go on.

--- a/decision/action.go
+++ b/decision/action.go
@@ -21,8 +21,8 @@
 	Endpoint fescuelatch.EndpointID
 	Version  fescuelatch.VersionID
 	Timeouts InactivityTimeouts
-	// Hedge reports that the current attempt goes on.
-	Hedge bool
+	// Hedge, if set, is why this attempt is made beside the current one, which goes on.
+	Hedge HedgeReason
 }
 
 // Forward starts an attempt through the daemon on VM, which owns an endpoint
@@ -33,8 +33,8 @@
 	VM       fescuelatch.VMID
 	Version  fescuelatch.VersionID
 	Timeouts InactivityTimeouts
-	// Hedge reports that the current attempt goes on.
-	Hedge bool
+	// Hedge, if set, is why this attempt is made beside the current one, which goes on.
+	Hedge HedgeReason
 }
 
 // KeptReason is the reason why an answer was not abandoned for a better version.
@@ -59,12 +59,11 @@
 	Kept    KeptReason
 }
 
-// Abandon cancels an attempt that another one replaces. If it is the current one,
-// its hedge, or the attempt that starts next, becomes current.
+// Abandon cancels an attempt. If it is the current one, its hedge becomes current.
 type Abandon struct {
 	Request fescuelatch.RequestID
 	Attempt fescuelatch.AttemptID
-	// Replaced reports that the attempt has a hedge, as it was unresponsive.
+	// Replaced reports that the attempt was unresponsive, and has a hedge for that.
 	Replaced bool
 }
 
--- a/decision/direct_test.go
+++ b/decision/direct_test.go
@@ -39,15 +39,47 @@
 		}},
 	})
 	c.Assert(err, qt.IsNil)
+	core := coreWith(budget, crashes)
+	core.Handle(epoch, decision.Configured{View: view})
+	core.Handle(epoch, decision.Owned{Endpoints: endpointsOf("lm@v1", 3)})
+	return core
+}
+
+// coreWith returns a core without a configuration.
+func coreWith(budget fescuelatch.RetryBudget, crashes fescuelatch.CrashGuard) *decision.Core {
 	ladder := cascade.NewLadder(cascade.LadderSettings{})
-	core := decision.New(decision.Options{
+	return decision.New(decision.Options{
 		VM: self, Domain: domain, Random: rand.New(rand.NewPCG(1, 2)), Direct: true, Crashes: crashes,
 		Quality: new(quality.Static), Versions: ladder, Escalation: ladder, Placement: new(placement.Policy),
 		Gate: shared.New(shared.Settings{}, rand.New(rand.NewPCG(1, 3))), Sampler: quality.FixedShare{},
 		Retries: budget,
 	})
+}
+
+// escalatingCore returns a core with three endpoints of a small and a large model.
+func escalatingCore(c *qt.C) *decision.Core {
+	versions := []fescuelatch.VersionID{"small@v1", "large@v1"}
+	view, err := fescuelatch.NewView(&fescuelatch.Configuration{
+		Generation: 1,
+		Inventory: fescuelatch.Inventory{
+			Domains: []fescuelatch.FailureDomain{{ID: "d1"}},
+			Models:  []fescuelatch.Model{{ID: "small"}, {ID: "large"}},
+			Versions: []fescuelatch.Version{
+				{ID: versions[0], Model: "small", Quality: 1, Weight: 1}, {ID: versions[1], Model: "large", Quality: 1, Weight: 1},
+			},
+		},
+		Rules: fescuelatch.Rules{Accounts: []fescuelatch.Account{
+			{ID: "a", KeyHashes: []string{fescuelatch.HashKey("a")}, Models: []fescuelatch.ModelID{"small", "large"}},
+		}},
+	})
+	c.Assert(err, qt.IsNil)
+	core := coreWith(nil, nil)
 	core.Handle(epoch, decision.Configured{View: view})
-	core.Handle(epoch, decision.Owned{Endpoints: endpointsOf("lm@v1", 3)})
+	endpoints := endpointsOf(versions[0], 3)
+	for i := range endpoints {
+		endpoints[i].Pool.Versions = versions
+	}
+	core.Handle(epoch, decision.Owned{Endpoints: endpoints})
 	return core
 }
 
--- a/decision/hedge.go
+++ b/decision/hedge.go
@@ -9,10 +9,20 @@
 )
 
 // This file defines hedges. A hedge is an attempt beside the current one, whose endpoint is
-// unresponsive. The current attempt goes on until the endpoint of the hedge has begun its
-// answer: that endpoint may refuse the request, and the unresponsive one may only have paused.
-// The attempt that answers first becomes, or remains, the current one, and the other is
-// abandoned.
+// unresponsive, or whose answer is to be replaced by one of a better version. The current
+// attempt goes on until the endpoint of the hedge has begun its answer: that endpoint may
+// refuse the request, and an unresponsive one may only have paused. The attempt that answers
+// first becomes, or remains, the current one, and the other is abandoned. An answer that is to
+// be replaced is held back, and relayed if no endpoint of the better version answers.
+
+// HedgeReason is the reason for a hedge.
+type HedgeReason string
+
+// Reasons for a hedge; empty for an attempt that is none.
+const (
+	HedgeSilence    HedgeReason = "silence"
+	HedgeEscalation HedgeReason = "escalation"
+)
 
 // admissionChecker is a gate that can predict whether work would start at once.
 type admissionChecker interface {
@@ -32,8 +42,11 @@
 func (c *Core) MayHedge(now time.Time, id fescuelatch.RequestID, attempt fescuelatch.AttemptID) bool {
 	c.sparesCached = false
 	q, ok := c.requests[id]
-	return ok && q.unresponsive(attempt) != nil && c.mayHedge(now, q, q.unresponsive(attempt)) &&
-		c.options.Retries.Allows(now, q.Request, fescuelatch.RetryFailure)
+	if !ok || q.unresponsive(attempt) == nil || !c.options.Retries.Allows(now, q.Request, fescuelatch.RetryFailure) {
+		return false
+	}
+	_, ok = c.hedgeTarget(now, q, q.unresponsive(attempt))
+	return ok
 }
 
 // IsCurrent reports whether an attempt is the current one of its request.
@@ -65,52 +78,58 @@
 		return
 	}
 	c.countEnd(q, a, e.Result)
-	if !c.mayHedge(now, q, a) || !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
+	target, ok := c.hedgeTarget(now, q, a)
+	if !ok || !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure) {
+		if q.held {
+			c.dropHedge(q)
+			c.relayHeld(q)
+		}
 		return
 	}
 	if o, ok := c.options.Gate.(activityObserver); ok {
 		o.Inactive(now, a.id)
 	}
-	c.startHedge(now, q)
+	c.dropHedge(q)
+	c.startHedge(now, q, target)
+	c.relayHeld(q)
 }
 
-// mayHedge reports whether another endpoint than that of a may get q now, apart from the
-// retry budget.
-func (c *Core) mayHedge(now time.Time, q *request, a *attempt) bool {
+// hedgeTarget returns where q may be sent now besides the endpoint of a, apart from the retry
+// budget.
+func (c *Core) hedgeTarget(now time.Time, q *request, a *attempt) (fescuelatch.Target, bool) {
 	if !c.mayRepeat(q) || !c.mayCrashAnother(now, q) || c.tooLate(now, q) {
-		return false
+		return fescuelatch.Target{}, false
 	}
 	if _, blocked := c.blocked(now, q); blocked {
-		return false
+		return fescuelatch.Target{}, false
 	}
 	c.exclude(q, *a)
 	target, ok := c.chooseTarget(now, q)
-	return ok && (target.VM != c.options.VM || c.canStart(now, q))
+	return target, ok && (target.VM != c.options.VM || c.canStart(now, q))
 }
 
-// canStart reports whether another endpoint has capacity for q now; it assumes so if
-// the gate cannot tell. Queued work does not count, as it may be refused later.
+// canStart reports whether an endpoint that is not excluded has capacity for q now; it assumes
+// so if the gate cannot tell. Queued work does not count, as it may be refused later.
 func (c *Core) canStart(now time.Time, q *request) bool {
 	g, ok := c.options.Gate.(admissionChecker)
-	return !ok || g.Admits(now, c.work(q, q.current))
+	return !ok || g.Admits(now, c.work(q, attempt{id: q.current.id, version: q.plan[q.step]}))
 }
 
-// startHedge starts a hedge of q in place of the one in progress. If no endpoint starts it
-// after all, there is none.
-func (c *Core) startHedge(now time.Time, q *request) {
-	c.dropHedge(q)
-	target, ok := c.chooseTarget(now, q)
-	if !ok {
-		return
+// startHedge starts a hedge of q on the version of its step, and reports whether an endpoint
+// takes it.
+func (c *Core) startHedge(now time.Time, q *request, target fescuelatch.Target) bool {
+	reason := HedgeSilence
+	if q.step != q.current.step {
+		reason = HedgeEscalation
 	}
 	h := c.nextAttempt(q, target.VM)
 	if target.VM != c.options.VM {
 		c.peers.recordSent(target.VM, q.serviceKey())
 		q.hedge = h
 		c.emit(Forward{
-			Request: q.ID, Attempt: h.id, VM: target.VM, Version: h.version, Timeouts: c.inactivityTimeouts(q).doubled(), Hedge: true,
+			Request: q.ID, Attempt: h.id, VM: target.VM, Version: h.version, Timeouts: c.inactivityTimeouts(q, reason).doubled(), Hedge: reason,
 		})
-		return
+		return true
 	}
 	w := c.work(q, h)
 	w.Endpoint = target.Endpoint
@@ -120,11 +139,25 @@
 		if a.Verdict == fescuelatch.AdmissionQueue {
 			c.applyAdmissions(now, c.gate().End(now, fescuelatch.AttemptResult{Attempt: h.id, Version: h.version, Status: fescuelatch.AttemptCancelled}))
 		}
-		return
+		return false
 	}
 	h.endpoint = a.Endpoint
 	q.hedge = h
-	c.emit(Start{Request: q.ID, Attempt: h.id, Endpoint: h.endpoint, Version: h.version, Timeouts: c.inactivityTimeouts(q), Hedge: true})
+	c.emit(Start{Request: q.ID, Attempt: h.id, Endpoint: h.endpoint, Version: h.version, Timeouts: c.inactivityTimeouts(q, reason), Hedge: reason})
+	return true
+}
+
+// relayHeld relays the answer that is held back for a better one, if there is one and no
+// hedge is in progress.
+func (c *Core) relayHeld(q *request) {
+	if !q.held || q.hedge.id != "" {
+		return
+	}
+	q.held = false
+	q.step = q.current.step
+	q.current.firstToken = true
+	q.relayed = true
+	c.emit(Relay{Request: q.ID, Attempt: q.current.id, Kept: KeptCapacity})
 }
 
 // dropHedge abandons the hedge of q, if there is one.
@@ -161,10 +194,13 @@
 	if q.hedge.id == "" {
 		return false
 	}
-	c.exclude(q, q.current)
-	c.emit(Abandon{Request: q.ID, Attempt: q.current.id, Replaced: true})
+	if !q.held {
+		c.exclude(q, q.current)
+	}
+	c.emit(Abandon{Request: q.ID, Attempt: q.current.id, Replaced: !q.held})
 	delete(c.attempts, q.current.id)
-	q.current, q.hedge = q.hedge, attempt{}
+	q.current, q.hedge, q.held = q.hedge, attempt{}, false
+	q.step = q.current.step
 	c.attempts[q.current.id] = q
 	c.fireStarted(q)
 	return true
@@ -193,6 +229,7 @@
 // hedgeEnded handles the end of a hedge that has not answered: another endpoint may take the
 // request, and otherwise the current attempt goes on alone.
 func (c *Core) hedgeEnded(now time.Time, q *request, r fescuelatch.AttemptResult) {
+	defer c.relayHeld(q)
 	h := q.hedge
 	q.hedge = attempt{}
 	c.exclude(q, h)
@@ -217,8 +254,8 @@
 		c.recordRun(q)
 		return
 	}
-	if c.mayHedge(now, q, &h) && (r.Unsent || c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure)) {
-		c.startHedge(now, q)
+	if target, ok := c.hedgeTarget(now, q, &h); ok && (r.Unsent || c.options.Retries.Spend(now, q.Request, fescuelatch.RetryFailure)) {
+		c.startHedge(now, q, target)
 	}
 }
 
--- a/decision/hedge_test.go
+++ b/decision/hedge_test.go
@@ -61,7 +61,7 @@
 	actions := h.unresponsive(a)
 	h.Assert(len(actions) > 0, qt.IsTrue)
 	start := h.start(actions[len(actions)-1])
-	h.Check(start.Hedge, qt.IsTrue)
+	h.Check(start.Hedge, qt.Equals, decision.HedgeSilence)
 	h.Check(start.Endpoint, qt.Not(qt.Equals), h.first.Endpoint)
 	return start
 }
@@ -202,7 +202,7 @@
 				for _, a := range test.act(h, hedge) {
 					switch a := a.(type) {
 					case decision.Start:
-						h.Check(a.Hedge, qt.IsTrue)
+						h.Check(a.Hedge, qt.Equals, decision.HedgeSilence)
 						h.Check(a.Endpoint, qt.Not(qt.Equals), h.first.Endpoint)
 						h.Check(a.Endpoint, qt.Not(qt.Equals), hedge.Endpoint)
 						got = append(got, "start "+name(a.Attempt))
@@ -242,3 +242,74 @@
 		})
 	}
 }
+
+// TestEscalationHoldsAnswer guards against answers that are abandoned before an endpoint of the
+// better version has taken the request.
+func TestEscalationHoldsAnswer(t *testing.T) {
+	type step struct {
+		event string
+		want  []string
+	}
+	tests := []struct {
+		name       string
+		idempotent bool
+		steps      []step
+	}{
+		{"the larger model answers", true, []step{{"large answers", []string{"abandon small", "relay large"}}}},
+		{"the larger model answers a request that may not be repeated", false, []step{{"large answers", []string{"abandon small", "relay large"}}}},
+		{"one endpoint refuses", true, []step{{"large not-started", []string{"start large"}}, {"large answers", []string{"abandon small", "relay large"}}}},
+		{"all endpoints refuse", true, []step{
+			{"large not-started", []string{"start large"}},
+			{"large not-started", []string{"start large"}},
+			{"large not-started", []string{"relay small"}},
+		}},
+		{"an endpoint breaks a request that may not be repeated", false, []step{{"large broken", []string{"relay small"}}}},
+		{"an endpoint fails a request that may not be repeated", false, []step{{"large failed", []string{"relay small"}}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			core := escalatingCore(c)
+			q := &fescuelatch.Request{
+				ID: "q", Account: "a", Ladder: []fescuelatch.ModelID{"small", "large"}, Arrived: epoch, Deadline: epoch.Add(15 * time.Second),
+				Idempotent: test.idempotent, Streamed: true, Resumable: test.idempotent, MaxAttempts: 4,
+			}
+			names := make(map[fescuelatch.AttemptID]string)
+			var large decision.Start
+			now := epoch
+			handle := func(e decision.Event) []string {
+				now = now.Add(10 * time.Millisecond)
+				var got []string
+				for _, a := range core.Handle(now, e) {
+					switch a := a.(type) {
+					case decision.Start:
+						names[a.Attempt] = string(a.Version.Model())
+						large = a
+						got = append(got, "start "+names[a.Attempt])
+					case decision.Relay:
+						got = append(got, "relay "+names[a.Attempt])
+					case decision.Abandon:
+						c.Check(a.Replaced, qt.IsFalse)
+						got = append(got, "abandon "+names[a.Attempt])
+					default:
+						c.Errorf("%#v", a)
+					}
+				}
+				return got
+			}
+			c.Assert(handle(decision.Arrived{Request: q}), qt.DeepEquals, []string{"start small"})
+			c.Assert(handle(decision.Opened{Request: "q", Attempt: large.Attempt, Confidence: 0.1, HasConfidence: true}), qt.DeepEquals, []string{"start large"})
+			c.Check(large.Hedge, qt.Equals, decision.HedgeEscalation)
+			for _, s := range test.steps {
+				var e decision.Event = decision.Opened{Request: "q", Attempt: large.Attempt}
+				if s.event != "large answers" {
+					e = decision.Ended{Request: "q", Result: fescuelatch.AttemptResult{
+						Attempt: large.Attempt, Endpoint: large.Endpoint, Version: large.Version, Status: fescuelatch.AttemptStatus(s.event[len("large "):]),
+					}}
+				}
+				c.Check(handle(e), qt.DeepEquals, s.want)
+			}
+			c.Check(core.Faults(), qt.HasLen, 0)
+		})
+	}
+}
--- a/decision/inactivity.go
+++ b/decision/inactivity.go
@@ -33,9 +33,10 @@
 	return InactivityTimeouts{First: 2 * t.First, Gap: 2 * t.Gap}
 }
 
-// inactivityTimeouts returns the timeouts of an attempt that is about to start.
-func (c *Core) inactivityTimeouts(q *request) InactivityTimeouts {
-	if !c.options.Direct || !q.Idempotent || q.attempts >= q.attemptLimit() {
+// inactivityTimeouts returns the timeouts of an attempt that is about to start. An attempt
+// that no other one can replace has none.
+func (c *Core) inactivityTimeouts(q *request, why HedgeReason) InactivityTimeouts {
+	if !c.options.Direct || why == "" && (!q.Idempotent || q.attempts >= q.attemptLimit()) {
 		return InactivityTimeouts{}
 	}
 	p := InactivityTimeouts{First: max(minFirstTimeout, time.Duration(firstTimeoutRatio*float64(q.TargetLatency)))}
--- a/decision/placement.go
+++ b/decision/placement.go
@@ -155,7 +155,7 @@
 		c.peers.recordSent(s.VM, q.serviceKey())
 		c.fire(q, chart.EventForward)
 		c.emit(Forward{
-			Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version, Timeouts: c.inactivityTimeouts(q).doubled(),
+			Request: q.ID, Attempt: q.current.id, VM: s.VM, Version: q.current.version, Timeouts: c.inactivityTimeouts(q, "").doubled(),
 		})
 		return
 	}
@@ -188,7 +188,7 @@
 			q.current.queued = false
 			q.current.endpoint = a.Endpoint
 			c.fire(q, chart.EventDispatch)
-			c.emit(Start{Request: q.ID, Attempt: a.Attempt, Endpoint: a.Endpoint, Version: q.current.version, Timeouts: c.inactivityTimeouts(q)})
+			c.emit(Start{Request: q.ID, Attempt: a.Attempt, Endpoint: a.Endpoint, Version: q.current.version, Timeouts: c.inactivityTimeouts(q, "")})
 		case fescuelatch.AdmissionRefuse:
 			if q.current.queued {
 				q.current.queued = false
--- a/decision/relay.go
+++ b/decision/relay.go
@@ -20,7 +20,7 @@
 	case q.current.id:
 		c.currentAnswers(now, q)
 	case q.hedge.id:
-		c.fire(q, chart.EventRetry)
+		c.fire(q, hedgeEvent(q))
 		c.promoteHedge(q)
 	default:
 		return
@@ -65,33 +65,28 @@
 	return ""
 }
 
-// escalate replaces the current attempt by one on the next version, if that
-// can start at once and the budget allows it. Otherwise it returns why the
-// current one is kept.
+// hedgeEvent returns the event of a hedge that replaces the current attempt.
+func hedgeEvent(q *request) chart.Event {
+	if q.held {
+		return chart.EventEscalate
+	}
+	return chart.EventRetry
+}
+
+// escalate holds the current answer back for one of the next version, if that can
+// start at once and the budget allows it. Otherwise it returns why the current one
+// is relayed.
 func (c *Core) escalate(now time.Time, q *request) KeptReason {
 	if !c.options.Retries.Spend(now, q.Request, fescuelatch.RetryEscalation) {
 		return KeptBudget
 	}
-	old := q.current
 	q.step++
-	c.newAttempt(q, c.options.VM)
-	a := c.gate().Offer(now, c.work(q, q.current))
-	if a.Verdict == fescuelatch.AdmissionStart {
-		c.fire(q, chart.EventEscalate)
-		c.emit(Abandon{Request: q.ID, Attempt: old.id})
-		c.applyAdmissions(now, []fescuelatch.Admission{a})
-		return ""
+	if !c.startHedge(now, q, fescuelatch.Target{VM: c.options.VM}) {
+		q.step--
+		return KeptCapacity
 	}
-	if a.Verdict == fescuelatch.AdmissionQueue {
-		q.current.queued = true
-		c.withdraw(now, q)
-	}
-	delete(c.attempts, q.current.id)
-	q.step--
-	q.attempts--
-	q.current = old
-	c.attempts[old.id] = q
-	return KeptCapacity
+	q.held = true
+	return ""
 }
 
 // failed retries a request that an endpoint answered with a failure of its
--- a/decision/request.go
+++ b/decision/request.go
@@ -64,6 +64,9 @@
 	current attempt
 	// hedge is the attempt beside the current one, without identifier if there is none.
 	hedge attempt
+	// held reports that the answer of the current attempt has begun, and is held back as
+	// the hedge may give a better one.
+	held bool
 	// best is the answered attempt with the highest score so far.
 	best      attempt
 	bestScore float64
@@ -79,6 +82,7 @@
 type attempt struct {
 	id      fescuelatch.AttemptID
 	version fescuelatch.VersionID
+	step    int // of the plan
 	vm      fescuelatch.VMID
 	// endpoint is set once a direct attempt has started.
 	endpoint   fescuelatch.EndpointID
@@ -199,7 +203,7 @@
 	if id == "" {
 		id = fescuelatch.AttemptID(string(q.ID) + "." + strconv.Itoa(q.sequence))
 	}
-	return attempt{id: id, version: q.plan[q.step], vm: vm}
+	return attempt{id: id, version: q.plan[q.step], step: q.step, vm: vm}
 }
 
 func (c *Core) cancelled(now time.Time, e Cancelled) {
--- a/direct/hedge.go
+++ b/direct/hedge.go
@@ -27,12 +27,11 @@
 	d.mu.Lock()
 	may := d.core.MayHedge(time.Now(), id, t.start.Attempt)
 	d.mu.Unlock()
-	if !may {
-		t.request.log("endpoint is silent, but no other one may go on", "attempt", t.start.Attempt, "endpoint", t.start.Endpoint)
-		return
-	}
 	r := fescuelatch.AttemptResult{Attempt: t.start.Attempt, Endpoint: t.start.Endpoint, Version: t.start.Version}
-	if t.delegate == "" {
+	switch {
+	case !may:
+		t.request.log("endpoint is silent, but no other one may go on", "attempt", t.start.Attempt, "endpoint", t.start.Endpoint)
+	case t.delegate == "":
 		t.examineBreak(&r, &endpoint.Error{Op: "read answer", Kind: endpoint.KindInactive})
 	}
 	t.request.hedgeFrom.Store(&from)
--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -192,3 +192,35 @@
 	}
 	return b.String()
 }
+
+// TestLargerModelIsNotServed guards against answers of a small model that are abandoned for one
+// of a larger model which no endpoint gives.
+func TestLargerModelIsNotServed(t *testing.T) {
+	const n = 5
+	tests := []struct {
+		name  string
+		large fakeplatform.Behaviour
+	}{
+		{"full", fakeplatform.NotRun},
+		{"full, told late", slowly(300*time.Millisecond, fakeplatform.NotRun)},
+		{"reset the connection", fakeplatform.Reset},
+		{"fail", fakeplatform.Status(http.StatusInternalServerError)},
+		{"silent", fakeplatform.Hang},
+		{"another service", fakeplatform.Status(http.StatusMisdirectedRequest)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, "lm", 3)
+			s.awaitReady()
+			for _, e := range s.endpoints {
+				e.SetBehaviour(bySize(fakeplatform.Stream(n, 0, "10", 50*time.Millisecond), test.large))
+			}
+			a := s.call(http.MethodPost, "lm.example", "/write/", "", "Fescuelatch-Model", "*", "Fescuelatch-Deadline-Ms", "4000")
+			s.Check(a.err, qt.IsNil)
+			s.Check(a.status, qt.Equals, http.StatusOK)
+			s.Check(a.header.Get("Fescuelatch-Confidence"), qt.Equals, "10")
+			s.Check(a.body, qt.Equals, events(n))
+		})
+	}
+}
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"fescuelatch"
+	"fescuelatch/decision"
 )
 
 // This file defines the metrics of a daemon. To bound their number, label values
@@ -32,8 +33,6 @@
 	// abortedCallers counts connections that were aborted because their callers did not
 	// read.
 	abortedCallers tally.Counter
-	// hedges counts attempts that were made beside an unresponsive one.
-	hedges tally.Counter
 	// decisionWait is how long decisions waited for the ones before, and tickDelay how
 	// late the process came to run.
 	decisionWait, tickDelay tally.Histogram
@@ -58,7 +57,6 @@
 		blockedRequests:   s.Gauge("blocked_requests"),
 		allocatorFailures: s.Counter("allocator_failures"),
 		abortedCallers:    s.Counter("aborted_callers"),
-		hedges:            s.Counter("hedges"),
 		decisionWait:      s.Histogram("decision_wait", latencyBuckets),
 		tickDelay:         s.Histogram("tick_delay", latencyBuckets),
 	}
@@ -80,6 +78,11 @@
 	}
 }
 
+// countHedge counts an attempt beside another one by its reason.
+func (m *metrics) countHedge(why decision.HedgeReason) {
+	m.scope.Tagged(map[string]string{"reason": string(why)}).Counter("hedges").Inc(1)
+}
+
 // countLimitedAttempt counts an attempt at an endpoint that limits its rate, by whether
 // it is the first of its request.
 func (m *metrics) countLimitedAttempt(repeated bool) {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -197,10 +197,12 @@
 	s.recordLimited(a)
 	t := newAttempt(ctx, s, a, from)
 	switch {
-	case a.Hedge:
+	case a.Hedge == decision.HedgeSilence:
 		s.log("endpoint is silent; request is sent to another one as well", "attempt", a.Attempt, "endpoint", a.Endpoint, "version", a.Version,
 			"last-event", from.lastEvent, "silent", s.lastEndpoint)
-		s.daemon.metrics.hedges.Inc(1)
+	case a.Hedge == decision.HedgeEscalation:
+		s.log("answer is held back for one of a larger model", "attempt", a.Attempt, "endpoint", a.Endpoint, "version", a.Version,
+			"held", s.lastEndpoint, "confidence", s.current.confidence)
 	case s.sent > 0:
 		s.log("request is sent again", "attempt", a.Attempt, "endpoint", a.Endpoint, "version", a.Version,
 			"last-event", from.lastEvent, "cause", errorText(s.lastError))
@@ -215,31 +217,34 @@
 	t.delegate = a.VM
 	s.log("request is passed on to another daemon", "attempt", a.Attempt, "peer", a.VM, "last-event", from.lastEvent, "cause", errorText(s.lastError),
 		"hedge", a.Hedge)
-	if a.Hedge {
-		s.daemon.metrics.hedges.Inc(1)
-	}
 	s.launch(t, a.Hedge)
 }
 
 // endPrevious ends the attempt before a new one, and returns what the caller has received
 // by then.
-func (s *activeRequest) endPrevious(hedge bool) received {
-	if hedge {
+func (s *activeRequest) endPrevious(hedge decision.HedgeReason) received {
+	if hedge != "" {
 		if s.hedge != nil {
 			s.end(s.hedge, true)
 			s.log("attempt at another endpoint has ended", "attempt", s.hedge.start.Attempt, "endpoint", s.hedge.start.Endpoint, "error", errorText(s.hedge.err))
 		}
+	}
+	if hedge == decision.HedgeSilence {
 		return *s.hedgeFrom.Load()
 	}
+	if hedge == decision.HedgeEscalation {
+		return s.current.from
+	}
 	s.end(s.current, false)
 	return s.output.received
 }
 
 // launch starts a new attempt.
-func (s *activeRequest) launch(t *attempt, hedge bool) {
+func (s *activeRequest) launch(t *attempt, hedge decision.HedgeReason) {
 	s.sent++
-	if hedge {
+	if hedge != "" {
 		s.hedge = t
+		s.daemon.metrics.countHedge(hedge)
 	} else {
 		s.makeCurrent(t)
 	}
@@ -279,22 +284,21 @@
 
 // abandon ends an attempt in favour of another one.
 func (s *activeRequest) abandon(a decision.Abandon) {
-	switch {
-	case s.hedge != nil && s.hedge.start.Attempt == a.Attempt:
-		s.log("endpoint goes on; attempt at another one is ended", "attempt", a.Attempt, "endpoint", s.lastEndpoint, "other", s.hedge.start.Endpoint)
+	if s.hedge.start.Attempt == a.Attempt {
+		s.log("attempt at another endpoint is ended", "attempt", a.Attempt, "endpoint", s.hedge.start.Endpoint, "kept", s.lastEndpoint)
 		s.end(s.hedge, true)
 		s.hedge = nil
-	case a.Replaced:
+		return
+	}
+	if a.Replaced {
 		s.log("another endpoint goes on in place of a silent one", "attempt", s.hedge.start.Attempt, "endpoint", s.hedge.start.Endpoint, "silent", s.lastEndpoint)
-		s.current.replaced = true
-		s.end(s.current, false)
-		s.makeCurrent(s.hedge)
-		s.hedge = nil
-	default:
-		s.log("answer abandoned for one of a larger model", "attempt", a.Attempt, "endpoint", s.lastEndpoint,
-			"confidence", s.current.confidence)
-		s.end(s.current, false)
+	} else {
+		s.log("answer abandoned for one of a larger model", "attempt", a.Attempt, "endpoint", s.lastEndpoint, "confidence", s.current.confidence)
 	}
+	s.current.replaced = a.Replaced
+	s.end(s.current, false)
+	s.makeCurrent(s.hedge)
+	s.hedge = nil
 }
 
 // recordLimited logs and counts an attempt at an endpoint that limits its rate.
