Bound the age of what a daemon knows, in place of each wait for it

Cause: a call on a connection that never answers (2.0 s), a backoff (up to 0.8 s) and a call to a source that is silent too (1.1 s) stood in a row. None of them looked at how old the known state was.

A poll now asks the source, and the store as well once the known state is overdue, which is a share of the time within which changes must be in force. A store that does not begin its answer is asked again on a new connection while the earlier call goes on. So no wait follows another one: whatever hangs, the store is asked within about a second of its return.

The time is read from the settings (config_apply_ms, 2 s by default).

--- a/cmd/fescuelatchd/direct.go
+++ b/cmd/fescuelatchd/direct.go
@@ -122,6 +122,7 @@
 	return direct.DynamicSettings{
 		Retries:   shared.BudgetSettings{Ratio: s.Bounds.RetryRatio, Extra: s.Bounds.RetryExtra, Window: s.RetryWindow()},
 		Rollout:   rollout.Settings{Exposure: s.Bounds.ExposureShare},
+		ApplyTime: s.ApplyTime(),
 		StopGrace: s.StopGrace(),
 	}
 }
@@ -172,7 +173,7 @@
 	}
 	apply(s)
 	log.Info("settings reloaded", "cause", cause, "memory-mb", s.Limits.MemoryMB, "retry-ratio", s.Bounds.RetryRatio,
-		"exposure", s.Bounds.ExposureShare, "stop-grace", s.StopGrace().String())
+		"exposure", s.Bounds.ExposureShare, "apply-time", s.ApplyTime().String(), "stop-grace", s.StopGrace().String())
 }
 
 // setMemoryLimit sets the garbage collector's soft limit from the VM's memory.
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -65,6 +65,9 @@
 type DynamicSettings struct {
 	Retries shared.BudgetSettings
 	Rollout rollout.Settings
+	// ApplyTime is the time from the acknowledgement of a change by the store within which
+	// it must be in force.
+	ApplyTime time.Duration
 	// StopGrace is the time from the stop signal to the kill signal.
 	StopGrace time.Duration
 }
--- a/direct/follow.go
+++ b/direct/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,10 +10,9 @@
 	"fescuelatch"
 	"fescuelatch/chart"
 	"fescuelatch/internal/pause"
-	"fescuelatch/keyvalue"
 )
 
-// This file defines how a daemon polls the store for changes.
+// This file defines how a daemon follows the changes of the store.
 
 const (
 	// watchTimeout bounds how long one call waits for changes.
@@ -105,34 +103,8 @@
 
 // follow keeps the known state up to date until ctx ends.
 func (d *Daemon) follow(ctx context.Context) {
-	backoff := minBackoff
-	scan := true
-	for ctx.Err() == nil {
-		if s := d.chooseSource(time.Now()); s != nil && !scan {
-			if err := d.followSource(ctx, s); err == nil {
-				pause.For(ctx, sourceInterval+rand.N(followJitter))
-				continue
-			} else if ctx.Err() == nil {
-				d.log.Info("source is not relied on for a while", "source", s.vm, "error", err.Error())
-				d.sources.failCurrent(time.Now())
-			}
-		}
-		err := d.followOnce(ctx, scan)
-		wait := followInterval + rand.N(followJitter)
-		switch {
-		case err == nil:
-			scan = false
-			backoff = minBackoff
-		case errors.Is(err, fescuelatch.ErrCompacted):
-			d.log.Info("history of the store is gone; reading everything again", "error", err.Error())
-			scan = true
-			wait = 0
-		default:
-			d.handleStoreFailure(err)
-			wait = max(backoff+rand.N(backoff), keyvalue.RetryAfter(err))
-			backoff = min(2*backoff, maxBackoff)
-		}
-		if !pause.For(ctx, wait) {
+	for scan := true; ; scan = false {
+		if wait := newPoll(d, scan).run(ctx); !pause.For(ctx, wait) {
 			return
 		}
 	}
@@ -146,24 +118,23 @@
 	}
 }
 
-// followOnce reads the changes from the store, or everything when scan is set.
-func (d *Daemon) followOnce(ctx context.Context, scan bool) error {
+// askStore reads the changes from the store, or everything when scan is set.
+func (d *Daemon) askStore(ctx context.Context, scan bool, wait time.Duration) (fescuelatch.Changes, error) {
 	var c fescuelatch.Changes
 	var err error
-	ctx = keyvalue.WithProgress(ctx, func() { d.store.recordData(time.Now()) })
 	if scan {
 		c, err = d.options.Store.Scan(ctx)
 	} else {
 		d.mu.Lock()
 		after := d.storeView.revision
 		d.mu.Unlock()
-		c, err = d.options.Store.Changes(ctx, after, watchTimeout)
+		c, err = d.options.Store.Changes(ctx, after, wait)
 	}
 	if err != nil {
-		return err //nolint:wrapcheck // Only its kind matters.
+		return fescuelatch.Changes{}, err //nolint:wrapcheck // Only its kind matters.
 	}
 	d.largeValues.observe(c.Items)
-	return d.applyChanges(time.Now(), c, scan)
+	return c, nil
 }
 
 // applyChanges merges an answer of the store. It rejects an answer of an earlier
--- a/direct/largeconfiguration_test.go
+++ b/direct/largeconfiguration_test.go
@@ -29,8 +29,9 @@
 	// received counts what the store sends to it, and sent what it sends to other
 	// daemons.
 	received, sent *fakeplatform.Bandwidth
-	store          *fakeplatform.Link // its link to the store
-	stop           func()
+	// store is its link to the store, and peers that of other daemons to it.
+	store, peers *fakeplatform.Link
+	stop         func()
 }
 
 // newDomain starts daemons whose interfaces carry a number of bytes a second in each
@@ -43,8 +44,8 @@
 	var addresses []string
 	for range daemons {
 		n := &domainDaemon{control: freeAddress(s.C), received: fakeplatform.NewBandwidth(bytesPerSecond), sent: fakeplatform.NewBandwidth(bytesPerSecond)}
-		l := d.link(t, n.control, n.sent)
-		addresses = append(addresses, fmt.Sprintf("%q", n.control), fmt.Sprintf("%q", l.Address()))
+		n.peers = d.link(t, n.control, n.sent)
+		addresses = append(addresses, fmt.Sprintf("%q", n.control), fmt.Sprintf("%q", n.peers.Address()))
 		d.daemons = append(d.daemons, n)
 	}
 	replace := strings.NewReplacer(addresses...)
@@ -102,6 +103,12 @@
 // or the bound if it took longer.
 func (d *domain) put(version, routes int, bound time.Duration) []time.Duration {
 	d.store.Put(fakeplatform.ConfigurationKey, fakeplatform.LargeConfiguration(version, callerKey, routes))
+	return d.awaitGeneration(version, bound)
+}
+
+// awaitGeneration returns how long each daemon takes to have a configuration in force, or the
+// bound if it takes longer.
+func (d *domain) awaitGeneration(version int, bound time.Duration) []time.Duration {
 	start := time.Now()
 	took := make([]time.Duration, len(d.daemons))
 	for waiting := len(d.daemons); waiting > 0; time.Sleep(20 * time.Millisecond) {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -69,7 +69,7 @@
 func (d *Daemon) learnFromPeer(ctx context.Context, seed netip.AddrPort) error {
 	s := &source{address: seed}
 	defer s.close()
-	reply, err := d.askSource(ctx, s)
+	reply, err := d.askSource(ctx, s, 0)
 	if err != nil {
 		return err
 	}
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -142,15 +142,6 @@
 	return n
 }
 
-// followSource merges the changes reported by the source.
-func (d *Daemon) followSource(ctx context.Context, s *source) error {
-	reply, err := d.askSource(ctx, s)
-	if err != nil {
-		return err
-	}
-	return d.applyReply(time.Now(), s, reply)
-}
-
 // applyReply merges the answer of a source, unless the source's state is older than
 // this daemon's or not reliable.
 func (d *Daemon) applyReply(now time.Time, s *source, reply *ChangesReply) error {
@@ -190,12 +181,12 @@
 	return nil
 }
 
-// askSource asks a source for changes, and once more for whole values if they cannot be put
-// together from patches.
-func (d *Daemon) askSource(ctx context.Context, s *source) (*ChangesReply, error) {
+// askSource asks a source, which waits for changes for a time, and once more for whole values
+// if they cannot be put together from patches.
+func (d *Daemon) askSource(ctx context.Context, s *source, wait time.Duration) (*ChangesReply, error) {
 	for again := false; ; again = true {
 		start := time.Now()
-		reply, err := s.ask(ctx, d.options.VM, d.largeValues.held())
+		reply, err := s.ask(ctx, d.options.VM, d.largeValues.held(), wait)
 		if err != nil {
 			return nil, err
 		}
@@ -216,25 +207,30 @@
 	}
 }
 
-// ask asks the source for changes.
-func (s *source) ask(ctx context.Context, self fescuelatch.VMID, held []HeldValue) (*ChangesReply, error) {
+// ask asks the source for changes, for which it waits for a time.
+func (s *source) ask(ctx context.Context, self fescuelatch.VMID, held []HeldValue, wait time.Duration) (*ChangesReply, error) {
 	reply := new(ChangesReply)
-	q := ChangesRequest{From: self, Process: s.process, Next: s.next, Wait: watchTimeout, Encoded: true, Held: held}
-	if err := s.call(ctx, "Changes", q, reply); err != nil {
+	q := ChangesRequest{From: self, Process: s.process, Next: s.next, Wait: wait, Encoded: true, Held: held}
+	if err := s.call(ctx, "Changes", q, reply, wait); err != nil {
 		return nil, err
 	}
 	return reply, nil
 }
 
-// call calls a method of the source. The call may last as long as its answer arrives.
-func (s *source) call(ctx context.Context, method string, request, reply any) error {
+// call calls a method of the source, which may wait for a time before it answers. The call may
+// last as long as its answer arrives.
+func (s *source) call(ctx context.Context, method string, request, reply any, wait time.Duration) error {
 	ctx, meter := transfer.WithBounds(ctx, transfer.Bounds{
-		Start: watchTimeout + sourceTimeout, Stall: watchTimeout + sourceTimeout, Total: sourceTransferTimeout,
+		Start: wait + sourceTimeout, Stall: watchTimeout + sourceTimeout, Total: sourceTransferTimeout,
 	})
 	defer meter.Stop()
 	s.meter.Store(meter)
 	if s.client == nil {
-		c, err := dialPeer(ctx, s.address, func() { s.meter.Load().Advance() })
+		c, err := dialPeer(ctx, s.address, func() {
+			now := time.Now()
+			s.lastData.Store(&now)
+			s.meter.Load().Advance()
+		})
 		if err != nil {
 			return err
 		}
--- a/direct/slowsource_test.go
+++ b/direct/slowsource_test.go
@@ -41,7 +41,7 @@
 func TestAnswerOfSlowSource(t *testing.T) {
 	c := qt.New(t)
 	_, s := newSlowSource(t)
-	reply, err := s.ask(t.Context(), "vm-2", nil)
+	reply, err := s.ask(t.Context(), "vm-2", nil, watchTimeout)
 	c.Assert(err, qt.IsNil)
 	c.Check(reply.Items, qt.HasLen, 1)
 }
@@ -52,7 +52,7 @@
 	l, s := newSlowSource(t)
 	time.AfterFunc(500*time.Millisecond, func() { l.SetFault(fakeplatform.LinkStalled) })
 	start := time.Now()
-	_, err := s.ask(t.Context(), "vm-2", nil)
+	_, err := s.ask(t.Context(), "vm-2", nil, watchTimeout)
 	c.Check(err, qt.ErrorMatches, ".*deadline exceeded.*")
 	c.Check(time.Since(start) < 2*time.Second, qt.IsTrue, qt.Commentf("given up after %s", time.Since(start)))
 }
--- a/direct/sources.go
+++ b/direct/sources.go
@@ -36,9 +36,11 @@
 	address netip.AddrPort
 	client  *rpc.Client
 	meter   atomic.Pointer[transfer.Meter] // of the current call
-	process string
-	next    int64
-	hops    int // between it and the readers
+	// lastData is when data last arrived from it.
+	lastData atomic.Pointer[time.Time]
+	process  string
+	next     int64
+	hops     int // between it and the readers
 }
 
 // sources holds the current source and the recent failures. It is used only by the
--- a/direct/unbounded_test.go
+++ b/direct/unbounded_test.go
@@ -52,7 +52,7 @@
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			s := &source{address: netip.MustParseAddrPort(l.Addr().String())}
-			_, err = s.ask(context.Background(), "vm-1", nil)
+			_, err = s.ask(context.Background(), "vm-1", nil, watchTimeout)
 			c.Check(err, qt.IsNotNil)
 			if s.client != nil {
 				_ = s.client.Close()
--- a/direct/unwritten.go
+++ b/direct/unwritten.go
@@ -58,7 +58,7 @@
 		s := &source{address: seed}
 		defer s.close()
 		reply := new(UnwrittenReply)
-		if err := s.call(ctx, "Unwritten", UnwrittenRequest{d.options.VM}, reply); err != nil {
+		if err := s.call(ctx, "Unwritten", UnwrittenRequest{d.options.VM}, reply, 0); err != nil {
 			return err
 		}
 		reply.Items = d.decoding.prepare(reply.Items)
--- a/direct/values_test.go
+++ b/direct/values_test.go
@@ -266,7 +266,7 @@
 	d := newTestDaemon()
 	s := &source{vm: "vm-2", address: netip.MustParseAddrPort(server.Listener.Addr().String())}
 	defer s.close()
-	reply, err := d.askSource(t.Context(), s)
+	reply, err := d.askSource(t.Context(), s, 0)
 	c.Assert(err, qt.IsNil)
 	checkItems(c, reply.Items, []fescuelatch.StoredItem{large})
 	c.Check(d.largeValues.held(), qt.DeepEquals, []HeldValue{{"op/config", delta.Sum(large.Value)}})
--- a/store.go
+++ b/store.go
@@ -26,6 +26,8 @@
 	// KeepAlive renews a lease and returns the time left, or zero if it has
 	// expired.
 	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
+	// Reconnect has further calls made on new connections: those in use may be broken.
+	Reconnect()
 }
 
 // Changes are changed keys of the store as of a revision.
