Renew a daemon's record soon after an outage, and count it until then

After an outage in which leases expired, daemons did not count each other for some seconds: in the end each counted itself only, and took the shares of the others in retry budgets, cold starts and connections.

A renewal without an answer (1.5 s) and the pause between renewals (up to 5 s) stood in a row, while the others held the removal of the record for 2 s only.

Evidence: TestDaemonsAreCountedAfterOutage; before the change a daemon of three counted one.

The lease is now renewed when the store is back, failed writes are repeated after a short pause that doubles, and removals of these records are held for as long as after a restore of the store (6 s).

--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -109,8 +109,9 @@
 	// questions, and for requests.
 	delegateCalls  peerClients
 	delegateFronts *endpoint.Client
-	// recordLost signals that the store may have lost this daemon's record.
-	recordLost chan struct{}
+	// recordLost signals that the store may have lost this daemon's record, and
+	// recordDoubtful that its lease may have expired.
+	recordLost, recordDoubtful chan struct{}
 
 	// mu guards the fields below, the state of the decisions.
 	mu        sync.Mutex
@@ -156,7 +157,7 @@
 		stalls:     new(stall.Log),
 		process:    uuid.NewString(),
 		bounds:     o.Dynamic,
-		recordLost: make(chan struct{}, 1), crashWrites: make(chan []crash.Write, 1), crashTrials: make(chan trial),
+		recordLost: make(chan struct{}, 1), recordDoubtful: make(chan struct{}, 1), crashWrites: make(chan []crash.Write, 1), crashTrials: make(chan trial),
 		allocator: permit.NewAllocator(), slotAllocator: permit.NewSlotAllocator(), permitsLacking: make(chan struct{}, 1),
 	}
 	d.storeView.stalls = d.stalls
--- a/direct/follow.go
+++ b/direct/follow.go
@@ -156,6 +156,9 @@
 		d.log.Info("store is back")
 		d.life.FireIfPossible(chart.EventRejoin)
 	}
+	if recovered {
+		d.requestRecordRenewal()
+	}
 	if recovered && !restored {
 		d.storeView.reconnected(now, c)
 	}
--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -343,10 +343,13 @@
 }
 
 // removalHold returns the window in which the removal of a key is held because its writer
-// may not have reached the store.
+// may not have reached the store. Daemons write their records again later than endpoints.
 func (k *storeView) removalHold(key string) hold {
 	s := k.notation.Subject(key)
-	if s.Kind == fescuelatch.SubjectEndpoint || s.Kind == fescuelatch.SubjectRecord {
+	switch {
+	case s.Kind == fescuelatch.SubjectRecord && strings.HasPrefix(s.ID, recordDaemon) && k.holding.window > 0:
+		return hold{k.holding.since, recordRewriteWindow}
+	case s.Kind == fescuelatch.SubjectEndpoint || s.Kind == fescuelatch.SubjectRecord:
 		return k.holding
 	}
 	return hold{}
--- a/direct/members.go
+++ b/direct/members.go
@@ -38,29 +38,50 @@
 // records.
 const recordRewriteJitter = time.Second
 
+// minRecordRetry is the shortest wait after a failed write of the record. It doubles with each
+// failure, up to the time between two renewals.
+const minRecordRetry = 500 * time.Millisecond
+
 // keepRecord keeps this daemon's record in the store until ctx ends.
 func (d *Daemon) keepRecord(ctx context.Context) {
 	var lease int64
 	interval := d.options.LeaseTime / renewalsPerLease
+	retry := minRecordRetry
 	for ctx.Err() == nil {
+		wait := interval
 		if lease == 0 {
-			lease = d.writeRecord(ctx)
+			if lease = d.writeRecord(ctx); lease == 0 {
+				wait = min(retry, interval)
+				retry *= 2
+			} else {
+				retry = minRecordRetry
+			}
 		} else if left, err := d.options.Store.KeepAlive(ctx, lease); err == nil && left == 0 {
 			d.log.Info("lease of this daemon's record has expired", "lease", lease)
 			lease = 0
 			continue
 		}
 		select {
-		case <-time.After(interval/2 + rand.N(interval/2)):
+		case <-time.After(wait/2 + rand.N(wait/2)):
+			continue
 		case <-d.recordLost:
 			// The lease may since have been granted to another daemon.
 			lease = 0
-			if !pause.For(ctx, rand.N(recordRewriteJitter)) {
-				return
-			}
+		case <-d.recordDoubtful:
 		case <-ctx.Done():
 			return
 		}
+		if !pause.For(ctx, rand.N(recordRewriteJitter)) {
+			return
+		}
+	}
+}
+
+// requestRecordRenewal has the lease of the record renewed soon, as it may have expired.
+func (d *Daemon) requestRecordRenewal() {
+	select {
+	case d.recordDoubtful <- struct{}{}:
+	default: // A renewal is already due.
 	}
 }
 
--- a/direct/staleness_test.go
+++ b/direct/staleness_test.go
@@ -88,3 +88,25 @@
 		}
 	}
 }
+
+// TestDaemonsAreCountedAfterOutage guards against daemons that do not count each other for
+// seconds after an outage in which their leases have expired: each would use the shares of the
+// others in all limits.
+func TestDaemonsAreCountedAfterOutage(t *testing.T) {
+	const (
+		daemons = 3
+		outage  = 7 * time.Second // beyond the time of a lease
+		watched = 8 * time.Second
+	)
+	d := newDomain(t, daemons, 1<<30)
+	d.store.SetFault(fakeplatform.FaultUnresponsive)
+	time.Sleep(outage)
+	d.store.SetFault(fakeplatform.FaultNone)
+	fewest := daemons
+	for back := time.Now(); time.Since(back) < watched; time.Sleep(50 * time.Millisecond) {
+		for _, n := range d.daemons {
+			fewest = min(fewest, n.status().Daemons)
+		}
+	}
+	d.Check(fewest, qt.Equals, daemons)
+}
