Block the trait that came in the fewest requests, and with what came with it

Cause: of traits in the same outages and requests the last in the prompt was taken for the cause, as it should be in the fewest requests. That holds for prompts that begin alike only. No evidence against it could follow, as all requests with the shared part were refused.

Reports now name the traits that all requests with a suspect had at the crashes. A trait whose requests all had another one, and not the other way round, is in fewer requests and is blocked instead of that one, wherever it stands. Traits that were always together are one suspect: a request is refused only if it has all of them. One that lacks some is sent, and its answer or crash tells them apart; that costs one crash more if the cause comes with other parts later. Reports of earlier builds lack the new field, and are judged as before.

TestBlockedParts: a case said that of two parts that are always together the last is refused alone. It now says that both together are refused and neither alone, and five new cases what follows once one of them comes alone.

--- a/crash/block.go
+++ b/crash/block.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,9 @@
 	// The block lasts as long as this is what follows from the reports, and stored is
 	// the record of its trials.
 	doubtful bool
+	// with holds the traits without which a request with the trait is not refused: all
+	// requests with it that met a crash had them, so that each of them may be the cause.
+	with []string
 	// confirmed reports that a trial since the trait is alone has crashed an endpoint;
 	// the last one was claimed at triedAt.
 	confirmed bool
@@ -94,8 +98,9 @@
 		return nil
 	}
 	var blocks map[string]*block
-	for _, s := range traitsOf(q) {
-		if b := l.blocks[s.Trait]; b != nil && !l.isSound(now, s.Trait) {
+	traits := traitsOf(q)
+	for _, s := range traits {
+		if b := l.blocks[s.Trait]; b != nil && !l.isSound(now, s.Trait) && l.applies(now, b, traits) {
 			if blocks == nil {
 				blocks = make(map[string]*block)
 			}
@@ -105,13 +110,25 @@
 	return blocks
 }
 
+// applies reports whether a block applies to a request with certain traits: it has all those
+// that may be the cause in place of the blocked one.
+func (l *Ledger) applies(now time.Time, b *block, traits []Suspect) bool {
+	for _, w := range b.with {
+		if !slices.ContainsFunc(traits, func(s Suspect) bool { return s.Trait == w }) && !l.isSound(now, w) {
+			return false
+		}
+	}
+	return true
+}
+
 // MayRepeat implements fescuelatch.CrashGuard.
-func (l *Ledger) MayRepeat(_ time.Time, q *fescuelatch.Request) bool {
+func (l *Ledger) MayRepeat(now time.Time, q *fescuelatch.Request) bool {
 	if len(l.outages) == 0 && len(l.blocks) == 0 {
 		return true
 	}
-	for _, s := range traitsOf(q) {
-		if l.outages[s.Trait] >= suspectAfter || l.blocks[s.Trait] != nil {
+	traits := traitsOf(q)
+	for _, s := range traits {
+		if b := l.blocks[s.Trait]; l.outages[s.Trait] >= suspectAfter || b != nil && l.applies(now, b, traits) {
 			return false
 		}
 	}
@@ -139,7 +156,7 @@
 	for trait, b := range blocks {
 		b.trialAt = now.Add(rewriteInterval)
 		w := Write{
-			Kind: RecordBlock, Name: trait, Value: Block{Trials: b.step() + 1}, Lifetime: statementLifetime,
+			Kind: RecordBlock, Name: trait, Value: Block{Trials: b.step() + 1, With: b.with}, Lifetime: statementLifetime,
 			Conditional: true, Revision: b.stored.Revision,
 		}
 		if b.doubtful {
--- a/crash/evidence.go
+++ b/crash/evidence.go
@@ -31,6 +31,9 @@
 	// reports that do not tell. preceding holds all that come before it, if asked for.
 	parents   map[string]map[string]bool
 	preceding map[string]map[string]bool
+	// with holds the traits that all requests with a trait had that met a crash, if they
+	// are known.
+	with map[string][]string
 	// crashMarks and outageMarks tell what was counted since mark last changed.
 	crashMarks, outageMarks []int
 	mark                    int
@@ -48,7 +51,7 @@
 		outages: o, traits: make([][]string, len(o.of)), explained: make([]bool, len(o.of)), settled: make([]bool, len(o.of)),
 		unexplained: slices.Clone(o.sizes), open: len(o.sizes),
 		counts: make(map[string]int), in: make(map[string][]int), depths: make(map[string]int),
-		parents: make(map[string]map[string]bool), preceding: make(map[string]map[string]bool),
+		parents: make(map[string]map[string]bool), preceding: make(map[string]map[string]bool), with: make(map[string][]string),
 		crashMarks: make([]int, len(o.of)), outageMarks: make([]int, len(o.sizes)),
 	}
 	clear(l.named)
@@ -60,6 +63,9 @@
 			l.collectTrait(now, e, t)
 		}
 	}
+	for t, with := range e.with {
+		e.with[t] = slices.DeleteFunc(with, func(w string) bool { return e.in[w] == nil })
+	}
 	return e
 }
 
@@ -69,11 +75,17 @@
 	var last *Suspect
 	e.mark++
 	sound, vouched := l.vouched[trait]
+	var with []string
 	for _, m := range l.mentions[trait] {
 		if vouched && sound.clears(m.report) {
 			continue
 		}
 		s := &m.report.Suspects[m.suspect]
+		if last == nil {
+			with = slices.Clone(s.With)
+		} else {
+			with = both(with, s.With)
+		}
 		if last == nil || s.After != last.After || s.Depth != last.Depth {
 			e.addTrait(s)
 			last = s
@@ -96,6 +108,9 @@
 		return
 	}
 	e.counts[trait] = n
+	if with != nil {
+		e.with[trait] = with
+	}
 	for _, number := range in {
 		e.traits[number] = append(e.traits[number], trait)
 	}
@@ -165,8 +180,9 @@
 }
 
 // causes returns the traits that are in the most outages, and that number, if it suffices to
-// block them. Of traits of the same request only the last is returned, as it is in fewer
-// other ones. Only one trait of each group is a cause.
+// block them. Of traits of the same request only the one that is in the fewest other ones is
+// returned, and the last of those that are always together. Only one trait of each group is a
+// cause.
 func (e *evidence) causes(blocked func(string) bool) ([][]string, int) {
 	candidates, most := e.candidates(blocked)
 	var top []string
@@ -175,16 +191,15 @@
 			top = append(top, t)
 		}
 	}
-	earlier := make(map[string]bool)
+	general := make(map[string]bool)
 	for _, t := range top {
-		for p := range e.precedingOf(t) {
-			// Prompts may have two parts in either order. Then neither is the last.
-			if !e.precedingOf(p)[t] {
-				earlier[p] = true
+		for _, o := range top {
+			if o != t && e.isMoreGeneral(o, t) {
+				general[o] = true
 			}
 		}
 	}
-	last := slices.DeleteFunc(top, func(t string) bool { return earlier[t] })
+	last := slices.DeleteFunc(top, func(t string) bool { return general[t] })
 	unknownDepth := 0
 	for _, t := range last {
 		if e.parents[t][""] {
@@ -196,15 +211,38 @@
 	return e.group(last), most
 }
 
+// isMoreGeneral reports whether a trait is in more requests than another one that comes with it,
+// by the requests that met a crash. Of traits that always come together it is the first one.
+func (e *evidence) isMoreGeneral(trait, o string) bool {
+	always, alwaysO := slices.Contains(e.with[o], trait), slices.Contains(e.with[trait], o)
+	if always != alwaysO {
+		return always
+	}
+	before, after := e.precedingOf(o)[trait], e.precedingOf(trait)[o]
+	if before != after {
+		return before
+	}
+	// Prompts have the two in either order.
+	return always && trait > o
+}
+
+// comesWith reports whether all requests with a trait have another one, as far as that is known.
+func (e *evidence) comesWith(trait, o string) bool {
+	return e.precedingOf(trait)[o] || slices.Contains(e.with[trait], o)
+}
+
 // candidates returns the traits that may have caused enough outages, with their number, and
 // the largest of these. An outage that a blocked trait explains counts as well for a trait
-// which precedes that one: if this is the cause, the requests that were blocked for
+// that comes with that one: if this is the cause, the requests that were blocked for
 // themselves crashed endpoints because of it.
 func (e *evidence) candidates(blocked func(string) bool) (all map[string]int, most int) {
-	precedingBlocked := make(map[string]bool)
+	withBlocked := make(map[string]bool)
 	for t := range e.in {
 		if blocked(t) {
-			maps.Copy(precedingBlocked, e.precedingOf(t))
+			maps.Copy(withBlocked, e.precedingOf(t))
+			for _, w := range e.with[t] {
+				withBlocked[w] = true
+			}
 		}
 	}
 	all = make(map[string]int)
@@ -212,8 +250,8 @@
 		if n < suspectAfter || blocked(t) {
 			continue
 		}
-		if n < blockAfter && precedingBlocked[t] {
-			n += e.explainedBySuccessors(t, blocked)
+		if n < blockAfter && withBlocked[t] {
+			n += e.explainedTogether(t, blocked)
 		}
 		if n >= blockAfter {
 			all[t] = n
@@ -223,9 +261,9 @@
 	return all, most
 }
 
-// explainedBySuccessors returns the number of outages with a trait in which each blocked
-// trait comes after it in a request.
-func (e *evidence) explainedBySuccessors(trait string, blocked func(string) bool) int {
+// explainedTogether returns the number of outages with a trait in which each blocked trait
+// comes with it.
+func (e *evidence) explainedTogether(trait string, blocked func(string) bool) int {
 	n := 0
 	e.mark++
 	for _, number := range e.in[trait] {
@@ -233,7 +271,7 @@
 		for _, t := range e.traits[number] {
 			if blocked(t) {
 				explained = true
-				other = other || !e.precedingOf(t)[trait]
+				other = other || !e.comesWith(t, trait)
 			}
 		}
 		if o := e.of[number]; explained && !other && e.outageMarks[o] != e.mark {
--- a/crash/ledger_test.go
+++ b/crash/ledger_test.go
@@ -51,56 +51,93 @@
 	tests := []struct {
 		name    string
 		steps   []step
-		blocked []string
-		free    []string
+		blocked [][]string // parts of prompts
+		free    [][]string
 	}{
 		{
 			"three crashes with one part in common",
 			[]step{{1 * s, 1, []string{"a", "x", "d1"}, false}, {2 * s, 2, []string{"a", "x", "d2"}, false}, {3 * s, 0, []string{"a", "d3"}, false}, {4 * s, 3, []string{"b", "x"}, false}},
-			[]string{"x"},
-			[]string{"a", "b", "d1", "d2", "d3"},
+			[][]string{{"x"}},
+			[][]string{{"a"}, {"b"}, {"d1"}, {"d2"}, {"d3"}},
 		},
 		{
 			"two crashes",
 			[]step{{1 * s, 1, []string{"x"}, false}, {2 * s, 2, []string{"x"}, false}},
 			nil,
-			[]string{"x"},
+			[][]string{{"x"}},
 		},
 		{
 			"the same process is seen to crash in several attempts",
 			[]step{{1 * s, 1, []string{"x"}, false}, {2 * s, 1, []string{"x"}, false}, {3 * s, 1, []string{"x"}, false}},
 			nil,
-			[]string{"x"},
+			[][]string{{"x"}},
 		},
 		{
 			"an answer in between",
 			[]step{{1 * s, 1, []string{"x"}, false}, {2 * s, 2, []string{"x"}, false}, {3 * s, 0, []string{"x"}, false}, {4 * s, 3, []string{"x"}, false}},
 			nil,
-			[]string{"x"},
+			[][]string{{"x"}},
 		},
 		{
 			"an answer before",
 			[]step{{0, 0, []string{"x"}, false}, {1 * s, 1, []string{"x"}, false}, {2 * s, 2, []string{"x"}, false}, {3 * s, 3, []string{"x"}, false}},
 			nil,
-			[]string{"x"},
+			[][]string{{"x"}},
 		},
 		{
 			"processes that end at the same moment",
 			[]step{{1 * s, 1, []string{"x"}, false}, {1*s + 20*time.Millisecond, 2, []string{"x"}, false}, {1*s + 60*time.Millisecond, 3, []string{"x"}, false}, {1*s + 90*time.Millisecond, 4, []string{"x"}, false}},
 			nil,
-			[]string{"x"},
+			[][]string{{"x"}},
 		},
 		{
 			"answers that were under way",
 			[]step{{1 * s, 1, []string{"x"}, true}, {2 * s, 2, []string{"x"}, true}, {3 * s, 3, []string{"x"}, true}},
 			nil,
-			[]string{"x"},
+			[][]string{{"x"}},
 		},
 		{
 			"two parts that are always together",
 			[]step{{1 * s, 1, []string{"a", "x"}, false}, {2 * s, 2, []string{"a", "x"}, false}, {3 * s, 3, []string{"a", "x"}, false}},
-			[]string{"x"},
-			[]string{"a"},
+			[][]string{{"a", "x"}, {"x", "a"}, {"a", "z", "x"}},
+			[][]string{{"a"}, {"x"}, {"a", "z"}, {"z", "x"}},
+		},
+		{
+			"two parts that are together until the last one crashes alone",
+			[]step{{1 * s, 1, []string{"a", "x"}, false}, {2 * s, 2, []string{"a", "x"}, false}, {3 * s, 3, []string{"a", "x"}, false}, {4 * s, 4, []string{"b", "x"}, false}},
+			[][]string{{"x"}, {"a", "x"}},
+			[][]string{{"a"}, {"b"}},
+		},
+		{
+			"two parts that are together until the first one crashes alone",
+			[]step{{1 * s, 1, []string{"a", "x"}, false}, {2 * s, 2, []string{"a", "x"}, false}, {3 * s, 3, []string{"a", "x"}, false}, {4 * s, 4, []string{"a", "y"}, false}},
+			[][]string{{"a"}, {"a", "x"}},
+			[][]string{{"x"}, {"y"}},
+		},
+		{
+			"two parts that are together until the last one is answered alone",
+			[]step{{1 * s, 1, []string{"a", "x"}, false}, {2 * s, 2, []string{"a", "x"}, false}, {3 * s, 3, []string{"a", "x"}, false}, {4 * s, 0, []string{"b", "x"}, false}},
+			[][]string{{"a"}, {"a", "x"}},
+			[][]string{{"x"}, {"b"}},
+		},
+		{
+			"two parts that are together until the first one is answered alone",
+			[]step{{1 * s, 1, []string{"a", "x"}, false}, {2 * s, 2, []string{"a", "x"}, false}, {3 * s, 3, []string{"a", "x"}, false}, {4 * s, 0, []string{"a", "y"}, false}},
+			[][]string{{"x"}, {"a", "x"}},
+			[][]string{{"a"}, {"y"}},
+		},
+		{
+			"a part with another one at three crashes, which others have as well",
+			[]step{
+				{1 * s, 1, []string{"x", "a"}, false},
+				{1 * s, 1, []string{"y", "a"}, false},
+				{2 * s, 2, []string{"x", "a"}, false},
+				{2 * s, 2, []string{"z", "a"}, false},
+				{3 * s, 3, []string{"x", "a"}, false},
+				{3 * s, 3, []string{"w", "a"}, false},
+			},
+			[][]string{{"x", "a"}, {"x", "b", "a"}},
+			[][]string{{"a"}, {"y", "a"}, {"v", "a"}},
 		},
 		{
 			"a part of requests on the same endpoints",
@@ -113,8 +150,8 @@
 				{4 * s, 4, []string{"x"}, false},
 				{5 * s, 5, []string{"y"}, false},
 			},
-			[]string{"x"},
-			[]string{"y"},
+			[][]string{{"x"}},
+			[][]string{{"y"}},
 		},
 		{
 			"two causes",
@@ -126,14 +163,14 @@
 				{5 * s, 5, []string{"y"}, false},
 				{6 * s, 6, []string{"y"}, false},
 			},
-			[]string{"x", "y"},
+			[][]string{{"x"}, {"y"}},
 			nil,
 		},
 		{
 			"the last part",
 			[]step{{1 * s, 1, nil, false}, {2 * s, 2, nil, false}, {3 * s, 3, nil, false}},
 			nil,
-			[]string{"own"},
+			[][]string{{"own"}},
 		},
 	}
 	for _, test := range tests {
@@ -150,13 +187,15 @@
 				}
 			}
 			for _, p := range test.blocked {
-				_, blocked := l.Blocked(now, request("r", "z", p))
-				c.Check(blocked, qt.IsTrue, qt.Commentf("part %s", p))
-				c.Check(l.MayRepeat(now, request("r", p)), qt.IsFalse)
+				for _, q := range []*fescuelatch.Request{request("r", p...), request("r", append([]string{"n"}, p...)...)} {
+					_, blocked := l.Blocked(now, q)
+					c.Check(blocked, qt.IsTrue, qt.Commentf("parts %v", q.Parts))
+					c.Check(l.MayRepeat(now, q), qt.IsFalse)
+				}
 			}
 			for _, p := range test.free {
-				_, blocked := l.Blocked(now, request("r", p))
-				c.Check(blocked, qt.IsFalse, qt.Commentf("part %s", p))
+				_, blocked := l.Blocked(now, request("r", p...))
+				c.Check(blocked, qt.IsFalse, qt.Commentf("parts %v", p))
 			}
 		})
 	}
--- a/crash/outage.go
+++ b/crash/outage.go
@@ -138,9 +138,12 @@
 			r = second
 		}
 		if known < 0 {
+			s.With = slices.DeleteFunc(slices.Clone(s.With), func(w string) bool { return l.isSound(now, w) })
 			r.Suspects = append(r.Suspects, s)
 			known = len(r.Suspects) - 1
 			l.addMention(r, known)
+		} else {
+			r.Suspects[known].With = both(r.Suspects[known].With, s.With)
 		}
 		r.suspectAt(known, process)
 		related = related || l.repeated[s.Trait]
--- a/crash/record.go
+++ b/crash/record.go
@@ -289,7 +289,7 @@
 		b.trials, b.triedAt = decoded.Trials, now
 		l.scheduleTrial(now, r.Name, b)
 	}
-	b.stored, b.recorded = r.Stored, true
+	b.stored, b.recorded, b.with = r.Stored, true, decoded.With
 	b.until, b.refused = now.Add(blockLifetime), false
 	return true, nil
 }
@@ -373,7 +373,7 @@
 		if !b.doubtful && b.stored.Revision == 0 && !now.Before(b.writeAt) && (b.refused || !b.recorded) {
 			b.writeAt = now.Add(rewriteInterval)
 			due = append(due, Write{
-				Kind: RecordBlock, Name: t, Value: Block{Trials: b.trials}, Lifetime: statementLifetime,
+				Kind: RecordBlock, Name: t, Value: Block{Trials: b.trials, With: b.with}, Lifetime: statementLifetime,
 				Conditional: true, Revision: l.endedBlocks[t].Revision,
 			})
 		}
@@ -454,6 +454,9 @@
 		if known < 0 {
 			return false
 		}
+		if len(both(r.Suspects[known].With, s.With)) != len(r.Suspects[known].With) {
+			return false
+		}
 		for _, p := range other.suspectedAt(s) {
 			if !slices.Contains(r.suspectedAt(&r.Suspects[known]), p) {
 				return false
--- a/crash/report.go
+++ b/crash/report.go
@@ -20,6 +20,8 @@
 	maxOffset = 1000
 	// maxTrials bounds the trials of a blocked part, of which one counts at a time.
 	maxTrials = 1 << 30
+	// maxWith bounds the traits that are named with another one.
+	maxWith = 64
 )
 
 // Report is what one daemon saw of crashes that came at the same time.
@@ -46,6 +48,9 @@
 	// At holds the positions in Processes of those that had requests with the trait.
 	// If it is empty, all may have had some.
 	At []int `json:"at,omitempty"`
+	// With holds the other traits that all these requests have. It is nil if they are not
+	// known, in the reports of earlier builds.
+	With []string `json:"with,omitzero"`
 }
 
 // Block is the record of a blocked trait.
@@ -53,6 +58,8 @@
 	// Trials is the number of requests with the trait that were sent since it was
 	// blocked, to see whether it still crashes endpoints.
 	Trials int `json:"trials"`
+	// With holds the traits without which a request with the trait is not refused.
+	With []string `json:"with,omitempty"`
 }
 
 // ProcessKey identifies an endpoint process in reports.
@@ -82,6 +89,9 @@
 		if s.Trait == "" || len(s.Trait) > maxTrait || len(s.After) > maxTrait || s.Depth < 0 {
 			return r, &Error{op, KindInvalid, errors.Errorf("suspect %.20q after %.20q at depth %d", s.Trait, s.After, s.Depth)}
 		}
+		if err := checkWith(s.Trait, s.With); err != nil {
+			return r, &Error{op, KindInvalid, err}
+		}
 		for _, i := range s.At {
 			if i < 0 || i >= len(r.Processes) {
 				return r, &Error{op, KindInvalid, errors.Errorf("suspect at process %d of %d", i, len(r.Processes))}
@@ -101,5 +111,21 @@
 	if trait == "" || len(trait) > maxTrait || decoded.Trials < 0 || decoded.Trials > maxTrials {
 		return decoded, &Error{op, KindInvalid, errors.Errorf("record of %.20q with %d trials", trait, decoded.Trials)}
 	}
+	if err := checkWith(trait, decoded.With); err != nil {
+		return decoded, &Error{op, KindInvalid, err}
+	}
 	return decoded, nil
 }
+
+// checkWith checks the traits that are named with another one.
+func checkWith(trait string, with []string) error {
+	if len(with) > maxWith {
+		return errors.Errorf("%d traits with %.20q", len(with), trait)
+	}
+	for _, w := range with {
+		if w == "" || len(w) > maxTrait {
+			return errors.Errorf("trait %.20q with %.20q", w, trait)
+		}
+	}
+	return nil
+}
--- a/crash/trait.go
+++ b/crash/trait.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"slices"
 	"strings"
 
 	"fescuelatch"
@@ -23,6 +24,31 @@
 // isRequest reports whether a trait is the fingerprint of a request.
 func isRequest(trait string) bool { return strings.HasPrefix(trait, requestPrefix) }
 
+// beside returns the traits of a request other than a given one.
+func beside(traits []Suspect, trait string) []string {
+	with := make([]string, 0, len(traits))
+	for _, s := range traits {
+		if s.Trait != trait && !slices.Contains(with, s.Trait) && len(with) < maxWith {
+			with = append(with, s.Trait)
+		}
+	}
+	return with
+}
+
+// both returns what two lists have in common, or nil if one of them is nil.
+func both(a, b []string) []string {
+	if a == nil || b == nil {
+		return nil
+	}
+	common := make([]string, 0, min(len(a), len(b)))
+	for _, s := range a {
+		if slices.Contains(b, s) {
+			common = append(common, s)
+		}
+	}
+	return common
+}
+
 // traitsOf returns the traits of a request, the most common ones first: all parts of the
 // prompt but the last, which no other prompt has, and the fingerprints.
 func traitsOf(q *fescuelatch.Request) []Suspect {
@@ -42,5 +68,8 @@
 			add(requestPrefix+f, requestDepth-1+i)
 		}
 	}
+	for i := range traits {
+		traits[i].With = beside(traits, traits[i].Trait)
+	}
 	return traits
 }
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -60,13 +60,32 @@
 	}
 	l.outages = e.counts
 	for t, b := range l.blocks {
-		if b.doubtful && doubtful[t] == 0 && l.mayBeInnocent(e, t) {
+		if b.doubtful && doubtful[t] == 0 && (l.mayBeInnocent(e, t) || l.comesWithCause(e, t)) {
 			l.unblock(t)
 		}
 	}
 	for _, t := range slices.Sorted(maps.Keys(doubtful)) {
 		l.doubt(now, t, doubtful[t])
 	}
+	for t, b := range l.blocks {
+		if len(e.in[t]) > 0 {
+			b.with = e.with[t]
+		}
+	}
+}
+
+// comesWithCause reports whether all outages of a trait are explained by others, one of which is
+// in fewer requests and always comes with it.
+func (l *Ledger) comesWithCause(e *evidence, trait string) bool {
+	if e.counts[trait] > 0 {
+		return false
+	}
+	for t := range l.blocks {
+		if t != trait && e.isMoreGeneral(trait, t) && slices.Contains(e.with[t], trait) {
+			return true
+		}
+	}
+	return false
 }
 
 // mayBeInnocent reports whether a doubtful block ends, as certain blocks explain its outages. It
--- a/direct/crashes_test.go
+++ b/direct/crashes_test.go
@@ -113,6 +113,51 @@
 	}
 }
 
+// TestSharedPartIsRefusedForCause guards against sound requests that are refused as they share a
+// part with requests that crash endpoints, while no answer to either is known.
+func TestSharedPartIsRefusedForCause(t *testing.T) {
+	const (
+		during = 12 * time.Second
+		// settled is the time after the fifth crash, or the last if there are fewer, from
+		// which on sound requests are looked at.
+		settled = 6 * time.Second
+	)
+	tests := []struct {
+		name, cause, sound string
+		alike              bool // but for the prompt
+	}{
+		{"behind the cause", crashingPart + ":20,b0:30", "%[1]s:20,b0:30", false},
+		{"around the cause", "a0:40," + crashingPart + ":20,b0:30", "a0:40,%[1]s:20,b0:30", false},
+		{"before the cause", "b0:30," + crashingPart + ":20", "b0:30,%[1]s:20", false},
+		{"behind the cause, the same body", crashingPart + ":20,b0:30", "%[1]s:20,b0:30", true},
+		{"before the cause, the same body", "b0:30," + crashingPart + ":20", "b0:30,%[1]s:20", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f, all := newSupervisedFleet(t, "lm", 3, 3, fakeplatform.CrashOnPart(crashingPart, slowly(1200*time.Millisecond, shortStream)))
+			stream := func(perSecond float64, parts func() string) load {
+				return load{perSecond: perSecond, method: http.MethodPost, host: "lm.example", path: "/write/", unlike: !test.alike, header: func() []string {
+					return []string{"Fescuelatch-Prefix-Hash", fmt.Sprintf("%s,%x:10", parts(), rand.Uint64())}
+				}}
+			}
+			sound := stream(6, func() string { return fmt.Sprintf(test.sound, fmt.Sprintf("%x", rand.Uint32())) })
+			var plays sync.WaitGroup
+			plays.Go(func() { f.play(stream(5, func() string { return test.cause }), during) })
+			began := time.Now()
+			f.play(sound, settled)
+			crashes := crashTimes(all)
+			f.Assert(len(crashes) > 0, qt.IsTrue)
+			from := crashes[min(len(crashes), 5)-1].Add(settled)
+			f.play(sound, time.Until(from))
+			sent, answered := f.play(sound, during-time.Since(began))
+			plays.Wait()
+			f.Logf("%d of %d answered, %d crashes", answered, sent, len(crashTimes(all)))
+			f.Check(2*answered >= sent, qt.IsTrue, qt.Commentf("%d of %d answered", answered, sent))
+		})
+	}
+}
+
 // TestNewDaemonSendsCrashingPart guards against a daemon that starts after the crashes
 // and has met none of them.
 func TestNewDaemonSendsCrashingPart(t *testing.T) {
--- a/direct/fleet_test.go
+++ b/direct/fleet_test.go
@@ -54,6 +54,8 @@
 	busiestShare float64
 	method, host string
 	path, body   string
+	// unlike reports that each call asks for something else.
+	unlike bool
 	// header returns names and values of the header of a call.
 	header func() []string
 }
@@ -84,7 +86,11 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
 			id := fmt.Sprintf("%x", rand.Uint64())
-			q, err := fakeplatform.NewCall(ctx, to, l.method, l.host, l.path, id, callerKey, 3*time.Second)
+			path := l.path
+			if l.unlike {
+				path += "?call=" + id
+			}
+			q, err := fakeplatform.NewCall(ctx, to, l.method, l.host, path, id, callerKey, 3*time.Second)
 			f.Check(err, qt.IsNil)
 			if l.body != "" {
 				q.Body, q.ContentLength = io.NopCloser(strings.NewReader(l.body)), int64(len(l.body))
