Bound the memory of all answers that a daemon holds together

A daemon that called faulty endpoints, which wrote bytes without end, could take several times the memory of its VM; the requests of all other callers would have ended with it.

Cause: a head, a body and an event were bounded each, at 256 KiB, 1 MiB and 512 KiB, but not the sum over all requests. A head of many short lines took forty times its bytes.

Chunks, trailers, refusals, foreign answers and informational answers were bounded before.

An answer that finds no room is passed on as it arrives, so that large sound answers are served as well.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -22,6 +22,8 @@
 	// maxBufferedBytes bounds an answer that is buffered before it is relayed.
 	// A larger one is relayed as it arrives.
 	maxBufferedBytes = 1 << 20
+	// minBufferBytes is the size of the smallest buffer.
+	minBufferBytes = 4 << 10
 	// maxRefusalBytes and refusalTimeout bound how much of a refusal's body is
 	// read. Its content is not used.
 	maxRefusalBytes = 16 << 10
@@ -456,12 +458,12 @@
 
 // readAnswer reads an answer that is not a stream of events.
 func (t *attempt) readAnswer(a *endpoint.Answer, r *fescuelatch.AttemptResult, headers fescuelatch.AnswerHeaders, sent time.Time) error {
-	b, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
+	b, whole, err := t.readBuffered(a)
 	if err != nil {
-		return err //nolint:wrapcheck // classify needs its kind.
+		return err
 	}
 	r.FirstToken = time.Since(sent)
-	if len(b) == maxBufferedBytes {
+	if !whole {
 		return t.relayLarge(a, r, b)
 	}
 	t.maybeCut = len(b) == 0 && !a.Framed
@@ -491,6 +493,33 @@
 	return nil
 }
 
+// readBuffered reads an answer, and reports whether that is the whole one: a large one is read
+// only in part, and all together are held only as far as there is memory for them.
+func (t *attempt) readBuffered(a *endpoint.Answer) (b []byte, whole bool, err error) {
+	b = make([]byte, 0, minBufferBytes)
+	for {
+		n, err := a.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return b, true, nil
+		case err != nil:
+			return nil, false, err //nolint:wrapcheck // classify needs its kind.
+		case len(b) < cap(b):
+			continue
+		}
+		larger := min(2*cap(b), maxBufferedBytes)
+		if larger == cap(b) {
+			return b, false, nil
+		}
+		if !t.request.buffer.grow(cap(b), larger) {
+			t.request.log("answers take too much memory; this one is passed on as it arrives", "attempt", t.start.Attempt, "endpoint", t.endpoint(), "bytes", len(b))
+			return b, false, nil
+		}
+		b = append(make([]byte, 0, larger), b...)
+	}
+}
+
 // relayLarge relays an answer that is too large to buffer.
 func (t *attempt) relayLarge(a *endpoint.Answer, r *fescuelatch.AttemptResult, head []byte) error {
 	if !t.awaitRelay(fescuelatch.AnswerHeaders{}) {
@@ -501,6 +530,7 @@
 	if _, err := s.writer.Write(head); err != nil { //nolint:gosec // The endpoint's answer is relayed unchanged.
 		return err //nolint:wrapcheck // The caller has disconnected.
 	}
+	s.buffer.releaseAll()
 	if _, err := io.Copy(s.writer, a); err != nil {
 		return err //nolint:wrapcheck // classify needs its kind.
 	}
@@ -520,6 +550,7 @@
 	}
 	s := t.request
 	events := sse.NewScanner(a)
+	events.Grow = s.buffer.grow
 	timeout := t.start.Timeouts.First
 	for {
 		a.SetInactivityTimeout(timeout)
--- a/direct/callerwriter.go
+++ b/direct/callerwriter.go
@@ -23,7 +23,7 @@
 func (w *callerWriter) Write(b []byte) (int, error) {
 	w.begin()
 	defer w.end()
-	return w.ResponseWriter.Write(b) //nolint:wrapcheck // The caller has disconnected.
+	return w.ResponseWriter.Write(b) //nolint:wrapcheck,gosec // The caller has disconnected. Answers are relayed unchanged.
 }
 
 // FlushError is called by http.ResponseController.
--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -74,12 +74,14 @@
 
 // Daemon is the daemon of an entry VM.
 type Daemon struct {
-	options   Options
-	log       *slog.Logger
-	metrics   *metrics
-	life      *lifecycle.Lifecycle
-	closing   graceful.Closing
-	endpoints *endpoint.Client
+	options Options
+	log     *slog.Logger
+	metrics *metrics
+	life    *lifecycle.Lifecycle
+	closing graceful.Closing
+	// answerMemory is the memory of the answers that are held.
+	answerMemory answerMemory
+	endpoints    *endpoint.Client
 	// active is replaced as a whole, so that its parts match.
 	active   atomic.Pointer[activeConfiguration]
 	stopping atomic.Bool
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -44,6 +44,8 @@
 	ran atomic.Bool
 	// answers holds buffered answers, from which the core chooses.
 	answers map[fescuelatch.AttemptID]*bufferedAnswer
+	// buffer is the memory of the answers.
+	buffer answerBuffer
 	// output is the answer to the caller.
 	output output
 	// lastEndpoint is that of the current attempt, and lastError of the last one that
@@ -80,6 +82,7 @@
 		actions: make(chan decision.Action, actionBuffer), answers: make(map[fescuelatch.AttemptID]*bufferedAnswer),
 	}
 	s.output.lastEvent = c.LastEvent
+	s.buffer.memory = &d.answerMemory
 	return s
 }
 
@@ -135,6 +138,7 @@
 	d.signalPermitsLocked()
 	d.mu.Unlock()
 	s.run(ctx)
+	s.buffer.releaseAll()
 	d.mu.Lock()
 	delete(d.requests, s.details.ID)
 	d.mu.Unlock()
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -141,10 +141,10 @@
 	k.inactive = r.Inactive
 	k.setInactivityTimeout(r.InactivityTimeout)
 	k.head.begin()
-	defer k.head.end()
+	defer k.head.begin()
 	for range maxForeignAnswers + 1 {
 		from := k.consumed()
-		res, err := readFinal(k.reader, h) //nolint:bodyclose // Answer reads the body.
+		res, err := k.readFinal(h) //nolint:bodyclose // Answer reads the body.
 		if err != nil {
 			return nil, exchangeError(ctx, "read answer", err)
 		}
@@ -205,14 +205,17 @@
 	return err == nil && n < maxForeignBytes
 }
 
-// readFinal reads an answer, skipping informational ones.
-func readFinal(r *bufio.Reader, h *http.Request) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(r, h)
+// readFinal reads the head of an answer, skipping informational ones.
+func (k *connection) readFinal(h *http.Request) (*http.Response, error) {
+	defer k.head.end()
+	for range maxInformational + 1 {
+		k.head.next()
+		res, err := http.ReadResponse(k.reader, h)
 		if err != nil || res.StatusCode >= http.StatusOK {
 			return res, err //nolint:wrapcheck // The caller wraps it.
 		}
 	}
+	return nil, errTooManyInformational
 }
 
 // httpRequest converts the request. An opaque URL preserves the path and query
--- a/sse/scanner.go
+++ b/sse/scanner.go
@@ -25,6 +25,9 @@
 
 // Scanner reads events from a stream.
 type Scanner struct {
+	// Grow, when set, is called before the buffer grows from one size to another. If it
+	// reports false, the event is too large.
+	Grow   func(from, to int) bool
 	source io.Reader
 	buffer []byte
 	next   int // end of the event that was returned last
@@ -55,7 +58,9 @@
 		if len(s.buffer) > maxEventBytes {
 			return Event{}, &Error{Op: "read event", Kind: KindTooLarge}
 		}
-		s.fill()
+		if !s.fill() {
+			return Event{}, &Error{Op: "read event", Kind: KindTooLarge}
+		}
 	}
 }
 
@@ -65,14 +70,20 @@
 // Remainder returns the buffered bytes after the event that was returned last.
 func (s *Scanner) Remainder() []byte { return s.buffer[s.next:] }
 
-func (s *Scanner) fill() {
+// fill reads more of the stream, and reports whether there was room for it.
+func (s *Scanner) fill() bool {
 	n := len(s.buffer)
 	if cap(s.buffer)-n < readBytes/2 {
-		s.buffer = append(make([]byte, 0, 2*cap(s.buffer)+readBytes), s.buffer...)
+		larger := 2*cap(s.buffer) + readBytes
+		if s.Grow != nil && !s.Grow(cap(s.buffer), larger) {
+			return false
+		}
+		s.buffer = append(make([]byte, 0, larger), s.buffer...)
 	}
 	m, err := s.source.Read(s.buffer[n:cap(s.buffer)])
 	s.buffer = s.buffer[:n+m]
 	s.err = err
+	return true
 }
 
 // search is the progress of the search for the end of an event in a buffer.
