Refuse requests that cannot end before a stopping daemon does

In a planned stop with a short grace, requests that came late were passed on and cut without an answer at its end, among them some that may not be repeated.

Cause: for the time that the balancer needs to send callers elsewhere, a stopping daemon took all requests, and did not ask whether they could end in the time left. That was asked only afterwards.

A request that may not be repeated is now taken only if its timeout ends before the daemon does, others if requests of their route usually end by then. The rest is refused at once as not run.

--- a/direct/daemon.go
+++ b/direct/daemon.go
@@ -87,9 +87,11 @@
 	stopping atomic.Bool
 	// isolated reports that a partition took this daemon out of rotation.
 	isolated atomic.Bool
-	// stopDeadline is set once the balancer sends no more callers here. Requests
-	// that still run then are aborted.
+	// stopDeadline is set while the daemon stops. Requests that still run then are
+	// aborted. drained reports that the balancer sends no more callers here.
 	stopDeadline atomic.Pointer[time.Time]
+	drained      atomic.Bool
+	durations    *durations
 	store        storeAvailability
 	// stalls are the times in which this daemon did not run.
 	stalls *stall.Log
@@ -159,6 +161,7 @@
 		stalls:     new(stall.Log),
 		process:    uuid.NewString(),
 		bounds:     o.Dynamic,
+		durations:  newDurations(),
 		recordLost: make(chan struct{}, 1), recordDoubtful: make(chan struct{}, 1), crashWrites: make(chan []crash.Write, 1), crashTrials: make(chan trial),
 		allocator: permit.NewAllocator(), slotAllocator: permit.NewSlotAllocator(), permitsLacking: make(chan struct{}, 1),
 	}
@@ -287,7 +290,7 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			d.stop(stopServers)
+			d.stopGracefully(stopServers)
 		case <-running.Done():
 		}
 		cancel()
@@ -367,32 +370,3 @@
 		d.delegateFronts.CloseIdle(time.Now(), func(netip.AddrPort) bool { return true })
 	}
 }
-
-// drainTime is how long a stopping daemon continues to accept requests: until the
-// balancer's check has failed twice and answers have announced the close of
-// their connections.
-const drainTime = 2500 * time.Millisecond
-
-// stopMargin is the part of the stop grace reserved for process exit.
-const stopMargin = 700 * time.Millisecond
-
-// stop ends the service for callers without losing a request.
-func (d *Daemon) stop(shutdown func(context.Context)) {
-	began := time.Now()
-	d.mu.Lock()
-	grace := d.bounds.StopGrace
-	d.mu.Unlock()
-	d.log.Info("stopping", "grace", grace.String())
-	d.life.FireIfPossible(chart.EventDrain)
-	d.stopping.Store(true)
-	d.closing.Begin()
-	time.Sleep(min(drainTime, grace/2))
-	end := began.Add(grace - stopMargin)
-	d.stopDeadline.Store(&end)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	shutdown(ctx)
-	d.removeRecord()
-	d.life.FireIfPossible(chart.EventDrained)
-	d.log.Info("stopped", "took", time.Since(began).String())
-}
--- /dev/null
+++ b/direct/late_in_stop_test.go
@@ -0,0 +1,132 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fescuelatch/platform/fakeplatform"
+)
+
+// This file tests requests that arrive late in the grace of a planned stop.
+
+// stopCall is a call to a daemon that is being stopped.
+type stopCall struct {
+	id     string
+	after  time.Duration // the stop
+	status int
+	whole  bool
+}
+
+// callUntilGone sends calls until the daemon takes no more connections, each on a new connection
+// or on one that is kept open, and returns those that were sent.
+func (s *site) callUntilGone(kept bool, host, path string, deadline time.Duration) []stopCall {
+	const apart = 15 * time.Millisecond
+	transport := &http.Transport{DisableKeepAlives: !kept, MaxIdleConnsPerHost: 256}
+	defer transport.CloseIdleConnections()
+	var calls []*stopCall
+	var all sync.WaitGroup
+	began := time.Now()
+	s.stop()
+	for gone := false; !gone; {
+		select {
+		case <-s.stopped:
+			gone = true
+		case <-time.After(apart):
+		}
+		k := &stopCall{id: fmt.Sprintf("late-%d", lastCall.Add(1)), after: time.Since(began)}
+		calls = append(calls, k)
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
+			defer cancel()
+			q, err := fakeplatform.NewCall(ctx, s.callers, http.MethodPost, host, path, k.id, callerKey, deadline)
+			s.Check(err, qt.IsNil)
+			q.Header.Set("Fescuelatch-Model", "*")
+			q.Body, q.ContentLength = io.NopCloser(strings.NewReader("body")), 4
+			res, err := transport.RoundTrip(q)
+			if err != nil {
+				return
+			}
+			_, err = io.Copy(io.Discard, res.Body)
+			_ = res.Body.Close()
+			k.status, k.whole = res.StatusCode, err == nil
+		})
+	}
+	all.Wait()
+	done := make([]stopCall, len(calls))
+	for i, k := range calls {
+		done[i] = *k
+	}
+	return done
+}
+
+// TestLateRequestsAreNotCut guards against requests that a stopping daemon takes and cannot end:
+// it passes them on, and cuts them without an answer at the end of its grace.
+func TestLateRequestsAreNotCut(t *testing.T) {
+	kinds := []struct{ name, service, host, path string }{
+		{"once", "desk", "desk.example", "/ban/"},
+		{"lookup", "desk", "desk.example", "/look/"},
+		{"stream", "lm", "lm.example", "/write/"},
+		{"stream once", "lm", "lm.example", "/whole/"},
+	}
+	loads := []struct {
+		grace, takes, deadline time.Duration
+	}{
+		{1200 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second},
+		{2500 * time.Millisecond, 900 * time.Millisecond, time.Second},
+		{2500 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second},
+		{2500 * time.Millisecond, 900 * time.Millisecond, 20 * time.Second},
+		{2500 * time.Millisecond, 50 * time.Millisecond, 3 * time.Second},
+		{4 * time.Second, 1500 * time.Millisecond, 20 * time.Second},
+		{8 * time.Second, 900 * time.Millisecond, 20 * time.Second},
+	}
+	for _, kind := range kinds {
+		for _, load := range loads {
+			for _, kept := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/grace %s, takes %s of %s, kept %t", kind.name, load.grace, load.takes, load.deadline, kept), func(t *testing.T) {
+					t.Parallel()
+					s := newSiteWithGrace(t, kind.service, 3, load.grace)
+					for _, e := range s.endpoints {
+						s.store.Put(e.Key(), strings.Replace(e.Entry(kind.service, "v1", "ready"), `"capacity":8`, `"capacity":256`, 1))
+						if kind.service == "lm" {
+							e.SetBehaviour(fakeplatform.Stream(5, 0, "90", load.takes/5))
+						} else {
+							e.SetBehaviour(slowly(load.takes, plainAnswer))
+						}
+					}
+					s.awaitReady()
+					time.Sleep(700 * time.Millisecond) // The daemon reads the capacities.
+					for range 3 {
+						a := s.call(http.MethodPost, kind.host, kind.path, "body", "Fescuelatch-Model", "*")
+						s.Assert(a.status, qt.Equals, http.StatusOK)
+					}
+					calls := s.callUntilGone(kept, kind.host, kind.path, load.deadline)
+					ran := make(map[string]bool)
+					for _, r := range s.runs() {
+						ran[r.Call] = true
+					}
+					answered, refused := 0, 0
+					for _, k := range calls {
+						switch {
+						case k.status == http.StatusOK && k.whole:
+							answered++
+						case k.status == http.StatusServiceUnavailable && k.whole:
+							refused++
+							s.Check(ran[k.id], qt.IsFalse, qt.Commentf("%s: refused %s after the stop, and has run", k.id, k.after))
+						case ran[k.id]:
+							s.Errorf("%s: sent %s after the stop, has run and ended with status %d, whole %t", k.id, k.after, k.status, k.whole)
+						}
+					}
+					s.Logf("%d calls, %d answered, %d refused", len(calls), answered, refused)
+				})
+			}
+		}
+	}
+}
--- a/direct/members.go
+++ b/direct/members.go
@@ -123,8 +123,8 @@
 
 // removeRecord removes the record, so that the other daemons notice the shutdown at
 // once.
-func (d *Daemon) removeRecord() {
-	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+func (d *Daemon) removeRecord(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	_, err := d.options.Store.Txn(ctx, fescuelatch.KVTxn{Then: []fescuelatch.KVOp{{Delete: d.recordKey()}}})
 	if err != nil {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -29,6 +29,7 @@
 	body     []byte
 	arrived  time.Time
 	actions  chan decision.Action
+	cancel   context.CancelCauseFunc
 
 	// current is the current attempt, and hedge the one beside it that may replace it.
 	// Only the goroutine of the request uses them.
@@ -131,6 +132,8 @@
 	d := s.daemon
 	ctx, cancel := context.WithDeadline(s.incoming.Context(), s.details.Deadline)
 	defer cancel()
+	ctx, s.cancel = context.WithCancelCause(ctx)
+	defer s.cancel(nil)
 	s.awaitTrial(ctx)
 	d.mu.Lock()
 	d.requests[s.details.ID] = s
@@ -158,7 +161,8 @@
 			}
 		case <-done:
 			done = nil
-			s.daemon.decide(decision.Cancelled{Request: s.details.ID, Expired: errors.Is(ctx.Err(), context.DeadlineExceeded)})
+			_, expired := endReason(ctx)
+			s.daemon.decide(decision.Cancelled{Request: s.details.ID, Expired: expired})
 		}
 	}
 }
@@ -365,23 +369,38 @@
 	s.finish(fescuelatch.OutcomeUnknown, string(why), "")
 }
 
-// drop ends a request whose caller disconnected or whose deadline passed.
+// drop ends a request whose caller disconnected or whose time is over.
 func (s *activeRequest) drop(ctx context.Context) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	reason, ok := endReason(ctx)
+	if !ok {
 		s.output.truncated = true
 		s.finish(fescuelatch.OutcomeUnknown, codeCallerLeft, "")
 		return
 	}
 	if !s.mayHaveRun() {
-		s.refuse(decision.ReasonDeadline, 0)
+		s.refuse(reason, 0)
 		return
 	}
-	s.fail(decision.ReasonDeadline)
+	s.fail(reason)
+}
+
+// endReason returns why the time of a request is over, or false if its caller has left.
+func endReason(ctx context.Context) (decision.Reason, bool) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errStopping):
+		return decision.ReasonStopping, true
+	case errors.Is(cause, context.DeadlineExceeded):
+		return decision.ReasonDeadline, true
+	}
+	return "", false
 }
 
 // finish records the outcome of the request.
 func (s *activeRequest) finish(o fescuelatch.Outcome, reason string, v fescuelatch.VersionID) {
 	took := time.Since(s.arrived)
+	if o == fescuelatch.OutcomeAnswered {
+		s.daemon.durations.observe(s.route.ID, took)
+	}
 	s.daemon.metrics.countRequest(s.route.ID, o, reason, took)
 	args := []any{
 		"outcome", o, "reason", reason, "account", s.details.Account, "version", v, "endpoint", s.lastEndpoint,
--- a/direct/server.go
+++ b/direct/server.go
@@ -71,6 +71,11 @@
 		connections.CloseIdle(stop)
 		if err := callers.Shutdown(stop); err != nil {
 			d.log.Warn("requests still open when the stop grace ended", "error", err.Error())
+			d.abortRequests()
+			answered, cancel := context.WithTimeout(context.WithoutCancel(stop), abortTime)
+			defer cancel()
+			// Those that cannot be answered are closed.
+			_ = callers.Shutdown(answered)
 		}
 		_ = callers.Close()
 	}, nil
@@ -158,14 +163,19 @@
 		}
 		account = a.ID
 	}
-	if end := d.stopDeadline.Load(); end != nil && arrived.Add(timeoutOf(route, call)).After(*end) {
+	timeout := timeoutOf(route, call)
+	if !d.endsInTime(arrived, route, timeout) {
 		d.reject(w, r, route.ID, http.StatusServiceUnavailable, codeStopping, stoppingRetryAfter)
 		return
 	}
-	body, ok := d.readBody(w, r, f.deployment, route, arrived.Add(timeoutOf(route, call)))
+	body, ok := d.readBody(w, r, f.deployment, route, arrived.Add(timeout))
 	if !ok {
 		return
 	}
+	if now := time.Now(); !d.endsInTime(now, route, timeout-now.Sub(arrived)) {
+		d.reject(w, r, route.ID, http.StatusServiceUnavailable, codeStopping, stoppingRetryAfter)
+		return
+	}
 	s := newActiveRequest(d, f, route, call, account, arrived)
 	s.writer, s.incoming, s.body = &callerWriter{ResponseWriter: w}, r, body
 	s.details.Fingerprint, s.details.QuerylessFingerprint = fingerprint(account, r, body), querylessFingerprint(account, r, body)
