Send targets that begin with two slashes as they are

Cause: the target is kept as an opaque URL, and URL.RequestURI puts the scheme before an opaque part that begins with two slashes.

The request is written by net/http as before, and the scheme is taken out of its request line.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -133,7 +134,7 @@
 	if err != nil {
 		return nil, &Error{Op: "write request", Kind: KindUnsent, Err: err}
 	}
-	if err := h.Write(k.Conn); err != nil {
+	if err := r.write(k.Conn, h); err != nil {
 		return nil, exchangeError(ctx, "write request", err)
 	}
 	k.inactive = r.Inactive
@@ -229,6 +230,25 @@
 	return h, nil
 }
 
+// write writes the request. Package url takes two slashes at the beginning of an opaque URL for
+// those before a host, and puts the scheme before them.
+func (r *Request) write(w io.Writer, h *http.Request) error {
+	if !strings.HasPrefix(r.Target, "//") {
+		return h.Write(w) //nolint:wrapcheck // The exchange wraps it.
+	}
+	var b bytes.Buffer
+	if err := h.Write(&b); err != nil {
+		return err //nolint:wrapcheck // As above.
+	}
+	method := h.Method + " "
+	rest, ok := bytes.CutPrefix(b.Bytes(), []byte(method+h.URL.Scheme+":"))
+	if !ok {
+		rest = bytes.TrimPrefix(b.Bytes(), []byte(method))
+	}
+	_, err := w.Write(append([]byte(method), rest...))
+	return err //nolint:wrapcheck // As above.
+}
+
 // Read implements io.Reader. Its errors other than io.EOF are of type *Error.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -288,3 +288,52 @@
 		}
 	}
 }
+
+// TestTargetIsPreserved guards against requests that reach an endpoint with another target than
+// the caller's.
+func TestTargetIsPreserved(t *testing.T) {
+	targets := []string{
+		"/", "//", "///", "//reader/41/ban", "//reader/41/ban?x=//y", "///reader//41", "//%2F/a%2fb", "//a:80/b", "//user@host/b",
+		"//[::1]/b", "/a//b", "//?x", "//a?", "/?", "//a;b=c", "//a|b\"c", "//*", "/http://host/a", "//http://host/a", "/a?//b",
+	}
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for _, target := range targets {
+			t.Run(method+" "+target, func(t *testing.T) {
+				c := qt.New(t)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				c.Assert(err, qt.IsNil)
+				defer func() { _ = l.Close() }()
+				lines := make(chan string, 1)
+				go func() {
+					k, err := l.Accept()
+					if err != nil {
+						return
+					}
+					defer func() { _ = k.Close() }()
+					r := bufio.NewReader(k)
+					line, _ := r.ReadString('\n')
+					lines <- line
+					q, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader("POST / HTTP/1.1\r\n"), r)))
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(q.Body)
+					_, _ = io.WriteString(k, ok("me", q.Host+" "+string(body)))
+				}()
+				body := []byte(nil)
+				if method == http.MethodPost {
+					body = []byte("body")
+				}
+				a, err := client().Do(context.Background(), netip.MustParseAddrPort(l.Addr().String()), &endpoint.Request{
+					Identifier: "me", Method: method, Target: target, Host: "host.example", Header: http.Header{}, Body: body,
+				})
+				c.Assert(err, qt.IsNil)
+				defer a.Close()
+				got, err := io.ReadAll(a)
+				c.Assert(err, qt.IsNil)
+				c.Check(string(got), qt.Equals, "host.example "+string(body))
+				c.Check(<-lines, qt.Equals, method+" "+target+" HTTP/1.1\r\n")
+			})
+		}
+	}
+}
