--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -59,11 +59,7 @@
 		}
 	}
 	l.outages = e.counts
-	for t, b := range l.blocks {
-		if b.doubtful && doubtful[t] == 0 && (l.mayBeInnocent(e, t) || l.comesWithCause(e, t)) {
-			l.unblock(t)
-		}
-	}
+	l.endDoubtfulBlocks(e, doubtful)
 	for _, t := range slices.Sorted(maps.Keys(doubtful)) {
 		l.doubt(now, t, doubtful[t])
 	}
@@ -74,6 +70,16 @@
 	}
 }
 
+// endDoubtfulBlocks unblocks the traits whose doubtful blocks end by the evidence. doubtful has the
+// traits that are still in doubt.
+func (l *Ledger) endDoubtfulBlocks(e *evidence, doubtful map[string]int) {
+	for t, b := range l.blocks {
+		if b.doubtful && doubtful[t] == 0 && (l.mayBeInnocent(e, t) || l.comesWithCause(e, t)) {
+			l.unblock(t)
+		}
+	}
+}
+
 // comesWithCause reports whether all outages of a trait are explained by others, one of which is
 // in fewer requests and always comes with it.
 func (l *Ledger) comesWithCause(e *evidence, trait string) bool {
