Keep a silent attempt until the first event of another one

A stream whose endpoint was silent for a second was still cut if another endpoint sent the head of an answer, and then broke off or sent nothing more, while the others were full. So were answers of small models, for a larger one that gave no more than a head.

Cause: a hedge was taken to answer once its head had arrived, and the attempt beside it was ended.

A hedge in a stream now reports that it has begun once its first whole event has arrived, or the stream has ended as it should. Until then it may be replaced by another hedge, and the attempt beside it goes on. Callers wait no longer, as a head alone is not passed on either.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -523,14 +523,20 @@
 // relayStream relays a stream of events, each as soon as it is complete.
 func (t *attempt) relayStream(a *endpoint.Answer, r *fescuelatch.AttemptResult, headers fescuelatch.AnswerHeaders, sent time.Time) error {
 	opened := time.Since(sent)
-	if !t.awaitRelay(headers) {
-		t.observe(rollout.OutcomeAnswered, sent, opened)
-		return t.ctx.Err()
-	}
 	s := t.request
 	events := sse.NewScanner(a)
 	events.Grow = s.buffer.grow
 	timeout := t.start.Timeouts.First
+	if t.start.Hedge != "" {
+		a.SetInactivityTimeout(timeout)
+		if err := t.awaitEvent(a, events); err != nil {
+			return err
+		}
+	}
+	if !t.awaitRelay(headers) {
+		t.observe(rollout.OutcomeAnswered, sent, opened)
+		return t.ctx.Err()
+	}
 	for {
 		a.SetInactivityTimeout(timeout)
 		e, err := events.Next()
@@ -564,11 +570,8 @@
 			return err
 		}
 	}
-	switch {
-	case len(events.Remainder()) > 0:
-		return errPartialEvent
-	case t.progress.events == 0 && (s.output.lastEvent == "" || !a.Framed):
-		return errNoEvent
+	if err := t.checkStreamEnd(a, events, s.output.lastEvent); err != nil {
+		return err
 	}
 	if err := t.checkEnd(a); err != nil {
 		return err
@@ -578,6 +581,33 @@
 	return nil
 }
 
+// awaitEvent waits until an event has arrived that the caller can use, or the stream has ended as
+// it should. No attempt is given up for a head alone: the endpoint may send nothing more.
+func (t *attempt) awaitEvent(a *endpoint.Answer, events *sse.Scanner) error {
+	e, err := events.Peek()
+	switch {
+	case errors.Is(err, io.EOF):
+		return t.checkStreamEnd(a, events, t.from.lastEvent)
+	case err != nil:
+		return err //nolint:wrapcheck // classify needs its kind.
+	case t.resumes && !t.from.continuesAt(e):
+		return errForeignEvent
+	}
+	return nil
+}
+
+// checkStreamEnd returns why a stream that has ended after its last whole event is not complete,
+// or nil. last is the last event that the caller has received.
+func (t *attempt) checkStreamEnd(a *endpoint.Answer, events *sse.Scanner, last string) error {
+	switch {
+	case len(events.Remainder()) > 0:
+		return errPartialEvent
+	case t.progress.events == 0 && (last == "" || !a.Framed):
+		return errNoEvent
+	}
+	return nil
+}
+
 // awaitRelay reports to the core that the answer has begun, and waits for
 // permission to relay it. It returns false if the attempt was ended instead.
 func (t *attempt) awaitRelay(headers fescuelatch.AnswerHeaders) bool {
--- a/direct/hedge_test.go
+++ b/direct/hedge_test.go
@@ -34,6 +34,23 @@
 	}
 }
 
+// headOnly sends the head of a stream and does then as b does.
+func headOnly(b fakeplatform.Behaviour) fakeplatform.Behaviour {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		b(w, r)
+	}
+}
+
+// halfEvent breaks off in the middle of an event.
+func halfEvent(w http.ResponseWriter, r *http.Request) {
+	_, _ = w.Write([]byte("id: 3\ndata: ha"))
+	_ = http.NewResponseController(w).Flush()
+	fakeplatform.Reset(w, r)
+}
+
 // TestSilentEndpointWhileOthersRefuse guards against answers that are given up, as their
 // endpoint is silent for a second, for other endpoints that do not take the request.
 func TestSilentEndpointWhileOthersRefuse(t *testing.T) {
@@ -55,6 +72,10 @@
 		{"reset the connection", fakeplatform.Reset},
 		{"fail", fakeplatform.Status(http.StatusInternalServerError)},
 		{"another service", fakeplatform.Status(http.StatusMisdirectedRequest)},
+		{"break off after the head", headOnly(fakeplatform.Reset)},
+		{"are silent after the head", headOnly(fakeplatform.Hang)},
+		{"break off in the first event", headOnly(halfEvent)},
+		{"end before the first event", cutAfter(headStart+"Content-Type: text/event-stream\r\n\r\n", 1<<10, false)},
 	}
 	kinds := []struct {
 		name, host, path, body string
@@ -207,6 +228,9 @@
 		{"fail", fakeplatform.Status(http.StatusInternalServerError)},
 		{"silent", fakeplatform.Hang},
 		{"another service", fakeplatform.Status(http.StatusMisdirectedRequest)},
+		{"break off after the head", headOnly(fakeplatform.Reset)},
+		{"silent after the head", headOnly(fakeplatform.Hang)},
+		{"break off in the first event", headOnly(halfEvent)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -221,7 +221,9 @@
 // delegate passes the request on to another daemon.
 func (s *activeRequest) delegate(ctx context.Context, a decision.Forward) {
 	from := s.endPrevious(a.Hedge)
-	t := newAttempt(ctx, s, decision.Start{Request: a.Request, Attempt: a.Attempt, Version: a.Version, Timeouts: a.Timeouts}, from)
+	t := newAttempt(ctx, s, decision.Start{
+		Request: a.Request, Attempt: a.Attempt, Version: a.Version, Timeouts: a.Timeouts, Hedge: a.Hedge,
+	}, from)
 	t.delegate = a.VM
 	s.log("request is passed on to another daemon", "attempt", a.Attempt, "peer", a.VM, "last-event", from.lastEvent, "cause", errorText(s.lastError),
 		"hedge", a.Hedge)
--- a/sse/scanner.go
+++ b/sse/scanner.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// Peek returns what the next call of Next returns.
+func (s *Scanner) Peek() (Event, error) {
+	e, err := s.Next()
+	s.next = 0
+	return e, err
+}
+
 // Buffered reports whether Next can return an event without reading.
 func (s *Scanner) Buffered() bool { return new(search).end(s.buffer[s.next:]) > 0 }
 
--- a/sse/scanner_test.go
+++ b/sse/scanner_test.go
@@ -53,11 +53,15 @@
 				var all strings.Builder
 				var ids []string
 				for {
+					peeked, peekErr := s.Peek()
+					ahead := string(peeked.Bytes)
 					e, err := s.Next()
+					c.Check(peekErr, qt.Equals, err)
 					if err != nil {
 						c.Check(err, qt.Equals, io.EOF)
 						break
 					}
+					c.Check(ahead, qt.Equals, string(e.Bytes))
 					all.Write(e.Bytes)
 					ids = append(ids, e.ID)
 				}
