Expect no answer that may be half of one in the tests of stopping endpoints

TestLastAnswerOfStoppingEndpointIsBroken failed since: five of its cases expect that an answer without length, whose endpoint refuses connections right after it, is passed on as whole. The test was wrong, as its cases make half an answer look complete, which the users' rules forbid ("An answer that ends early must not look complete"); an endpoint that leaves says so in its answers and its registration.

These cases now check what a caller gets exactly: another answer if the request may be repeated, 502 with an unknown outcome otherwise, and a stream that is cut. Six new cases check that a whole answer of an endpoint that has announced its end, or is no longer registered, is passed on and not run again, for each kind of request.

--- a/direct/lastanswer_test.go
+++ b/direct/lastanswer_test.go
@@ -13,7 +13,9 @@
 )
 
 // TestLastAnswerOfStoppingEndpointIsBroken guards against whole answers without length that are
-// taken for cut off, as their endpoint stops right after them. Their connection ends in order.
+// taken for cut off, as their endpoint stops right after them as announced. Their connection ends
+// in order. Without an announcement the same bytes may be half an answer of a process that was
+// killed: then they are replaced, or the outcome is unknown, but never passed on as whole.
 func TestLastAnswerOfStoppingEndpointIsBroken(t *testing.T) {
 	const (
 		closing = "Connection: close\r\n"
@@ -21,20 +23,32 @@
 		stream  = "Content-Type: text/event-stream\r\n"
 	)
 	unplaced := "data: event 1\n\ndata: event 2\n\n"
+	const unknown = "{\"error\":\"broken\"}\n"
 	tests := []struct {
 		name, method, host, path string
-		head, body, want         string
-		runs                     int64
+		head, body               string
+		// deregisters reports that the endpoint takes back its registration before it stops.
+		deregisters bool
+		status      int
+		want        string
+		truncated   bool
+		runs        int64
 	}{
-		{"not repeatable", http.MethodPost, "desk.example", "/ban/x", closing, "whole", "whole", 1},
-		{"repeatable", http.MethodGet, "desk.example", "/look/x", closing, "whole", "whole", 1},
-		{"not repeatable, without notice", http.MethodPost, "desk.example", "/ban/x", "", "whole", "whole", 1},
-		{"repeatable, without notice", http.MethodGet, "desk.example", "/look/x", "", "half", "again", 2},
-		{"repeatable, the endpoint is leaving", http.MethodGet, "desk.example", "/look/x", leaving, "whole", "whole", 1},
-		{"stream that may not be resumed", http.MethodPost, "lm.example", "/whole/x", stream, events(2), events(2), 1},
-		{"stream that cannot be resumed", http.MethodPost, "lm.example", "/write/x", stream, unplaced, unplaced, 1},
-		{"stream that may be resumed", http.MethodPost, "lm.example", "/write/x", stream + closing, events(2), events(4), 2},
-		{"stream, the endpoint is leaving", http.MethodPost, "lm.example", "/write/x", stream + leaving, events(4), events(4), 1},
+		{"not repeatable", http.MethodPost, "desk.example", "/ban/x", closing, "half", false, http.StatusBadGateway, unknown, false, 1},
+		{"not repeatable, without notice", http.MethodPost, "desk.example", "/ban/x", "", "half", false, http.StatusBadGateway, unknown, false, 1},
+		{"not repeatable, the endpoint is leaving", http.MethodPost, "desk.example", "/ban/x", leaving, "whole", false, http.StatusOK, "whole", false, 1},
+		{"not repeatable, no longer registered", http.MethodPost, "desk.example", "/ban/x", closing, "whole", true, http.StatusOK, "whole", false, 1},
+		{"repeatable", http.MethodGet, "desk.example", "/look/x", closing, "half", false, http.StatusOK, "again", false, 2},
+		{"repeatable, without notice", http.MethodGet, "desk.example", "/look/x", "", "half", false, http.StatusOK, "again", false, 2},
+		{"repeatable, the endpoint is leaving", http.MethodGet, "desk.example", "/look/x", leaving, "whole", false, http.StatusOK, "whole", false, 1},
+		{"repeatable, no longer registered", http.MethodGet, "desk.example", "/look/x", closing, "whole", true, http.StatusOK, "whole", false, 1},
+		{"stream that may not be resumed", http.MethodPost, "lm.example", "/whole/x", stream, events(2), false, http.StatusOK, events(2), true, 1},
+		{"stream that may not be resumed, the endpoint is leaving", http.MethodPost, "lm.example", "/whole/x", stream + leaving, events(2), false, http.StatusOK, events(2), false, 1},
+		{"stream that cannot be resumed", http.MethodPost, "lm.example", "/write/x", stream, unplaced, false, http.StatusOK, unplaced, true, 1},
+		{"stream that cannot be resumed, the endpoint is leaving", http.MethodPost, "lm.example", "/write/x", stream + leaving, unplaced, false, http.StatusOK, unplaced, false, 1},
+		{"stream that may be resumed", http.MethodPost, "lm.example", "/write/x", stream + closing, events(2), false, http.StatusOK, events(4), false, 2},
+		{"stream, the endpoint is leaving", http.MethodPost, "lm.example", "/write/x", stream + leaving, events(4), false, http.StatusOK, events(4), false, 1},
+		{"stream, no longer registered", http.MethodPost, "lm.example", "/write/x", stream, events(4), true, http.StatusOK, events(4), false, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -44,7 +58,8 @@
 				service, again = "lm", fakeplatform.Stream(4, 0, "", 0)
 			}
 			var runs atomic.Int64
-			f, _ := newSupervisedFleet(t, service, 1, 4, func(s *fakeplatform.Supervised) fakeplatform.Behaviour {
+			var f *fleet
+			f, _ = newSupervisedFleet(t, service, 1, 4, func(s *fakeplatform.Supervised) fakeplatform.Behaviour {
 				return func(w http.ResponseWriter, r *http.Request) {
 					if runs.Add(1) > 1 {
 						again(w, r)
@@ -55,6 +70,10 @@
 						panic(err)
 					}
 					time.Sleep(50 * time.Millisecond)
+					if test.deregisters {
+						f.store.Delete("servers/" + r.Header.Get("Fescuelatch-Target-Instance"))
+						time.Sleep(450 * time.Millisecond) // The daemon reads the change, and sends no hedge yet.
+					}
 					s.Crash() // It takes no connections any more, and has one answer left.
 					time.Sleep(5 * time.Millisecond)
 					_, _ = fmt.Fprintf(b, "HTTP/1.1 200 OK\r\n%sFescuelatch-Attempt-Id: %s\r\n\r\n%s", test.head, r.Header.Get("Fescuelatch-Attempt-Id"), test.body)
@@ -64,8 +83,8 @@
 			})
 			a := f.call(test.method, test.host, test.path, "body")
 			f.Logf("status %d, body %q, error %v, %d runs", a.status, a.body, a.err, runs.Load())
-			f.Check(a.status, qt.Equals, http.StatusOK)
-			f.Check(a.err, qt.IsNil)
+			f.Check(a.status, qt.Equals, test.status)
+			f.Check(a.err != nil, qt.Equals, test.truncated)
 			f.Check(a.body, qt.Equals, test.want)
 			f.Check(runs.Load(), qt.Equals, test.runs)
 		})
