--- /dev/null
+++ b/review/_rig-2/worker.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// This file defines the worker, which runs as a process of its own. It tells on its standard
+// output what it gets and runs, a JSON line each.
+
+// workerEvent is what a worker tells.
+type workerEvent struct {
+	At      time.Time `json:"at"`
+	Event   string    `json:"event"` // "listening", "run", "end", "refused"
+	Address string    `json:"address,omitempty"`
+	Call    string    `json:"call,omitempty"`
+	Path    string    `json:"path,omitempty"`
+	Model   string    `json:"model,omitempty"`
+	Note    string    `json:"note,omitempty"`
+}
+
+// worker answers requests as its mode says.
+type worker struct {
+	id, mode string
+	work     time.Duration
+	refusal  string // Retry-After of the refusals in mode "refuse"
+
+	mu      sync.Mutex
+	refused bool
+	out     *json.Encoder
+}
+
+// runWorker runs a worker until it is killed.
+func runWorker(args []string) {
+	f := flag.NewFlagSet("worker", flag.ExitOnError)
+	w := &worker{out: json.NewEncoder(os.Stdout)}
+	f.StringVar(&w.id, "id", "", "identifier")
+	f.StringVar(&w.mode, "mode", "plain", "plain, sized, unframed or refuse")
+	f.DurationVar(&w.work, "work", 20*time.Millisecond, "time that a request takes")
+	f.StringVar(&w.refusal, "retry-after", "", "Retry-After in seconds of the refusals of mode refuse")
+	if err := f.Parse(args); err != nil {
+		os.Exit(exitFailed)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "worker:", err)
+		os.Exit(exitFailed)
+	}
+	w.tell(workerEvent{Event: "listening", Address: l.Addr().String()})
+	s := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	fmt.Fprintln(os.Stderr, "worker:", s.Serve(l))
+}
+
+func (w *worker) tell(e workerEvent) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.At = time.Now()
+	_ = w.out.Encode(e)
+}
+
+// ServeHTTP implements http.Handler.
+func (w *worker) ServeHTTP(to http.ResponseWriter, r *http.Request) {
+	call := r.Header.Get("Fescuelatch-Attempt-Id")
+	h := to.Header()
+	if r.URL.Path == "/healthz" {
+		h.Set("Fescuelatch-Instance-Id", w.id)
+		return
+	}
+	if call == "" {
+		w.tell(workerEvent{Event: "refused", Path: r.URL.Path, Note: "no identifier"})
+		h.Set("Fescuelatch-Not-Executed", "1")
+		to.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h.Set("Fescuelatch-Attempt-Id", call)
+	if r.Header.Get("Fescuelatch-Target-Instance") != w.id {
+		w.tell(workerEvent{Event: "refused", Call: call, Path: r.URL.Path, Note: "another instance"})
+		h.Set("Fescuelatch-Instance-Id", w.id)
+		to.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if w.mode == "refuse" {
+		w.tell(workerEvent{Event: "refused", Call: call, Path: r.URL.Path, Note: "full"})
+		h.Set("Fescuelatch-Not-Executed", "1")
+		h.Set("Retry-After", w.refusal)
+		to.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	model := r.Header.Get("Fescuelatch-Model")
+	w.tell(workerEvent{Event: "run", Call: call, Path: r.URL.Path, Model: model})
+	defer w.tell(workerEvent{Event: "end", Call: call, Path: r.URL.Path, Model: model})
+	h.Set("Fescuelatch-Response-Signature", w.id+"."+call)
+	switch {
+	case w.mode == "sized" && strings.HasPrefix(r.URL.Path, "/act/"):
+		h.Set("Fescuelatch-Confidence", confidence(model))
+		time.Sleep(w.work)
+		_, _ = io.WriteString(to, answerOf(call, len(body)))
+	case w.mode == "sized":
+		h.Set("Fescuelatch-Confidence", confidence(model))
+		w.stream(to, r)
+	case w.mode == "unframed":
+		w.unframed(to, call, len(body))
+	default:
+		time.Sleep(w.work)
+		_, _ = io.WriteString(to, answerOf(call, len(body)))
+	}
+}
+
+// confidence is a model's opinion of its answers: that of a small one is low.
+func confidence(model string) string {
+	if strings.HasPrefix(model, "small") {
+		return "10"
+	}
+	return "95"
+}
+
+// answerOf returns the whole answer to a request. A client can tell from it whether it is whole.
+func answerOf(call string, bytes int) string {
+	return fmt.Sprintf("{\"call\":%q,\"received\":%d,\"text\":%q,\"end\":true}\n", call, bytes, strings.Repeat("x", 800))
+}
+
+// events is the number of events of a stream.
+const events = 6
+
+// stream answers with events after Last-Event-Id.
+func (w *worker) stream(to http.ResponseWriter, r *http.Request) {
+	to.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(to).Flush
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := first + 1; n <= events && r.Context().Err() == nil; n++ {
+		time.Sleep(w.work)
+		_, _ = fmt.Fprintf(to, "id: %d\ndata: event %d of %d\n\n", n, n, events)
+		_ = flush()
+	}
+}
+
+// unframed answers with neither a length nor chunks: the connection ends with the answer, which is
+// written in two parts.
+func (w *worker) unframed(to http.ResponseWriter, call string, bytes int) {
+	c, b, err := http.NewResponseController(to).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	answer := answerOf(call, bytes)
+	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nFescuelatch-Attempt-Id: " + call +
+		"\r\nFescuelatch-Response-Signature: " + w.id + "." + call + "\r\n\r\n"
+	writeParts(b.Writer, w.work, head+answer[:len(answer)/2], answer[len(answer)/2:])
+}
+
+// writeParts writes parts with a time before each.
+func writeParts(b *bufio.Writer, before time.Duration, parts ...string) {
+	for _, p := range parts {
+		time.Sleep(before)
+		_, _ = b.WriteString(p)
+		if b.Flush() != nil {
+			return
+		}
+	}
+}
