--- a/review/_rig-2/cases.go
+++ b/review/_rig-2/cases.go
@@ -100,12 +100,16 @@
 	return twice > 0, nil
 }
 
+// spotTime is the time from the notice of a worker that leaves until it is gone.
+const spotTime = 2 * time.Second
+
 // leavingWorkerEnds lets a worker that is leaving be gone in the middle of its answers, which have
 // no length.
 func leavingWorkerEnds(r *rig) (bool, error) {
 	const look = `{"name":"look","host":"ficu95.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":20000,"target_latency_ms":3000,"priority":2,"service":"app","max_attempts":2,"public":false}`
 	const order = `{"name":"order","host":"ficu95.example","path_prefix":"/order/","kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":3000,"priority":2,"service":"app","max_attempts":1,"public":false}`
-	r.store.Put("op/config", configuration(1, look, order))
+	const tell = `{"name":"tell","host":"ficu95.example","path_prefix":"/tell/","kind":"streaming","resumable":true,"timeout_ms":20000,"target_latency_ms":3000,"gap_aim_ms":1200,"priority":1,"service":"app","max_attempts":3,"public":false}`
+	r.store.Put("op/config", configuration(1, look, order, tell))
 	var workers []*workerProcess
 	for n, zone := range []string{"dub-a", "dub-b", "dub-c"} {
 		w, err := r.startWorker(fmt.Sprintf("i-app-%d", n), "app", zone, "--mode", "unframed", "--work", "1500ms")
@@ -133,14 +137,17 @@
 	var mu sync.Mutex
 	var answers []*answer
 	leaver := workers[0]
-	for n := range 60 {
-		if n == 20 && r.trouble {
+	began := time.Now()
+	drained, killed := !r.trouble, !r.trouble
+	for n := 0; time.Since(began) < 6*time.Second; n++ {
+		if since := time.Since(began); !drained && since >= 2*time.Second {
 			leaver.drain()
-		}
-		if n == 40 && r.trouble {
+			drained = true
+		} else if !killed && since >= 2*time.Second+spotTime {
 			leaver.kill()
+			killed = true
 		}
-		for k, path := range []string{"/look/1", "/order/1"} {
+		for k, path := range []string{"/look/1", "/order/1", "/tell/1"} {
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
@@ -155,7 +162,7 @@
 	wait.Wait()
 	short := 0
 	for _, a := range answers {
-		if a.succeeded() && !endsAsAnswer(a.body) {
+		if a.succeeded() && !endsAsAnswer(a.body) && !strings.HasSuffix(a.body, eventOf(events)) {
 			short++
 			r.note("request %s got a success that looks complete with a part of its worker's body", a.call)
 		}
--- a/review/_rig-2/worker.go
+++ b/review/_rig-2/worker.go
@@ -113,7 +113,7 @@
 		h.Set("Fescuelatch-Confidence", confidence(model))
 		w.stream(to, r)
 	case w.mode == "unframed":
-		w.unframed(to, call, len(body))
+		w.unframed(to, r, call, len(body))
 	default:
 		time.Sleep(w.work)
 		_, _ = io.WriteString(to, answerOf(call, len(body)))
@@ -143,25 +143,38 @@
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := first + 1; n <= events && r.Context().Err() == nil; n++ {
 		time.Sleep(w.work)
-		_, _ = fmt.Fprintf(to, "id: %d\ndata: event %d of %d\n\n", n, n, events)
+		_, _ = io.WriteString(to, eventOf(n))
 		_ = flush()
 	}
 }
 
 // unframed answers with neither a length nor chunks: the connection ends with the answer, which is
-// written in two parts.
-func (w *worker) unframed(to http.ResponseWriter, call string, bytes int) {
+// written in two parts, or with events under /tell/.
+func (w *worker) unframed(to http.ResponseWriter, r *http.Request, call string, bytes int) {
 	c, b, err := http.NewResponseController(to).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = c.Close() }()
+	kind := "application/json"
 	answer := answerOf(call, bytes)
-	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nFescuelatch-Attempt-Id: " + call +
-		"\r\nFescuelatch-Response-Signature: " + w.id + "." + call + "\r\n\r\n"
-	writeParts(b.Writer, w.work, head+answer[:len(answer)/2], answer[len(answer)/2:])
+	parts := []string{answer[:len(answer)/2], answer[len(answer)/2:]}
+	if strings.HasPrefix(r.URL.Path, "/tell/") {
+		kind = "text/event-stream"
+		parts = nil
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for n := first + 1; n <= events; n++ {
+			parts = append(parts, eventOf(n))
+		}
+	}
+	_, _ = b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: " + kind + "\r\nFescuelatch-Attempt-Id: " + call +
+		"\r\nFescuelatch-Response-Signature: " + w.id + "." + call + "\r\n\r\n")
+	writeParts(b.Writer, 2*w.work/time.Duration(max(len(parts), 1)), parts...)
 }
 
+// eventOf returns an event of a stream.
+func eventOf(n int) string { return fmt.Sprintf("id: %d\ndata: event %d of %d\n\n", n, n, events) }
+
 // writeParts writes parts with a time before each.
 func writeParts(b *bufio.Writer, before time.Duration, parts ...string) {
 	for _, p := range parts {
