--- a/review/_rig-2/rig.go
+++ b/review/_rig-2/rig.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"fescuelatch/platform/fakeplatform"
@@ -300,12 +299,6 @@
 	return nil
 }
 
-// signal sends a signal to the daemon's process.
-func (d *daemonProcess) signal(s syscall.Signal) {
-	d.rig.note("daemon %s gets signal %s", d.name, s)
-	_ = d.command.Process.Signal(s)
-}
-
 // kill kills the daemon's process and waits for its end.
 func (d *daemonProcess) kill() {
 	if d.command == nil || d.command.Process == nil {
--- a/review/_rig-2/worker.go
+++ b/review/_rig-2/worker.go
@@ -33,11 +33,8 @@
 type worker struct {
 	id, mode string
 	work     time.Duration
-	refusal  string // Retry-After of the refusals in mode "refuse"
-
-	mu      sync.Mutex
-	refused bool
-	out     *json.Encoder
+	mu       sync.Mutex
+	out      *json.Encoder
 }
 
 // runWorker runs a worker until it is killed.
@@ -45,9 +42,8 @@
 	f := flag.NewFlagSet("worker", flag.ExitOnError)
 	w := &worker{out: json.NewEncoder(os.Stdout)}
 	f.StringVar(&w.id, "id", "", "identifier")
-	f.StringVar(&w.mode, "mode", "plain", "plain, sized, unframed or refuse")
+	f.StringVar(&w.mode, "mode", "plain", "plain, sized or unframed")
 	f.DurationVar(&w.work, "work", 20*time.Millisecond, "time that a request takes")
-	f.StringVar(&w.refusal, "retry-after", "", "Retry-After in seconds of the refusals of mode refuse")
 	if err := f.Parse(args); err != nil {
 		os.Exit(exitFailed)
 	}
@@ -93,13 +89,6 @@
 	if err != nil {
 		return
 	}
-	if w.mode == "refuse" {
-		w.tell(workerEvent{Event: "refused", Call: call, Path: r.URL.Path, Note: "full"})
-		h.Set("Fescuelatch-Not-Executed", "1")
-		h.Set("Retry-After", w.refusal)
-		to.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	model := r.Header.Get("Fescuelatch-Model")
 	w.tell(workerEvent{Event: "run", Call: call, Path: r.URL.Path, Model: model})
 	defer w.tell(workerEvent{Event: "end", Call: call, Path: r.URL.Path, Model: model})
