--- a/review/_rig-2/client.go
+++ b/review/_rig-2/client.go
@@ -48,6 +48,15 @@
 	return &client{r, to, &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 64}}}
 }
 
+// newClients returns a client of each daemon.
+func (r *rig) newClients(daemons []*daemonProcess) []*client {
+	clients := make([]*client, len(daemons))
+	for n, d := range daemons {
+		clients[n] = r.newClient(d)
+	}
+	return clients
+}
+
 // send sends a request and reads its answer. Nothing is sent twice: the body cannot be read again.
 func (c *client) send(method, host, path, call string, deadline time.Duration, headers map[string]string, body string) *answer {
 	a := &answer{call: call, sent: time.Now()}
--- a/review/_rig-2/delegates.go
+++ b/review/_rig-2/delegates.go
@@ -91,37 +91,26 @@
 	const move = `{"name":"move","host":"ficu95.example","path_prefix":"/move/","kind":"idempotent","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"%s","max_attempts":2,"public":false}`
 	const fresh = `{"name":"fresh","host":"ficu95.example","path_prefix":"/fresh/","kind":"idempotent","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"app2","max_attempts":2,"public":false}`
 	r.store.Put("op/config", configuration(1, fmt.Sprintf(move, "app")))
-	var workers []*workerProcess
-	for _, service := range []string{"app", "app2"} {
-		for n, zone := range []string{"dub-a", "dub-b", "dub-c"} {
-			w, err := r.startWorker(fmt.Sprintf("i-%s-%d", service, n), service, zone, "--work", "30ms")
-			if err != nil {
-				return false, err
-			}
-			workers = append(workers, w)
-		}
+	workers, err := r.startWorkers("app", r.zones, "--work", "30ms")
+	if err != nil {
+		return false, err
 	}
-	var daemons []*daemonProcess
-	for n, zone := range []string{"dub-a", "dub-b", "dub-c"} {
-		d, err := r.newDaemon(n, zone)
-		if err != nil {
-			return false, err
-		}
-		daemons = append(daemons, d)
+	newWorkers, err := r.startWorkers("app2", r.zones, "--work", "30ms")
+	if err != nil {
+		return false, err
+	}
+	daemons, err := r.newDaemons(r.zones)
+	if err != nil {
+		return false, err
 	}
 	stranded, cut := daemons[0], daemons[1]
-	if err := stranded.givePaths(workers); err != nil {
+	if err := stranded.givePaths(append(newWorkers, workers...)); err != nil {
 		return false, err
 	}
 	if err := cut.giveStoreLink(); err != nil {
 		return false, err
 	}
-	for _, d := range daemons {
-		if err := d.start(); err != nil {
-			return false, err
-		}
-	}
-	if err := r.awaitReady(); err != nil {
+	if err := r.startAll(daemons); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
@@ -133,48 +122,37 @@
 	began := time.Now()
 	client := r.newClient(stranded)
 	steps := []struct {
-		at time.Duration
-		do func() error
+		at      time.Duration
+		trouble bool // left out without the trouble
+		do      func() error
 	}{
-		{2 * time.Second, func() error {
-			if !r.trouble {
-				return nil
-			}
-			return stranded.separate(fakeplatform.PartitionResets)
-		}},
-		{4 * time.Second, func() error {
-			if !r.trouble {
-				return nil
-			}
+		{2 * time.Second, true, func() error { return stranded.separate(fakeplatform.PartitionResets) }},
+		{4 * time.Second, true, func() error {
 			r.note("daemon %s is partitioned from the store", cut.name)
 			return cut.store.Separate(fakeplatform.PartitionHangs)
 		}},
-		{4500 * time.Millisecond, func() error {
+		{4500 * time.Millisecond, false, func() error {
 			r.store.Put("op/config", configuration(2, fmt.Sprintf(move, "app2"), fresh))
 			acknowledged = time.Now()
 			r.note("version 2 is acknowledged: /move/ goes to app2, and /fresh/ is new")
 			return nil
 		}},
-		{4*time.Second + storeCut, func() error {
-			if !r.trouble {
-				return nil
-			}
+		{4*time.Second + storeCut, true, func() error {
 			r.note("daemon %s reaches the store again", cut.name)
 			return cut.store.Join()
 		}},
-		{2*time.Second + partitioned, func() error {
-			if !r.trouble {
-				return nil
-			}
-			return stranded.join()
-		}},
+		{2*time.Second + partitioned, true, stranded.join},
 	}
 	for n := 0; time.Since(began) < 14*time.Second; n++ {
 		for len(steps) > 0 && time.Since(began) >= steps[0].at {
-			if err := steps[0].do(); err != nil {
+			step := steps[0]
+			steps = steps[1:]
+			if step.trouble && !r.trouble {
+				continue
+			}
+			if err := step.do(); err != nil {
 				return false, err
 			}
-			steps = steps[1:]
 		}
 		for k, path := range []string{"/move/1", "/fresh/1"} {
 			if k == 1 && acknowledged.IsZero() {
@@ -194,15 +172,23 @@
 	wait.Wait()
 	time.Sleep(200 * time.Millisecond)
 
+	stale := staleAnswers(r, answers, workers, acknowledged)
+	r.note("%d of %d requests to %s were handled by the old version later than %s after the acknowledgement", stale, len(answers), stranded.name, applyTime)
+	return stale > 0, nil
+}
+
+// staleAnswers returns the number of requests, sent later than applyTime after the acknowledgement of
+// version 2, that workers of the old service have run or that were refused though the route is there.
+func staleAnswers(r *rig, answers []*answer, oldWorkers []*workerProcess, acknowledged time.Time) int {
 	old := make(map[string]string) // workers of the old service, by the requests that they have run
-	for _, w := range workers {
+	for _, w := range oldWorkers {
 		for _, e := range w.events() {
-			if w.service == "app" && e.Event == "run" {
+			if e.Event == "run" {
 				old[e.Call] = w.id
 			}
 		}
 	}
-	byOld, refused := 0, 0
+	stale := 0
 	for _, a := range answers {
 		after := a.sent.Sub(acknowledged)
 		if after <= applyTime {
@@ -210,13 +196,12 @@
 		}
 		switch {
 		case old[a.call] != "":
-			byOld++
+			stale++
 			r.note("request %s, sent %d ms after version 2 was acknowledged, was run by %s of the old service", a.call, after.Milliseconds(), old[a.call])
 		case a.status == 404 || a.status == 401 || a.status == 403:
-			refused++
+			stale++
 			r.note("request %s, sent %d ms after version 2 was acknowledged, was refused with %d", a.call, after.Milliseconds(), a.status)
 		}
 	}
-	r.note("of %d requests to %s: %d run by the old service and %d refused later than %s after the acknowledgement", len(answers), stranded.name, byOld, refused, applyTime)
-	return byOld+refused > 0, nil
+	return stale
 }
--- a/review/_rig-2/evacuated.go
+++ b/review/_rig-2/evacuated.go
@@ -22,33 +22,26 @@
 	const look = `{"name":"look","host":"ficu95.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"app","max_attempts":2,"public":false}`
 	r.zones = []string{"dub-a", "dub-b"}
 	r.store.Put("op/config", configuration(1, look))
-	var workers []*workerProcess
-	for n, zone := range []string{"dub-a", "dub-b", "dub-a", "dub-b"} {
-		w, err := r.startWorker(fmt.Sprintf("i-app-%d", n), "app", zone, "--work", "30ms")
-		if err != nil {
-			return false, err
-		}
-		workers = append(workers, w)
+	workers, err := r.startWorkers("app", []string{"dub-a", "dub-b", "dub-a", "dub-b"}, "--work", "30ms")
+	if err != nil {
+		return false, err
 	}
-	var clients []*client
-	for n, zone := range []string{"dub-a", "dub-a", "dub-b", "dub-b"} {
-		d, err := r.newDaemon(n, zone)
-		if err != nil {
-			return false, err
-		}
-		if zone != "dub-b" {
-			if err := d.givePaths(workers); err != nil {
-				return false, err
-			}
+	daemons, err := r.newDaemons([]string{"dub-a", "dub-a", "dub-b", "dub-b"})
+	if err != nil {
+		return false, err
+	}
+	for _, d := range daemons {
+		if d.zone == "dub-b" {
+			continue
 		}
-		if err := d.start(); err != nil {
+		if err := d.givePaths(workers); err != nil {
 			return false, err
 		}
-		clients = append(clients, r.newClient(d))
 	}
-	if err := r.awaitReady(); err != nil {
+	if err := r.startAll(daemons); err != nil {
 		return false, err
 	}
+	clients := r.newClients(daemons)
 	time.Sleep(4 * time.Second)
 	r.store.Put("op/evacuate/dub-b", "{}")
 	r.note("the workers of dub-b are evacuated")
@@ -62,13 +55,11 @@
 	var cutAt time.Time
 	for n := 0; time.Since(began) < 3*time.Second+strandedTime; n++ {
 		if cutAt.IsZero() && time.Since(began) >= 3*time.Second {
+			mu.Lock()
 			cutAt = time.Now()
-			for _, c := range clients {
-				if r.trouble && c.to.paths != nil {
-					if err := c.to.separate(fakeplatform.PartitionResets); err != nil {
-						return false, err
-					}
-				}
+			mu.Unlock()
+			if err := r.separateAll(daemons); err != nil {
+				return false, err
 			}
 		}
 		for k, c := range clients {
@@ -91,13 +82,6 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	wait.Wait()
-	for _, c := range clients {
-		if r.trouble && c.to.paths != nil {
-			if err := c.to.join(); err != nil {
-				return false, err
-			}
-		}
-	}
 	cut, others := counts[true], counts[false]
 	r.note("from %s after the cut began: %d of %d first tries served at the machines that are cut off, %d of %d at the others", stable, cut.served, cut.sent, others.served, others.sent)
 	failed, all := cut.sent-cut.served, cut.sent+others.sent
@@ -107,3 +91,16 @@
 
 // stable is stable_window_ms of the settings.
 const stable = 3 * time.Second
+
+// separateAll partitions the daemons that have links of their own from all workers, with the trouble.
+func (r *rig) separateAll(daemons []*daemonProcess) error {
+	for _, d := range daemons {
+		if !r.trouble || d.paths == nil {
+			continue
+		}
+		if err := d.separate(fakeplatform.PartitionResets); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/review/_rig-2/main.go
+++ b/review/_rig-2/main.go
@@ -17,7 +17,7 @@
 	exitFailed = 2
 )
 
-// cases maps the numbers of the cases to the functions that run them.
+// cases maps the names of the cases to the functions that run them.
 var cases = map[string]func(*rig) (broken bool, err error){}
 
 func main() {
--- a/review/_rig-2/rig.go
+++ b/review/_rig-2/rig.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"fescuelatch/platform/fakeplatform"
@@ -64,7 +65,7 @@
 func (r *rig) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.record, "%9.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.record, "%9.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // close ends all processes and the platform.
@@ -160,6 +161,19 @@
 	return w, nil
 }
 
+// startWorkers starts a worker of a service in each of the zones.
+func (r *rig) startWorkers(service string, zones []string, flags ...string) ([]*workerProcess, error) {
+	var workers []*workerProcess
+	for n, zone := range zones {
+		w, err := r.startWorker(fmt.Sprintf("i-%s-%d", service, n), service, zone, flags...)
+		if err != nil {
+			return nil, err
+		}
+		workers = append(workers, w)
+	}
+	return workers, nil
+}
+
 // listen records what the worker tells.
 func (w *workerProcess) listen(lines *bufio.Scanner) {
 	for lines.Scan() {
@@ -206,10 +220,11 @@
 	w.rig.store.Put("servers/"+w.id, string(b))
 }
 
-// drain writes that the worker is leaving.
+// drain tells the worker that it is to leave, and writes that it does.
 func (w *workerProcess) drain() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	_ = w.command.Process.Signal(syscall.SIGTERM)
 	w.state = "draining"
 	w.writeLocked()
 	w.rig.note("worker %s is draining", w.id)
@@ -270,6 +285,29 @@
 	return d, nil
 }
 
+// newDaemons returns a daemon in each of the zones.
+func (r *rig) newDaemons(zones []string) ([]*daemonProcess, error) {
+	var daemons []*daemonProcess
+	for n, zone := range zones {
+		d, err := r.newDaemon(n, zone)
+		if err != nil {
+			return nil, err
+		}
+		daemons = append(daemons, d)
+	}
+	return daemons, nil
+}
+
+// startAll starts daemons and waits until they are ready.
+func (r *rig) startAll(daemons []*daemonProcess) error {
+	for _, d := range daemons {
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	return r.awaitReady()
+}
+
 // start starts the daemon's process.
 func (d *daemonProcess) start() error {
 	ip, _, _ := net.SplitHostPort(d.frontend)
--- a/review/_rig-2/storm.go
+++ b/review/_rig-2/storm.go
@@ -46,27 +46,17 @@
 func storm(r *rig) (bool, error) {
 	version := 1
 	r.store.Put("op/config", grown(version, 0, droppedKey))
-	for n, zone := range []string{"dub-a", "dub-b", "dub-c"} {
-		if _, err := r.startWorker(fmt.Sprintf("i-app-%d", n), "app", zone, "--work", "30ms"); err != nil {
-			return false, err
-		}
+	if _, err := r.startWorkers("app", r.zones, "--work", "30ms"); err != nil {
+		return false, err
 	}
-	var daemons []*daemonProcess
-	var clients []*client
-	for n, zone := range []string{"dub-a", "dub-b", "dub-c"} {
-		d, err := r.newDaemon(n, zone)
-		if err != nil {
-			return false, err
-		}
-		if err := d.start(); err != nil {
-			return false, err
-		}
-		daemons = append(daemons, d)
-		clients = append(clients, r.newClient(d))
+	daemons, err := r.newDaemons(r.zones)
+	if err != nil {
+		return false, err
 	}
-	if err := r.awaitReady(); err != nil {
+	if err := r.startAll(daemons); err != nil {
 		return false, err
 	}
+	clients := r.newClients(daemons)
 	put := func(c string) {
 		r.store.Put("op/config", c)
 		r.note("version %d is acknowledged: %d bytes", version, len(c))
@@ -99,11 +89,18 @@
 	acknowledged := time.Now()
 	r.note("the last version has a new path /step%d/ and has dropped a key", version)
 
+	refused, ran := askForLast(r, clients, version, acknowledged, began.Add(history-time.Second))
+	return refused+ran > 0, nil
+}
+
+// askForLast asks all daemons, until a time, for the route that the last version has added and with
+// the key that it has dropped. It returns how many requests were refused and run as by an older version.
+func askForLast(r *rig, clients []*client, version int, acknowledged, until time.Time) (refused, ran int) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
-	refused, ran, sent := 0, 0, 0
+	sent := 0
 	path := fmt.Sprintf("/step%d/1", version)
-	for n := 0; time.Since(began) < history-time.Second; n++ {
+	for n := 0; time.Now().Before(until); n++ {
 		c := clients[n%len(clients)]
 		for k, q := range []struct{ path, key string }{{path, key}, {"/read/1", droppedKey}} {
 			wait.Add(1)
@@ -129,5 +126,5 @@
 	}
 	wait.Wait()
 	r.note("of %d requests, %d were refused on a route that is there, and %d ran with a dropped key, later than %s after the acknowledgement", sent, refused, ran, applyTime)
-	return refused+ran > 0, nil
+	return refused, ran
 }
--- a/review/_rig-2/worker.go
+++ b/review/_rig-2/worker.go
@@ -9,9 +9,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -33,8 +36,12 @@
 type worker struct {
 	id, mode string
 	work     time.Duration
-	mu       sync.Mutex
-	out      *json.Encoder
+	// leaving is set when the process gets SIGTERM, the notice that it is to leave. It goes on until
+	// it is killed.
+	leaving atomic.Bool
+
+	mu  sync.Mutex
+	out *json.Encoder
 }
 
 // runWorker runs a worker until it is killed.
@@ -52,6 +59,12 @@
 		fmt.Fprintln(os.Stderr, "worker:", err)
 		os.Exit(exitFailed)
 	}
+	notices := make(chan os.Signal, 1)
+	signal.Notify(notices, syscall.SIGTERM)
+	go func() {
+		<-notices
+		w.leaving.Store(true)
+	}()
 	w.tell(workerEvent{Event: "listening", Address: l.Addr().String()})
 	s := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	fmt.Fprintln(os.Stderr, "worker:", s.Serve(l))
@@ -68,8 +81,15 @@
 func (w *worker) ServeHTTP(to http.ResponseWriter, r *http.Request) {
 	call := r.Header.Get("Fescuelatch-Attempt-Id")
 	h := to.Header()
+	if w.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+		h.Set("Connection", "close")
+	}
 	if r.URL.Path == "/healthz" {
 		h.Set("Fescuelatch-Instance-Id", w.id)
+		if w.leaving.Load() {
+			to.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if call == "" {
@@ -157,7 +177,11 @@
 		}
 	}
 	_, _ = b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: " + kind + "\r\nFescuelatch-Attempt-Id: " + call +
-		"\r\nFescuelatch-Response-Signature: " + w.id + "." + call + "\r\n\r\n")
+		"\r\nFescuelatch-Response-Signature: " + w.id + "." + call + "\r\n")
+	if w.leaving.Load() {
+		_, _ = b.WriteString("Server-Leaving: 1\r\n")
+	}
+	_, _ = b.WriteString("\r\n")
 	writeParts(b.Writer, 2*w.work/time.Duration(max(len(parts), 1)), parts...)
 }
 
