Count an answer only with the signature of an endpoint

Cause: on a new connection any answer without an identifier was taken for that of the request, and nothing looked for the signature of a success. Only on kept connections were such pages skipped.

Change: a success without a signature is no answer, whether an endpoint or another daemon passes it on. Neither is any other answer of an endpoint that is not signed, not identified and does not state that the request has not run. The attempt is broken, as the request may have run, and the connection is closed.

Why it works: endpoints sign each success and identify each answer, and other programs do neither. It does not depend on the connection, the framing, the size or the status of the page, or on what the endpoint has sent before.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -207,6 +207,9 @@
 // which therefore may have run.
 var errContradicted = errors.New("the endpoint has written more than its refusal")
 
+// errForeign means that an answer is not that of an endpoint, which may have run the request.
+var errForeign = errors.New("the answer bears neither the signature of an endpoint nor states that the request was not run")
+
 // errPartialEvent means that a stream ended within an event.
 var errPartialEvent = errors.New("the stream ends within an event")
 
@@ -266,6 +269,9 @@
 		t.servedBy = headers.ServedBy
 		headers.Rated = false // The other daemon has decided on this answer.
 	}
+	if t.foreign(a.Status, headers) {
+		return errForeign
+	}
 	t.reportLoad(headers, sent)
 	t.reportLimit(a.Status, headers, sent)
 	t.reportBrittle(a.Status, headers, sent)
@@ -607,6 +613,19 @@
 	}
 }
 
+// foreign reports whether an answer comes from another program than an endpoint: a success that is
+// not signed, or an answer that is neither signed nor identified. Failures of other daemons are
+// their own.
+func (t *attempt) foreign(status int, h fescuelatch.AnswerHeaders) bool {
+	switch {
+	case h.Signed || h.NotRun:
+		return false
+	case status < http.StatusMultipleChoices:
+		return true
+	}
+	return t.delegate == "" && h.Call == "" && t.request.call.Call != ""
+}
+
 // impliesNotRun reports whether a status implies that the request did not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/store.go
+++ b/store.go
@@ -146,6 +146,8 @@
 	State StateVersion
 	// NotRun reports that the endpoint has not run the request and will not.
 	NotRun bool
+	// Signed reports that an endpoint has signed the answer, as endpoints do with each success.
+	Signed bool
 	// Confidence is the endpoint's confidence in the answer, from 0 to 1;
 	// Rated reports whether it is present.
 	Confidence float64
