Replace statuses that promise "not run" in answers of any size

Cause: the status is replaced by 502 when a buffered answer is written. One that is too large for the buffer, or for which there is no memory, is passed on as it arrives by other code, which wrote the status as it is. A daemon that gets such a status from another daemon took it for a refusal of that daemon.

Change: one function decides on the status for both ways of writing an answer, and a status in the answer of another daemon is its own only if no endpoint has signed it.

Why it works: every head that a caller gets is written in one of these two places. What states that the request has not run (the header, or status 421) is handled before them.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -275,7 +275,7 @@
 	t.reportLoad(headers, sent)
 	t.reportLimit(a.Status, headers, sent)
 	t.reportBrittle(a.Status, headers, sent)
-	if headers.NotRun || a.Status == http.StatusMisdirectedRequest || t.delegate != "" && impliesNotRun(a.Status) {
+	if t.refused(a.Status, headers) {
 		return t.finishRefused(a, r, headers)
 	}
 	t.confidence, t.status = headers.Confidence, a.Status
@@ -445,7 +445,7 @@
 		t.failure = errors.Errorf("the endpoint answered with status %d", a.Status)
 		return nil
 	}
-	if t.delegate != "" && a.Status >= http.StatusInternalServerError {
+	if t.delegate != "" && (a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status)) {
 		// That daemon has made the attempts that it was allowed.
 		r.Status = fescuelatch.AttemptFailed
 		t.failure = errors.Errorf("the other daemon answered with status %d", a.Status)
@@ -626,6 +626,12 @@
 	return t.delegate == "" && h.Call == "" && t.request.call.Call != ""
 }
 
+// refused reports whether an answer states that the request was not run. A status alone states it
+// if it is the own one of another daemon: a signed one is that of an endpoint.
+func (t *attempt) refused(status int, h fescuelatch.AnswerHeaders) bool {
+	return h.NotRun || status == http.StatusMisdirectedRequest || t.delegate != "" && impliesNotRun(status) && !h.Signed
+}
+
 // impliesNotRun reports whether a status implies that the request did not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/direct/output.go
+++ b/direct/output.go
@@ -75,8 +75,18 @@
 		return
 	}
 	o.started, o.status, o.stream = true, a.Status, isStream(a)
-	o.copyHeader(w, dialect, a.Header, false)
-	w.WriteHeader(a.Status)
+	status := callerStatus(a.Status)
+	o.copyHeader(w, dialect, a.Header, status != a.Status)
+	w.WriteHeader(status)
+}
+
+// callerStatus returns the status that the caller gets for that of an answer. One which implies
+// that the request did not run, although it may have, is replaced by a neutral one.
+func callerStatus(status int) int {
+	if impliesNotRun(status) {
+		return http.StatusBadGateway
+	}
+	return status
 }
 
 // copyHeader copies the header of an endpoint's answer. It adds no Date field if
@@ -121,14 +131,10 @@
 	return err != nil || a > b
 }
 
-// writeBuffered writes a buffered answer. A status which implies that the request
-// did not run, although it may have, is replaced by a neutral one.
+// writeBuffered writes a buffered answer.
 func (o *output) writeBuffered(w http.ResponseWriter, dialect fescuelatch.HeaderCodec, a *bufferedAnswer) {
 	o.started = true
-	status := a.status
-	if impliesNotRun(status) {
-		status = http.StatusBadGateway
-	}
+	status := callerStatus(a.status)
 	o.copyHeader(w, dialect, a.header, status != a.status)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
