Count failures in large pages as failures

What callers saw: a request that may be repeated ended with the 500 of one endpoint, in a page above 1 MiB, although others were sound. A release half of whose answers were such pages was not rolled back.

Cause: an answer that is too large to buffer was reported as a success whatever its status, and shown to no rollout.

Change: whether an answer is a failure is decided before its size matters. A large failure is dropped if the request may run again, and passed on whole if not. In both cases it counts against its endpoint and its release.

Why it works: the status is known with the head, and does not depend on the size of the body, the framing or the memory that is left for answers.

--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -56,6 +56,10 @@
 		c.expired(q)
 	case fescuelatch.AttemptFailed:
 		q.final = q.final || r.Final
+		if r.Relayed {
+			c.accept(q, q.current, false)
+			return
+		}
 		c.failed(now, q)
 	case fescuelatch.AttemptCancelled:
 		c.end(q, chart.EventCancel)
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -422,8 +422,9 @@
 		return err
 	}
 	r.FirstToken = time.Since(sent)
+	failed := a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status)
 	if !whole {
-		return t.relayLarge(a, r, b)
+		return t.readLarge(a, r, b, failed, sent)
 	}
 	t.maybeCut = len(b) == 0 && !a.Framed
 	end := t.checkEnd(a)
@@ -431,24 +432,11 @@
 	if end != nil && !last {
 		return end
 	}
-	// Another daemon has counted its attempts itself.
-	failed := t.delegate == "" && (a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status))
 	r.RetryAfter = retryAfter(a.Status, headers)
-	if failed {
-		t.observe(rollout.OutcomeFailed, sent, r.FirstToken)
-	} else {
-		t.observe(rollout.OutcomeAnswered, sent, r.FirstToken)
-	}
+	t.observe(outcomeOf(failed), sent, r.FirstToken)
 	t.request.storeAnswer(t.start.Attempt, &bufferedAnswer{status: a.Status, header: a.Header, body: b})
 	if failed {
-		r.Status = fescuelatch.AttemptFailed
-		t.failure = errors.Errorf("the endpoint answered with status %d", a.Status)
-		return nil
-	}
-	if t.delegate != "" && (a.Status >= http.StatusInternalServerError || impliesNotRun(a.Status)) {
-		// That daemon has made the attempts that it was allowed.
-		r.Status = fescuelatch.AttemptFailed
-		t.failure = errors.Errorf("the other daemon answered with status %d", a.Status)
+		r.Status, t.failure = fescuelatch.AttemptFailed, t.errFailed(a.Status)
 		return nil
 	}
 	if last {
@@ -489,8 +477,28 @@
 	}
 }
 
+// readLarge reads the rest of an answer that is too large to buffer. A failure is dropped if the
+// request may run again, since other attempts may answer it. Anything else is relayed.
+func (t *attempt) readLarge(a *endpoint.Answer, r *fescuelatch.AttemptResult, head []byte, failed bool, sent time.Time) error {
+	r.RetryAfter = retryAfter(a.Status, a.Decoded)
+	t.observe(outcomeOf(failed), sent, r.FirstToken)
+	if failed && t.request.details.Idempotent {
+		t.request.storeAnswer(t.start.Attempt, &bufferedAnswer{status: http.StatusBadGateway})
+		r.Status, t.failure = fescuelatch.AttemptFailed, t.errFailed(a.Status)
+		return nil
+	}
+	if err := t.relayLarge(a, head); err != nil {
+		return err
+	}
+	r.Status = fescuelatch.AttemptAnswered
+	if failed {
+		r.Status, r.Relayed, t.failure = fescuelatch.AttemptFailed, true, t.errFailed(a.Status)
+	}
+	return nil
+}
+
 // relayLarge relays an answer that is too large to buffer.
-func (t *attempt) relayLarge(a *endpoint.Answer, r *fescuelatch.AttemptResult, head []byte) error {
+func (t *attempt) relayLarge(a *endpoint.Answer, head []byte) error {
 	if !t.awaitRelay(fescuelatch.AnswerHeaders{}) {
 		return t.ctx.Err()
 	}
@@ -503,13 +511,28 @@
 	if _, err := io.Copy(s.writer, a); err != nil {
 		return err //nolint:wrapcheck // classify needs its kind.
 	}
-	if err := t.checkEnd(a); err != nil && !errors.Is(err, errLast) {
+	if err := t.checkEnd(a); !errors.Is(err, errLast) {
 		return err
 	}
-	r.Status = fescuelatch.AttemptAnswered
 	return nil
 }
 
+// errFailed returns the failure of an attempt that was answered with a status.
+func (t *attempt) errFailed(status int) error {
+	if t.delegate != "" {
+		return errors.Errorf("the other daemon answered with status %d", status)
+	}
+	return errors.Errorf("the endpoint answered with status %d", status)
+}
+
+// outcomeOf returns what an answer shows of its release.
+func outcomeOf(failed bool) rollout.Outcome {
+	if failed {
+		return rollout.OutcomeFailed
+	}
+	return rollout.OutcomeAnswered
+}
+
 // relayStream relays a stream of events, each as soon as it is complete.
 func (t *attempt) relayStream(a *endpoint.Answer, r *fescuelatch.AttemptResult, headers fescuelatch.AnswerHeaders, sent time.Time) error {
 	opened := time.Since(sent)
--- a/direct/largefailure_test.go
+++ b/direct/largefailure_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -100,3 +101,56 @@
 		}
 	}
 }
+
+// TestLargeFailureIsTakenForSuccess guards against failures that end a request that may be repeated,
+// and that count as successes of their endpoint, as their page is too large to buffer.
+func TestLargeFailureIsTakenForSuccess(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusGatewayTimeout} {
+		for _, page := range failurePages {
+			t.Run(fmt.Sprintf("%d, %s", status, page.name), func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, "desk", 3)
+				s.awaitReady()
+				failure := fakeplatform.Page{Status: status, Type: "text/plain", Size: page.size, Chunked: page.chunked}
+				s.inOrder(failure.Behaviour, text(http.StatusOK, "text/plain", 12))
+				a := s.call(http.MethodPost, "desk.example", "/look/", "body")
+				s.Check(a.status, qt.Equals, http.StatusOK)
+				s.Check(a.body, qt.Equals, "error text. ")
+
+				s.inOrder(failure.Behaviour)
+				a = s.call(http.MethodPost, "desk.example", "/look/", "body")
+				s.Check(a.status >= http.StatusInternalServerError, qt.IsTrue)
+				s.Check(a.status, qt.Not(qt.Equals), http.StatusServiceUnavailable)
+				a = s.call(http.MethodPost, "desk.example", "/ban/", "body")
+				s.Check(a.err, qt.IsNil)
+				s.Check(len(a.body), qt.Equals, page.size)
+				if status != http.StatusServiceUnavailable {
+					s.Check(a.status, qt.Equals, status)
+					s.Check(a.header.Get("Fescuelatch-Response-Signature"), qt.Not(qt.Equals), "")
+				}
+			})
+		}
+	}
+}
+
+// TestReleaseWithLargeFailuresIsCompleted guards against a release whose failures are not counted, as
+// their pages are too large to buffer.
+func TestReleaseWithLargeFailuresIsCompleted(t *testing.T) {
+	for _, path := range []string{"/ban/", "/look/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, "desk", 2, 4)
+			bad := fakeplatform.Page{Status: http.StatusInternalServerError, Type: "text/plain", Size: 1_200_000}.Behaviour
+			for _, e := range f.endpoints[2:] {
+				e.SetBehaviour(half(bad, plainAnswer))
+				f.store.Put(e.Key(), e.Entry("desk", "v2", "ready"))
+			}
+			calls := load{perSecond: 40, method: http.MethodPost, host: "desk.example", path: path, header: func() []string { return nil }}
+			f.play(calls, time.Second)
+			f.store.Put("op/rollout/desk", `{"service":"desk","target":"v2","duration_s":8}`)
+			f.play(calls, 9*time.Second)
+			status, _ := f.store.Get("status/rollout/desk")
+			f.Check(strings.Contains(status, "rolled_back"), qt.IsTrue, qt.Commentf("the recorded state is %s", status))
+		})
+	}
+}
--- a/request.go
+++ b/request.go
@@ -143,6 +143,8 @@
 	// Final reports that further attempts would not be started either, or could not
 	// continue what the caller has received.
 	Final bool `json:"final,omitempty"`
+	// Relayed reports that the caller has received all of the answer of a failed attempt.
+	Relayed bool `json:"relayed,omitempty"`
 	// Unsent reports that the attempt ended before anything was sent to the
 	// endpoint, and so is no evidence on it.
 	Unsent bool `json:"unsent,omitempty"`
