Leave out only the entry of a configuration that cannot be used

What callers see: a version with one entry that cannot be used never comes into force. What it drops goes on to work, and what it adds gets 401 or 404.

Cause: a configuration is checked as a whole, though the store has acknowledged it and its author can't be told any more.

Change: a service, model, account or the limits that can't be used are left out alone, and named in the log. A route keeps its place and refuses its requests.

Nobody gets more than the version allows: an account that is left out has no key, and a request of a route that is left out does not fall to one with a shorter prefix.

--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -280,6 +280,7 @@
 			k.deployment = d
 			k.log.Info("configuration in force", "generation", d.Generation, "revision", kv.Revision,
 				"routes", len(d.Routes), "services", len(d.Services), "accounts", len(d.Accounts))
+			k.logUnused(d)
 		}
 	case fescuelatch.SubjectEndpoint:
 		r, err := k.notation.Registration(s.ID, kv.Value)
@@ -323,6 +324,16 @@
 	return nil
 }
 
+// maxLoggedParts bounds the parts of a configuration that are logged as unused.
+const maxLoggedParts = 16
+
+// logUnused logs the parts of a configuration that cannot be used.
+func (k *storeView) logUnused(d *fescuelatch.Deployment) {
+	for _, f := range d.Unused[:min(len(d.Unused), maxLoggedParts)] {
+		k.log.Warn("part of the configuration cannot be used", "generation", d.Generation, "part", f.Path, "error", f.Message, "parts", len(d.Unused))
+	}
+}
+
 func (k *storeView) register(now time.Time, r fescuelatch.Registration, revision int64) {
 	id := r.Endpoint.ID
 	before, known := k.endpoints[id]
--- a/direct/names_test.go
+++ b/direct/names_test.go
@@ -120,3 +120,23 @@
 		})
 	}
 }
+
+// TestUnusableRouteIsServedByAnother guards against requests that a route with a shorter prefix
+// serves, of another service or without a key, as theirs cannot be used.
+func TestUnusableRouteIsServedByAnother(t *testing.T) {
+	s := newSite(t, "desk", 1)
+	s.awaitReady()
+	for n, unusable := range []string{`"kind":"perhaps","timeout_ms":2000`, `"kind":"non_idempotent","timeout_ms":"2000"`} {
+		configuration := strings.Replace(fakeplatform.Configuration(10*n+2, callerKey), `"routes":[`, `"routes":[
+  {"name":"all","host":"desk.example","path_prefix":"/","kind":"idempotent","timeout_ms":2000,"service":"desk","public":true},`, 1)
+		configuration = strings.Replace(configuration, `"kind":"non_idempotent","timeout_ms":2000`, unusable, 1)
+		s.store.Put(fakeplatform.ConfigurationKey, configuration)
+		s.eventually(func() bool {
+			return s.call(http.MethodPost, "desk.example", "/ban/", "body").status == http.StatusServiceUnavailable
+		})
+		s.Check(s.call(http.MethodPost, "desk.example", "/ban/", "body", "X-Api-Key", "").status, qt.Equals, http.StatusUnauthorized)
+		s.Check(s.call(http.MethodPost, "desk.example", "/other", "body", "X-Api-Key", "").status, qt.Equals, http.StatusOK)
+		s.store.Put(fakeplatform.ConfigurationKey, fakeplatform.Configuration(10*n+3, callerKey))
+		s.eventually(func() bool { return s.call(http.MethodPost, "desk.example", "/ban/", "body").status == http.StatusOK })
+	}
+}
--- a/route.go
+++ b/route.go
@@ -132,6 +132,8 @@
 	// AccountRanks overrides the ranks of routes for some accounts.
 	AccountRanks map[AccountID]int
 	Limits       RequestLimits
+	// Unused lists the parts of the configuration that cannot be used and are left out.
+	Unused []Fault
 
 	byHost map[string][]*Route
 }
