--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -208,7 +208,7 @@
 var errContradicted = errors.New("the endpoint has written more than its refusal")
 
 // errForeign means that an answer is not that of an endpoint, which may have run the request.
-var errForeign = errors.New("the answer bears neither the signature of an endpoint nor states that the request was not run")
+var errForeign = errors.New("the answer has no signature of an endpoint")
 
 // errPartialEvent means that a stream ended within an event.
 var errPartialEvent = errors.New("the stream ends within an event")
