--- a/direct/lastanswer_test.go
+++ b/direct/lastanswer_test.go
@@ -238,23 +238,23 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := newUnstartedSite(t, "desk", 1)
 			s.endpoints[0].SetBehaviour(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("first last")) })
-			var begun, last, late atomic.Int64
+			var started, last, late atomic.Int64
 			for n := range 2 * answers {
 				s.newLeavingEndpoint(t, fmt.Sprint("i-", n), "desk", "ready", func(e *leavingEndpoint, c net.Conn, r *http.Request) {
 					if e.runs.Load() > 1 {
 						return
 					}
-					begun.Add(1)
+					started.Add(1)
 					if test.closes {
 						_ = e.Close()
 					}
 					beginAnswer(c, r, "Server-Leaving: 1\r\n", "first ")
 					time.Sleep(20 * time.Millisecond)
-					began := time.Now()
+					written := time.Now()
 					_, _ = io.WriteString(c, "last")
 					_ = c.Close()
 					ended := &last
-					if time.Since(began) > rightAfter {
+					if time.Since(written) > rightAfter {
 						ended = &late
 					}
 					_ = e.Close()
@@ -267,7 +267,7 @@
 			for n := 0; judged < answers && n < 3*answers; n++ {
 				lastBefore, lateBefore := last.Load(), late.Load()
 				a := s.call(http.MethodPost, "desk.example", test.path, "")
-				s.eventually(func() bool { return last.Load()+late.Load() == begun.Load() })
+				s.eventually(func() bool { return last.Load()+late.Load() == started.Load() })
 				if late.Load() > lateBefore {
 					continue
 				}
